Settle the nouns that every part meets at

Cause: five parts are to grow side by side and need messages, errors, ids and the signatures of the decisions before they start. Before: an empty tree.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds, and the commands that measure slopes."""
--- /dev/null
+++ b/src/ibishead/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent program: the only client of one target."""
--- /dev/null
+++ b/src/ibishead/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control program: replicated documents, claims and incarnations."""
--- /dev/null
+++ b/src/ibishead/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure functions and state, without I/O, clock or chance."""
--- /dev/null
+++ b/src/ibishead/decisions/retry.py
@@ -0,0 +1,79 @@
+"""Whether an attempt that ended badly is followed by another."""
+
+from dataclasses import dataclass
+
+from ibishead.messages import Outcome
+
+__all__ = ["AttemptEnd", "GiveUp", "RetryBudget", "RetryElsewhere", "decide_retry"]
+
+#: Attempts of one request, the first included; more only spread an overload.
+MAX_ATTEMPTS = 3
+
+
+@dataclass(frozen=True)
+class AttemptEnd:
+    """How an attempt ended before any byte of it reached the caller.
+
+    :param remaining: seconds left until the request's deadline.
+    """
+
+    outcome: Outcome
+    attempt: int
+    idempotent: bool
+    remaining: float
+    delivered: bool = False
+
+
+@dataclass(frozen=True)
+class RetryElsewhere:
+    """Try another target."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class GiveUp:
+    """Tell the caller now.
+
+    :param retry_after: seconds after which the caller may come back.
+    """
+
+    reason: str
+    retry_after: float
+
+
+class RetryBudget:
+    """Lets retries be a fraction of first attempts, so that none amplify a failure."""
+
+    def __init__(self, ratio: float = 0.1, burst: float = 10.0) -> None:
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
+
+    def record_attempt(self) -> None:
+        """Earn a fraction of a retry with each first attempt."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def take(self) -> bool:
+        """Spend one retry, and return whether there was one to spend."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def decide_retry(
+    end: AttemptEnd, budget: RetryBudget, retry_after: float
+) -> RetryElsewhere | GiveUp:
+    """Decide what follows an attempt.
+
+    :param retry_after: seconds to tell the caller when it is given up.
+    """
+    repeatable = end.outcome is Outcome.NOT_RUN or end.idempotent
+    if not repeatable or end.delivered:
+        return GiveUp("may not run twice", retry_after)
+    if end.attempt >= MAX_ATTEMPTS or end.remaining <= 0:
+        return GiveUp("no attempt left before the deadline", retry_after)
+    if not budget.take():
+        return GiveUp("retry budget is spent", retry_after)
+    return RetryElsewhere(end.outcome.value)
--- /dev/null
+++ b/src/ibishead/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: takes callers' requests and relays whole answers."""
--- /dev/null
+++ b/src/ibishead/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/src/ibishead/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services, the weight store and callers."""
