--- /dev/null
+++ b/src/ibishead/control/raftlog.py
@@ -0,0 +1,159 @@
+"""The log as a replica holds it in memory: a snapshot and the entries after it."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from ibishead.control.peers import Configuration, Entry, EntryKind, Snapshot
+from ibishead.errors import StorageFault
+from ibishead.ids import LogIndex, Term
+
+__all__ = ["EMPTY_SNAPSHOT", "RaftLog", "decode_configuration", "encode_configuration"]
+
+EMPTY_SNAPSHOT = Snapshot(LogIndex(0), Term(0), Configuration())
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return a replica set as the data of an entry."""
+    return msgspec.json.encode(configuration)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Return the replica set that an entry holds."""
+    return msgspec.json.decode(data, type=Configuration)
+
+
+class RaftLog:
+    """Entries by index, from the one after ``floor`` to the last.
+
+    The floor may lie before the snapshot: some entries that the snapshot covers stay
+    for followers that are only a little behind.
+    """
+
+    def __init__(self, snapshot: Snapshot, entries: Sequence[Entry] = ()) -> None:
+        self.snapshot = snapshot
+        self._floor = snapshot.index
+        self._floor_term = snapshot.term
+        self._entries: list[Entry] = []
+        self._configurations = [(snapshot.index, snapshot.configuration)]
+        self.append(entries)
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Index of the last entry, or of the snapshot where there is none."""
+        return LogIndex(self._floor + len(self._entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Term of the last entry, or of the snapshot where there is none."""
+        return self._entries[-1].term if self._entries else self._floor_term
+
+    @property
+    def floor(self) -> LogIndex:
+        """Last index whose entry is gone; its term is still known."""
+        return self._floor
+
+    @property
+    def configuration(self) -> Configuration:
+        """The latest replica set in the log, committed or not."""
+        return self._configurations[-1][1]
+
+    @property
+    def configuration_index(self) -> LogIndex:
+        """Where the latest replica set stands."""
+        return self._configurations[-1][0]
+
+    def configuration_at(self, index: int) -> Configuration:
+        """Return the replica set as of an index at or after the snapshot's."""
+        return next(c for i, c in reversed(self._configurations) if i <= index)
+
+    def term_at(self, index: int) -> Term | None:
+        """Return the term of the entry at an index, or None where it isn't known."""
+        if index == self._floor:
+            return self._floor_term
+        if self._floor < index <= self.last_index:
+            return self._entries[index - self._floor - 1].term
+        return None
+
+    def slice(
+        self, first: int, last: int, max_bytes: int | None = None
+    ) -> tuple[Entry, ...]:
+        """Return the entries from first to last, both included.
+
+        :param max_bytes: stop before the data exceeds this, but after one entry.
+        """
+        found = self._entries[first - self._floor - 1 : last - self._floor]
+        if max_bytes is None:
+            return tuple(found)
+        size = 0
+        for count, entry in enumerate(found):
+            size += len(entry.data)
+            if size > max_bytes and count:
+                return tuple(found[:count])
+        return tuple(found)
+
+    def append(self, entries: Sequence[Entry]) -> None:
+        """Add entries behind the last one.
+
+        :raises StorageFault: the entries don't follow on the last one.
+        """
+        for entry in entries:
+            if entry.index != self.last_index + 1:
+                raise StorageFault(
+                    f"log entry {entry.index} follows {self.last_index}",
+                    "give this replica an empty data folder and run "
+                    "`ibishead replace` for it",
+                )
+            self._entries.append(entry)
+            if entry.kind is EntryKind.CONFIGURATION:
+                found = decode_configuration(entry.data)
+                self._configurations.append((entry.index, found))
+
+    def truncate(self, first: int) -> None:
+        """Drop all entries from an index on."""
+        del self._entries[first - self._floor - 1 :]
+        while len(self._configurations) > 1 and self.configuration_index >= first:
+            self._configurations.pop()
+
+    def compact(self, snapshot: Snapshot, retain: int) -> None:
+        """Let a snapshot of one's own state stand for the entries that it covers.
+
+        :param retain: how many of them to keep in memory.
+        """
+        floor = max(self._floor, snapshot.index - retain)
+        self._floor_term = self.term_at(floor) or self._floor_term
+        del self._entries[: floor - self._floor]
+        self._floor = LogIndex(floor)
+        self.snapshot = snapshot
+        later = [c for c in self._configurations if c[0] > snapshot.index]
+        self._configurations = [(snapshot.index, snapshot.configuration), *later]
+
+    def install(self, snapshot: Snapshot) -> bool:
+        """Let a snapshot of another replica replace the log.
+
+        :returns: whether entries behind the snapshot were kept, as they follow on it.
+        """
+        if self.term_at(snapshot.index) == snapshot.term:
+            self.compact(snapshot, 0)
+            return True
+        self.__init__(snapshot)  # type: ignore[misc]
+        return False
+
+    def first_of_term(self, index: int) -> LogIndex:
+        """Return the first known index of the term found at an index."""
+        term = self.term_at(index)
+        while self.term_at(index - 1) == term:
+            index -= 1
+        return LogIndex(index)
+
+    def last_of_term(self, term: int, below: int) -> LogIndex | None:
+        """Return the last index below another whose entry is of a term."""
+        index = min(below - 1, self.last_index)
+        while index > self._floor:
+            found = self.term_at(index)
+            if found == term:
+                return LogIndex(index)
+            if found is not None and found < term:
+                return None
+            index -= 1
+        return None
--- /dev/null
+++ b/src/ibishead/control/replication.py
@@ -0,0 +1,306 @@
+"""How a leader brings its log to the others, and what it may say is committed."""
+
+from collections.abc import Iterable
+
+from ibishead.control.peers import (
+    Append,
+    AppendAnswer,
+    Entry,
+    EntryKind,
+    Install,
+    TakeOver,
+)
+from ibishead.control.raftstate import (
+    LeaseMark,
+    PendingRead,
+    Progress,
+    RaftState,
+    ReadReady,
+    quorum_value,
+)
+from ibishead.errors import StorageFault
+from ibishead.ids import LogIndex, ReplicaId, Term
+
+__all__ = [
+    "advance_commit",
+    "append_command",
+    "append_empty",
+    "begin_read",
+    "broadcast",
+    "handle_append",
+    "handle_append_answer",
+    "handle_install",
+    "hand_over",
+    "quorum_age",
+]
+
+
+# Leader ----------------------------------------------------------------------
+
+
+def append_command(state: RaftState, kind: EntryKind, data: bytes) -> LogIndex:
+    """Add an entry of the leader's term, and return its index."""
+    index = LogIndex(state.log.last_index + 1)
+    state.append([Entry(index, state.term, kind, data)])
+    state.heartbeat_due = True
+    if kind is EntryKind.CONFIGURATION:
+        _follow_configuration(state)
+    return index
+
+
+def append_empty(state: RaftState) -> None:
+    """Begin a term with an entry that commits its predecessors' entries."""
+    state.own_term_index = append_command(state, EntryKind.EMPTY, b"")
+
+
+def broadcast(state: RaftState) -> None:
+    """Send everyone what is new, at least a heartbeat."""
+    state.heartbeat_due = False
+    for peer in state.peers:
+        _send_append(state, peer, state.progress[peer])
+
+
+def begin_read(state: RaftState, context: int) -> None:
+    """Note a read, to be confirmed by the next heartbeat round.
+
+    An old leader that doesn't know of its successor would serve state that others
+    have overwritten; the round proves that it still led after the read had begun.
+    """
+    if state.commit < state.own_term_index:
+        # a new leader doesn't know yet how far its predecessors had committed
+        state.early_reads.append(context)
+        return
+    state.round += 1
+    state.reads.append(PendingRead(context, state.commit, state.round))
+    state.heartbeat_due = True
+    _answer_reads(state)
+
+
+def handle_append_answer(
+    state: RaftState, sender: ReplicaId, answer: AppendAnswer
+) -> None:
+    """Take in how far a follower is."""
+    progress = state.progress.get(sender)
+    if progress is None or answer.term != state.term:
+        return
+    progress.contact = max(progress.contact, answer.echo_tick)
+    progress.echo = max(progress.echo, answer.sent_tick)
+    progress.round = max(progress.round, answer.round)
+    if answer.accepted:
+        _take_match(state, sender, progress, answer.index)
+    elif answer.index > progress.match:
+        _step_back(state, progress, answer)
+        _send_append(state, sender, progress)
+    _answer_reads(state)
+
+
+def advance_commit(state: RaftState) -> None:
+    """Raise the commit index to what a quorum holds on disk.
+
+    Only an entry of the leader's own term may be counted: an older one on a quorum
+    can still be overwritten by a leader that never saw it.
+    """
+    matches = [
+        state.durable if voter == state.replica else state.progress[voter].match
+        for voter in state.configuration.voters
+    ]
+    index = quorum_value(matches)
+    if index > state.commit and state.log.term_at(index) == state.term:
+        state.commit = LogIndex(index)
+        state.heartbeat_due = True
+        _begin_early_reads(state)
+
+
+def quorum_age(state: RaftState) -> int:
+    """Return the ticks since which a quorum is known to have followed this leader."""
+    contacts = [
+        state.now if voter == state.replica else state.progress[voter].contact
+        for voter in state.configuration.voters
+    ]
+    return state.now - quorum_value(contacts)
+
+
+def hand_over(state: RaftState) -> None:
+    """Ask the chosen successor to take over, once it holds the whole log."""
+    successor = state.successor
+    if successor is None:
+        return
+    if state.now >= state.successor_deadline or successor not in state.progress:
+        state.successor = None
+    elif state.progress[successor].match == state.log.last_index:
+        state.send(successor, TakeOver(state.term))
+
+
+def _follow_configuration(state: RaftState) -> None:
+    following = state.log.last_index + 1
+    members = state.peers
+    for peer in members:
+        state.progress.setdefault(peer, Progress(following))
+    for gone in set(state.progress).difference(members):
+        del state.progress[gone]
+
+
+def _take_match(
+    state: RaftState, peer: ReplicaId, progress: Progress, index: LogIndex
+) -> None:
+    progress.installing = -1
+    moved = index > progress.match
+    if moved:
+        progress.match = index
+    progress.next = max(progress.next, index + 1)
+    if progress.probing and index + 1 >= progress.next:
+        progress.probing = False
+    if moved:
+        advance_commit(state)
+        hand_over(state)
+    if progress.next <= min(state.log.last_index, progress.match + state.timing.window):
+        _send_append(state, peer, progress)
+
+
+def _step_back(state: RaftState, progress: Progress, answer: AppendAnswer) -> None:
+    following = answer.hint_index
+    if answer.hint_term:
+        found = state.log.last_of_term(answer.hint_term, answer.index + 1)
+        if found is not None:
+            following = LogIndex(found + 1)
+    following = min(following, answer.index)
+    progress.next = max(following, progress.match + 1)
+    progress.probing = True
+
+
+def _send_append(state: RaftState, peer: ReplicaId, progress: Progress) -> None:
+    prev_index = progress.next - 1
+    prev_term = state.log.term_at(prev_index)
+    if prev_term is None:
+        _send_snapshot(state, peer, progress)
+        return
+    last = min(state.log.last_index, progress.match + state.timing.window)
+    limit = state.timing.append_bytes
+    entries = state.log.slice(progress.next, last, limit)
+    state.send(
+        peer,
+        Append(
+            state.term,
+            LogIndex(prev_index),
+            prev_term,
+            entries,
+            state.commit,
+            state.round,
+            state.now,
+            progress.echo,
+            max(0, quorum_age(state)),
+        ),
+    )
+    if entries and not progress.probing:
+        progress.next = entries[-1].index + 1
+
+
+def _send_snapshot(state: RaftState, peer: ReplicaId, progress: Progress) -> None:
+    waited = state.now - progress.installing
+    if progress.installing >= 0 and waited < state.timing.election:
+        return
+    progress.installing = state.now
+    state.send(peer, Install(state.term, state.log.snapshot, state.round, state.now))
+
+
+def _begin_early_reads(state: RaftState) -> None:
+    if state.commit < state.own_term_index:
+        return
+    waiting, state.early_reads = state.early_reads, []
+    for context in waiting:
+        begin_read(state, context)
+
+
+def _answer_reads(state: RaftState) -> None:
+    rounds = [
+        state.round if voter == state.replica else state.progress[voter].round
+        for voter in state.configuration.voters
+    ]
+    confirmed = quorum_value(rounds)
+    ready = [read for read in state.reads if read.round <= confirmed]
+    state.reads = [read for read in state.reads if read.round > confirmed]
+    state.outputs += [ReadReady(read.context, read.index) for read in ready]
+
+
+# Follower --------------------------------------------------------------------
+
+
+def handle_append(state: RaftState, sender: ReplicaId, message: Append) -> None:
+    """Take entries from the leader, or say where the logs part."""
+    _note_lease(state, message)
+    if message.prev_index < state.commit:
+        # committed entries can't differ, so say what is held and skip the rest
+        _accept(state, sender, message, state.commit)
+        return
+    if state.log.term_at(message.prev_index) != message.prev_term:
+        _refuse(state, sender, message)
+        return
+    _add_entries(state, message.entries)
+    last = LogIndex(message.prev_index + len(message.entries))
+    state.commit = max(state.commit, min(message.commit, last))
+    _accept(state, sender, message, last)
+
+
+def handle_install(state: RaftState, sender: ReplicaId, message: Install) -> None:
+    """Take the leader's snapshot where it is ahead of what was applied."""
+    if message.snapshot.index > state.commit:
+        state.install(message.snapshot)
+    _accept(state, sender, message, state.commit)
+
+
+def _add_entries(state: RaftState, entries: Iterable[Entry]) -> None:
+    rest = list(entries)
+    while rest and state.log.term_at(rest[0].index) == rest[0].term:
+        rest.pop(0)
+    if not rest:
+        return
+    if rest[0].index <= state.commit:
+        raise StorageFault(
+            f"the leader contradicts committed entry {rest[0].index}",
+            "stop this replica, give it an empty data folder and run "
+            "`ibishead replace` for it",
+        )
+    if rest[0].index <= state.log.last_index:
+        state.truncate(rest[0].index)
+    state.append(rest)
+
+
+def _accept(
+    state: RaftState, leader: ReplicaId, message: Append | Install, index: LogIndex
+) -> None:
+    answer = AppendAnswer(
+        state.term, True, index, message.round, message.sent_tick, state.now
+    )
+    state.send_synced(leader, answer)
+
+
+def _refuse(state: RaftState, leader: ReplicaId, message: Append) -> None:
+    found = state.log.term_at(message.prev_index)
+    if found is None:
+        hint_index, hint_term = LogIndex(state.log.last_index + 1), Term(0)
+    else:
+        hint_index = state.log.first_of_term(message.prev_index)
+        hint_term = found
+    answer = AppendAnswer(
+        state.term,
+        False,
+        message.prev_index,
+        message.round,
+        message.sent_tick,
+        state.now,
+        hint_index,
+        hint_term,
+    )
+    state.send(leader, answer)
+
+
+def _note_lease(state: RaftState, message: Append) -> None:
+    """Count the lease from the tick of one's own that the leader has seen.
+
+    A message may have been on its way for long, so its arrival proves nothing; the
+    echo proves that the leader still had its quorum after that tick.
+    """
+    if message.echo_tick < 0:
+        return
+    since = message.echo_tick - message.quorum_age
+    state.lease_marks.append(LeaseMark(message.commit, since + state.timing.election))
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,496 @@
+"""What the consensus does in particular failures, one story a test."""
+
+import msgspec
+import pytest
+from tests.raft_fakes import TIMING, Replicas
+
+from ibishead.control import configuration as changes
+from ibishead.control.consensus import Consensus, Stored
+from ibishead.control.peers import (
+    Append,
+    AppendAnswer,
+    Configuration,
+    Entry,
+    EntryKind,
+    RequestVote,
+    Snapshot,
+    VoteAnswer,
+)
+from ibishead.control.raftstate import ReadReady, Role, Send, Write
+from ibishead.errors import Conflict, Unavailable
+from ibishead.ids import LogIndex, ReplicaId, Term
+
+A, B, C = ReplicaId("a"), ReplicaId("b"), ReplicaId("c")
+ABC = Configuration((A, B, C))
+FOUNDING = Snapshot(LogIndex(0), Term(0), ABC)
+
+
+def make_led(count: int = 3) -> tuple[Replicas, ReplicaId, list[ReplicaId]]:
+    """Return replicas with a leader, and the others."""
+    replicas = Replicas(count)
+    replicas.run(20, until=1)
+    leader = replicas.leader()
+    assert leader is not None
+    return replicas, leader, [name for name in replicas.nodes if name != leader]
+
+
+def make_core(stored: Stored, replica: ReplicaId = A) -> Consensus:
+    core = Consensus(replica, stored, TIMING, lambda bound: 0)
+    core.take()
+    return core
+
+
+def make_led_core(stored: Stored) -> Consensus:
+    """Return replica a of three, just elected, with its own writes synced."""
+    core = make_core(stored)
+    for _ in range(TIMING.election):
+        core.tick()
+    term = Term(stored.term + 1)
+    core.step(B, VoteAnswer(term, True, pre=True))
+    sync_all(core)
+    core.step(B, VoteAnswer(term, True))
+    sync_all(core)
+    assert core.role is Role.LEADER
+    return core
+
+
+def entry(index: int, term: int, data: bytes = b"") -> Entry:
+    return Entry(LogIndex(index), Term(term), EntryKind.COMMAND, data)
+
+
+def sent(core: Consensus, kind: type) -> list:
+    return [
+        output.message
+        for output in core.take()
+        if isinstance(output, Send) and isinstance(output.message, kind)
+    ]
+
+
+def sync_all(core: Consensus) -> None:
+    while tokens := [o.token for o in core.take() if isinstance(o, Write)]:
+        core.synced(tokens[-1])
+
+
+def test_cut_off_replica_does_not_depose_the_leader() -> None:
+    """A replica is cut off for long, then comes back.
+
+    It has asked for votes all the time. Without pre-vote it would come back with a
+    high term, and the others would stop serving for an election.
+    """
+    replicas, leader, others = make_led()
+    replicas.isolate(others[0])
+    replicas.run(60)
+    term = replicas.nodes[leader].core.term
+    assert replicas.nodes[others[0]].core.term == term
+    replicas.cuts.clear()
+    replicas.run(20)
+    assert replicas.leader() == leader
+    assert replicas.nodes[leader].core.term == term
+
+
+def test_cut_off_leader_steps_down_and_takes_nothing() -> None:
+    """A leader loses both followers; operators still reach it.
+
+    Without check-quorum it would take their changes, which can never be committed,
+    and they would wait instead of moving on to another replica.
+    """
+    replicas, leader, _ = make_led()
+    core = replicas.nodes[leader].core
+    replicas.isolate(leader)
+    replicas.run(2 * TIMING.election + 2)
+    assert core.role is not Role.LEADER
+    assert core.leader is None
+    assert core.propose([b"x"]) is None
+    assert core.lease() == 0
+
+
+def test_replicas_that_hear_their_leader_refuse_a_vote() -> None:
+    """One follower can't hear the leader, but the other follower can.
+
+    If the other granted its vote to whoever asks, the two would depose leader after
+    leader for as long as the one-way cut lasts.
+    """
+    replicas, leader, others = make_led()
+    replicas.cut(leader, others[0])
+    term = replicas.nodes[leader].core.term
+    replicas.run(40)
+    assert replicas.leader() == leader
+    assert replicas.nodes[leader].core.term == term
+
+
+def test_vote_waits_for_the_sync() -> None:
+    """A voter answers, loses power, restarts and votes for another in the same term.
+
+    Both candidates would lead that term. So the answer leaves only after the vote is
+    on the disk, and the vote is found there afterwards.
+    """
+    core = make_core(Stored(snapshot=FOUNDING))
+    core.step(B, RequestVote(Term(1), LogIndex(0), Term(0)))
+    outputs = core.take()
+    writes = [output for output in outputs if isinstance(output, Write)]
+    assert [(write.term, write.vote) for write in writes] == [(1, B)]
+    assert not [output for output in outputs if isinstance(output, Send)]
+    core.synced(writes[0].token)
+    assert sent(core, VoteAnswer) == [VoteAnswer(Term(1), True)]
+    restarted = make_core(Stored(Term(1), B, FOUNDING))
+    restarted.step(C, RequestVote(Term(1), LogIndex(0), Term(0)))
+    assert sent(restarted, VoteAnswer) == [VoteAnswer(Term(1), False)]
+
+
+def test_append_answer_waits_for_the_sync() -> None:
+    """A follower acknowledges an entry and loses power before it is on the disk.
+
+    The leader would count it and tell an operator "accepted"; the entry is gone.
+    """
+    core = make_core(Stored(snapshot=FOUNDING))
+    message = Append(
+        Term(1), LogIndex(0), Term(0), (entry(1, 1),), LogIndex(0), 0, sent_tick=3
+    )
+    core.step(B, message)
+    outputs = core.take()
+    assert not [output for output in outputs if isinstance(output, Send)]
+    core.synced([o for o in outputs if isinstance(o, Write)][-1].token)
+    assert [answer.index for answer in sent(core, AppendAnswer)] == [1]
+
+
+def test_leader_counts_its_own_entry_only_once_synced() -> None:
+    """Of three, one follower answers quickly while the leader's disk is slow.
+
+    If the leader counted itself before its sync, a power cut would leave one copy.
+    """
+    replicas, leader, others = make_led()
+    replicas.isolate(others[1])
+    before = replicas.max_commit
+    replicas.propose(leader)
+    for _ in range(4):
+        for name in (leader, others[0]):
+            replicas.tick(name)
+        replicas.sync(others[0])
+        while replicas.network:
+            replicas.deliver(0)
+    assert replicas.max_commit == before
+    replicas.sync(leader)
+    assert replicas.max_commit == before + 1
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting() -> None:
+    """A leader finds an entry of an older term on a quorum and calls it committed.
+
+    Another replica with an entry of a term in between may still win and overwrite it
+    (figure 8 of the Raft paper); so only an entry of the leader's own term counts.
+    """
+    core = make_led_core(Stored(Term(3), A, FOUNDING, (entry(1, 1), entry(2, 2))))
+    core.step(B, AppendAnswer(Term(4), True, LogIndex(2), 0, 0, 0))
+    assert core.commit == 0
+    core.step(B, AppendAnswer(Term(4), True, LogIndex(3), 0, 0, 0))
+    assert core.commit == 3
+
+
+def test_read_waits_for_a_heartbeat_round() -> None:
+    """A leader is frozen, another is elected and accepts a change; the old one wakes.
+
+    For a moment it still believes that it leads. A read served from its own state
+    would miss the accepted change.
+    """
+    replicas, leader, _ = make_led()
+    replicas.freeze(leader, True)
+    replicas.run(30)
+    successor = max(replicas.leaders.items())[1]
+    assert successor != leader
+    replicas.propose(successor, 3)
+    replicas.run(5)
+    replicas.freeze(leader, False)
+    core = replicas.nodes[leader].core
+    assert core.role is Role.LEADER
+    confirmed = replicas.confirmed_reads
+    replicas.read(leader)
+    replicas.settle()
+    assert replicas.confirmed_reads == confirmed
+    assert not replicas.nodes[leader].reads
+
+
+def test_new_leader_holds_reads_until_it_knows_what_is_committed() -> None:
+    """A leader dies right after a change was accepted; a read asks its successor.
+
+    The successor holds the change but doesn't know that it was committed. Until an
+    entry of its own term is, a read at its commit index would miss the change.
+    """
+    core = make_led_core(Stored(Term(1), None, FOUNDING, (entry(1, 1),)))
+    core.read(7)
+    core.step(B, AppendAnswer(Term(2), True, LogIndex(1), 9, 0, 0))
+    assert not [o for o in core.take() if isinstance(o, ReadReady)]
+    core.step(B, AppendAnswer(Term(2), True, LogIndex(2), 9, 0, 0))
+    assert [o for o in core.take() if isinstance(o, ReadReady)] == [
+        ReadReady(7, LogIndex(2))
+    ]
+
+
+def test_reads_of_one_turn_share_a_round() -> None:
+    """Many entry hosts read at once; each costs no heartbeat of its own."""
+    replicas, leader, _ = make_led()
+    core = replicas.nodes[leader].core
+    for context in range(50):
+        core.read(context)
+    outputs = core.take()
+    assert len([o for o in outputs if isinstance(o, Send)]) == 2
+    assert not [o for o in outputs if isinstance(o, ReadReady)]
+
+
+def test_proposals_of_one_turn_share_a_write() -> None:
+    """Many changes wait at once; one sync and one message a follower serve all."""
+    replicas, leader, _ = make_led()
+    core = replicas.nodes[leader].core
+    for number in range(64):
+        core.propose([b"%d" % number])
+    outputs = core.take()
+    writes = [o for o in outputs if isinstance(o, Write)]
+    assert [len(write.entries) for write in writes] == [64]
+    assert len([o for o in outputs if isinstance(o, Send)]) == 2
+
+
+def test_learner_is_not_counted() -> None:
+    """A fresh replica gets the log while one voter is lost, then a second voter goes.
+
+    Were the learner counted, the leader and it would commit without a quorum of the
+    voters, and the voters that come back would not know.
+    """
+    replicas, leader, others = make_led()
+    fresh = replicas.add_host("d")
+    current = replicas.nodes[leader].core.configuration
+    assert replicas.change(leader, changes.add_learner(current, fresh))
+    replicas.run(5)
+    assert replicas.nodes[fresh].core.commit == replicas.max_commit
+    before = replicas.max_commit
+    for name in others:
+        replicas.crash(name)
+    replicas.propose(leader)
+    replicas.settle()
+    replicas.tick(leader)
+    replicas.settle()
+    assert replicas.max_commit == before
+
+
+def test_learner_becomes_voter_only_when_caught_up() -> None:
+    """An operator adds an empty replica and counts it at once; then a host is lost.
+
+    Nothing could be committed until the new one had the whole log.
+    """
+    replicas, leader, others = make_led()
+    fresh = replicas.add_host("d")
+    replicas.isolate(fresh)
+    core = replicas.nodes[leader].core
+    assert replicas.change(leader, changes.add_learner(core.configuration, fresh))
+    replicas.propose(leader, 20)
+    replicas.run(5)
+    wanted = changes.promote(core.configuration, fresh)
+    with pytest.raises(Unavailable, match="not caught up"):
+        core.propose_configuration(wanted)
+    replicas.cuts.clear()
+    replicas.run(10)
+    assert replicas.change(leader, wanted)
+    replicas.run(3)
+    assert fresh in replicas.voters()
+    replicas.crash(others[0])
+    before = replicas.max_commit
+    replicas.propose(leader)
+    replicas.run(3)
+    assert replicas.max_commit == before + 1
+
+
+@pytest.mark.parametrize(
+    ("voters", "message"),
+    [
+        ((A, B, C, "d", "e"), "one voter only"),
+        ((), "one voter only"),
+    ],
+)
+def test_change_of_several_voters_is_refused(
+    voters: tuple[ReplicaId, ...], message: str
+) -> None:
+    replicas, leader, _ = make_led()
+    core = replicas.nodes[leader].core
+    with pytest.raises(Conflict, match=message):
+        core.propose_configuration(Configuration(voters))
+
+
+def test_second_change_waits_for_the_first() -> None:
+    """Two operators replace two replicas at the same moment.
+
+    The old set's quorum and that after both changes may share no replica, and each
+    could commit something else.
+    """
+    replicas, leader, _ = make_led()
+    core = replicas.nodes[leader].core
+    core.propose_configuration(changes.add_learner(core.configuration, ReplicaId("d")))
+    wanted = changes.add_learner(core.configuration, ReplicaId("e"))
+    with pytest.raises(Conflict, match="under way"):
+        core.propose_configuration(wanted)
+
+
+def test_new_leader_changes_nothing_before_its_own_entry_is_committed() -> None:
+    """A leader began a change and was cut off; its successor begins another.
+
+    Both changes started from the same set, so their quorums may not meet. The
+    successor's own committed entry rules the first change out.
+    """
+    core = make_led_core(Stored(Term(1), A, FOUNDING))
+    with pytest.raises(Unavailable, match="lead yet"):
+        core.propose_configuration(changes.remove(ABC, C))
+
+
+def test_leader_does_not_remove_itself() -> None:
+    replicas, leader, _ = make_led()
+    core = replicas.nodes[leader].core
+    with pytest.raises(Conflict, match="transfer the leadership first"):
+        core.propose_configuration(changes.remove(core.configuration, leader))
+
+
+def test_transfer_hands_over_without_an_outage() -> None:
+    """A leader is stopped on purpose; nothing waits for an election timeout."""
+    replicas, leader, _ = make_led()
+    replicas.propose(leader)
+    replicas.transfer(leader)
+    assert replicas.nodes[leader].core.propose([b"late"]) is None
+    replicas.settle()
+    assert replicas.leader() not in (None, leader)
+    replicas.check_recovery()
+
+
+def test_transfer_that_fails_ends() -> None:
+    """The chosen successor dies; the leader takes changes again."""
+    replicas, leader, others = make_led()
+    replicas.transfer(leader)
+    successor = replicas.nodes[leader].core._state.successor
+    replicas.crash(successor)
+    replicas.network.clear()
+    replicas.run(TIMING.election + 1)
+    assert replicas.leader() == leader
+    assert replicas.nodes[leader].core.propose([b"x"]) is not None
+
+
+def test_follower_behind_the_floor_gets_the_snapshot() -> None:
+    """A replica was down while the others dropped the entries that it needs."""
+    replicas, leader, others = make_led()
+    replicas.crash(others[0])
+    for _ in range(5):
+        replicas.propose(leader, 3)
+        replicas.run(2)
+        replicas.compact(leader)
+    replicas.settle()
+    replicas.restart(others[0])
+    replicas.run(15)
+    assert replicas.nodes[others[0]].commands == replicas.nodes[leader].commands
+    assert replicas.nodes[others[0]].disk.stored.snapshot.index > 0
+
+
+def test_snapshot_carries_the_replica_set() -> None:
+    """A replica restarts from a snapshot that covers the change of the set."""
+    replicas, leader, others = make_led()
+    fresh = replicas.add_host("d")
+    core = replicas.nodes[leader].core
+    replicas.change(leader, changes.add_learner(core.configuration, fresh))
+    replicas.run(3)
+    replicas.compact(leader)
+    replicas.settle()
+    replicas.crash(leader)
+    replicas.restart(leader)
+    assert replicas.nodes[leader].core.configuration.learners == (fresh,)
+
+
+@pytest.mark.parametrize("behind", [3, 40])
+def test_follower_with_another_history_catches_up_in_few_steps(behind: int) -> None:
+    """An old leader comes back with entries that were never committed."""
+    stored = Stored(
+        Term(2), None, FOUNDING, tuple(entry(i, 2) for i in range(1, behind))
+    )
+    core = make_core(stored)
+    message = Append(
+        Term(5), LogIndex(behind - 1), Term(4), (), LogIndex(0), 0, sent_tick=1
+    )
+    core.step(B, message)
+    answer = sent(core, AppendAnswer)[0]
+    assert not answer.accepted
+    assert (answer.hint_index, answer.hint_term) == (1, 2)
+
+
+def test_follower_lease_counts_from_its_own_tick() -> None:
+    """A follower is cut off, and old heartbeats reach it long after they were sent.
+
+    If their arrival renewed the lease, it would vouch for documents that were
+    replaced meanwhile. The echoed tick tells how old they are.
+    """
+    replicas, leader, others = make_led()
+    replicas.run(5)
+    follower = replicas.nodes[others[0]]
+    assert follower.core.lease() > 0
+    late = Append(
+        follower.core.term,
+        follower.core.log.last_index,
+        follower.core.log.last_term,
+        (),
+        follower.core.commit,
+        0,
+        sent_tick=0,
+        echo_tick=follower.core._state.now,
+    )
+    replicas.isolate(others[0])
+    for _ in range(TIMING.election + 1):
+        replicas.tick(others[0])
+        follower.core.step(leader, late)
+    assert follower.core.lease() == 0
+
+
+def test_follower_vouches_only_for_what_it_has_applied() -> None:
+    """A heartbeat tells of commits that the follower hasn't got yet."""
+    core = make_core(Stored(snapshot=FOUNDING))
+    heartbeat = Append(
+        Term(1), LogIndex(0), Term(0), (), LogIndex(0), 0, sent_tick=1, echo_tick=0
+    )
+    core.step(B, heartbeat)
+    assert core.lease() > 0
+    behind = msgspec.structs.replace(heartbeat, commit=LogIndex(7))
+    other = make_core(Stored(snapshot=FOUNDING))
+    other.step(B, behind)
+    assert other.lease() == 0
+
+
+def test_lost_disk_under_the_old_name_would_lose_what_was_accepted() -> None:
+    """Of three, the leader and one follower hold a change; the follower's disk goes.
+
+    Coming back as a new replica, it doesn't vote, so the third can't win with it.
+    The new replica is taken in by a change of the set, and the change is there.
+    """
+    replicas, leader, others = make_led()
+    replicas.isolate(others[1])
+    replicas.propose(leader)
+    replicas.run(2)
+    fresh = replicas.lose_disk(others[0])
+    assert fresh is not None
+    replicas.crash(leader)
+    replicas.cuts.clear()
+    replicas.run(40)
+    assert replicas.leader() is None
+    replicas.restart(leader)
+    replicas.check_recovery()
+    core = replicas.nodes[leader].core
+    assert replicas.leader() == leader
+    assert replicas.change(leader, changes.add_learner(core.configuration, fresh))
+    replicas.run(5)
+    assert replicas.change(leader, changes.remove(core.configuration, others[0]))
+    replicas.run(5)
+    assert replicas.change(leader, changes.promote(core.configuration, fresh))
+    replicas.run(5)
+    # a second host is lost right after the repair
+    replicas.lose_disk(leader)
+    replicas.check_recovery()
+
+
+def test_single_replica_serves_alone() -> None:
+    """The one-command demo starts one replica."""
+    replicas, leader, _ = make_led(1)
+    replicas.propose(leader, 3)
+    replicas.settle()
+    replicas.read(leader)
+    assert replicas.confirmed_reads == 1
+    assert replicas.max_commit == 4
+    assert replicas.nodes[leader].core.lease() > 0
--- /dev/null
+++ b/tests/test_consensus_schedules.py
@@ -0,0 +1,285 @@
+"""Random schedules over the pure consensus, each step checked by the fakes.
+
+Two drivers: seeds that walk long schedules cheaply, and a rule-based machine whose
+failures shrink to the few steps that matter.
+"""
+
+import random
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from tests.raft_fakes import Replicas
+
+from ibishead.control import configuration as changes
+from ibishead.control.peers import Configuration
+from ibishead.ids import ReplicaId
+
+
+class Walk:
+    """One schedule, drawn from a seed."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.replicas = Replicas(count, seed)
+
+    def run(self, steps: int) -> None:
+        names = [name for name in dir(self) if name.startswith("do_")]
+        weights = [getattr(self, name).__func__.weight for name in names]
+        actions = [getattr(self, name) for name in names]
+        for action in self.random.choices(actions, weights, k=steps):
+            action()
+        self.replicas.check_recovery()
+
+    def any(self) -> ReplicaId:
+        return self.random.choice(list(self.replicas.nodes))
+
+    def leading(self) -> ReplicaId:
+        return self.replicas.leader() or self.any()
+
+    def do_tick(self) -> None:
+        self.replicas.tick(self.any())
+
+    def do_tick_all(self) -> None:
+        for name in self.replicas.nodes:
+            self.replicas.tick(name)
+
+    def do_deliver(self) -> None:
+        for _ in range(self.random.randrange(1, 12)):
+            early = self.random.random() < 0.7
+            position = 0 if early else self.random.randrange(100)
+            duplicate = self.random.random() < 0.05
+            self.replicas.deliver(position, duplicate=duplicate)
+
+    def do_drop(self) -> None:
+        for _ in range(self.random.randrange(1, 6)):
+            self.replicas.drop(self.random.randrange(100))
+
+    def do_sync(self) -> None:
+        self.replicas.sync(self.any())
+
+    def do_sync_all(self) -> None:
+        for name in self.replicas.nodes:
+            self.replicas.sync(name)
+
+    def do_good_time(self) -> None:
+        self.replicas.run(self.random.randrange(1, 8))
+
+    def do_propose(self) -> None:
+        self.replicas.propose(self.any(), self.random.randrange(1, 4))
+
+    def do_propose_to_leader(self) -> None:
+        self.replicas.propose(self.leading(), self.random.randrange(1, 4))
+
+    def do_read(self) -> None:
+        often = self.random.random() < 0.7
+        self.replicas.read(self.leading() if often else self.any())
+
+    def do_crash(self) -> None:
+        self.replicas.crash(self.any(), self.random.randrange(4))
+
+    def do_restart(self) -> None:
+        self.replicas.restart(self.any())
+
+    def do_freeze(self) -> None:
+        self.replicas.freeze(self.any(), self.random.random() < 0.4)
+
+    def do_cut(self) -> None:
+        one, other = self.any(), self.any()
+        self.replicas.cut(one, other)
+        if self.random.random() < 0.5:
+            self.replicas.cut(other, one)
+
+    def do_mend_cuts(self) -> None:
+        self.replicas.cuts.clear()
+
+    def do_transfer(self) -> None:
+        self.replicas.transfer(self.leading())
+
+    def do_compact(self) -> None:
+        self.replicas.compact(self.any())
+
+    def do_lose_disk(self) -> None:
+        self.replicas.lose_disk(self.any())
+
+    def do_add_learner(self) -> None:
+        fresh = [n for n in self.replicas.nodes if n not in self.replicas.voters()]
+        if fresh and self.replicas.leader():
+            leader = self.leading()
+            current = self.replicas.nodes[leader].core.configuration
+            wanted = changes.add_learner(current, self.random.choice(fresh))
+            self.replicas.change(leader, wanted)
+
+    def do_promote(self) -> None:
+        leader = self.leading()
+        current = self.replicas.nodes[leader].core.configuration
+        if current.learners:
+            chosen = self.random.choice(current.learners)
+            self.replicas.change(leader, changes.promote(current, chosen))
+
+    def do_remove(self) -> None:
+        leader = self.leading()
+        current = self.replicas.nodes[leader].core.configuration
+        others = [v for v in current.voters if v in self.replicas.lost]
+        if len(current.voters) > 3:
+            others += list(current.voters)
+        if others:
+            chosen = self.random.choice(others)
+            self.replicas.change(leader, changes.remove(current, chosen))
+
+
+WEIGHTS = {
+    "tick": 12,
+    "tick_all": 10,
+    "deliver": 40,
+    "drop": 3,
+    "sync": 8,
+    "sync_all": 8,
+    "good_time": 6,
+    "propose": 3,
+    "propose_to_leader": 6,
+    "read": 8,
+    "crash": 2,
+    "restart": 5,
+    "freeze": 3,
+    "cut": 3,
+    "mend_cuts": 2,
+    "transfer": 2,
+    "compact": 3,
+    "lose_disk": 1,
+    "add_learner": 4,
+    "promote": 4,
+    "remove": 3,
+}
+for _name, _weight in WEIGHTS.items():
+    getattr(Walk, f"do_{_name}").weight = _weight
+
+
+@pytest.mark.parametrize(
+    ("count", "steps", "schedules"), [(1, 60, 100), (3, 150, 1500), (5, 150, 500)]
+)
+def test_seeded_schedules(count: int, steps: int, schedules: int) -> None:
+    """Mixed faults never break a promise, and the replicas recover at the end."""
+
+    @settings(max_examples=schedules)
+    @given(st.integers(0, 2**32))
+    def walk(seed: int) -> None:
+        Walk(count, seed).run(steps)
+
+    walk()
+
+
+NAMES = st.integers(0, 7)
+
+
+class ReplicasMachine(RuleBasedStateMachine):
+    """The same events as rules, for failures that shrink."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.replicas = Replicas(3)
+        self.replicas.run(12)
+
+    def name(self, number: int) -> ReplicaId:
+        names = list(self.replicas.nodes)
+        return names[number % len(names)]
+
+    @rule(rounds=st.integers(1, 6))
+    def spend_good_time(self, rounds: int) -> None:
+        self.replicas.run(rounds)
+
+    @rule(number=NAMES, times=st.integers(1, 8))
+    def tick(self, number: int, times: int) -> None:
+        for _ in range(times):
+            self.replicas.tick(self.name(number))
+
+    @rule(position=st.integers(0, 20), times=st.integers(1, 8))
+    def deliver(self, position: int, times: int) -> None:
+        for _ in range(times):
+            self.replicas.deliver(position)
+
+    @rule(position=st.integers(0, 20))
+    def duplicate(self, position: int) -> None:
+        self.replicas.deliver(position, duplicate=True)
+
+    @rule(position=st.integers(0, 20))
+    def drop(self, position: int) -> None:
+        self.replicas.drop(position)
+
+    @rule(number=NAMES)
+    def sync(self, number: int) -> None:
+        self.replicas.sync(self.name(number))
+
+    @rule(number=NAMES, count=st.integers(1, 3))
+    def propose(self, number: int, count: int) -> None:
+        self.replicas.propose(self.name(number), count)
+
+    @rule(number=NAMES)
+    def read(self, number: int) -> None:
+        self.replicas.read(self.name(number))
+
+    @rule(number=NAMES, survivors=st.integers(0, 2))
+    def crash(self, number: int, survivors: int) -> None:
+        self.replicas.crash(self.name(number), survivors)
+
+    @rule(number=NAMES)
+    def restart(self, number: int) -> None:
+        self.replicas.restart(self.name(number))
+
+    @rule(number=NAMES, frozen=st.booleans())
+    def freeze(self, number: int, frozen: bool) -> None:
+        self.replicas.freeze(self.name(number), frozen)
+
+    @rule(sender=NAMES, to=NAMES, both=st.booleans())
+    def cut(self, sender: int, to: int, both: bool) -> None:
+        self.replicas.cut(self.name(sender), self.name(to))
+        if both:
+            self.replicas.cut(self.name(to), self.name(sender))
+
+    @rule()
+    def mend_cuts(self) -> None:
+        self.replicas.cuts.clear()
+
+    @rule(number=NAMES)
+    def compact(self, number: int) -> None:
+        self.replicas.compact(self.name(number))
+
+    @rule(number=NAMES)
+    def transfer(self, number: int) -> None:
+        self.replicas.transfer(self.name(number))
+
+    @rule(number=NAMES)
+    def lose_disk(self, number: int) -> None:
+        self.replicas.lose_disk(self.name(number))
+
+    @rule(number=NAMES)
+    def add_learner(self, number: int) -> None:
+        self._change(lambda current: changes.add_learner(current, self.name(number)))
+
+    @rule(number=NAMES)
+    def promote(self, number: int) -> None:
+        if self.name(number) in self._current().learners:
+            self._change(lambda current: changes.promote(current, self.name(number)))
+
+    @rule(number=NAMES)
+    def remove(self, number: int) -> None:
+        if len(self._current().voters) > 2:
+            self._change(lambda current: changes.remove(current, self.name(number)))
+
+    def teardown(self) -> None:
+        self.replicas.check_recovery()
+
+    def _current(self) -> Configuration:
+        leader = self.replicas.leader() or self.name(0)
+        return self.replicas.nodes[leader].core.configuration
+
+    def _change(self, make: Callable[[Configuration], Configuration]) -> None:
+        leader = self.replicas.leader()
+        if leader:
+            self.replicas.change(leader, make(self._current()))
+
+
+TestReplicas = ReplicasMachine.TestCase
+TestReplicas.settings = settings(max_examples=200, stateful_step_count=40)
