--- /dev/null
+++ b/src/ibishead/control/folder.py
@@ -0,0 +1,211 @@
+"""One data folder on a disk, locked, with every sync explicit."""
+
+import errno
+import fcntl
+import os
+from pathlib import Path
+from typing import Protocol
+
+from ibishead.errors import ErrorCode, StorageFault
+
+__all__ = ["DataFolder", "Files"]
+
+_LOCK = "lock"
+_FULL = (errno.ENOSPC, errno.EDQUOT)
+
+
+class Files(Protocol):
+    """The few file operations that storage needs; names are plain file names.
+
+    Nothing is durable before its sync: data by `sync`, a file's name by `sync_names`.
+    """
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+
+    def read(self, name: str) -> bytes:
+        """Return a file's content."""
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to the end of a file, which is created where it is missing.
+
+        :raises StorageFault: code ``STORAGE_FULL``, and the file is as before.
+        """
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes."""
+
+    def sync(self, name: str) -> None:
+        """Make a file's content durable.
+
+        :raises StorageFault: the disk failed; nothing is known of the content.
+        """
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, in place of another of the new name."""
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+
+    def sync_names(self) -> None:
+        """Make the names of all files durable.
+
+        :raises StorageFault: the disk failed.
+        """
+
+
+class DataFolder:
+    """The folder of one control process.
+
+    :param path: the folder; it is created where it is missing.
+    :raises StorageFault: another process holds the folder, or it can't be used.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        self._open: dict[str, int] = {}
+        self._lock = -1
+        try:
+            if not path.is_dir():
+                path.mkdir(parents=True)
+                _sync_path(path.parent)
+            self._lock = os.open(path / _LOCK, os.O_RDWR | os.O_CREAT, 0o600)
+        except OSError as error:
+            raise _fault(error, f"can't open the data folder {path}") from error
+        try:
+            # two processes on one folder would vote twice in a term
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError as error:
+            os.close(self._lock)
+            raise StorageFault(
+                f"the data folder {path} is in use",
+                "stop the other ibishead-control, or give each its own data folder",
+                code=ErrorCode.STORAGE_LOCKED,
+            ) from error
+
+    def names(self) -> list[str]:
+        """Return the names of all files but the lock, sorted."""
+        return sorted(p.name for p in self._path.iterdir() if p.name != _LOCK)
+
+    def read(self, name: str) -> bytes:
+        """Return a file's content."""
+        try:
+            return (self._path / name).read_bytes()
+        except OSError as error:
+            raise _fault(error, f"can't read {self._path / name}") from error
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add to the end of a file, which is created where it is missing.
+
+        :raises StorageFault: code ``STORAGE_FULL``, and the file is as before.
+        """
+        try:
+            descriptor = self._descriptor(name)
+            size = os.fstat(descriptor).st_size
+        except OSError as error:
+            raise _fault(error, f"can't open {self._path / name}") from error
+        try:
+            rest = memoryview(data)
+            while rest:
+                rest = rest[os.write(descriptor, rest) :]
+        except OSError as error:
+            # the part that found room must go, or the next record follows on it
+            self.truncate(name, size)
+            raise _fault(error, f"can't write {self._path / name}") from error
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes."""
+        try:
+            os.ftruncate(self._descriptor(name), size)
+        except OSError as error:
+            raise _fault(error, f"can't cut {self._path / name}") from error
+
+    def sync(self, name: str) -> None:
+        """Make a file's content durable.
+
+        :raises StorageFault: the disk failed; nothing is known of the content.
+        """
+        try:
+            os.fsync(self._descriptor(name))
+        except OSError as error:
+            raise _sync_fault(error, self._path / name) from error
+
+    def rename(self, old: str, new: str) -> None:
+        """Rename a file, in place of another of the new name."""
+        self._forget(old)
+        self._forget(new)
+        try:
+            (self._path / old).replace(self._path / new)
+        except OSError as error:
+            raise _fault(error, f"can't rename {self._path / old}") from error
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._forget(name)
+        try:
+            (self._path / name).unlink()
+        except OSError as error:
+            raise _fault(error, f"can't remove {self._path / name}") from error
+
+    def sync_names(self) -> None:
+        """Make the names of all files durable.
+
+        :raises StorageFault: the disk failed.
+        """
+        try:
+            _sync_path(self._path)
+        except OSError as error:
+            raise _sync_fault(error, self._path) from error
+
+    def free_bytes(self) -> int:
+        """Return the room that is left on the disk."""
+        found = os.statvfs(self._path)
+        return found.f_bavail * found.f_frsize
+
+    def close(self) -> None:
+        """Close all files and let go of the lock."""
+        for name in list(self._open):
+            self._forget(name)
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def _descriptor(self, name: str) -> int:
+        if name not in self._open:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._open[name] = os.open(self._path / name, flags, 0o600)
+        return self._open[name]
+
+    def _forget(self, name: str) -> None:
+        descriptor = self._open.pop(name, None)
+        if descriptor is not None:
+            os.close(descriptor)
+
+
+def _sync_path(path: Path) -> None:
+    descriptor = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _sync_fault(error: OSError, path: Path) -> StorageFault:
+    # after a failed sync the kernel may call the lost pages clean, so that a second
+    # sync would succeed without having written them; this code is never retried
+    return StorageFault(
+        f"syncing {path} failed: {error}",
+        "check the disk, then start this replica again or replace it",
+    )
+
+
+def _fault(error: OSError, problem: str) -> StorageFault:
+    if error.errno in _FULL:
+        return StorageFault(
+            f"{problem}: the disk is full",
+            "free some room on it; nothing that was accepted is lost",
+            code=ErrorCode.STORAGE_FULL,
+        )
+    return StorageFault(
+        f"{problem}: {error}", "check the disk and the folder's owner and rights"
+    )
--- /dev/null
+++ b/src/ibishead/control/storage.py
@@ -0,0 +1,236 @@
+"""The log, the vote and the snapshot of one replica on its disk.
+
+The log is a row of segment files. Each write is one record and is synced before
+`Storage.write` returns; a snapshot lets the segments before it go.
+"""
+
+import logging
+import re
+
+import msgspec
+
+from ibishead.control.consensus import Stored
+from ibishead.control.folder import Files
+from ibishead.control.identity import Identity, read_whole, write_whole
+from ibishead.control.peers import Configuration, Entry, Snapshot
+from ibishead.control.raftstate import Write
+from ibishead.control.records import DamagedRecord, Record, TornTail, frame, split
+from ibishead.errors import ErrorCode, StorageFault
+from ibishead.ids import LogIndex, ReplicaId, Term
+
+__all__ = ["Storage"]
+
+_LOGGER = logging.getLogger(__name__)
+_SEGMENT = re.compile(r"log-(\d{12})")
+_SNAPSHOT = re.compile(r"snapshot-(\d{20})")
+#: A new segment begins behind this size in bytes, so that old ones can be dropped.
+_SEGMENT_BYTES = 8 * 1024 * 1024
+_REMEDY = (
+    "keep a copy of the folder, then start this replica with an empty one and run "
+    "`ibishead replace` for it"
+)
+
+
+class _LogRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One write: the vote, and entries that replace all from the first one on.
+
+    :param reset: nothing that stood in the log before counts any more.
+    """
+
+    term: Term
+    vote: ReplicaId | None
+    entries: tuple[Entry, ...] = ()
+    reset: bool = False
+
+
+class Storage:
+    """What a replica keeps on its disk.
+
+    :param files: the data folder.
+    :param identity: whose it is; its founders hold before any entry says otherwise.
+    """
+
+    def __init__(self, files: Files, identity: Identity) -> None:
+        self._files = files
+        self._identity = identity
+        #: Highest entry index in each segment, in order.
+        self._segments: dict[int, int] = {}
+        self._current = 0
+        self._size = 0
+        self._failed = False
+        self._snapshot_index = -1
+        self._vote: tuple[Term, ReplicaId | None] = (Term(0), None)
+
+    def load(self) -> Stored:
+        """Return what the disk holds.
+
+        A torn last record was never answered for, so it is cut off.
+
+        :raises StorageFault: anything else is damaged or missing.
+        """
+        snapshot = self._load_snapshot()
+        entries: list[Entry] = []
+        numbers = _numbers(self._files, _SEGMENT)
+        if numbers and numbers != list(range(numbers[0], numbers[-1] + 1)):
+            raise StorageFault("a log segment is missing", _REMEDY)
+        if not numbers and (self._identity.cluster or snapshot.index):
+            raise StorageFault("the log is missing", _REMEDY)
+        for number in numbers:
+            highest = 0
+            for record in self._read_segment(number, last=number == numbers[-1]):
+                _replay(entries, record)
+                self._vote = (record.term, record.vote)
+                highest = max([highest, *(e.index for e in record.entries)])
+            self._segments[number] = highest
+        kept = _entries_after(snapshot, entries)
+        if numbers:
+            self._current = numbers[-1]
+        else:
+            self._begin_segment()
+        if entries and not kept:
+            # what comes next doesn't follow on the entries that were left out
+            self._append(_LogRecord(*self._vote, reset=True))
+        return Stored(*self._vote, snapshot, kept)
+
+    def write(self, write: Write) -> None:
+        """Put a write on the disk, and return once it is synced.
+
+        :raises StorageFault: code ``STORAGE_FULL`` when there was no room, and the
+            same write may be tried again; any other code is final, as nothing is
+            known of the disk any more.
+        """
+        if self._failed:
+            raise StorageFault("the disk has failed before", _REMEDY)
+        try:
+            self._write(write)
+        except StorageFault as fault:
+            self._failed = fault.code is not ErrorCode.STORAGE_FULL
+            raise
+
+    def _write(self, write: Write) -> None:
+        if write.snapshot is not None:
+            self._save_snapshot(write.snapshot)
+        if write.snapshot is not None or self._size > _SEGMENT_BYTES:
+            self._begin_segment()
+        record = _LogRecord(write.term, write.vote, write.entries, write.reset)
+        self._append(record)
+        self._vote = (write.term, write.vote)
+        if write.snapshot is not None:
+            self._drop_covered(write.snapshot.index)
+
+    def _append(self, record: _LogRecord) -> None:
+        data = frame(msgspec.msgpack.encode(record))
+        name = _segment_name(self._current)
+        self._files.append(name, data)
+        self._files.sync(name)
+        self._size += len(data)
+        highest = max([0, *(entry.index for entry in record.entries)])
+        self._segments[self._current] = max(self._segments[self._current], highest)
+
+    def _begin_segment(self) -> None:
+        self._current = max(self._segments, default=0) + 1
+        self._segments[self._current] = 0
+        self._size = 0
+        # the vote goes along, as the segments that hold it may be dropped
+        self._append(_LogRecord(*self._vote))
+        self._files.sync_names()
+
+    def _drop_covered(self, index: LogIndex) -> None:
+        for number in sorted(self._segments):
+            if number == self._current or self._segments[number] > index:
+                break
+            self._files.remove(_segment_name(number))
+            # in order, lest a crash brings back an old one behind a gap
+            self._files.sync_names()
+            del self._segments[number]
+        for found in _numbers(self._files, _SNAPSHOT):
+            if found < index:
+                self._files.remove(_snapshot_name(found))
+
+    def _save_snapshot(self, snapshot: Snapshot) -> None:
+        if snapshot.index <= self._snapshot_index:
+            return
+        payload = msgspec.msgpack.encode(snapshot)
+        write_whole(self._files, _snapshot_name(snapshot.index), payload)
+        self._snapshot_index = snapshot.index
+
+    def _load_snapshot(self) -> Snapshot:
+        numbers = _numbers(self._files, _SNAPSHOT)
+        if not numbers:
+            founding = Configuration(tuple(sorted(self._identity.founders)))
+            return Snapshot(LogIndex(0), Term(0), founding)
+        self._snapshot_index = numbers[-1]
+        payload = read_whole(self._files, _snapshot_name(numbers[-1]))
+        return msgspec.msgpack.decode(payload, type=Snapshot)
+
+    def _read_segment(self, number: int, *, last: bool) -> list[_LogRecord]:
+        name = _segment_name(number)
+        data = self._files.read(name)
+        self._size = len(data)
+        records = []
+        try:
+            for found in split(data):
+                match found:
+                    case Record(payload):
+                        decoded = msgspec.msgpack.decode(payload, type=_LogRecord)
+                        records.append(decoded)
+                    case TornTail(offset) if last:
+                        self._cut(name, offset, len(data))
+                    case TornTail(offset):
+                        raise DamagedRecord(offset)
+        except DamagedRecord as damage:
+            raise StorageFault(f"{name}: {damage}", _REMEDY) from damage
+        return records
+
+    def _cut(self, name: str, offset: int, size: int) -> None:
+        _LOGGER.warning(
+            "cut off a torn record of %d bytes at byte %d of %s; it was never answered",
+            size - offset,
+            offset,
+            name,
+        )
+        self._files.truncate(name, offset)
+        self._files.sync(name)
+        self._size = offset
+
+
+def _replay(entries: list[Entry], record: _LogRecord) -> None:
+    if record.reset:
+        entries.clear()
+    if not record.entries:
+        return
+    first = record.entries[0].index
+    if entries and first > entries[-1].index + 1:
+        raise StorageFault(f"log entry {entries[-1].index + 1} is missing", _REMEDY)
+    if entries:
+        del entries[max(0, first - entries[0].index) :]
+    entries.extend(record.entries)
+
+
+def _entries_after(snapshot: Snapshot, entries: list[Entry]) -> tuple[Entry, ...]:
+    """Return the entries that follow on a snapshot.
+
+    A crash may have come between a leader's snapshot and the record that resets the
+    log: what is found then conflicts with the snapshot or ends before it.
+    """
+    if not entries or entries[-1].index < snapshot.index:
+        return ()
+    position = snapshot.index - entries[0].index
+    if position < -1:
+        raise StorageFault(f"log entry {snapshot.index + 1} is missing", _REMEDY)
+    if position >= 0 and entries[position].term != snapshot.term:
+        return ()
+    return tuple(entries[position + 1 :])
+
+
+def _numbers(files: Files, pattern: re.Pattern[str]) -> list[int]:
+    found = [pattern.fullmatch(name) for name in files.names()]
+    return sorted(int(match[1]) for match in found if match)
+
+
+def _segment_name(number: int) -> str:
+    return f"log-{number:012d}"
+
+
+def _snapshot_name(index: int) -> str:
+    return f"snapshot-{index:020d}"
