--- /dev/null
+++ b/src/ibishead/web.py
@@ -0,0 +1,636 @@
+"""HTTP by h11 over asyncio streams: a server and a client connection.
+
+Both sides stream. The server bounds header size, body size and time, so that
+malformed, oversized, slow or cut-off input gets a defined answer and is dropped.
+"""
+
+import asyncio
+import contextlib
+import logging
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TypeAlias
+
+import h11
+import msgspec
+
+from ibishead.errors import (
+    ErrorCode,
+    IbisheadError,
+    InvalidInput,
+    LinkLost,
+    TooLarge,
+)
+from ibishead.links import Endpoint
+
+__all__ = [
+    "ClientAnswer",
+    "ClientConnection",
+    "Exchange",
+    "Headers",
+    "Limits",
+    "WebRequest",
+    "WebServer",
+    "drop_hop_by_hop",
+    "encode_error",
+    "find_header",
+]
+
+logger = logging.getLogger(__name__)
+
+Headers: TypeAlias = tuple[tuple[str, str], ...]
+
+_READ_SIZE = 64 * 1024
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Bounds on one connection.
+
+    :param header_bytes: largest request line and headers together.
+    :param body_bytes: largest body.
+    :param header_seconds: time for the headers to arrive, from their first byte.
+    :param body_seconds: time for the body to arrive.
+    :param idle_seconds: time that a kept connection may wait for a request.
+    :param write_seconds: time for a reader to make room for more of an answer.
+    :param connections: open at once.
+    """
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int = 8 * 1024 * 1024
+    header_seconds: float = 10.0
+    body_seconds: float = 30.0
+    idle_seconds: float = 75.0
+    write_seconds: float = 30.0
+    connections: int = 4096
+
+
+@dataclass(frozen=True)
+class WebRequest:
+    """One request, body included.
+
+    :param path: as sent, without the query.
+    :param headers: names in lower case, in order.
+    :param peer: the caller's IP number.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: Headers
+    body: bytes = b""
+    peer: str = ""
+
+    @property
+    def target(self) -> str:
+        """The path with its query."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
+
+def find_header(headers: Iterable[tuple[str, str]], name: str) -> str | None:
+    """Return the first value of a header, or none.
+
+    :param name: in lower case.
+    """
+    return next((value for key, value in headers if key == name), None)
+
+
+def drop_hop_by_hop(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers that may travel further than one connection."""
+    kept = list(headers)
+    named = {
+        part.strip().lower()
+        for key, value in kept
+        if key == "connection"
+        for part in value.split(",")
+    }
+    dropped = _HOP_BY_HOP | named
+    return tuple((key, value) for key, value in kept if key not in dropped)
+
+
+def encode_error(error: IbisheadError) -> tuple[Headers, bytes]:
+    """Return headers and JSON body that show an error to a caller."""
+    document = {
+        "error": {
+            "code": error.code.value,
+            "message": error.message,
+            "remedy": error.remedy,
+        }
+    }
+    headers: Headers = (("content-type", "application/json"),)
+    if error.retry_after is not None:
+        # Whole seconds by RFC 9110, rounded up so that nobody comes back too soon
+        seconds = max(1, -(-int(error.retry_after.total_seconds() * 1000) // 1000))
+        headers += (("retry-after", str(seconds)),)
+    return headers, msgspec.json.encode(document)
+
+
+class Exchange:
+    """One request and the answer being written to it.
+
+    :param gone: set once the caller has closed its side.
+    """
+
+    def __init__(self, request: WebRequest, connection: "_ServerConnection") -> None:
+        self.request = request
+        self.gone = asyncio.Event()
+        self.started = False
+        self.finished = False
+        self._connection = connection
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers; without a length the body goes out in chunks."""
+        self.started = True
+        await self._connection.send(
+            h11.Response(
+                status_code=status,
+                headers=[(key.encode(), value.encode()) for key, value in headers],
+                reason=_find_reason(status).encode(),
+            )
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Send a piece of the body.
+
+        :raises LinkLost: the caller has left or doesn't read.
+        """
+        if data:
+            await self._connection.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the answer, which is whole."""
+        self.finished = True
+        await self._connection.send(h11.EndOfMessage())
+
+    async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer at once."""
+        length = (("content-length", str(len(body))),)
+        await self.start(status, headers + length)
+        if self.request.method != "HEAD":
+            await self.send(body)
+        await self.finish()
+
+    async def respond_error(self, error: IbisheadError, headers: Headers = ()) -> None:
+        """Send an error as JSON with its code, message and remedy."""
+        own, body = encode_error(error)
+        await self.respond(error.status, own + headers, body)
+
+    def abort(self) -> None:
+        """Cut the connection, so that a caller sees that the answer isn't whole."""
+        self._connection.abort()
+
+
+class WebServer:
+    """Serves HTTP/1.1.
+
+    :param handler: answers each exchange; what it raises becomes an answer if none
+        has been started, and a cut connection otherwise.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[Exchange], Awaitable[None]],
+        limits: Limits | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits or Limits()
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+        self._connections: set[_ServerConnection] = set()
+        self.stopping = False
+
+    async def start(self, endpoint: Endpoint) -> Endpoint:
+        """Listen, and return the endpoint with the port that was taken."""
+        self._server = await asyncio.start_server(
+            self._serve, endpoint.address, endpoint.port, ssl=self._tls, backlog=1024
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        return Endpoint(endpoint.address, port)
+
+    async def stop(self, grace: float = 600.0) -> None:
+        """Stop listening, let every answer in progress finish, close the rest.
+
+        :param grace: seconds after which what still runs is cut.
+        """
+        self.stopping = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(grace):
+                while self._connections:
+                    await asyncio.sleep(0.02)
+        for connection in list(self._connections):
+            connection.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = _ServerConnection(self, reader, writer)
+        if len(self._connections) >= self.limits.connections:
+            connection.abort()
+            return
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        except (ConnectionError, LinkLost, TimeoutError):
+            pass
+        except h11.ProtocolError as error:
+            logger.info("connection dropped", extra={"reason": str(error)})
+        finally:
+            self._connections.discard(connection)
+            connection.abort()
+
+
+class _ServerConnection:
+    def __init__(
+        self,
+        server: WebServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._server = server
+        self._limits = server.limits
+        self._reader = reader
+        self._writer = writer
+        self._state = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
+        )
+        self._idle = True
+        name = writer.get_extra_info("peername")
+        self._peer = str(name[0]) if name else ""
+
+    async def run(self) -> None:
+        while not self._server.stopping:
+            self._idle = True
+            request = await self._read_request()
+            if request is None:
+                return
+            self._idle = False
+            await self._answer(request)
+            if self._state.our_state is not h11.DONE:
+                return
+            if self._state.their_state is not h11.DONE:
+                return
+            self._state.start_next_cycle()
+
+    def close_if_idle(self) -> None:
+        if self._idle and not self._state.trailing_data[0]:
+            self._writer.close()
+
+    def abort(self) -> None:
+        transport = self._writer.transport
+        if transport.get_write_buffer_size() == 0:
+            self._writer.close()
+        else:
+            transport.abort()
+
+    async def send(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response) and self._server.stopping:
+            headers = [*event.headers, (b"connection", b"close")]
+            event = h11.Response(
+                status_code=event.status_code, headers=headers, reason=event.reason
+            )
+        data = self._state.send(event)
+        if not data:
+            return
+        try:
+            self._writer.write(data)
+            # A caller that reads slowly holds memory; one that stops is let go
+            async with asyncio.timeout(self._limits.write_seconds):
+                await self._writer.drain()
+        except (ConnectionError, TimeoutError) as error:
+            raise LinkLost("the caller left", "send the request again") from error
+
+    async def _read_request(self) -> WebRequest | None:
+        try:
+            head = await self._read_head()
+            if head is None:
+                return None
+            body = await self._read_body(head)
+        except h11.RemoteProtocolError as error:
+            await self._refuse(_classify(error))
+            return None
+        except (TimeoutError, IbisheadError) as error:
+            await self._refuse(
+                error if isinstance(error, IbisheadError) else _describe_slow_caller()
+            )
+            return None
+        try:
+            path, _, query = head.target.decode("ascii").partition("?")
+            headers = tuple(
+                (key.decode("ascii"), value.decode("utf-8"))
+                for key, value in head.headers
+            )
+        except UnicodeDecodeError:
+            await self._refuse(
+                InvalidInput("headers are no UTF-8", "encode them as UTF-8")
+            )
+            return None
+        return WebRequest(
+            head.method.decode("ascii"), path, query, headers, body, self._peer
+        )
+
+    async def _read_head(self) -> h11.Request | None:
+        wait = self._limits.idle_seconds
+        while True:
+            event = self._state.next_event()
+            match event:
+                case h11.Request():
+                    _check_head_size(event, self._limits)
+                    return event
+                case h11.ConnectionClosed():
+                    return None
+            if event is not h11.NEED_DATA:
+                raise h11.RemoteProtocolError("a request was expected")
+            started = bool(self._state.trailing_data[0])
+            wait = self._limits.header_seconds if started else wait
+            try:
+                async with asyncio.timeout(wait):
+                    data = await self._reader.read(_READ_SIZE)
+            except TimeoutError:
+                if not started:
+                    return None
+                raise
+            self._state.receive_data(data)
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        length = next((v for k, v in head.headers if k == b"content-length"), b"0")
+        if int(length) > self._limits.body_bytes:
+            raise _describe_large_body(self._limits)
+        if self._state.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        pieces: list[bytes] = []
+        size = 0
+        async with asyncio.timeout(self._limits.body_seconds):
+            while True:
+                event = self._state.next_event()
+                match event:
+                    case h11.Data():
+                        size += len(event.data)
+                        if size > self._limits.body_bytes:
+                            raise _describe_large_body(self._limits)
+                        pieces.append(bytes(event.data))
+                    case h11.EndOfMessage():
+                        return b"".join(pieces)
+                    case h11.ConnectionClosed():
+                        raise h11.RemoteProtocolError("the body is cut off")
+                    case _:
+                        self._state.receive_data(await self._reader.read(_READ_SIZE))
+
+    async def _answer(self, request: WebRequest) -> None:
+        exchange = Exchange(request, self)
+        watch = asyncio.create_task(self._watch_caller(exchange))
+        try:
+            await self._server.handler(exchange)
+        except IbisheadError as error:
+            if exchange.started:
+                self.abort()
+                raise
+            await exchange.respond_error(error)
+        except ConnectionError:
+            raise
+        except Exception:
+            logger.exception("a request failed inside")
+            if exchange.started:
+                self._writer.transport.abort()
+                return
+            await exchange.respond_error(
+                IbisheadError(
+                    "the program failed on this request",
+                    "report the request id with the log line of the same time",
+                )
+            )
+        finally:
+            watch.cancel()
+            with contextlib.suppress(asyncio.CancelledError, ConnectionError):
+                await watch
+
+    async def _watch_caller(self, exchange: Exchange) -> None:
+        # While an answer is made nobody else reads, so a caller that leaves would
+        # go unseen until the next write. What a pipelining caller sends is kept,
+        # up to one read, for the next cycle.
+        try:
+            data = await self._reader.read(_READ_SIZE)
+        except ConnectionError:
+            data = b""
+        if data:
+            self._state.receive_data(data)
+        else:
+            exchange.gone.set()
+            self._state.receive_data(b"")
+
+    async def _refuse(self, error: IbisheadError) -> None:
+        # The rest of the input can't be trusted to be a request: answer and close
+        if self._state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        own, body = encode_error(error)
+        headers = own + (("content-length", str(len(body))), ("connection", "close"))
+        await self.send(
+            h11.Response(
+                status_code=error.status,
+                headers=[(k.encode(), v.encode()) for k, v in headers],
+                reason=_find_reason(error.status).encode(),
+            )
+        )
+        await self.send(h11.Data(data=body))
+        await self.send(h11.EndOfMessage())
+
+
+def _find_reason(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return ""
+
+
+def _check_head_size(head: h11.Request, limits: Limits) -> None:
+    # h11 bounds only what is still incomplete; a head that came in one read passes
+    size = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
+    if size > limits.header_bytes:
+        raise _describe_large_head()
+
+
+def _classify(error: h11.RemoteProtocolError) -> IbisheadError:
+    if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
+        return _describe_large_head()
+    return InvalidInput(f"no valid HTTP: {error}", "send HTTP/1.1 by RFC 9112")
+
+
+def _describe_large_head() -> IbisheadError:
+    error = TooLarge(
+        "the headers are too large",
+        "send fewer or shorter headers",
+        code=ErrorCode.HEADERS_TOO_LARGE,
+    )
+    error.status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    return error
+
+
+def _describe_slow_caller() -> IbisheadError:
+    error = InvalidInput(
+        "the request took too long to arrive",
+        "send it faster or in smaller parts",
+        code=ErrorCode.REQUEST_TIMEOUT,
+    )
+    error.status = HTTPStatus.REQUEST_TIMEOUT
+    return error
+
+
+def _describe_large_body(limits: Limits) -> IbisheadError:
+    return TooLarge(
+        f"the body exceeds {limits.body_bytes} bytes", "send a smaller body"
+    )
+
+
+@dataclass
+class ClientAnswer:
+    """Status and headers of an answer, and its body as it arrives."""
+
+    status: int
+    headers: Headers
+    chunks: AsyncIterator[bytes]
+
+    async def read(self) -> bytes:
+        """Return the whole body.
+
+        :raises LinkLost: the connection ended before the body was whole.
+        """
+        return b"".join([chunk async for chunk in self.chunks])
+
+
+class ClientConnection:
+    """One connection to one server, for one exchange at a time.
+
+    :ivar idle: the last exchange is over and another may follow.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._host = host
+        self._state = h11.Connection(h11.CLIENT)
+        self.idle = True
+
+    @classmethod
+    async def open(
+        cls, endpoint: Endpoint, tls: ssl.SSLContext | None = None, timeout: float = 2.0
+    ) -> "ClientConnection":
+        """Connect.
+
+        :raises LinkLost: nobody answers there in time; nothing was sent.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                reader, writer = await asyncio.open_connection(
+                    endpoint.address,
+                    endpoint.port,
+                    ssl=tls,
+                    server_hostname=endpoint.address if tls else None,
+                )
+        except (OSError, TimeoutError) as error:
+            raise LinkLost(
+                f"no connection to {endpoint}: {error or type(error).__name__}",
+                "check that the server runs there",
+            ) from error
+        return cls(reader, writer, str(endpoint))
+
+    @property
+    def closed(self) -> bool:
+        """Whether no further exchange is possible."""
+        return self._writer.is_closing() or self._reader.at_eof()
+
+    async def ask(
+        self, method: str, target: str, headers: Headers = (), body: bytes = b""
+    ) -> ClientAnswer:
+        """Send a request and return the answer once its headers are there.
+
+        :raises LinkLost: the connection ended first; the request may have run.
+        """
+        self.idle = False
+        own = [("host", self._host), ("content-length", str(len(body)))]
+        given = [(k, v) for k, v in headers if k not in ("host", "content-length")]
+        try:
+            request = h11.Request(
+                method=method.encode("ascii"),
+                target=target.encode("ascii"),
+                headers=[(k.encode(), v.encode()) for k, v in own + given],
+            )
+            data = self._state.send(request) or b""
+            if body:
+                data += self._state.send(h11.Data(data=body)) or b""
+            data += self._state.send(h11.EndOfMessage()) or b""
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            self.close()
+            raise InvalidInput(
+                f"the request can't be sent: {error}", "mend method, path or headers"
+            ) from error
+        try:
+            self._writer.write(data)
+            await self._writer.drain()
+            head = await self._next_event()
+            while isinstance(head, h11.InformationalResponse):
+                head = await self._next_event()
+        except (ConnectionError, h11.RemoteProtocolError) as error:
+            raise self._lose(error) from error
+        if not isinstance(head, h11.Response):
+            raise self._lose("closed before it answered")
+        answer_headers = tuple(
+            (k.decode("ascii"), v.decode("utf-8", "replace")) for k, v in head.headers
+        )
+        return ClientAnswer(head.status_code, answer_headers, self._read_chunks())
+
+    def close(self) -> None:
+        """Drop the connection."""
+        self._writer.transport.abort()
+
+    async def _read_chunks(self) -> AsyncIterator[bytes]:
+        try:
+            while True:
+                event = await self._next_event()
+                if isinstance(event, h11.Data):
+                    yield bytes(event.data)
+                    continue
+                if isinstance(event, h11.EndOfMessage):
+                    break
+                raise self._lose("closed before the body was whole")
+        except (ConnectionError, h11.RemoteProtocolError) as error:
+            raise self._lose(error) from error
+        if self._state.our_state is h11.DONE and self._state.their_state is h11.DONE:
+            self._state.start_next_cycle()
+            self.idle = True
+        else:
+            self.close()
+
+    async def _next_event(self) -> h11.Event:
+        while (event := self._state.next_event()) is h11.NEED_DATA:
+            self._state.receive_data(await self._reader.read(_READ_SIZE))
+        if not isinstance(event, h11.Event):
+            raise h11.RemoteProtocolError("the server paused")
+        return event
+
+    def _lose(self, cause: object) -> LinkLost:
+        self.close()
+        return LinkLost(
+            f"the connection to {self._host} was lost: {cause}",
+            "check the server's own log",
+        )
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,105 @@
+"""Links carry messages in order, notice silence and close cleanly."""
+
+import asyncio
+
+import pytest
+
+from ibishead.clock import SystemClock
+from ibishead.errors import LinkLost
+from ibishead.ids import HostId
+from ibishead.links import Endpoint, Link, LinkServer, Pace, dial
+from ibishead.messages import Hello, ReportInForce, Role
+from ibishead.session import LinkAction, LinkMonitor
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+ENTRY = Hello(Role.ENTRY, HostId("e1"))
+AGENT = Hello(Role.AGENT, HostId("a1"))
+CLOCK = SystemClock()
+
+
+async def echo(link: Link) -> None:
+    async for message in link.receive():
+        link.send(message)
+
+
+async def test_link_echoes_in_order_and_in_few_frames():
+    server = LinkServer(echo, lambda: AGENT, CLOCK)
+    endpoint = await server.start(LOOPBACK)
+    link = await dial(endpoint, ENTRY, CLOCK)
+    sent = [ReportInForce(HostId("e1"), n) for n in range(1000)]
+    for message in sent:
+        link.send(message)
+    received = []
+    async for message in link.receive():
+        received.append(message)
+        if len(received) == len(sent):
+            break
+    assert received == sent
+    assert link.peer == AGENT
+    await link.close()
+    await server.stop()
+
+
+async def test_dialing_nobody_is_a_lost_link():
+    server = LinkServer(echo, lambda: AGENT, CLOCK)
+    endpoint = await server.start(LOOPBACK)
+    await server.stop()
+    with pytest.raises(LinkLost) as caught:
+        await dial(endpoint, ENTRY, CLOCK)
+    assert caught.value.remedy
+
+
+async def test_silent_peer_is_given_up():
+    """A middlebox forgets a connection: the kernel sees nothing, no message comes.
+
+    The peer greets and then never answers a heartbeat. The link must end by itself,
+    or its requests would hang for good.
+    """
+
+    stuck = asyncio.Event()
+
+    async def stay_silent(link: Link) -> None:
+        await stuck.wait()
+
+    pace = Pace(interval=0.02, silence=0.1)
+    server = LinkServer(stay_silent, lambda: AGENT, CLOCK, Pace(60, 60))
+    endpoint = await server.start(LOOPBACK)
+    link = await dial(endpoint, ENTRY, CLOCK, pace)
+    assert [message async for message in link.receive()] == []
+    assert link.closed
+    stuck.set()
+    await server.stop()
+
+
+@pytest.mark.parametrize(
+    ("ticks", "heard", "expected"),
+    [
+        ([0.1], [], [LinkAction.PING]),
+        ([0.1, 0.2], [], [LinkAction.PING, LinkAction.WAIT]),
+        ([0.1, 0.7], [], [LinkAction.PING, LinkAction.PING]),
+        ([0.5, 1.0, 1.5, 2.0], [], [LinkAction.PING] * 3 + [LinkAction.GIVE_UP]),
+        ([0.5, 1.0, 1.5, 2.0], [1.2], [LinkAction.PING] * 4),
+    ],
+)
+def test_monitor(ticks, heard, expected):
+    monitor = LinkMonitor(0.0, interval=0.5, silence=2.0)
+    actions = []
+    for tick in ticks:
+        for moment in [h for h in heard if h <= tick]:
+            monitor.hear(moment)
+        actions.append(monitor.tick(tick))
+    assert actions == expected
+
+
+def test_monitor_doesnt_blame_the_peer_for_its_own_freeze():
+    """A program is frozen for a minute and thawed; its peer was alive all along.
+
+    The peer's heartbeats lie unread in the socket when the first tick comes. Giving
+    up now would cut links that work, and with them all requests on them.
+    """
+    monitor = LinkMonitor(0.0, interval=0.5, silence=2.0)
+    monitor.tick(0.5)
+    assert monitor.tick(60.0) is LinkAction.PING
+    assert monitor.tick(60.9) is LinkAction.PING
+    assert monitor.tick(61.6) is LinkAction.PING
+    assert monitor.tick(62.1) is LinkAction.GIVE_UP
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,163 @@
+"""The HTTP shell serves, streams, and answers bad input with a code."""
+
+import asyncio
+import json
+
+import pytest
+
+from ibishead.errors import Refused
+from ibishead.links import Endpoint
+from ibishead.web import ClientConnection, Exchange, Limits, WebServer
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+SMALL = Limits(
+    header_bytes=1024,
+    body_bytes=100,
+    header_seconds=0.1,
+    body_seconds=0.1,
+    idle_seconds=5.0,
+)
+
+
+async def answer(exchange: Exchange) -> None:
+    match exchange.request.path:
+        case "/echo":
+            await exchange.respond(200, (), exchange.request.body)
+        case "/stream":
+            await exchange.start(200, (("content-type", "text/plain"),))
+            for n in range(3):
+                await exchange.send(f"{n}\n".encode())
+            await exchange.finish()
+        case "/cut":
+            await exchange.start(200, ())
+            await exchange.send(b"half")
+            raise ConnectionError("upstream")
+        case "/refuse":
+            raise Refused("full", "come back later")
+        case _:
+            raise ValueError("a fault of the program")
+
+
+@pytest.fixture
+async def server():
+    server = WebServer(answer, SMALL)
+    endpoint = await server.start(LOOPBACK)
+    yield endpoint
+    await server.stop(grace=1.0)
+
+
+@pytest.mark.parametrize(
+    ("path", "status", "body"),
+    [
+        ("/echo", 200, b"hello"),
+        ("/stream", 200, b"0\n1\n2\n"),
+        ("/refuse", 429, None),
+        ("/fault", 500, None),
+    ],
+)
+async def test_answers(server, path, status, body):
+    connection = await ClientConnection.open(server)
+    for _ in range(2):
+        got = await connection.ask("POST", path, (), b"hello")
+        assert got.status == status
+        data = await got.read()
+        if body is None:
+            assert json.loads(data)["error"]["remedy"]
+        else:
+            assert data == body
+        assert connection.idle
+    connection.close()
+
+
+async def _send_raw(endpoint: Endpoint, data: bytes) -> bytes:
+    reader, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
+    writer.write(data)
+    await writer.drain()
+    received = await reader.read()
+    writer.close()
+    return received
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"NONSENSE\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nBad Header: y\r\n\r\n", b"400"),
+        (b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 4000 + b"\r\n\r\n", b"431"),
+        (b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 999\r\n\r\n", b"413"),
+        (
+            b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"C8\r\n" + b"a" * 200 + b"\r\n0\r\n\r\n",
+            b"413",
+        ),
+        (b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc", b"408"),
+        (b"GET /echo HTTP/1.1\r\nHost: x\r\n", b"408"),
+        (b"GET /echo HTTP/1.1\r\nHost: x\r\nA: \xff\r\n\r\n", b"400"),
+    ],
+    ids=lambda value: value[:24].decode("latin-1") if len(value) > 3 else "",
+)
+async def test_bad_input_gets_its_status_and_is_closed(server, data, status):
+    received = await _send_raw(server, data)
+    assert received.split(b" ", 2)[1] == status
+    assert b"remedy" in received
+
+
+async def test_pipelined_requests_are_answered_in_order(server):
+    first = b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1"
+    last = (
+        b"POST /echo HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+        b"Content-Length: 1\r\n\r\n2"
+    )
+    received = await _send_raw(server, first + first + last)
+    assert received.count(b"HTTP/1.1 200") == 3
+    assert received.endswith(b"2")
+
+
+async def test_answer_cut_off_inside_is_not_taken_for_whole(server):
+    """A target dies in the middle of an answer without a length.
+
+    The caller must see that the answer isn't whole: the last chunk never comes.
+    """
+    received = await _send_raw(server, b"GET /cut HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert b"half" in received
+    assert not received.endswith(b"0\r\n\r\n")
+
+
+async def test_caller_that_leaves_is_noticed():
+    left = asyncio.Event()
+
+    async def wait_for_leave(exchange: Exchange) -> None:
+        await exchange.gone.wait()
+        left.set()
+        await exchange.respond(200, ())
+
+    server = WebServer(wait_for_leave, SMALL)
+    endpoint = await server.start(LOOPBACK)
+    _, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    await writer.drain()
+    writer.close()
+    await left.wait()
+    await server.stop(grace=1.0)
+
+
+async def test_stop_finishes_answers_in_progress():
+    """A planned stop arrives while an answer is being made; it must come whole."""
+    started, proceed = asyncio.Event(), asyncio.Event()
+
+    async def answer_slowly(exchange: Exchange) -> None:
+        started.set()
+        await proceed.wait()
+        await exchange.respond(200, (), b"whole")
+
+    server = WebServer(answer_slowly, SMALL)
+    endpoint = await server.start(LOOPBACK)
+    connection = await ClientConnection.open(endpoint)
+    asking = asyncio.create_task(connection.ask("GET", "/"))
+    await started.wait()
+    stopping = asyncio.create_task(server.stop(grace=5.0))
+    await asyncio.sleep(0)
+    proceed.set()
+    got = await asking
+    assert await got.read() == b"whole"
+    await stopping
