Add the agent's stages and the followed control state

Cause: the thin path needs an agent that gates, queues, pins, loads and runs, and a catalog that only moves forward for entry and agent alike. Ruled out: pins keyed by adapter alone; a pin of a slot that was dropped and loaded again would have been taken off the new slot, so a pin holds the slot itself. Before: no program ran. Conclusion: connections are bound to one boot, so an engine that came back empty can't be met by a request that was pinned before.

--- /dev/null
+++ b/src/ibishead/agent/reception.py
@@ -0,0 +1,155 @@
+"""The links of entry hosts: dispatches in, frames and load reports out."""
+
+import asyncio
+from collections.abc import Callable
+
+from ibishead.agent.attempts import Attempt
+from ibishead.agent.gate import AttemptKey, Gate, GateState, Rejected, Repeated, Taken
+from ibishead.agent.scheduler import Scheduler
+from ibishead.agent.slots import AdapterKey
+from ibishead.clock import Clock
+from ibishead.errors import ErrorCode
+from ibishead.ids import Incarnation
+from ibishead.links import Link
+from ibishead.messages import (
+    Acknowledge,
+    AnswerEnd,
+    Cancel,
+    Dispatch,
+    Message,
+    NotRun,
+    Outcome,
+    Resume,
+)
+
+__all__ = ["Reception"]
+
+#: Seconds between load reports while the load changes.
+REPORT_INTERVAL = 0.05
+
+#: Seconds between load reports while it doesn't.
+QUIET_REPORT_INTERVAL = 0.5
+
+
+class Reception:
+    """Serves the links of all entry hosts.
+
+    :param gate_state: what the agent knows, asked for at each dispatch.
+    :param own: whether an incarnation was this process's own.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        gate_state: Callable[[], GateState],
+        own: Callable[[Incarnation], bool],
+        clock: Clock,
+    ) -> None:
+        self._scheduler = scheduler
+        self._gate = Gate()
+        self._gate_state = gate_state
+        self._own = own
+        self._clock = clock
+        self._links: set[Link] = set()
+
+    async def serve(self, link: Link) -> None:
+        """Serve one link until it is over; what runs goes on without it."""
+        self._links.add(link)
+        link.send(self._scheduler.report())
+        try:
+            async for message in link.receive():
+                self._take(message, link)
+        finally:
+            self._links.discard(link)
+            self._scheduler.attempts.drop_watcher(link)
+
+    async def report_for_ever(self) -> None:
+        """Send load reports to all links, soon after the load has changed."""
+        changed = self._scheduler.changed
+        while True:
+            try:
+                async with asyncio.timeout(QUIET_REPORT_INTERVAL):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+            changed.clear()
+            report = self._scheduler.report()
+            for link in list(self._links):
+                link.send(report)
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    def _take(self, message: Message, link: Link) -> None:
+        match message:
+            case Dispatch():
+                self._dispatch(message, link)
+            case Resume():
+                self._resume(message, link)
+            case Acknowledge(request, attempt, next_sequence):
+                found = self._scheduler.attempts.find(AttemptKey(request, attempt))
+                if found is not None:
+                    found.acknowledge(next_sequence)
+            case Cancel(request, attempt):
+                found = self._scheduler.attempts.find(AttemptKey(request, attempt))
+                if found is not None:
+                    self._scheduler.cancel(found)
+
+    def _dispatch(self, dispatch: Dispatch, link: Link) -> None:
+        match self._gate.check(dispatch, self._gate_state()):
+            case Taken():
+                attempt = Attempt(
+                    dispatch, self._clock.monotonic(), _find_key(dispatch)
+                )
+                attempt.watchers.add(link)
+                self._scheduler.submit(attempt)
+            case Repeated():
+                found = self._scheduler.attempts.find(
+                    AttemptKey(dispatch.request, dispatch.attempt)
+                )
+                if found is not None and link not in found.watchers:
+                    found.watch(link, 0)
+            case Rejected() as rejected:
+                link.send(
+                    NotRun(
+                        dispatch.request,
+                        dispatch.attempt,
+                        rejected.code,
+                        rejected.reason,
+                        rejected.retry_after,
+                        rejected.document,
+                    )
+                )
+
+    def _resume(self, resume: Resume, link: Link) -> None:
+        key = AttemptKey(resume.request, resume.attempt)
+        found = self._scheduler.attempts.find(key)
+        if found is not None:
+            found.watch(link, resume.next_sequence)
+        elif self._own(resume.incarnation) and self._gate.bury(key):
+            # Nothing of the attempt has come and, once buried, nothing of it will
+            # ever run here: this is the proof that lets it run elsewhere.
+            link.send(
+                NotRun(
+                    resume.request,
+                    resume.attempt,
+                    ErrorCode.NEVER_RECEIVED,
+                    "the dispatch never arrived and is refused from now on",
+                )
+            )
+        else:
+            # An earlier agent may have run it, or the answer is no longer kept
+            link.send(
+                AnswerEnd(
+                    resume.request,
+                    resume.attempt,
+                    resume.next_sequence,
+                    Outcome.UNKNOWN,
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    "this agent doesn't know how the attempt ended",
+                )
+            )
+
+
+def _find_key(dispatch: Dispatch) -> AdapterKey | None:
+    if not dispatch.adapter:
+        return None
+    return AdapterKey(dispatch.adapter, dispatch.version)
--- /dev/null
+++ b/src/ibishead/agent/registrar.py
@@ -0,0 +1,179 @@
+"""The agent's standing with control: its incarnation, permits and recorded ends."""
+
+import asyncio
+import contextlib
+import logging
+import uuid
+from collections.abc import Coroutine
+
+import msgspec
+
+from ibishead.agent.attempts import Attempt
+from ibishead.clock import Clock
+from ibishead.errors import Unavailable
+from ibishead.ids import Incarnation
+from ibishead.messages import (
+    AnswerBody,
+    AnswerHead,
+    AskPermit,
+    AskRegistration,
+    Outcome,
+    ReleasePermit,
+    ResolveClaim,
+)
+from ibishead.subscription import Subscription
+
+__all__ = ["ControlRegistrar"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds in which the quorum records an outcome before the caller is answered
+#: without it. Longer than an election, shorter than a caller's patience.
+RECORD_PATIENCE = 2.0
+
+#: Tries to record an outcome; together they span a minute.
+RECORD_TRIES = 30
+
+#: Largest answer that is kept with a claim, in bytes.
+MAX_RECORDED_ANSWER = 16 * 1024
+
+#: Seconds that a permit may be waited for in one ask.
+PERMIT_TIMEOUT = 2.0
+
+
+class ControlRegistrar:
+    """Registers the target and speaks for it.
+
+    :param announcement: what to register; its nonce is drawn anew when control
+        has ended the incarnation.
+    """
+
+    def __init__(
+        self, subscription: Subscription, announcement: AskRegistration, clock: Clock
+    ) -> None:
+        self._subscription = subscription
+        self._announcement = announcement
+        self._clock = clock
+        self._incarnations: list[Incarnation] = []
+        self._permits = 0
+        self._registering = asyncio.Lock()
+        self._background: set[asyncio.Task[None]] = set()
+        self.superseded = asyncio.Event()
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The current fencing number, 0 before the first registration."""
+        return self._incarnations[-1] if self._incarnations else Incarnation(0)
+
+    def owned(self, incarnation: Incarnation) -> bool:
+        """Whether an incarnation was this process's own."""
+        return incarnation in self._incarnations
+
+    def may_order(self) -> bool:
+        """Whether this agent is registered and not superseded."""
+        if not self._incarnations or self.superseded.is_set():
+            return False
+        record = self._subscription.catalog.find_target(self._announcement.target)
+        return record is None or record.incarnation <= self.incarnation
+
+    async def register(self) -> None:
+        """Register, or attach again over a new link; both are idempotent."""
+        async with self._registering:
+            answer = await self._subscription.register(self._announcement)
+            if answer.incarnation not in self._incarnations:
+                self._incarnations.append(answer.incarnation)
+                logger.info("registered", extra={"incarnation": answer.incarnation})
+
+    def review(self) -> None:
+        """Compare the catalog with this agent's own standing.
+
+        A newer incarnation means that another agent serves the target now; one that
+        has vanished means that control took this agent for dead.
+        """
+        if not self._incarnations:
+            return
+        target = self._announcement.target
+        catalog = self._subscription.catalog
+        record = catalog.find_target(target)
+        if record is not None and record.incarnation > self.incarnation:
+            self.superseded.set()
+        elif record is None and catalog.has_ended(target, self.incarnation):
+            self._announcement = msgspec.structs.replace(
+                self._announcement, nonce=uuid.uuid4().hex
+            )
+            self._spawn(self.register())
+
+    async def obtain_permit(self, urgency: float) -> int:
+        """Return the number of a granted load.
+
+        :raises Unavailable: none has come in time.
+        """
+        self._permits += 1
+        number = self._permits
+        ask = AskPermit(self._announcement.target, self.incarnation, number, urgency)
+        try:
+            await self._subscription.ask_permit(ask, PERMIT_TIMEOUT)
+        except BaseException:
+            # A grant may be on its way; given back, it doesn't hold up others
+            self.release_permit(number)
+            raise
+        return number
+
+    def release_permit(self, number: int) -> None:
+        """Give a load permit back."""
+        self._subscription.release_permit(
+            ReleasePermit(self._announcement.target, self.incarnation, number)
+        )
+
+    async def record_end(self, attempt: Attempt, outcome: Outcome) -> None:
+        """Record how a claimed request ended, before its caller is told.
+
+        When the quorum doesn't answer in time the caller is told all the same, and
+        the record is tried again in the background.
+        """
+        if attempt.dispatch.idempotent:
+            return
+        task = self._spawn(self._record(_make_resolution(attempt, outcome)))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RECORD_PATIENCE):
+                await asyncio.shield(task)
+
+    async def _record(self, resolution: ResolveClaim) -> None:
+        for _ in range(RECORD_TRIES):
+            try:
+                await self._subscription.resolve(resolution, RECORD_PATIENCE)
+            except Unavailable:
+                continue
+            return
+        logger.error("outcome not recorded", extra={"request": resolution.request})
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return task
+
+
+def _make_resolution(attempt: Attempt, outcome: Outcome) -> ResolveClaim:
+    dispatch = attempt.dispatch
+    resolution = ResolveClaim(
+        dispatch.request,
+        dispatch.team,
+        dispatch.service,
+        dispatch.key,
+        dispatch.generation,
+        outcome,
+    )
+    frames = attempt.buffer.list_from(0) or []  # type: ignore[arg-type]
+    body = b"".join(f.data for f in frames if isinstance(f, AnswerBody))
+    if outcome is not Outcome.COMPLETED or len(body) > MAX_RECORDED_ANSWER:
+        return resolution
+    match frames:
+        case [AnswerHead() as head, *_]:
+            return msgspec.structs.replace(
+                resolution,
+                answer_status=head.status,
+                answer_headers=head.headers,
+                answer_body=body,
+            )
+    return resolution
--- /dev/null
+++ b/src/ibishead/agent/target.py
@@ -0,0 +1,275 @@
+"""The target over HTTP: connections that are bound to one boot of it.
+
+A process can't restart without losing its connections. So a connection on which the
+boot was read belongs to that boot for good, and what is asked over it can't meet an
+engine that came back empty.
+"""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import msgspec
+
+from ibishead.agent.slots import AdapterKey, make_lora_name, parse_lora_name
+from ibishead.errors import ErrorCode, LinkLost, Unavailable
+from ibishead.ids import BootId, Incarnation
+from ibishead.links import Endpoint
+from ibishead.web import ClientAnswer, ClientConnection, Headers
+
+__all__ = ["EngineSample", "TargetClient", "TargetRestarted"]
+
+#: Seconds in which a target must answer a probe or an order's small questions.
+PROBE_TIMEOUT = 2.0
+
+#: Seconds after which a load counts as failed. Eight at once take about 0.25 s each;
+#: an engine that is slower by two orders of magnitude has a fault.
+LOAD_TIMEOUT = 30.0
+
+#: Connections kept open for further requests.
+MAX_IDLE_CONNECTIONS = 64
+
+FENCING_HEADER = "x-fencing-token"
+
+_START_TIME = re.compile(rb"^process_start_time_seconds(?:\{[^}]*\})? (\S+)", re.M)
+_RUNNING = re.compile(rb"^vllm:num_requests_running(?:\{[^}]*\})? (\S+)", re.M)
+_WAITING = re.compile(rb"^vllm:num_requests_waiting(?:\{[^}]*\})? (\S+)", re.M)
+_LORA_INFO = re.compile(rb"^vllm:lora_requests_info\{([^}]*)\} ", re.M)
+_LABEL = re.compile(rb'(running|waiting)_lora_adapters="([^"]*)"')
+
+
+class TargetRestarted(LinkLost):
+    """The target isn't in the boot that was expected; nothing was sent."""
+
+    code = ErrorCode.TARGET_RESTARTED
+
+
+@dataclass(frozen=True)
+class EngineSample:
+    """What an engine shows of itself at one moment.
+
+    :param busy: adapters with requests running or waiting inside the engine.
+    """
+
+    boot: BootId
+    running: int
+    waiting: int
+    busy: frozenset[AdapterKey]
+
+
+class _ModelCard(msgspec.Struct):
+    id: str
+    parent: str | None = None
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_ModelCard]
+
+
+class TargetClient:
+    """The only client of one target.
+
+    :param has_boot: the target shows its boot in ``/metrics``, as engines do.
+    """
+
+    def __init__(self, endpoint: Endpoint, has_boot: bool) -> None:
+        self._endpoint = endpoint
+        self._has_boot = has_boot
+        self._idle: list[tuple[BootId, ClientConnection]] = []
+
+    @contextlib.asynccontextmanager
+    async def borrow(
+        self, boot: BootId | None, fresh: bool = False
+    ) -> AsyncIterator[ClientConnection]:
+        """Lend a connection that belongs to a boot.
+
+        :param boot: any boot when none is given.
+        :param fresh: open a new one. A kept connection may be closed by the target
+            just as a request is written to it, and then nobody can tell whether
+            the request was read; what must not run twice can't be sent again.
+        :raises TargetRestarted: the target is in another boot now.
+        :raises LinkLost: the target can't be reached; nothing was sent.
+        """
+        actual, connection = BootId(""), None
+        if not fresh:
+            actual, connection = self._take_idle(boot)
+        if connection is None:
+            connection = await ClientConnection.open(self._endpoint)
+            try:
+                actual = await self._read_boot(connection)
+            except BaseException:
+                connection.close()
+                raise
+        if boot is not None and actual != boot:
+            connection.close()
+            raise TargetRestarted(
+                f"the target is in boot {actual}, not {boot}",
+                "load the adapter again",
+            )
+        try:
+            yield connection
+        finally:
+            self._give_back(actual, connection)
+
+    async def sample(self) -> EngineSample:
+        """Ask what the engine runs.
+
+        :raises LinkLost: it can't be reached or doesn't answer.
+        """
+        async with self.borrow(None) as connection, _bound(PROBE_TIMEOUT):
+            answer = await connection.ask("GET", "/metrics")
+            return _parse_sample(await answer.read())
+
+    async def check_reachable(self) -> None:
+        """Connect and hang up; a plain service needn't know any probe.
+
+        :raises LinkLost: nobody accepts connections there.
+        """
+        connection = await ClientConnection.open(self._endpoint, timeout=PROBE_TIMEOUT)
+        connection.close()
+
+    async def list_adapters(self, boot: BootId) -> list[AdapterKey]:
+        """Return the adapters that the engine lists in this boot.
+
+        :raises TargetRestarted: it is in another boot.
+        """
+        async with self.borrow(boot) as connection, _bound(PROBE_TIMEOUT):
+            answer = await connection.ask("GET", "/v1/models")
+            body = await answer.read()
+        try:
+            cards = msgspec.json.decode(body, type=_ModelList).data
+        except msgspec.DecodeError as error:
+            raise LinkLost(
+                f"the engine's model list can't be read: {error}",
+                "check that the target speaks the OpenAI protocol",
+            ) from error
+        found = [parse_lora_name(card.id) for card in cards if card.parent]
+        return [key for key in found if key is not None]
+
+    async def load(
+        self, key: AdapterKey, source: str, boot: BootId, incarnation: Incarnation
+    ) -> None:
+        """Order a load, and check that the engine lists the adapter afterwards.
+
+        :raises Unavailable: the engine refused or failed, or says that it loaded
+            and doesn't list the adapter.
+        """
+        order = msgspec.json.encode(
+            {"lora_name": make_lora_name(key), "lora_path": source}
+        )
+        async with self.borrow(boot) as connection, _bound(LOAD_TIMEOUT):
+            answer = await self._order(
+                connection, "/v1/load_lora_adapter", order, incarnation
+            )
+            body = await answer.read()
+        if answer.status != 200:
+            raise _describe_failed_order(answer.status, body)
+        # A load that answers 200 has been seen to be wrong; the list is the proof
+        if key not in await self.list_adapters(boot):
+            raise _describe_failed_order(answer.status, b"loaded but not listed")
+
+    async def unload(
+        self, key: AdapterKey, boot: BootId, incarnation: Incarnation
+    ) -> None:
+        """Order an unload.
+
+        :raises Unavailable: the engine refused.
+        """
+        order = msgspec.json.encode({"lora_name": make_lora_name(key)})
+        async with self.borrow(boot) as connection, _bound(LOAD_TIMEOUT):
+            answer = await self._order(
+                connection, "/v1/unload_lora_adapter", order, incarnation
+            )
+            body = await answer.read()
+        if answer.status not in (200, 404):
+            raise _describe_failed_order(answer.status, body)
+
+    def close(self) -> None:
+        """Drop all kept connections."""
+        for _, connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    async def _order(
+        self,
+        connection: ClientConnection,
+        path: str,
+        order: bytes,
+        incarnation: Incarnation,
+    ) -> ClientAnswer:
+        headers: Headers = (
+            ("content-type", "application/json"),
+            (FENCING_HEADER, str(incarnation)),
+        )
+        return await connection.ask("POST", path, headers, order)
+
+    async def _read_boot(self, connection: ClientConnection) -> BootId:
+        if not self._has_boot:
+            return BootId("")
+        async with _bound(PROBE_TIMEOUT):
+            answer = await connection.ask("GET", "/metrics")
+            return _parse_sample(await answer.read()).boot
+
+    def _take_idle(self, boot: BootId | None) -> tuple[BootId, ClientConnection | None]:
+        while self._idle:
+            actual, connection = self._idle.pop()
+            if not connection.closed and (boot is None or actual == boot):
+                return actual, connection
+            connection.close()
+        return BootId(""), None
+
+    def _give_back(self, boot: BootId, connection: ClientConnection) -> None:
+        reusable = connection.idle and not connection.closed
+        if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append((boot, connection))
+        else:
+            connection.close()
+
+
+@contextlib.asynccontextmanager
+async def _bound(seconds: float) -> AsyncIterator[None]:
+    try:
+        async with asyncio.timeout(seconds):
+            yield
+    except TimeoutError as error:
+        raise LinkLost(
+            f"the target didn't answer in {seconds} s", "check the target's own log"
+        ) from error
+
+
+def _parse_sample(metrics: bytes) -> EngineSample:
+    start = _START_TIME.search(metrics)
+    if start is None:
+        raise LinkLost(
+            "the engine shows no process_start_time_seconds",
+            "use an engine that shows it in /metrics; without it a restart is unseen",
+        )
+    names = {
+        name.strip().decode("utf-8", "replace")
+        for info in _LORA_INFO.finditer(metrics)
+        for _, names in _LABEL.findall(info.group(1))
+        for name in names.split(b",")
+    }
+    keys = (parse_lora_name(name) for name in names)
+    return EngineSample(
+        BootId(start.group(1).decode()),
+        _read_gauge(_RUNNING, metrics),
+        _read_gauge(_WAITING, metrics),
+        frozenset(key for key in keys if key is not None),
+    )
+
+
+def _read_gauge(pattern: re.Pattern[bytes], metrics: bytes) -> int:
+    found = pattern.search(metrics)
+    return int(float(found.group(1))) if found else 0
+
+
+def _describe_failed_order(status: int, body: bytes) -> Unavailable:
+    reason = body[:200].decode("utf-8", "replace")
+    return Unavailable(
+        f"the engine answered {status} to an order: {reason}",
+        "check the engine's log and the adapter's source",
+        code=ErrorCode.LOAD_FAILED,
+    )
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -138,6 +138,8 @@
     :param deadline: seconds from arrival at the agent until it is worthless.
     :param headers: pairs of lower-case name and value, hop-by-hop ones removed.
     :param generation: of the claim, for non-idempotent requests; 0 otherwise.
+    :param source: where the engine finds the adapter's weights.
+    :param confirmed: the entry host held a live document lease when it decided.
     """
 
     request: RequestId
@@ -158,6 +160,10 @@
     body: bytes
     generation: Generation = Generation(0)
     key: IdempotencyKey = IdempotencyKey("")
+    source: str = ""
+    confirmed: bool = True
+    share: float = 1.0
+    stall_weight: float = 0.5
 
 
 class Cancel(_Message, frozen=True):
@@ -251,6 +257,7 @@
     :param resident: digests (`placement.adapter_digest`) of adapters in slots.
     :param loading: digests of adapters on their way.
     :param seconds_per_request: measured mean time of one run.
+    :param healthy: the target itself answers.
     """
 
     target: TargetId
@@ -262,6 +269,7 @@
     loading: tuple[int, ...]
     seconds_per_request: float
     draining: bool = False
+    healthy: bool = True
 
 
 # Programs and control --------------------------------------------------------
@@ -348,6 +356,9 @@
     :param lease: seconds for which the holder may act on its documents; 0 from a
         replica that has no lease of its own.
     :param gone: targets with the incarnation that ended.
+    :param answers: number of the `ReportInForce` that this answers, 0 for none. The
+        holder counts the lease from when it sent that report, so that a delay on
+        the way can only shorten it.
     """
 
     index: int
@@ -356,13 +367,18 @@
     targets: tuple[TargetRecord, ...] = ()
     gone: tuple[tuple[TargetId, Incarnation], ...] = ()
     whole: bool = False
+    answers: int = 0
 
 
 class ReportInForce(_Message, frozen=True):
-    """A holder has applied all up to ``index``; also its sign of life."""
+    """A holder has applied all up to ``index``; also asks to renew its lease.
+
+    :param number: rises with each report, from 1.
+    """
 
     host: HostId
     index: int
+    number: int = 0
 
 
 class AskClaim(_Message, frozen=True):
