Add stand-in engine, plain service and weight store

Cause: the thin path, the demo and the failure tests need targets that show which weights really answered and count what really ran. A store of four starts a second without a burst contradicts 8 in flight at full speed; it has a burst of 8 and a sustained rate of 4. Before: no stand-ins.

--- /dev/null
+++ b/src/ibishead/standin/main.py
@@ -0,0 +1,149 @@
+"""Command line of the stand-ins, for tests, the demo and benchmarks only."""
+
+import asyncio
+from pathlib import Path
+
+import click
+
+from ibishead.clock import SystemClock
+from ibishead.links import Endpoint
+from ibishead.standin.engine import EngineOptions
+from ibishead.standin.engine_server import EngineServer, Faults
+from ibishead.standin.ledger import Ledger
+from ibishead.standin.plain import PlainService
+from ibishead.standin.process import serve_until_stopped
+from ibishead.standin.store import Store, StoreOptions
+
+__all__ = ["main"]
+
+_PORT = click.option("--port", type=int, default=0, help="0: the system chooses.")
+_PORT_FILE = click.option(
+    "--port-file", type=click.Path(path_type=Path), help="Where to write the port."
+)
+_LEDGER_FILE = click.option(
+    "--ledger-file",
+    type=click.Path(path_type=Path),
+    help="Append the ledger there, across restarts.",
+)
+
+
+class _EndpointParam(click.ParamType):
+    name = "address:port"
+
+    def convert(
+        self,
+        value: object,
+        param: click.Parameter | None,
+        ctx: click.Context | None,
+    ) -> Endpoint:
+        """Return the endpoint that the text names."""
+        if isinstance(value, Endpoint):
+            return value
+        address, _, port = str(value).rpartition(":")
+        if not address or not port.isdigit():
+            self.fail(f"{value!r} is no ADDRESS:PORT", param, ctx)
+        return Endpoint(address.strip("[]"), int(port))
+
+
+ENDPOINT = _EndpointParam()
+
+
+@click.group()
+def main() -> None:
+    """Stand in for engines, plain services, the weight store and callers."""
+
+
+@main.command()
+@_PORT
+@_PORT_FILE
+@_LEDGER_FILE
+@click.option("--name", default="engine", help="Shown in logs only.")
+@click.option("--model", default="base-model", help="Name of the base model.")
+@click.option("--slots", type=click.IntRange(0), default=8)
+@click.option("--batch", type=click.IntRange(1), default=8)
+@click.option("--store", type=ENDPOINT, required=True)
+@click.option("--fencing", is_flag=True, help="Refuse old fencing numbers.")
+@click.option("--token-time", type=float, default=0.005, help="Seconds.")
+@click.option("--load-failure", type=float, default=0.0, help="Share of loads.")
+@click.option("--false-load", type=float, default=0.0, help="Share of loads.")
+@click.option("--lie-about-load", is_flag=True, help="Always report idle.")
+@click.option("--ignores-unknown-adapter", is_flag=True, help="Serve by the base.")
+@click.option("--seed", type=int, default=1)
+def engine(
+    port: int,
+    port_file: Path | None,
+    ledger_file: Path | None,
+    name: str,
+    model: str,
+    slots: int,
+    batch: int,
+    store: Endpoint,
+    fencing: bool,
+    token_time: float,
+    load_failure: float,
+    false_load: float,
+    lie_about_load: bool,
+    ignores_unknown_adapter: bool,
+    seed: int,
+) -> None:
+    """Stand in for an OpenAI-compatible engine with dynamic LoRA."""
+    options = EngineOptions(model, slots, batch, token_time, ignores_unknown_adapter)
+    faults = Faults(load_failure, false_load, lie_about_load, fencing, seed)
+    asyncio.run(_run_engine(options, faults, store, port, port_file, ledger_file))
+
+
+async def _run_engine(
+    options: EngineOptions,
+    faults: Faults,
+    store: Endpoint,
+    port: int,
+    port_file: Path | None,
+    ledger_file: Path | None,
+) -> None:
+    clock = SystemClock()
+    server = EngineServer(options, faults, store, Ledger(clock, ledger_file), clock)
+    steps = asyncio.create_task(server.run())
+    await serve_until_stopped(server.handle, port, port_file)
+    steps.cancel()
+
+
+@main.command()
+@_PORT
+@_PORT_FILE
+@_LEDGER_FILE
+@click.option("--name", default="plain", help="Shown in answers.")
+@click.option("--delay", type=float, default=0.0, help="Seconds of one execution.")
+def plain(
+    port: int,
+    port_file: Path | None,
+    ledger_file: Path | None,
+    name: str,
+    delay: float,
+) -> None:
+    """Stand in for a plain service with an execution ledger."""
+    clock = SystemClock()
+    ledger = Ledger(clock, ledger_file)
+    service = PlainService(name, delay, ledger, clock.now().timestamp())
+    asyncio.run(serve_until_stopped(service.handle, port, port_file))
+
+
+@main.command()
+@_PORT
+@_PORT_FILE
+@_LEDGER_FILE
+@click.option("--load-time", type=float, default=0.25, help="Seconds of one load.")
+@click.option("--in-flight", type=click.IntRange(1), default=8, help="At full speed.")
+@click.option("--rate", type=float, default=4.0, help="Loads a second; 0: no limit.")
+def store(
+    port: int,
+    port_file: Path | None,
+    ledger_file: Path | None,
+    load_time: float,
+    in_flight: int,
+    rate: float,
+) -> None:
+    """Stand in for the rate-limited weight store."""
+    clock = SystemClock()
+    ledger = Ledger(clock, ledger_file)
+    server = Store(StoreOptions(load_time, in_flight, rate), ledger, clock)
+    asyncio.run(serve_until_stopped(server.handle, port, port_file))
