Add a load generator that judges each answer

Cause: demo, failure tests and slopes need callers that notice a wrong, mixed or cut answer by themselves, and that resend under a key through another entry host. Ruled out: judging by status alone; the text of each token names weights and request, so the whole text is compared. Before: none. Conclusion: plan and verdicts are pure (calls), sockets are in load.

--- /dev/null
+++ b/src/ibishead/standin/load.py
@@ -0,0 +1,246 @@
+"""Load generator: callers of the entry hosts, bounded in count and time."""
+
+import asyncio
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ibishead.errors import IbisheadError
+from ibishead.links import Endpoint
+from ibishead.standin.calls import (
+    Call,
+    CallKind,
+    Mix,
+    Verdict,
+    judge_failure,
+    judge_text,
+    parse_content,
+    plan_calls,
+    split_events,
+)
+from ibishead.web import ClientAnswer, ClientConnection, Headers
+
+__all__ = ["CallResult", "Caller", "Histogram", "Summary", "generate_load"]
+
+#: Upper bounds of the histograms' buckets, in seconds.
+BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 60)
+
+#: Calls that may be open at once; more wait for their turn.
+MOST_OPEN = 2_000
+
+#: Seconds between a lost answer and the resend under the same key.
+RESEND_PAUSE = 0.2
+
+
+@dataclass
+class CallResult:
+    """What one call's caller saw.
+
+    :param code: the error code of an answer without success.
+    :param first_token: seconds from sending to the first token; streams only.
+    :param gaps: seconds between the events of a stream.
+    :param sends: how often it was sent.
+    """
+
+    call: Call
+    verdict: Verdict = Verdict.UNREACHABLE
+    status: int = 0
+    code: str = ""
+    first_token: float | None = None
+    gaps: list[float] = field(default_factory=list)
+    seconds: float = 0.0
+    sends: int = 0
+    text: str = ""
+    headers: Headers = ()
+
+
+class Histogram(msgspec.Struct):
+    """Counts up to each bound, and quantiles of all values, in seconds."""
+
+    count: int
+    p50: float
+    p90: float
+    p99: float
+    most: float
+    buckets: dict[str, int]
+
+
+class Summary(msgspec.Struct):
+    """What all callers saw together."""
+
+    sent: int
+    verdicts: dict[str, int]
+    codes: dict[str, int]
+    seconds: float
+    tokens: int
+    whole_answer: Histogram
+    first_token: Histogram
+    between_tokens: Histogram
+
+
+class Caller:
+    """Sends calls to entry hosts over kept connections.
+
+    :param key: the caller's key, sent as a bearer token.
+    :param timeout: seconds for one sending.
+    :param resends: how often a call with an idempotency key whose answer was lost is
+        sent again, each time through the next entry host.
+    """
+
+    def __init__(
+        self,
+        entries: tuple[Endpoint, ...],
+        key: str = "",
+        timeout: float = 60.0,
+        resends: int = 0,
+    ) -> None:
+        self._entries = entries
+        self._key = key
+        self._timeout = timeout
+        self._resends = resends
+        self._idle: dict[Endpoint, list[ClientConnection]] = {e: [] for e in entries}
+
+    async def call(self, call: Call) -> CallResult:
+        """Send a call until its outcome is known or the resends are used up."""
+        result = CallResult(call)
+        begin = time.monotonic()
+        for resend in range(1 + (self._resends if call.key else 0)):
+            if resend:
+                await asyncio.sleep(RESEND_PAUSE)
+            entry = self._entries[(call.number + resend) % len(self._entries)]
+            result.sends += 1
+            await self._send(entry, result)
+            if result.verdict not in (Verdict.UNREACHABLE, Verdict.CUT):
+                break
+        result.seconds = time.monotonic() - begin
+        return result
+
+    def close(self) -> None:
+        """Drop all kept connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+
+    async def _send(self, entry: Endpoint, result: CallResult) -> None:
+        connection = None
+        result.verdict = Verdict.UNREACHABLE
+        try:
+            async with asyncio.timeout(self._timeout):
+                connection = await self._connect(entry)
+                result.verdict = Verdict.CUT
+                await self._exchange(connection, result)
+        except (IbisheadError, TimeoutError) as error:
+            result.code = type(error).__name__
+        if connection is not None:
+            if connection.idle and not connection.closed:
+                self._idle[entry].append(connection)
+            else:
+                connection.close()
+
+    async def _connect(self, entry: Endpoint) -> ClientConnection:
+        while self._idle[entry]:
+            connection = self._idle[entry].pop()
+            if not connection.closed:
+                return connection
+        return await ClientConnection.open(entry)
+
+    async def _exchange(self, connection: ClientConnection, result: CallResult) -> None:
+        call = result.call
+        headers = call.headers
+        if self._key:
+            headers += (("authorization", f"Bearer {self._key}"),)
+        sent = time.monotonic()
+        answer = await connection.ask("POST", call.path, headers, call.body)
+        result.status, result.headers = answer.status, answer.headers
+        if answer.status != 200:
+            body = await answer.read()
+            result.verdict = judge_failure(answer.headers)
+            result.code = _find_code(body)
+        elif call.kind is CallKind.STREAM:
+            await _read_stream(answer, result, sent)
+        else:
+            data = (await answer.read()).decode("utf-8", "replace")
+            plain = call.kind is CallKind.PLAIN
+            result.text = data if plain else parse_content(data)
+            result.verdict = judge_text(call, result.text)
+
+
+async def _read_stream(answer: ClientAnswer, result: CallResult, sent: float) -> None:
+    buffer, done, last = b"", False, sent
+    pieces: list[str] = []
+    async for chunk in answer.chunks:
+        events, buffer = split_events(buffer + chunk)
+        now = time.monotonic()
+        for event in events:
+            done = done or event == "[DONE]"
+            content = parse_content(event)
+            if not content:
+                continue
+            if result.first_token is None:
+                result.first_token = now - sent
+            else:
+                result.gaps.append(now - last)
+            last = now
+            pieces.append(content)
+    result.text = "".join(pieces)
+    verdict = judge_text(result.call, result.text)
+    result.verdict = verdict if done or verdict is Verdict.WRONG else Verdict.CUT
+
+
+def _find_code(body: bytes) -> str:
+    try:
+        return str(msgspec.json.decode(body)["error"]["code"])
+    except (msgspec.DecodeError, KeyError, TypeError):
+        return "no code"
+
+
+async def generate_load(
+    caller: Caller, mix: Mix, duration: float
+) -> tuple[Summary, list[CallResult]]:
+    """Send a mix of calls.
+
+    :param duration: seconds after which no further call is sent.
+    :returns: the summary, and each call's result in order.
+    """
+    begin = time.monotonic()
+    room = asyncio.Semaphore(MOST_OPEN)
+    tasks: list[asyncio.Task[CallResult]] = []
+
+    async def send(call: Call) -> CallResult:
+        async with room:
+            return await caller.call(call)
+
+    for call in plan_calls(mix):
+        if call.at > duration:
+            break
+        await asyncio.sleep(max(0.0, begin + call.at - time.monotonic()))
+        tasks.append(asyncio.create_task(send(call)))
+    results = list(await asyncio.gather(*tasks))
+    return _summarise(results, time.monotonic() - begin), results
+
+
+def _summarise(results: list[CallResult], seconds: float) -> Summary:
+    return Summary(
+        len(results),
+        dict(Counter(result.verdict.value for result in results)),
+        dict(Counter(result.code for result in results if result.code)),
+        round(seconds, 3),
+        sum(result.text.count(" ") for result in results if result.gaps),
+        _build_histogram([r.seconds for r in results if r.verdict is Verdict.WHOLE]),
+        _build_histogram([r.first_token for r in results if r.first_token is not None]),
+        _build_histogram([gap for result in results for gap in result.gaps]),
+    )
+
+
+def _build_histogram(values: list[float]) -> Histogram:
+    ordered = sorted(values) or [0.0]
+
+    def pick(share: float) -> float:
+        return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 5)
+
+    buckets = {str(b): sum(1 for v in values if v <= b) for b in BUCKETS}
+    return Histogram(
+        len(values), pick(0.5), pick(0.9), pick(0.99), round(ordered[-1], 5), buckets
+    )
--- a/src/ibishead/standin/main.py
+++ b/src/ibishead/standin/main.py
@@ -4,12 +4,15 @@
 from pathlib import Path
 
 import click
+import msgspec
 
 from ibishead.clock import SystemClock
 from ibishead.links import Endpoint
+from ibishead.standin.calls import Mix
 from ibishead.standin.engine import EngineOptions
 from ibishead.standin.engine_server import EngineServer, Faults
 from ibishead.standin.ledger import Ledger
+from ibishead.standin.load import Caller, generate_load
 from ibishead.standin.plain import PlainService
 from ibishead.standin.process import serve_until_stopped
 from ibishead.standin.store import Store, StoreOptions
@@ -147,3 +150,61 @@
     ledger = Ledger(clock, ledger_file)
     server = Store(StoreOptions(load_time, in_flight, rate), ledger, clock)
     asyncio.run(serve_until_stopped(server.handle, port, port_file))
+
+
+@main.command()
+@click.option("--entry", type=ENDPOINT, multiple=True, required=True)
+@click.option("--key", default="", help="The caller's key.")
+@click.option("--service", default="", help="Service of the model calls.")
+@click.option("--adapter", multiple=True, help="NAME@VERSION, most popular first.")
+@click.option("--count", type=click.IntRange(1, 100_000), default=20)
+@click.option("--duration", type=click.FloatRange(0, 600), default=60.0)
+@click.option("--rate", type=float, default=0.0, help="Calls a second; 0: at once.")
+@click.option("--zipf", type=float, default=1.0, help="Skew over the adapters.")
+@click.option("--streams", type=click.FloatRange(0, 1), default=0.5, help="Share.")
+@click.option("--max-tokens", type=click.IntRange(1), default=16)
+@click.option("--plain-service", default="", help="Service of the plain calls.")
+@click.option("--plain-path", default="/issue")
+@click.option("--plain-share", type=click.FloatRange(0, 1), default=0.0)
+@click.option("--resends", type=click.IntRange(0, 20), default=3)
+@click.option("--timeout", type=click.FloatRange(0, 600), default=60.0)
+@click.option("--seed", type=int, default=1)
+def load(
+    entry: tuple[Endpoint, ...],
+    key: str,
+    service: str,
+    adapter: tuple[str, ...],
+    count: int,
+    duration: float,
+    rate: float,
+    zipf: float,
+    streams: float,
+    max_tokens: int,
+    plain_service: str,
+    plain_path: str,
+    plain_share: float,
+    resends: int,
+    timeout: float,
+    seed: int,
+) -> None:
+    """Call the entry hosts and print what the callers saw, as JSON."""
+    mix = Mix(
+        service=service,
+        adapters=adapter,
+        count=count,
+        rate=rate,
+        zipf=zipf,
+        streams=streams,
+        max_tokens=max_tokens,
+        plain_service=plain_service,
+        plain_path=plain_path,
+        plain_share=plain_share,
+        seed=seed,
+    )
+    asyncio.run(_run_load(Caller(entry, key, timeout, resends), mix, duration))
+
+
+async def _run_load(caller: Caller, mix: Mix, duration: float) -> None:
+    summary, _ = await generate_load(caller, mix, duration)
+    caller.close()
+    click.echo(msgspec.json.format(msgspec.json.encode(summary)).decode())
