Show waiting adapters in the stand-in engine's metrics

Cause: an agent that starts anew tells by running_lora_adapters and waiting_lora_adapters what the engine still needs; the latter was always empty. Before: an adapter of queued requests looked free. Conclusion: the label lists what waits, as published.

--- a/src/ibishead/standin/engine.py
+++ b/src/ibishead/standin/engine.py
@@ -123,7 +123,12 @@
     @property
     def running_adapters(self) -> list[str]:
         """Names of adapters with requests in the batch."""
-        return sorted({g.asked for g in self._running if g.asked in self._loaded})
+        return self._list_adapters(self._running)
+
+    @property
+    def waiting_adapters(self) -> list[str]:
+        """Names of adapters with requests that wait for the batch."""
+        return self._list_adapters(self._waiting)
 
     @property
     def busy(self) -> bool:
@@ -207,6 +212,9 @@
                 self._end(generation, GenerationState.FINISHED)
         return stepped
 
+    def _list_adapters(self, generations: list[Generation]) -> list[str]:
+        return sorted({g.asked for g in generations if g.asked in self._loaded})
+
     def _end(self, generation: Generation, state: GenerationState) -> None:
         if generation in self._running:
             self._running.remove(generation)
--- a/src/ibishead/standin/protocol.py
+++ b/src/ibishead/standin/protocol.py
@@ -157,13 +157,17 @@
     """
     label = f'{{model_name="{engine.options.model}"}}'
     running, waiting = (0, 0) if idle else (engine.running, engine.waiting)
-    adapters = "" if idle else ",".join(engine.running_adapters)
-    info = f'max_lora="{engine.options.slots}",running_lora_adapters="{adapters}"'
+    busy = "" if idle else ",".join(engine.running_adapters)
+    queued = "" if idle else ",".join(engine.waiting_adapters)
+    lora = (
+        f'max_lora="{engine.options.slots}",running_lora_adapters="{busy}"'
+        f',waiting_lora_adapters="{queued}"'
+    )
     return (
         f"process_start_time_seconds {started:.6f}\n"
         f"vllm:num_requests_running{label} {running}\n"
         f"vllm:num_requests_waiting{label} {waiting}\n"
-        f'vllm:lora_requests_info{{{info},waiting_lora_adapters=""}} {now:.6f}\n'
+        f"vllm:lora_requests_info{{{lora}}} {now:.6f}\n"
     )
 
 
