Add the entry's stages up to dispatch

Cause: the thin path needs an entry that parses, resolves, places, dispatches and relays. Ruled out: ending attempts when control drops a target; the entry may still reach its agent, so open attempts go on there. Conclusion: an attempt belongs to an agent, not to a link.

--- /dev/null
+++ b/src/ibishead/entry/call.py
@@ -0,0 +1,181 @@
+"""What a caller asks for, read from HTTP and not yet compared with any document."""
+
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from ibishead.errors import ErrorCode, IbisheadError, InvalidInput, NotFound
+from ibishead.ids import (
+    AdapterName,
+    ClassName,
+    IdempotencyKey,
+    RequestId,
+    ServiceName,
+    Version,
+)
+from ibishead.messages import TargetKind
+from ibishead.web import Headers, WebRequest, drop_hop_by_hop, find_header
+
+__all__ = ["Call", "parse_call"]
+
+MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+PLAIN_PREFIX = "/services/"
+
+CLASS_HEADER = "x-ibishead-class"
+REQUEST_HEADER = "x-request-id"
+KEY_HEADER = "idempotency-key"
+#: Never passed on: the first is the system's own secret, the others are set anew.
+_PRIVATE_HEADERS = frozenset(
+    {"authorization", "host", "content-length", REQUEST_HEADER, CLASS_HEADER}
+)
+
+#: Longest key or request id in characters; both are kept for a day.
+MAX_NAME = 200
+
+
+@dataclass(frozen=True)
+class Call:
+    """One call, as the caller put it.
+
+    :param adapter: empty for the base model and for plain services.
+    :param version: empty when the caller leaves it to the document.
+    :param payload: the JSON body of a model call.
+    :param path: path and query as the target gets them.
+    :param credential: the caller's key, or empty.
+    """
+
+    request: RequestId
+    service: ServiceName
+    kind: TargetKind
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    adapter: AdapterName = AdapterName("")
+    version: Version = Version("")
+    payload: dict[str, Any] | None = None
+    streamed: bool = False
+    request_class: ClassName = ClassName("")
+    key: IdempotencyKey = IdempotencyKey("")
+    credential: str = ""
+
+
+def parse_call(request: WebRequest) -> Call:
+    """Return what a request asks for.
+
+    :raises NotFound: the path belongs to no interface.
+    :raises InvalidInput: the body or a header can't be understood.
+    """
+    if request.path in MODEL_PATHS:
+        return _parse_model_call(request)
+    if request.path.startswith(PLAIN_PREFIX):
+        return _parse_plain_call(request)
+    raise NotFound(
+        f"nothing is served at {request.path}",
+        "use /v1/chat/completions, /v1/completions, /v1/models, /v1/requests/ID "
+        "or /services/NAME/",
+    )
+
+
+def _parse_model_call(request: WebRequest) -> Call:
+    if request.method != "POST":
+        error: IbisheadError = InvalidInput(
+            f"{request.path} doesn't take {request.method}",
+            "use POST",
+            code=ErrorCode.METHOD_NOT_ALLOWED,
+        )
+        error.status = 405
+        raise error
+    payload = _parse_json(request.body)
+    model = payload.get("model")
+    if not isinstance(model, str) or not model:
+        raise InvalidInput(
+            "the body names no model", 'set "model" to "service/adapter@version"'
+        )
+    service, _, adapter = model.partition("/")
+    adapter, _, version = adapter.partition("@")
+    return Call(
+        request=_read_request_id(request.headers),
+        service=ServiceName(service),
+        kind=TargetKind.ENGINE,
+        method="POST",
+        path=request.target,
+        headers=_keep_headers(request.headers),
+        body=b"",
+        adapter=AdapterName(adapter),
+        version=Version(version),
+        payload=payload,
+        streamed=payload.get("stream") is True,
+        request_class=ClassName(find_header(request.headers, CLASS_HEADER) or ""),
+        key=_read_key(request.headers),
+        credential=_read_credential(request.headers),
+    )
+
+
+def _parse_plain_call(request: WebRequest) -> Call:
+    name, separator, rest = request.path[len(PLAIN_PREFIX) :].partition("/")
+    path = "/" + rest
+    return Call(
+        request=_read_request_id(request.headers),
+        service=ServiceName(name),
+        kind=TargetKind.PLAIN,
+        method=request.method,
+        path=f"{path}?{request.query}" if request.query else path,
+        headers=_keep_headers(request.headers),
+        body=request.body,
+        request_class=ClassName(find_header(request.headers, CLASS_HEADER) or ""),
+        key=_read_key(request.headers),
+        credential=_read_credential(request.headers),
+    )
+
+
+def _parse_json(body: bytes) -> dict[str, Any]:
+    try:
+        payload = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidInput(
+            f"the body is no valid JSON: {error}", "send a JSON object in UTF-8"
+        ) from error
+    if not isinstance(payload, dict):
+        raise InvalidInput("the body is no JSON object", "send a JSON object")
+    return payload
+
+
+def _read_request_id(headers: Headers) -> RequestId:
+    given = find_header(headers, REQUEST_HEADER)
+    if given is None:
+        return RequestId(uuid.uuid4().hex)
+    _check_name(REQUEST_HEADER, given)
+    # Callers may well use an id twice; a part of our own keeps attempts apart
+    return RequestId(f"{given}.{uuid.uuid4().hex[:8]}")
+
+
+def _read_key(headers: Headers) -> IdempotencyKey:
+    given = find_header(headers, KEY_HEADER)
+    if given is None:
+        return IdempotencyKey("")
+    _check_name(KEY_HEADER, given)
+    return IdempotencyKey(given)
+
+
+def _check_name(header: str, value: str) -> None:
+    if not value or len(value) > MAX_NAME or not value.isprintable():
+        raise InvalidInput(
+            f"the header {header} is empty, unprintable or over {MAX_NAME} characters",
+            "send a short printable value, such as a UUID",
+        )
+
+
+def _read_credential(headers: Headers) -> str:
+    scheme, _, value = (find_header(headers, "authorization") or "").partition(" ")
+    return value.strip() if scheme.lower() == "bearer" else ""
+
+
+def _keep_headers(headers: Headers) -> Headers:
+    return tuple(
+        (name, value)
+        for name, value in drop_hop_by_hop(headers)
+        if name not in _PRIVATE_HEADERS
+    )
--- /dev/null
+++ b/src/ibishead/entry/dispatching.py
@@ -0,0 +1,297 @@
+"""Attempts of one request: place, dispatch, follow, and try again where allowed."""
+
+import asyncio
+import random
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+
+from ibishead.catalog import Catalog
+from ibishead.clock import Clock
+from ibishead.decisions.placement import PlacementQuery, adapter_digest, place
+from ibishead.decisions.retry import (
+    AttemptEnd,
+    GiveUp,
+    RetryBudget,
+    RetryElsewhere,
+    decide_retry,
+)
+from ibishead.entry.agents import AgentLink, AgentPool, AttemptChannel, AttemptLost
+from ibishead.entry.relay import Relay
+from ibishead.entry.resolution import Resolved
+from ibishead.entry.trace import Trace
+from ibishead.errors import (
+    ErrorCode,
+    IbisheadError,
+    LinkLost,
+    OutcomeUnknown,
+    Refused,
+    Unavailable,
+)
+from ibishead.ids import FailureDomain, Generation, IdempotencyKey, TargetId
+from ibishead.messages import AnswerEnd, AnswerHead, Dispatch, NotRun, Outcome
+
+__all__ = ["Dispatcher", "Ended", "Job"]
+
+#: Seconds after which a caller may come back when nothing better is known.
+DEFAULT_RETRY_AFTER = 1.0
+
+#: Dispatches refused only because this host's document was old. The agent hands
+#: back the newer one, so a second refusal of this kind is rare.
+MAX_REFRESHES = 3
+
+
+@dataclass
+class Job:
+    """One request on its way.
+
+    :param deadline: monotonic seconds.
+    """
+
+    resolved: Resolved
+    relay: Relay
+    trace: Trace
+    deadline: float
+    attempts: int = 0
+
+
+@dataclass(frozen=True)
+class Ended:
+    """How one attempt ended, as far as this entry host may say."""
+
+    outcome: Outcome
+    code: ErrorCode | None = None
+    reason: str = ""
+    retry_after: float = 0.0
+    refreshed: bool = False
+
+
+
+class Dispatcher:
+    """Sends attempts to agents."""
+
+    def __init__(
+        self,
+        pool: AgentPool,
+        catalog: Catalog,
+        clock: Clock,
+        failure_domain: FailureDomain,
+        chance: random.Random,
+    ) -> None:
+        self._pool = pool
+        self._catalog = catalog
+        self._clock = clock
+        self._failure_domain = failure_domain
+        self._chance = chance
+        self._budget = RetryBudget()
+
+    def list_views(self, resolved: Resolved) -> list[AgentLink]:
+        """Return the agents of the request's service."""
+        service = resolved.call.service
+        return [
+            link for link in self._pool.list_links() if link.record.service == service
+        ]
+
+    def find_agent(self, target: TargetId) -> AgentLink | None:
+        """Return the agent of a target, or none."""
+        return self._pool.find(target)
+
+    def choose(self, job: Job, avoid: frozenset[TargetId]) -> AgentLink | None:
+        """Return the agent that the next attempt goes to, or none."""
+        resolved = job.resolved
+        query = PlacementQuery(
+            adapter=adapter_digest(resolved.call.adapter, resolved.version),
+            stall_weight=resolved.document.stall_weight,
+            failure_domain=self._failure_domain,
+            avoid=avoid,
+        )
+        views = [link.view() for link in self.list_views(resolved)]
+        placed = place(query, views, self._chance.random)
+        if placed is None:
+            self._note(job, "place", "none", "no target can take it")
+            return None
+        self._note(job, "place", placed.target, placed.reason)
+        return self._pool.find(placed.target)
+
+    async def run(self, job: Job) -> None:
+        """Answer an idempotent request, by as many attempts as it takes and may.
+
+        :raises IbisheadError: the final refusal, for the caller.
+        """
+        self._budget.record_attempt()
+        avoid: frozenset[TargetId] = frozenset()
+        refreshes = 0
+        while True:
+            agent = self.choose(job, avoid)
+            if agent is None:
+                raise describe_no_target()
+            job.attempts += 1
+            ended = await self.attempt(job, agent)
+            if ended.outcome is Outcome.COMPLETED:
+                return
+            if ended.refreshed and refreshes < MAX_REFRESHES:
+                refreshes += 1
+                continue
+            verdict = self._decide(job, ended)
+            self._note(job, "retry", type(verdict).__name__, verdict.reason)
+            match verdict:
+                case RetryElsewhere():
+                    avoid = self._widen(avoid, agent, job)
+                    job.relay.reset()
+                case GiveUp(retry_after=retry_after):
+                    raise describe_end(ended, retry_after)
+
+    async def attempt(
+        self,
+        job: Job,
+        agent: AgentLink,
+        number: int | None = None,
+        generation: Generation = Generation(0),
+        key: IdempotencyKey = IdempotencyKey(""),
+    ) -> Ended:
+        """Make one attempt and follow it to its end.
+
+        :param number: of the attempt; the count of attempts when none is given.
+        """
+        dispatch = self._make_dispatch(job, agent, number or job.attempts)
+        if generation:
+            dispatch = msgspec.structs.replace(dispatch, generation=generation, key=key)
+        try:
+            channel = agent.dispatch(dispatch)
+        except LinkLost as error:
+            return Ended(Outcome.NOT_RUN, ErrorCode.LINK_LOST, error.message)
+        return await self.follow(job, channel)
+
+    async def follow(self, job: Job, channel: AttemptChannel) -> Ended:
+        """Relay an attempt's frames until its end, its deadline or its loss."""
+        try:
+            return await self._follow(job, channel)
+        except TimeoutError:
+            channel.cancel()
+            self._note(job, "relay", "deadline", "no answer began in time")
+            return Ended(
+                Outcome.UNKNOWN, ErrorCode.DEADLINE_EXCEEDED, "the deadline passed"
+            )
+        except (LinkLost, asyncio.CancelledError):
+            channel.cancel()
+            raise
+        finally:
+            channel.close()
+
+    async def _follow(self, job: Job, channel: AttemptChannel) -> Ended:
+        async with asyncio.timeout(job.deadline - self._clock.monotonic()) as limit:
+            while True:
+                event = await channel.next_event()
+                match event:
+                    case NotRun():
+                        return self._take_refusal(job, event)
+                    case AttemptLost(reason=reason):
+                        self._note(job, "relay", "lost", reason)
+                        return Ended(Outcome.UNKNOWN, ErrorCode.LINK_LOST, reason)
+                    case AnswerHead():
+                        # An answer that has begun is worth finishing
+                        limit.reschedule(None)
+                        self._note(job, "run", event.target, _describe_wait(event))
+                await job.relay.take(event)
+                channel.acknowledge(event)
+                if isinstance(event, AnswerEnd):
+                    self._note(job, "relay", event.outcome.value, event.reason)
+                    return Ended(event.outcome, event.code, event.reason)
+
+    def _take_refusal(self, job: Job, refusal: NotRun) -> Ended:
+        self._note(job, "gate", refusal.code.value, refusal.reason)
+        refreshed = False
+        if refusal.document is not None:
+            refreshed = self._catalog.offer(refusal.document)
+        return Ended(
+            Outcome.NOT_RUN,
+            refusal.code,
+            refusal.reason,
+            refusal.retry_after,
+            refreshed or refusal.code is ErrorCode.STALE_REVISION,
+        )
+
+    def _decide(self, job: Job, ended: Ended) -> RetryElsewhere | GiveUp:
+        request_class = job.resolved.request_class
+        end = AttemptEnd(
+            ended.outcome,
+            job.attempts,
+            request_class.idempotent,
+            job.deadline - self._clock.monotonic(),
+            job.relay.delivered,
+        )
+        retry_after = ended.retry_after or DEFAULT_RETRY_AFTER
+        return decide_retry(end, self._budget, retry_after)
+
+    def _widen(
+        self, avoid: frozenset[TargetId], agent: AgentLink, job: Job
+    ) -> frozenset[TargetId]:
+        wider = avoid | {agent.record.target}
+        others = {link.record.target for link in self.list_views(job.resolved)} - wider
+        return wider if others else frozenset()
+
+    def _make_dispatch(self, job: Job, agent: AgentLink, number: int) -> Dispatch:
+        resolved = job.resolved
+        call = resolved.call
+        now = self._clock.monotonic()
+        return Dispatch(
+            request=call.request,
+            attempt=number,
+            team=resolved.team,
+            service=call.service,
+            adapter=call.adapter,
+            version=resolved.version,
+            request_class=resolved.request_class.name,
+            priority=resolved.request_class.priority,
+            deadline=max(job.deadline - now, 0.0),
+            idempotent=resolved.request_class.idempotent,
+            revision=resolved.held.record.revision,
+            incarnation=agent.record.incarnation,
+            method=call.method,
+            path=call.path,
+            headers=call.headers,
+            body=resolved.body,
+            source=resolved.source,
+            confirmed=self._catalog.is_current(now),
+            share=resolved.share,
+            stall_weight=resolved.document.stall_weight,
+        )
+
+    def _note(self, job: Job, stage: str, decision: str, reason: str) -> None:
+        job.trace.add(self._clock.monotonic(), stage, decision, reason)
+
+
+def describe_no_target() -> Unavailable:
+    """Return the refusal of a request that no target can take."""
+    return Unavailable(
+        "no target of the service can take the request",
+        "come back after the given time; operators: see `ibishead targets`",
+        retry_after=timedelta(seconds=DEFAULT_RETRY_AFTER),
+    )
+
+
+def describe_end(ended: Ended, retry_after: float) -> IbisheadError:
+    """Return what a caller is told of an attempt that brought no answer.
+
+    :param retry_after: seconds.
+    """
+    wait = timedelta(seconds=retry_after)
+    if ended.outcome is Outcome.UNKNOWN:
+        return OutcomeUnknown(
+            f"the outcome isn't known: {ended.reason}",
+            "an idempotent request may be sent again; otherwise ask "
+            "GET /v1/requests/ID with the same Idempotency-Key",
+            code=ended.code,
+            retry_after=wait,
+        )
+    return Refused(
+        f"the request was not run: {ended.reason}",
+        "send it again after the given time",
+        code=ended.code,
+        retry_after=wait,
+    )
+
+
+def _describe_wait(head: AnswerHead) -> str:
+    return f"queued {head.queued:.3f} s, waited {head.stall:.3f} s for the adapter"
--- /dev/null
+++ b/src/ibishead/entry/resolution.py
@@ -0,0 +1,192 @@
+"""What a call means by the document in force: adapter, version, class, duties."""
+
+import hashlib
+import hmac
+from dataclasses import dataclass
+
+import msgspec
+
+from ibishead.catalog import Catalog, HeldDocument
+from ibishead.documents import Adapter, Caller, RequestClass, ServiceDocument
+from ibishead.entry.call import Call
+from ibishead.errors import ErrorCode, InvalidInput, NotFound, Unauthorized
+from ibishead.ids import ClassName, ServiceName, TeamId, Version
+from ibishead.messages import TargetKind
+
+__all__ = ["Resolved", "authenticate", "list_models", "resolve"]
+
+
+@dataclass(frozen=True)
+class Resolved:
+    """A call with all that the document decides about it.
+
+    :param team: whose fair share it counts against.
+    :param body: as the target gets it, naming the engine's own model name.
+    :param digest: SHA-256 over method, path and body; tells one key's uses apart.
+    """
+
+    call: Call
+    held: HeldDocument
+    team: TeamId
+    share: float
+    version: Version
+    source: str
+    request_class: RequestClass
+    body: bytes
+    digest: str
+
+    @property
+    def document(self) -> ServiceDocument:
+        """The document that decided."""
+        return self.held.document
+
+
+def authenticate(call: Call, document: ServiceDocument) -> Caller:
+    """Return the caller that the key belongs to.
+
+    A document that names no callers is open to all.
+
+    :raises Unauthorized: the key is missing or unknown.
+    """
+    if not document.callers:
+        return Caller("anyone", document.team, "")
+    digest = hashlib.sha256(call.credential.encode()).hexdigest()
+    for caller in document.callers:
+        if hmac.compare_digest(digest, caller.key_sha256):
+            return caller
+    raise Unauthorized(
+        "the key is missing or unknown to the service",
+        "send `Authorization: Bearer KEY` with a key that the document names",
+    )
+
+
+def resolve(call: Call, catalog: Catalog) -> Resolved:
+    """Compare a call with the newest document of its service.
+
+    :raises NotFound: the service, adapter, version or class doesn't exist.
+    :raises Unauthorized: the key doesn't open the service.
+    """
+    held = catalog.find_document(call.service)
+    if held is None:
+        raise NotFound(
+            f"no service is called {call.service!r}",
+            "use the name of a submitted document; see /v1/models",
+            code=ErrorCode.UNKNOWN_SERVICE,
+        )
+    document = held.document
+    caller = authenticate(call, document)
+    if document.kind is not call.kind:
+        raise InvalidInput(
+            f"the service {call.service} is of kind {document.kind.value}",
+            _describe_interface(document.kind),
+        )
+    request_class = _find_class(call, document)
+    version, source = Version(""), ""
+    if call.adapter:
+        adapter = _find_adapter(call, document)
+        version = call.version or adapter.default
+        source = adapter.source.replace("{version}", version)
+    body = _make_body(call, document, version)
+    return Resolved(
+        call=call,
+        held=held,
+        team=caller.team,
+        share=caller.share,
+        version=version,
+        source=source,
+        request_class=request_class,
+        body=body,
+        digest=_digest(call, body),
+    )
+
+
+def _describe_interface(kind: TargetKind) -> str:
+    if kind is TargetKind.PLAIN:
+        return "call it under /services/NAME/"
+    return "call it by /v1/chat/completions or /v1/completions"
+
+
+def _find_adapter(call: Call, document: ServiceDocument) -> Adapter:
+    adapter = document.adapters.get(call.adapter)
+    if adapter is None:
+        raise NotFound(
+            f"the service {call.service} has no adapter {call.adapter!r}",
+            "use an adapter of the document; see /v1/models",
+            code=ErrorCode.UNKNOWN_ADAPTER,
+        )
+    if call.version and call.version not in adapter.versions:
+        raise NotFound(
+            f"the adapter {call.adapter} has no version {call.version!r}",
+            f"use one of {', '.join(adapter.versions)}",
+            code=ErrorCode.UNKNOWN_VERSION,
+        )
+    return adapter
+
+
+def _find_class(call: Call, document: ServiceDocument) -> RequestClass:
+    name = call.request_class or _route(call, document) or document.default_class
+    found = document.classes.get(name)
+    if found is None:
+        raise NotFound(
+            f"the service {call.service} has no class {name!r}",
+            f"use one of {', '.join(sorted(document.classes))}",
+            code=ErrorCode.UNKNOWN_CLASS,
+        )
+    # The document, not the caller, decides what may be repeated: a class asked for
+    # must not lift the protection that the route gives.
+    routed = document.classes.get(_route(call, document))
+    if routed is not None and not routed.idempotent and found.idempotent:
+        return routed
+    return found
+
+
+def _route(call: Call, document: ServiceDocument) -> ClassName:
+    path = call.path.partition("?")[0]
+    matches = [
+        route
+        for route in document.routes
+        if route.method in ("*", call.method) and _is_below(path, route.path)
+    ]
+    best = max(
+        matches, key=lambda route: (len(route.path), route.method != "*"), default=None
+    )
+    return ClassName("") if best is None else best.request_class
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+
+def _make_body(call: Call, document: ServiceDocument, version: Version) -> bytes:
+    if call.payload is None:
+        return call.body
+    name = f"{call.adapter}@{version}" if call.adapter else document.model
+    return msgspec.json.encode({**call.payload, "model": name})
+
+
+def _digest(call: Call, body: bytes) -> str:
+    head = f"{call.method} {call.path}\n".encode()
+    return hashlib.sha256(head + body).hexdigest()
+
+
+def list_models(catalog: Catalog, credential: str) -> list[tuple[ServiceName, str]]:
+    """Return service and model name of all that a key opens."""
+    found = []
+    for held in catalog.list_documents():
+        document = held.document
+        if document.kind is not TargetKind.ENGINE or not _opens(credential, document):
+            continue
+        found.append((document.service, document.service))
+        for adapter in document.adapters.values():
+            found.extend(
+                (document.service, f"{document.service}/{adapter.name}@{version}")
+                for version in adapter.versions
+            )
+    return found
+
+
+def _opens(credential: str, document: ServiceDocument) -> bool:
+    digest = hashlib.sha256(credential.encode()).hexdigest()
+    return not document.callers or any(
+        hmac.compare_digest(digest, caller.key_sha256) for caller in document.callers
+    )
--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -136,6 +136,10 @@
         while self._outbox and not self.closed:
             await asyncio.sleep(0)
 
+    def end(self) -> None:
+        """Drop the link at once; whoever reads it is told that it is over."""
+        self._abort()
+
     async def close(self) -> None:
         """Send what is queued, then end the link."""
         with contextlib.suppress(TimeoutError):
