Wire entry and agent programs

Cause: the thin path needs both programs to start, serve and stop by plan. Ruled out: claims in the entry's memory; they are asked of the control quorum first.

--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -228,8 +228,9 @@
         for attempt in self._attempts.values():
             attempt.watchers.discard(link)
 
-    def forget(self, now: float) -> None:
-        """Drop what nobody can ask for any more."""
-        gone = [a.key for a in self._attempts.values() if a.is_forgettable(now)]
-        for key in gone:
-            del self._attempts[key]
+    def forget(self, now: float) -> list[Attempt]:
+        """Drop what nobody can ask for any more, and return it."""
+        gone = [a for a in self._attempts.values() if a.is_forgettable(now)]
+        for attempt in gone:
+            del self._attempts[attempt.key]
+        return gone
--- a/src/ibishead/agent/gate.py
+++ b/src/ibishead/agent/gate.py
@@ -93,9 +93,13 @@
         self._remember(key, rejected is None)
         return rejected or Taken()
 
-    def is_taken(self, key: AttemptKey) -> bool:
-        """Whether the attempt was taken in."""
-        return self._known.get(key, False)
+    def give_up(self, key: AttemptKey) -> None:
+        """Note that an attempt which was taken in has been refused after all.
+
+        Its refusal is forgotten with its frames; a later question about it must
+        still find the proof that it never ran.
+        """
+        self._remember(key, False)
 
     def bury(self, key: AttemptKey) -> bool:
         """Make sure that an attempt never runs.
--- a/src/ibishead/agent/reception.py
+++ b/src/ibishead/agent/reception.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from ibishead.agent.attempts import Attempt
-from ibishead.agent.gate import AttemptKey, Gate, GateState, Rejected, Repeated, Taken
+from ibishead.agent.gate import AttemptKey, GateState, Rejected, Repeated, Taken
 from ibishead.agent.scheduler import Scheduler
 from ibishead.agent.slots import AdapterKey
 from ibishead.clock import Clock
@@ -46,7 +46,7 @@
         clock: Clock,
     ) -> None:
         self._scheduler = scheduler
-        self._gate = Gate()
+        self._gate = scheduler.gate
         self._gate_state = gate_state
         self._own = own
         self._clock = clock
--- a/src/ibishead/agent/registrar.py
+++ b/src/ibishead/agent/registrar.py
@@ -84,6 +84,11 @@
                 self._incarnations.append(answer.incarnation)
                 logger.info("registered", extra={"incarnation": answer.incarnation})
 
+    def attach(self) -> None:
+        """Register again over a new link, which tells control who follows now."""
+        if self._incarnations:
+            self._spawn(self.register())
+
     def review(self) -> None:
         """Compare the catalog with this agent's own standing.
 
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from ibishead.agent.attempts import Attempt, AttemptState, AttemptTable
+from ibishead.agent.gate import Gate
 from ibishead.agent.runner import RunEnd, run_attempt
 from ibishead.agent.slots import AdapterKey, Pin, SlotState, SlotTable
 from ibishead.agent.target import TargetClient, TargetRestarted
@@ -106,6 +107,7 @@
         registrar: Registrar,
         clock: Clock,
     ) -> None:
+        self.gate = Gate()
         self.attempts = AttemptTable()
         self.slots = SlotTable(shape.slots)
         self.healthy = False
@@ -192,7 +194,9 @@
         if self._shape.is_engine:
             waiting = [a for a in queued if a.state is AttemptState.QUEUED]
             self._start_loads(waiting, now)
-        self.attempts.forget(now)
+        for attempt in self.attempts.forget(now):
+            if attempt.refusal is not None:
+                self.gate.give_up(attempt.key)
 
     def _hand_back(self, queued: list[Attempt], now: float) -> list[Attempt]:
         # What can't be run here in time is worth more elsewhere, or refused at
--- /dev/null
+++ b/src/ibishead/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Run the program with ``python -m ibishead.entry``."""
+
+from ibishead.entry.main import main
+
+main()
--- /dev/null
+++ b/src/ibishead/entry/claims.py
@@ -0,0 +1,172 @@
+"""Non-idempotent requests: one claim, at most one run, the recorded outcome after.
+
+The claim is committed by the control quorum before anything is sent. It moves to
+another target only on proof that its holder did not run.
+"""
+
+from collections.abc import Callable
+
+from ibishead.entry.dispatching import (
+    Dispatcher,
+    Ended,
+    Grant,
+    Job,
+    describe_end,
+    describe_no_target,
+)
+from ibishead.entry.trace import Trace
+from ibishead.errors import Conflict, ErrorCode, OutcomeUnknown
+from ibishead.ids import IdempotencyKey, TargetId
+from ibishead.messages import (
+    AskClaim,
+    ClaimAnswer,
+    ClaimState,
+    Outcome,
+    ResolveClaim,
+)
+from ibishead.subscription import Subscription
+
+__all__ = ["ClaimedRunner"]
+
+#: Seconds in which the quorum must answer. An election takes about one; a caller is
+#: told sooner to come back than left waiting for a quorum that is gone.
+CLAIM_PATIENCE = 3.0
+
+#: Seconds after which the holder of a claim that runs may be asked again.
+RUNNING_RETRY_AFTER = 1.0
+
+#: Grants of one claim that one request may go through.
+MAX_GRANTS = 4
+
+
+class ClaimedRunner:
+    """Runs non-idempotent requests."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        subscription: Subscription,
+        monotonic: Callable[[], float],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._subscription = subscription
+        self._monotonic = monotonic
+
+    async def run(self, job: Job) -> None:
+        """Answer a request that may run at most once.
+
+        :raises IbisheadError: what the caller is told instead of an answer; its
+            kind is `OutcomeUnknown` when the request may have run.
+        """
+        key = job.resolved.call.key or IdempotencyKey(job.resolved.call.request)
+        avoid: frozenset[TargetId] = frozenset()
+        ended = Ended(Outcome.NOT_RUN, ErrorCode.NO_TARGET, "never sent")
+        for _ in range(MAX_GRANTS):
+            answer = await self._claim(job, key, avoid)
+            self._note(job.trace, "claim", answer.state.value, f"at {answer.target}")
+            if not self._is_open(answer):
+                await self._answer_settled(job, answer)
+                return
+            ended = await self._run_granted(job, answer, key)
+            if ended.outcome is Outcome.COMPLETED:
+                return
+            if ended.outcome is Outcome.UNKNOWN:
+                raise describe_end(ended, RUNNING_RETRY_AFTER)
+            await self._release(job, answer, key)
+            if ended.refreshed:
+                self._dispatcher.refresh(job)
+            else:
+                avoid |= {answer.target}
+            if job.deadline <= self._monotonic():
+                break
+        raise describe_end(ended, ended.retry_after or RUNNING_RETRY_AFTER)
+
+    async def _claim(
+        self, job: Job, key: IdempotencyKey, avoid: frozenset[TargetId]
+    ) -> ClaimAnswer:
+        agent = self._dispatcher.choose(job, avoid)
+        if agent is None:
+            raise describe_no_target()
+        resolved = job.resolved
+        ask = AskClaim(
+            request=resolved.call.request,
+            team=resolved.team,
+            service=resolved.call.service,
+            key=key,
+            digest=resolved.digest,
+            target=agent.record.target,
+            incarnation=agent.record.incarnation,
+            retention=resolved.document.claim_retention.total_seconds(),
+        )
+        return await self._subscription.claim(ask, CLAIM_PATIENCE)
+
+    @staticmethod
+    def _is_open(answer: ClaimAnswer) -> bool:
+        return answer.state in (ClaimState.GRANTED, ClaimState.RUNNING)
+
+    async def _run_granted(
+        self, job: Job, answer: ClaimAnswer, key: IdempotencyKey
+    ) -> Ended:
+        agent = self._dispatcher.find_agent(answer.target)
+        mine = answer.holder == job.resolved.call.request
+        if mine and answer.state is ClaimState.GRANTED:
+            if agent is None or agent.record.incarnation != answer.incarnation:
+                # This host alone may send it, and hasn't
+                return Ended(
+                    Outcome.NOT_RUN, ErrorCode.STALE_INCARNATION, "the target is gone"
+                )
+            job.attempts += 1
+            return await self._dispatcher.attempt(
+                job, agent, Grant(answer.generation, key)
+            )
+        if agent is None:
+            return Ended(Outcome.UNKNOWN, ErrorCode.LINK_LOST, "its target is gone")
+        # Another entry host sent it, and may be gone: the agent has the answer, or
+        # the proof that it never came.
+        channel = agent.follow(answer.holder, answer.generation, answer.incarnation)
+        return await self._dispatcher.follow(job, channel)
+
+    async def _release(
+        self, job: Job, answer: ClaimAnswer, key: IdempotencyKey
+    ) -> None:
+        resolved = job.resolved
+        job.relay.reset()
+        await self._subscription.resolve(
+            ResolveClaim(
+                resolved.call.request,
+                resolved.team,
+                resolved.call.service,
+                key,
+                answer.generation,
+                Outcome.NOT_RUN,
+            ),
+            CLAIM_PATIENCE,
+        )
+
+    async def _answer_settled(self, job: Job, answer: ClaimAnswer) -> None:
+        match answer.state:
+            case ClaimState.COMPLETED if answer.answer_status:
+                await job.relay.replay(
+                    answer.answer_status, answer.answer_headers, answer.answer_body
+                )
+            case ClaimState.COMPLETED:
+                raise Conflict(
+                    "the request was completed before; its answer was too large to "
+                    "be kept",
+                    "don't send it again; read its effect from the service",
+                    code=ErrorCode.ANSWER_NOT_KEPT,
+                )
+            case ClaimState.KEY_REUSED:
+                raise Conflict(
+                    "the Idempotency-Key was used for another request",
+                    "use a new key for each request",
+                    code=ErrorCode.KEY_REUSED,
+                )
+            case _:
+                raise OutcomeUnknown(
+                    "the request may have run; its target was lost before it told",
+                    "check its effect with the service; the key stays bound to it",
+                )
+
+    def _note(self, trace: Trace, stage: str, decision: str, reason: str) -> None:
+        trace.add(self._monotonic(), stage, decision, reason)
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -19,7 +19,7 @@
 )
 from ibishead.entry.agents import AgentLink, AgentPool, AttemptChannel, AttemptLost
 from ibishead.entry.relay import Relay
-from ibishead.entry.resolution import Resolved
+from ibishead.entry.resolution import Resolved, resolve
 from ibishead.entry.trace import Trace
 from ibishead.errors import (
     ErrorCode,
@@ -32,7 +32,7 @@
 from ibishead.ids import FailureDomain, Generation, IdempotencyKey, TargetId
 from ibishead.messages import AnswerEnd, AnswerHead, Dispatch, NotRun, Outcome
 
-__all__ = ["Dispatcher", "Ended", "Job"]
+__all__ = ["Dispatcher", "Ended", "Grant", "Job"]
 
 #: Seconds after which a caller may come back when nothing better is known.
 DEFAULT_RETRY_AFTER = 1.0
@@ -56,6 +56,14 @@
     attempts: int = 0
 
 
+@dataclass(frozen=True)
+class Grant:
+    """The right to run a non-idempotent request once."""
+
+    generation: Generation
+    key: IdempotencyKey
+
+
 @dataclass(frozen=True)
 class Ended:
     """How one attempt ended, as far as this entry host may say."""
@@ -67,7 +75,6 @@
     refreshed: bool = False
 
 
-
 class Dispatcher:
     """Sends attempts to agents."""
 
@@ -132,6 +139,7 @@
                 return
             if ended.refreshed and refreshes < MAX_REFRESHES:
                 refreshes += 1
+                self.refresh(job)
                 continue
             verdict = self._decide(job, ended)
             self._note(job, "retry", type(verdict).__name__, verdict.reason)
@@ -142,21 +150,36 @@
                 case GiveUp(retry_after=retry_after):
                     raise describe_end(ended, retry_after)
 
+    def refresh(self, job: Job) -> None:
+        """Compare the call with the newer document.
+
+        :raises IbisheadError: by that document it can't be served.
+        """
+        job.resolved = resolve(job.resolved.call, self._catalog)
+        job.relay.resolved = job.resolved
+        revision = job.resolved.held.record.revision
+        self._note(job, "resolve", "again", f"by revision {revision}")
+
     async def attempt(
         self,
         job: Job,
         agent: AgentLink,
-        number: int | None = None,
-        generation: Generation = Generation(0),
-        key: IdempotencyKey = IdempotencyKey(""),
+        grant: Grant | None = None,
     ) -> Ended:
         """Make one attempt and follow it to its end.
 
-        :param number: of the attempt; the count of attempts when none is given.
+        :param grant: the claim that a non-idempotent request runs under.
         """
-        dispatch = self._make_dispatch(job, agent, number or job.attempts)
-        if generation:
-            dispatch = msgspec.structs.replace(dispatch, generation=generation, key=key)
+        dispatch = self._make_dispatch(job, agent)
+        if grant is not None:
+            # The generation numbers the attempt, so that another entry host that
+            # reads the claim knows which attempt to ask for
+            dispatch = msgspec.structs.replace(
+                dispatch,
+                attempt=grant.generation,
+                generation=grant.generation,
+                key=grant.key,
+            )
         try:
             channel = agent.dispatch(dispatch)
         except LinkLost as error:
@@ -231,13 +254,13 @@
         others = {link.record.target for link in self.list_views(job.resolved)} - wider
         return wider if others else frozenset()
 
-    def _make_dispatch(self, job: Job, agent: AgentLink, number: int) -> Dispatch:
+    def _make_dispatch(self, job: Job, agent: AgentLink) -> Dispatch:
         resolved = job.resolved
         call = resolved.call
         now = self._clock.monotonic()
         return Dispatch(
             request=call.request,
-            attempt=number,
+            attempt=job.attempts,
             team=resolved.team,
             service=call.service,
             adapter=call.adapter,
--- a/src/ibishead/entry/relay.py
+++ b/src/ibishead/entry/relay.py
@@ -49,7 +49,7 @@
     def __init__(self, exchange: Exchange, resolved: Resolved) -> None:
         self.delivered = False
         self._exchange = exchange
-        self._resolved = resolved
+        self.resolved = resolved
         self._head: AnswerHead | None = None
         self._held: list[bytes] = []
         self._held_bytes = 0
@@ -80,7 +80,7 @@
         if self.delivered:
             await self._break_off(error)
             return
-        await self._exchange.respond_error(error, make_headers(self._resolved, outcome))
+        await self._exchange.respond_error(error, make_headers(self.resolved, outcome))
 
     async def replay(self, status: int, headers: Headers, body: bytes) -> None:
         """Send an answer that was recorded before."""
@@ -101,7 +101,7 @@
         self.delivered = True
         kept = tuple(h for h in self._head.headers if h[0] != "content-length")
         await self._exchange.start(
-            self._head.status, kept + make_headers(self._resolved, None)
+            self._head.status, kept + make_headers(self.resolved, None)
         )
         for data in self._held:
             await self._exchange.send(data)
@@ -118,7 +118,7 @@
     async def _respond(self, status: int, headers: Headers, body: bytes) -> None:
         self.delivered = True
         kept = tuple(h for h in headers if h[0] != "content-length")
-        named = make_headers(self._resolved, Outcome.COMPLETED)
+        named = make_headers(self.resolved, Outcome.COMPLETED)
         await self._exchange.respond(status, kept + named, body)
 
     async def _break_off(self, error: IbisheadError) -> None:
--- a/src/ibishead/entry/resolution.py
+++ b/src/ibishead/entry/resolution.py
@@ -96,7 +96,7 @@
         source=source,
         request_class=request_class,
         body=body,
-        digest=_digest(call, body),
+        digest=_digest(call),
     )
 
 
@@ -164,14 +164,18 @@
     return msgspec.json.encode({**call.payload, "model": name})
 
 
-def _digest(call: Call, body: bytes) -> str:
-    head = f"{call.method} {call.path}\n".encode()
+def _digest(call: Call) -> str:
+    # Over what the caller sent, not over what a document made of it: a resend after
+    # a change of the default version is still the same request.
+    body = call.body if call.payload is None else msgspec.json.encode(call.payload)
+    adapter = f"{call.adapter}@{call.version}"
+    head = f"{call.method} {call.path} {adapter}\n".encode()
     return hashlib.sha256(head + body).hexdigest()
 
 
 def list_models(catalog: Catalog, credential: str) -> list[tuple[ServiceName, str]]:
     """Return service and model name of all that a key opens."""
-    found = []
+    found: list[tuple[ServiceName, str]] = []
     for held in catalog.list_documents():
         document = held.document
         if document.kind is not TargetKind.ENGINE or not _opens(credential, document):
--- a/src/ibishead/errors.py
+++ b/src/ibishead/errors.py
@@ -44,6 +44,7 @@
     KEY_REUSED = "key_reused"
     KEY_REQUIRED = "key_required"
     IN_PROGRESS = "in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     REVISION_CONFLICT = "revision_conflict"
     DOCUMENT_INVALID = "document_invalid"
     OVERLOADED = "overloaded"
