Add the control program's state, link service and operators' API

Cause: entries and agents need a control program to follow and to ask. Documents are compared and set on their revision, submissions keep their first answer, claims are granted once, targets get incarnations; deltas go to subscribers under a lease.

Ruled out: parsing documents in apply, since replicas of two versions could then disagree; they are checked before they are proposed. Publishing the index of every log entry, as each claim would then make every holder report.

Before: no control program. After: 22 tests of tests/control pass, among them one over real sockets.

--- /dev/null
+++ b/src/ibishead/control/__main__.py
@@ -0,0 +1,5 @@
+"""Run with ``python -m ibishead.control``."""
+
+from ibishead.control.main import main
+
+main(prog_name="ibishead-control")
--- /dev/null
+++ b/src/ibishead/control/lone.py
@@ -0,0 +1,60 @@
+"""A replica that is alone and keeps nothing on disk, for the demo and tests only."""
+
+from ibishead.control.machine import ReplicaSet, StateMachine
+from ibishead.errors import Unavailable
+from ibishead.ids import HostId, ReplicaId
+
+__all__ = ["LoneReplica"]
+
+#: Seconds that it vouches for its state; nobody else can change it.
+LEASE = 3600.0
+
+
+class LoneReplica:
+    """Applies every command at once; all is lost when the process ends."""
+
+    def __init__(self, name: ReplicaId, machine: StateMachine) -> None:
+        self._name = name
+        self._machine = machine
+        self._index = 0
+
+    async def propose(self, command: bytes) -> bytes:
+        """Apply the command and return its result."""
+        self._index += 1
+        return self._machine.apply(self._index, command)
+
+    async def confirm_read(self) -> None:
+        """Return at once."""
+
+    def lease(self) -> float:
+        """Return the seconds for which the state is vouched for."""
+        return LEASE
+
+    def leader(self) -> ReplicaId | None:
+        """Return itself."""
+        return self._name
+
+    def is_leader(self) -> bool:
+        """Return that it leads."""
+        return True
+
+    def replicas(self) -> ReplicaSet:
+        """Return a set of one."""
+        return ReplicaSet((self._name,))
+
+    async def transfer(self) -> None:
+        """Refuse, as nobody else is there.
+
+        :raises Unavailable: always.
+        """
+        raise Unavailable("no other replica exists", "run three replicas")
+
+    async def change_replicas(self, lost: ReplicaId, host: HostId) -> ReplicaId:
+        """Refuse, as the set can't change.
+
+        :raises Unavailable: always.
+        """
+        raise Unavailable("a lone replica can't be replaced", "run three replicas")
+
+    async def stop(self) -> None:
+        """Return at once."""
--- /dev/null
+++ b/src/ibishead/control/service.py
@@ -0,0 +1,256 @@
+"""The link side of a control replica: what entries and agents ask of it."""
+
+import asyncio
+import logging
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeAlias
+
+from ibishead.clock import Clock
+from ibishead.control.commands import (
+    AttachTarget,
+    ClaimRequest,
+    Command,
+    Registered,
+    RegisterTarget,
+    Rejected,
+    Result,
+    RetireTarget,
+    SettleClaim,
+    decode_result,
+    encode_command,
+)
+from ibishead.control.machine import Replica
+from ibishead.control.publish import Publisher, Subscriber
+from ibishead.control.state import ControlState
+from ibishead.errors import ErrorCode, IbisheadError, LinkLost, Unavailable
+from ibishead.ids import Incarnation, LogIndex, ReplicaId, TargetId
+from ibishead.links import Link
+from ibishead.messages import (
+    AskClaim,
+    AskRegistration,
+    ClaimAnswer,
+    Message,
+    Refusal,
+    Registration,
+    ReportInForce,
+    ResolveClaim,
+    Role,
+    Subscribe,
+)
+
+__all__ = ["ControlService", "propose_command"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds that a target may be linked to no replica before it is retired. With the
+#: link's own silence limit it is gone in under 5 s.
+REATTACH_GRACE = 2.5
+
+#: Asks in progress on one link; a peer that floods is refused, not queued.
+MAX_ASKS = 1024
+
+#: Seconds in which a command whose answer was lost is proposed again.
+RETRY_LIMIT = 3.0
+RETRY_PAUSE = 0.05
+
+#: Seconds between tries to retire a target while there is no quorum.
+RETIRE_PAUSE = 0.5
+
+_Ask: TypeAlias = AskRegistration | AskClaim | ResolveClaim
+
+
+async def propose_command(replica: Replica, clock: Clock, command: Command) -> Result:
+    """Propose a command until its result is known.
+
+    Commands are idempotent, so a lost answer is asked for again.
+
+    :raises Unavailable: no quorum, or no answer in time.
+    """
+    give_up = clock.monotonic() + RETRY_LIMIT
+    while True:
+        try:
+            return decode_result(await replica.propose(encode_command(command)))
+        except (LinkLost, Unavailable) as error:
+            lost = isinstance(error, LinkLost)
+            if not lost and error.code is not ErrorCode.OUTCOME_UNKNOWN:
+                raise
+            if clock.monotonic() >= give_up:
+                raise Unavailable(
+                    "the quorum hasn't answered in time",
+                    "ask again",
+                    code=ErrorCode.OUTCOME_UNKNOWN,
+                ) from error
+        await asyncio.sleep(RETRY_PAUSE)
+
+
+class ControlService:
+    """Serves the links of one replica.
+
+    :param name: this replica, which the targets linked here are attached to.
+    """
+
+    def __init__(
+        self,
+        name: ReplicaId,
+        state: ControlState,
+        replica: Replica,
+        publisher: Publisher,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._state = state
+        self._replica = replica
+        self._publisher = publisher
+        self._clock = clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(self, link: Link) -> None:
+        """Answer a peer until its link is over."""
+        session = _Session(link)
+        if link.peer.role is Role.AGENT and link.peer.incarnation:
+            self._spawn(self._attach(session, link.peer.incarnation))
+        try:
+            async for message in link.receive():
+                self._handle(session, message)
+        finally:
+            session.over = True
+            if session.subscriber is not None:
+                self._publisher.leave(session.subscriber)
+            for target, attachment in session.attached.items():
+                self._spawn(self._retire_later(target, attachment))
+
+    async def stop(self) -> None:
+        """End what is still in progress."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _handle(self, session: "_Session", message: Message) -> None:
+        match message:
+            case Subscribe():
+                if session.subscriber is not None:
+                    self._publisher.leave(session.subscriber)
+                session.subscriber = self._publisher.subscribe(
+                    message, session.link.send
+                )
+            case ReportInForce():
+                if session.subscriber is not None:
+                    self._publisher.report(session.subscriber, message)
+            case AskRegistration(nonce=subject):
+                self._accept(session, subject, message)
+            case AskClaim(request=subject) | ResolveClaim(request=subject):
+                self._accept(session, subject, message)
+            case _:
+                logger.warning(
+                    "unexpected message",
+                    extra={
+                        "peer": session.link.peer.host,
+                        "kind": type(message).__name__,
+                    },
+                )
+
+    def _accept(self, session: "_Session", subject: str, ask: _Ask) -> None:
+        # A peer that sends faster than the log commits would pile up memory here
+        if session.asks >= MAX_ASKS:
+            session.link.send(
+                Refusal(subject, ErrorCode.OVERLOADED, "too many asks at once", 1.0)
+            )
+            return
+        session.asks += 1
+        self._spawn(self._answer(session, subject, ask))
+
+    async def _answer(self, session: "_Session", subject: str, ask: _Ask) -> None:
+        try:
+            match ask:
+                case AskRegistration():
+                    command: Command = RegisterTarget(ask, self._name)
+                case AskClaim():
+                    command = ClaimRequest(ask)
+                case ResolveClaim():
+                    command = SettleClaim(ask)
+            result = await propose_command(self._replica, self._clock, command)
+        except IbisheadError as error:
+            session.link.send(self._refuse(subject, error))
+            return
+        finally:
+            session.asks -= 1
+        match result:
+            case ClaimAnswer():
+                session.link.send(result)
+            case Registered(incarnation, attachment) if isinstance(
+                ask, AskRegistration
+            ):
+                session.link.send(Registration(ask.nonce, ask.target, incarnation))
+                self._hold(session, ask.target, attachment)
+            case Rejected(code, message, remedy):
+                session.link.send(Refusal(subject, code, f"{message}; {remedy}"))
+
+    async def _attach(self, session: "_Session", incarnation: Incarnation) -> None:
+        target = self._find_target(incarnation)
+        if target is None:
+            return
+        command = AttachTarget(target, incarnation, self._name)
+        try:
+            result = await propose_command(self._replica, self._clock, command)
+        except IbisheadError as error:
+            session.link.send(self._refuse(str(incarnation), error))
+            return
+        match result:
+            case Registered(_, attachment):
+                self._hold(session, target, attachment)
+            case Rejected(code, message, remedy):
+                session.link.send(
+                    Refusal(str(incarnation), code, f"{message}; {remedy}")
+                )
+
+    def _find_target(self, incarnation: Incarnation) -> TargetId | None:
+        for target, member in self._state.targets.members.items():
+            if member.record.incarnation == incarnation:
+                return target
+        return None
+
+    def _hold(
+        self, session: "_Session", target: TargetId, attachment: LogIndex
+    ) -> None:
+        session.attached[target] = attachment
+        if session.over:
+            self._spawn(self._retire_later(target, attachment))
+
+    async def _retire_later(self, target: TargetId, attachment: LogIndex) -> None:
+        await asyncio.sleep(REATTACH_GRACE)
+        while (member := self._state.targets.members.get(target)) is not None:
+            if member.attachment != attachment:
+                return
+            incarnation = member.record.incarnation
+            command = RetireTarget(target, incarnation, attachment)
+            try:
+                await propose_command(self._replica, self._clock, command)
+            except IbisheadError as error:
+                logger.info(
+                    "target not retired yet",
+                    extra={"target": target, "reason": error.message},
+                )
+                await asyncio.sleep(RETIRE_PAUSE)
+            else:
+                logger.info("target is gone", extra={"target": target})
+                return
+
+    def _refuse(self, subject: str, error: IbisheadError) -> Refusal:
+        wait = error.retry_after.total_seconds() if error.retry_after else 0.0
+        leader = self._replica.leader() or ReplicaId("")
+        return Refusal(subject, error.code, str(error), wait, leader)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+@dataclass(eq=False)
+class _Session:
+    link: Link
+    subscriber: Subscriber | None = None
+    attached: dict[TargetId, LogIndex] = field(default_factory=dict)
+    asks: int = 0
+    over: bool = False
--- /dev/null
+++ b/tests/control/support.py
@@ -0,0 +1,139 @@
+"""What the tests of the control program share."""
+
+from ibishead.control.commands import (
+    ClaimRequest,
+    Command,
+    RegisterTarget,
+    Result,
+    SettleClaim,
+    SubmitDocument,
+    decode_result,
+    encode_command,
+)
+from ibishead.control.state import ControlState
+from ibishead.ids import (
+    FailureDomain,
+    Generation,
+    HostId,
+    IdempotencyKey,
+    Incarnation,
+    ReplicaId,
+    RequestId,
+    Revision,
+    ServiceName,
+    SubmissionId,
+    TargetId,
+    TeamId,
+)
+from ibishead.messages import (
+    AskClaim,
+    AskRegistration,
+    Outcome,
+    ResolveClaim,
+    TargetKind,
+)
+
+HALO = TeamId("halo")
+RAKTAR = ServiceName("raktar")
+C1 = ReplicaId("c1")
+
+
+def write_document(
+    service: str = "raktar", team: str = "halo", stall_weight: float = 0.5
+) -> str:
+    """Return the text of a valid document of a plain service."""
+    return (
+        f"[service]\nname = {service}\nteam = {team}\nkind = plain\n"
+        f"default_class = read\nstall_weight = {stall_weight}\n"
+        "[class:read]\npriority = 3\ndeadline = 5 s\nidempotent = yes\n"
+    )
+
+
+def make_submission(
+    submission: str, base: int, text: str = "text", team: str = "halo", now: float = 7.0
+) -> SubmitDocument:
+    return SubmitDocument(
+        RAKTAR,
+        TeamId(team),
+        Revision(base),
+        SubmissionId(submission),
+        text,
+        "kata",
+        now,
+    )
+
+
+def make_registration(nonce: str, target: str = "t1", replica: str = "c1"):
+    ask = AskRegistration(
+        nonce,
+        TargetId(target),
+        RAKTAR,
+        TargetKind.PLAIN,
+        HostId("h1"),
+        FailureDomain("szeged-a"),
+        "127.0.0.1",
+        7300,
+    )
+    return RegisterTarget(ask, ReplicaId(replica))
+
+
+def make_claim(
+    request: str,
+    incarnation: int,
+    key: str = "k1",
+    digest: str = "d1",
+    team: str = "halo",
+    retention: float = 100.0,
+) -> ClaimRequest:
+    return ClaimRequest(
+        AskClaim(
+            RequestId(request),
+            TeamId(team),
+            RAKTAR,
+            IdempotencyKey(key),
+            digest,
+            TargetId("t1"),
+            Incarnation(incarnation),
+            retention,
+        )
+    )
+
+
+def make_settlement(
+    request: str,
+    outcome: Outcome,
+    generation: int = 1,
+    key: str = "k1",
+    body: bytes = b"issued",
+) -> SettleClaim:
+    return SettleClaim(
+        ResolveClaim(
+            RequestId(request),
+            HALO,
+            RAKTAR,
+            IdempotencyKey(key),
+            Generation(generation),
+            outcome,
+            200,
+            (("content-type", "text/plain"),),
+            body,
+        )
+    )
+
+
+class Log:
+    """Applies commands to a state at rising indices."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self.index = 0
+
+    def apply(self, command: Command) -> Result:
+        self.index += 1
+        return decode_result(self.state.apply(self.index, encode_command(command)))
+
+    def restart(self) -> None:
+        """Go on with a new state that was restored from a snapshot."""
+        data = self.state.capture()
+        self.state = ControlState()
+        self.state.restore(data)
--- /dev/null
+++ b/tests/control/test_server.py
@@ -0,0 +1,151 @@
+"""One control replica over real sockets: submit, publish, claim, retire."""
+
+import asyncio
+import json
+
+import pytest
+
+from ibishead.clock import SystemClock
+from ibishead.control.lone import LoneReplica
+from ibishead.control.server import ControlServer
+from ibishead.control.state import ControlState
+from ibishead.ids import HostId, ReplicaId
+from ibishead.links import Endpoint
+from ibishead.messages import ClaimState, Hello, Role
+from ibishead.settings import ControlSettings, ListenSettings
+from ibishead.subscription import Subscription
+from ibishead.web import ClientConnection
+
+from .support import make_claim, make_registration, write_document
+
+CLOCK = SystemClock()
+LOOPBACK = ListenSettings(Endpoint("127.0.0.1", 0))
+
+
+class Running:
+    def __init__(self, server, endpoints) -> None:
+        self.server = server
+        self.links = endpoints.links
+        self.operators = endpoints.operators
+
+    async def call(self, method: str, target: str, body: bytes = b"", key: str = ""):
+        connection = await ClientConnection.open(self.operators)
+        headers = (("authorization", f"Bearer {key}"),) if key else ()
+        answer = await connection.ask(method, target, headers, body)
+        data = b"".join([chunk async for chunk in answer.chunks])
+        connection.close()
+        return answer.status, data
+
+    async def read(self, target: str):
+        status, data = await self.call("GET", target)
+        assert status == 200, data
+        return json.loads(data)
+
+    def follow(self, role: Role, name: str) -> Subscription:
+        hello = Hello(role, HostId(name))
+        subscription = Subscription([self.links], lambda: hello, CLOCK)
+        subscription.start()
+        return subscription
+
+
+def make_settings(tmp_path, **changes) -> ControlSettings:
+    return ControlSettings(
+        ReplicaId("c1"),
+        HostId("control-1"),
+        "szeged-a",
+        tmp_path,
+        LOOPBACK,
+        LOOPBACK,
+        {},
+        {},
+        **changes,
+    )
+
+
+async def start(settings: ControlSettings) -> Running:
+    state = ControlState()
+    replica = LoneReplica(settings.replica, state)
+    server = ControlServer(settings, state, replica, CLOCK)
+    return Running(server, await server.start())
+
+
+@pytest.fixture
+async def control(tmp_path):
+    running = await start(make_settings(tmp_path))
+    yield running
+    await running.server.stop()
+
+
+async def wait_for(condition) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+async def test_submission_reaches_a_holder_and_is_in_force(control):
+    holder = control.follow(Role.ENTRY, "e1")
+    await wait_for(holder.is_current)
+    text = write_document()
+    target = "/v1/documents/raktar?base=0&submission=s1&team=halo"
+    status, data = await control.call("POST", target, text.encode())
+    assert status == 200, data
+    submitted = json.loads(data)
+    assert submitted["revision"] == 1
+    await wait_for(lambda: holder.catalog.index >= submitted["index"])
+    assert holder.catalog.find_document("raktar").record.text == text
+    while not (await control.read("/v1/in-force?index=1"))["in_force"]:
+        await asyncio.sleep(0.01)
+    assert (await control.read("/v1/documents/raktar"))["text"] == text
+    history = await control.read("/v1/documents/raktar/history")
+    assert [c["submission"] for c in history["changes"]] == ["s1"]
+    await holder.stop()
+
+
+@pytest.mark.parametrize(
+    ("target", "text", "status"),
+    [
+        ("raktar?base=0&submission=s2&team=halo", write_document(), 409),
+        ("raktar?base=1&submission=s1&team=halo", write_document(), 409),
+        ("raktar?base=x&submission=s2&team=halo", write_document(), 400),
+        ("raktar?base=1&team=halo", write_document(), 400),
+        ("raktar?base=1&submission=s2&team=halo", "[service", 400),
+        ("raktar?base=1&submission=s2&team=halo", "", 400),
+        ("mester?base=0&submission=s2&team=halo", write_document(), 400),
+        ("raktar?base=1&submission=s2&team=x", write_document(), 400),
+        ("raktar?base=1&submission=s2&team=x", write_document(team="x"), 403),
+        ("raktar?base=0&submission=s1&team=halo", write_document(), 200),
+    ],
+)
+async def test_answers_to_submissions(control, target, text, status):
+    first = "/v1/documents/raktar?base=0&submission=s1&team=halo"
+    await control.call("POST", first, write_document().encode())
+    answer = await control.call("POST", f"/v1/documents/{target}", text.encode())
+    assert answer[0] == status, answer[1]
+    assert (await control.read("/v1/documents"))[0]["revision"] == 1
+
+
+async def test_target_is_seen_and_gone(control):
+    """An agent is killed; its target must leave every entry's view by itself."""
+    holder = control.follow(Role.ENTRY, "e1")
+    agent = control.follow(Role.AGENT, "a1")
+    registration = await agent.register(make_registration("n1").ask)
+    again = await agent.register(make_registration("n1").ask)
+    assert again == registration
+    await wait_for(lambda: holder.catalog.find_target("t1") is not None)
+    claim = await holder.claim(make_claim("r1", registration.incarnation).ask, 5.0)
+    assert claim.state is ClaimState.GRANTED
+    other = await holder.claim(make_claim("r2", registration.incarnation).ask, 5.0)
+    assert other.state is ClaimState.RUNNING
+    await agent.stop()
+    await wait_for(lambda: holder.catalog.find_target("t1") is None)
+    shown = await control.read("/v1/requests/halo/raktar/k1")
+    assert shown["state"] == "unknown"
+    await holder.stop()
+
+
+async def test_platform_paths(control):
+    for path in ("/livez", "/readyz", "/metrics"):
+        assert (await control.call("GET", path))[0] == 200
+    assert (await control.read("/v1/status"))["leader"] == "c1"
+    assert (await control.call("GET", "/v1/nothing"))[0] == 404
+    control.server.begin_stop()
+    assert (await control.call("GET", "/readyz"))[0] == 503
--- /dev/null
+++ b/tests/control/test_submissions.py
@@ -0,0 +1,103 @@
+"""Submissions are compared and set, and answered the same for ever."""
+
+import pytest
+
+from ibishead.control.commands import Accepted, Rejected, StaleBase
+from ibishead.errors import ErrorCode
+from ibishead.messages import DocumentRecord
+
+from .support import RAKTAR, Log, make_submission
+
+
+def find_document(log: Log) -> DocumentRecord:
+    return log.state.documents.documents[RAKTAR]
+
+
+def test_two_operators_with_the_same_base():
+    """Two operators edit revision 1 and submit at nearly the same time.
+
+    One wins. The other must be told who won, when and with which submission,
+    instead of undoing the winner's change.
+    """
+    log = Log()
+    log.apply(make_submission("s1", 0))
+    won = log.apply(make_submission("s2", 1, "from anna", now=20.0))
+    lost = log.apply(make_submission("s3", 1, "from bela", now=21.0))
+    assert won == Accepted(RAKTAR, 2, "s2", 2)
+    assert lost == StaleBase(RAKTAR, 2, "s2", "kata", 20.0)
+    assert find_document(log).text == "from anna"
+
+
+@pytest.mark.parametrize("restart", [False, True])
+def test_resend_long_after_others_changed_the_document(restart):
+    """An operator's answer is lost; hundreds of changes later the tool resends.
+
+    The change was applied once, so the answer must be the first one, and the
+    document must stay as the later operators left it.
+    """
+    log = Log()
+    first = log.apply(make_submission("s1", 0, "first"))
+    for base in range(1, 301):
+        log.apply(make_submission(f"later-{base}", base, f"text {base}"))
+    if restart:
+        log.restart()
+    assert log.apply(make_submission("s1", 0, "first", now=99.0)) == first
+    assert find_document(log).revision == 301
+    assert find_document(log).text == "text 300"
+    assert len(log.state.documents.histories[RAKTAR]) == 301
+
+
+def test_refusal_is_kept_too():
+    """A submission on a revision to come is refused; its resend comes after it.
+
+    The operator was told that nothing was accepted, so nothing may be.
+    """
+    log = Log()
+    log.apply(make_submission("s1", 0))
+    refused = log.apply(make_submission("s3", 2, "early"))
+    log.apply(make_submission("s2", 1))
+    assert isinstance(refused, StaleBase)
+    assert log.apply(make_submission("s3", 2, "early")) == refused
+    assert find_document(log).revision == 2
+
+
+@pytest.mark.parametrize(
+    ("command", "code"),
+    [
+        (make_submission("s1", 0, "another text"), ErrorCode.KEY_REUSED),
+        (make_submission("s1", 1, "text"), ErrorCode.KEY_REUSED),
+        (make_submission("s2", 1, team="tisza"), ErrorCode.FORBIDDEN),
+    ],
+)
+def test_refused_submissions(command, code):
+    log = Log()
+    log.apply(make_submission("s1", 0))
+    result = log.apply(command)
+    assert isinstance(result, Rejected)
+    assert result.code is code
+    assert find_document(log).revision == 1
+
+
+def test_poisoned_entry_doesnt_stop_the_replica():
+    """A log entry can't be decoded, on every replica and after every restart.
+
+    Raising would stop the whole quorum for good.
+    """
+    log = Log()
+    for poison in (b"", b"\xff" * 9, b"\x80"):
+        log.index += 1
+        assert log.state.apply(log.index, poison)
+    assert isinstance(log.apply(make_submission("s1", 0)), Accepted)
+
+
+def test_deltas_and_whole_states():
+    log = Log()
+    log.apply(make_submission("s1", 0))
+    log.apply(make_submission("s2", 1, "newer"))
+    missing = log.state.collect(1)
+    assert [d.revision for d in missing.documents] == [2]
+    assert not missing.whole
+    assert log.state.collect(2).empty
+    log.restart()
+    assert log.state.collect(1).whole
+    assert log.state.collect(2).empty
