--- a/src/ibishead/standin/calls.py
+++ b/src/ibishead/standin/calls.py
@@ -50,6 +50,7 @@
 class Mix:
     """What is asked, in which shares.
 
+    :param service: empty for calls that go to an engine itself.
     :param adapters: `name@version`, the most popular first.
     :param zipf: exponent of the adapters' popularity; 0 for equal shares.
     :param rate: calls a second, arriving at random; 0 for all at once.
@@ -111,13 +112,19 @@
         message = {"role": "user", "content": f"mend {self.word}"}
         return msgspec.json.encode(
             {
-                "model": f"{self.mix.service}/{self.adapter}",
+                "model": self.model,
                 "messages": [message],
                 "max_tokens": self.mix.max_tokens,
                 "stream": self.kind is CallKind.STREAM,
             }
         )
 
+    @property
+    def model(self) -> str:
+        """The model's name for an entry host, or for an engine without service."""
+        service = self.mix.service
+        return f"{service}/{self.adapter}" if service else self.adapter
+
     @property
     def expected(self) -> str:
         """The whole text of the right answer to a model call."""
--- /dev/null
+++ b/tests/processes/fleet.py
@@ -0,0 +1,296 @@
+"""A small fleet on loopback: every program a real process, ended by its id."""
+
+import asyncio
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+from tests.processes.programs import GIVE_UP, LOOPBACK, ROOT, Program, reserve_port
+
+from ibishead.errors import LinkLost
+from ibishead.links import Endpoint
+from ibishead.standin.ledger import Record, RecordKind, read_ledger_file
+from ibishead.standin.load import Caller
+from ibishead.web import ClientConnection
+
+__all__ = ["CALLER_KEY", "OPERATOR_KEY", "Fleet", "Target", "render"]
+
+CALLER_KEY = "loft-key"
+OPERATOR_KEY = "kata-key"
+ADMIN_KEY = "admin-key"
+DOMAINS = ("szeged-a", "szolnok-b", "kecskemet-c", "baja-d")
+
+
+def render(template: str, values: Mapping[str, object]) -> str:
+    """Return a file of the demo with its @NAMES@ filled in."""
+    text = (ROOT / "demo" / template).read_text()
+    for name, value in values.items():
+        text = text.replace(f"@{name}@", str(value))
+    return text
+
+
+def digest(key: str) -> str:
+    """Return a key's SHA-256 as settings and documents hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclass
+class Target:
+    """A target and the agent beside it.
+
+    :param port: where the target listens, the same in each of its lives.
+    """
+
+    program: Program
+    agent: Program
+    port: int
+    ledger_file: Path
+
+    @property
+    def ledger(self) -> list[Record]:
+        """What all lives of the target have recorded."""
+        return read_ledger_file(self.ledger_file)
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Status and JSON of an answer to an operator.
+
+    :param status: 0 when nobody answered.
+    """
+
+    status: int
+    value: dict[str, object]
+
+
+@dataclass
+class Shape:
+    """How many of what, and how fast.
+
+    :param token_time: seconds of an engine's step.
+    :param delay: seconds of a plain execution.
+    """
+
+    controls: int = 1
+    entries: int = 2
+    engines: int = 3
+    slots: int = 2
+    batch: int = 8
+    token_time: float = 0.005
+    delay: float = 0.05
+    engine_options: tuple[str, ...] = ()
+
+
+@dataclass
+class Fleet:
+    """All programs of one test.
+
+    :param folder: of settings, logs, ports and ledgers.
+    """
+
+    folder: Path
+    shape: Shape = field(default_factory=Shape)
+    controls: list[Program] = field(default_factory=list)
+    entries: list[Program] = field(default_factory=list)
+    engines: list[Target] = field(default_factory=list)
+    plains: list[Target] = field(default_factory=list)
+    store: Program | None = None
+    control_ports: list[int] = field(default_factory=list)
+    entry_ports: list[int] = field(default_factory=list)
+
+    @property
+    def programs(self) -> list[Program]:
+        """Every program, callers first."""
+        targets = self.engines + self.plains
+        agents = [target.agent for target in targets]
+        others = [target.program for target in targets]
+        stores = [self.store] if self.store else []
+        return [*self.entries, *agents, *self.controls, *others, *stores]
+
+    @property
+    def entry_endpoints(self) -> tuple[Endpoint, ...]:
+        """Where callers reach the entry hosts."""
+        return tuple(Endpoint(LOOPBACK, port) for port in self.entry_ports)
+
+    def make_caller(self, timeout: float = 30.0, resends: int = 0) -> Caller:
+        """Return a caller that uses all entry hosts in turn."""
+        return Caller(self.entry_endpoints, CALLER_KEY, timeout, resends)
+
+    async def start(self) -> None:
+        """Start everything; documents are submitted separately."""
+        self._start_controls()
+        store_port = await self._start_store()
+        for number in range(self.shape.engines):
+            await self._start_engine(f"engine-{number}", number, store_port)
+        await self._start_plain("plain-0")
+        for number in range(self.shape.entries):
+            await self._start_entry(f"entry-{number}", number)
+
+    async def operate(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        key: str = ADMIN_KEY,
+        control: int = 0,
+    ) -> Reply:
+        """Ask one control replica as an operator."""
+        program = self.controls[control]
+        headers = (("authorization", f"Bearer {key}"),)
+        try:
+            port = await program.read_port(f"{program.name}.operators.port")
+            connection = await ClientConnection.open(Endpoint(LOOPBACK, port))
+            try:
+                answer = await connection.ask(method, target, headers, body)
+                return Reply(answer.status, msgspec.json.decode(await answer.read()))
+            finally:
+                connection.close()
+        except LinkLost:
+            return Reply(0, {})
+
+    async def submit(self, template: str, base: int = 0, extra: str = "") -> Reply:
+        """Submit a document of the demo until a replica accepts or refuses it.
+
+        :param extra: appended to the document.
+        """
+        service = template.removesuffix(".ini")
+        keys = {"CALLER_KEY": digest(CALLER_KEY), "OPERATOR_KEY": digest(OPERATOR_KEY)}
+        text = render(template, keys) + extra
+        target = f"/v1/documents/{service}?base={base}&submission={service}-{base}"
+        for attempt in range(500):
+            control = attempt % len(self.controls)
+            reply = await self.operate("POST", target, text.encode(), control=control)
+            if reply.status not in (0, 503):
+                return reply
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"no replica took {template}: {reply}")
+
+    async def submit_all(self) -> None:
+        """Submit both documents, and return once entries and agents hold them."""
+        for template in ("mester.ini", "raktar.ini"):
+            reply = await self.submit(template)
+            assert reply.status == 200, reply
+            await self.wait_in_force(reply.value["index"])
+
+    async def wait_in_force(self, index: object, control: int = 0) -> None:
+        """Return once every entry and agent holds the log up to an index."""
+        async with asyncio.timeout(GIVE_UP):
+            while True:
+                target = f"/v1/in-force?index={index}"
+                reply = await self.operate("GET", target, control=control)
+                if reply.value.get("in_force"):
+                    return
+                await asyncio.sleep(0.05)
+
+    def clean_up(self) -> None:
+        """End every process that is left."""
+        for program in self.programs:
+            program.clean_up()
+
+    def count_executions(self, key: str) -> int:
+        """Return how often the plain services started a key, in all lives."""
+        return sum(
+            1
+            for target in self.plains
+            for record in target.ledger
+            if record.kind is RecordKind.STARTED and record.key == key
+        )
+
+    def list_violations(self) -> list[Record]:
+        """Return the engines' records of adapters evicted while they served."""
+        return [
+            record
+            for target in self.engines
+            for record in target.ledger
+            if record.kind is RecordKind.VIOLATION
+        ]
+
+    def write(self, name: str, text: str) -> Path:
+        """Write a file of settings or a document, and return its path."""
+        path = self.folder / name
+        path.write_text(text)
+        return path
+
+    def _start_controls(self) -> None:
+        names = [f"control-{number}" for number in range(self.shape.controls)]
+        self.control_ports = [reserve_port() for _ in names]
+        pairs = zip(names, self.control_ports, strict=True)
+        peers = "\n".join(f"{name} = {LOOPBACK}:{port}" for name, port in pairs)
+        for number, name in enumerate(names):
+            values = self._describe(name, number) | {
+                "PORT": self.control_ports[number],
+                "PEERS": peers,
+                "ADMIN_KEY": digest(ADMIN_KEY),
+            }
+            self.controls.append(self._start_program("control", "control.ini", values))
+
+    async def _start_store(self) -> int:
+        self.store = self._make_standin("store", ["store", "--rate", "0"])
+        self.store.start()
+        return await self.store.read_port("store.port")
+
+    async def _start_engine(self, name: str, number: int, store_port: int) -> None:
+        options = [
+            *("engine", "--store", f"{LOOPBACK}:{store_port}"),
+            *("--slots", str(self.shape.slots), "--batch", str(self.shape.batch)),
+            *("--token-time", str(self.shape.token_time)),
+            *self.shape.engine_options,
+        ]
+        template = "agent-engine.ini"
+        self.engines.append(
+            await self._start_target(name, number, "mester", options, template)
+        )
+
+    async def _start_plain(self, name: str) -> None:
+        options = ["plain", "--delay", str(self.shape.delay)]
+        template = "agent-plain.ini"
+        self.plains.append(
+            await self._start_target(name, 0, "raktar", options, template)
+        )
+
+    async def _start_target(
+        self, name: str, number: int, service: str, options: list[str], template: str
+    ) -> Target:
+        port = reserve_port()
+        ledger_file = self.folder / f"{name}.ledger"
+        options += ["--port", str(port), "--ledger-file", str(ledger_file)]
+        program = self._make_standin(name, options)
+        program.start()
+        await program.read_port(f"{name}.port")
+        values = self._describe(f"agent-of-{name}", number) | {
+            "TARGET": name,
+            "TARGET_PORT": port,
+            "SERVICE": service,
+            "SLOTS": self.shape.slots,
+            "BATCH": self.shape.batch,
+        }
+        agent = self._start_program("agent", template, values)
+        return Target(program, agent, port, ledger_file)
+
+    async def _start_entry(self, name: str, number: int) -> None:
+        program = self._start_program(
+            "entry", "entry.ini", self._describe(name, number)
+        )
+        self.entries.append(program)
+        self.entry_ports.append(await program.read_port(f"{name}.http.port"))
+
+    def _describe(self, name: str, number: int) -> dict[str, object]:
+        replicas = ", ".join(f"{LOOPBACK}:{port}" for port in self.control_ports)
+        domain = DOMAINS[number % len(DOMAINS)]
+        return {"NAME": name, "DOMAIN": domain, "REPLICAS": replicas}
+
+    def _start_program(
+        self, kind: str, template: str, values: Mapping[str, object]
+    ) -> Program:
+        name = str(values["NAME"])
+        settings = self.write(f"{name}.ini", render(template, values))
+        program = Program(name, f"ibishead.{kind}.main", [str(settings)], self.folder)
+        program.start()
+        return program
+
+    def _make_standin(self, name: str, options: list[str]) -> Program:
+        port_file = self.folder / f"{name}.port"
+        arguments = [*options, "--port-file", str(port_file)]
+        return Program(name, "ibishead.standin.main", arguments, self.folder)
--- /dev/null
+++ b/tests/processes/relay.py
@@ -0,0 +1,71 @@
+"""A TCP relay that loses track of connections, as middleboxes do."""
+
+import asyncio
+import contextlib
+
+from ibishead.links import Endpoint
+
+__all__ = ["Relay"]
+
+
+class Relay:
+    """Passes bytes to an upstream, until told to be silent.
+
+    Connections that were open when `silence_open` was called stay open and carry
+    nothing more, for good; new ones work.
+    """
+
+    def __init__(self, upstream: Endpoint) -> None:
+        self._upstream = upstream
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._generation = 0
+        self.accepted = 0
+
+    async def start(self, port: int = 0) -> Endpoint:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", port)
+        return Endpoint("127.0.0.1", self._server.sockets[0].getsockname()[1])
+
+    def silence_open(self) -> None:
+        """Carry nothing more on the connections that are open now."""
+        self._generation += 1
+
+    async def stop(self) -> None:
+        """Drop everything."""
+        assert self._server is not None
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        far_reader, far_writer = await asyncio.open_connection(
+            self._upstream.address, self._upstream.port
+        )
+        for source, sink in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.create_task(self._pass_on(source, sink, self._generation))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pass_on(
+        self,
+        source: asyncio.StreamReader,
+        sink: asyncio.StreamWriter,
+        generation: int,
+    ) -> None:
+        try:
+            while data := await source.read(65536):
+                # A silent connection swallows what comes and passes on no end
+                if generation != self._generation:
+                    continue
+                sink.write(data)
+                await sink.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        if generation == self._generation:
+            with contextlib.suppress(ConnectionError):
+                sink.close()
