--- /dev/null
+++ b/tests/agent/test_gate.py
@@ -0,0 +1,132 @@
+"""The gate refuses what must not run, whatever entry hosts believe."""
+
+import msgspec
+import pytest
+
+from ibishead.agent.gate import AttemptKey, Gate, GateState, Rejected, Repeated, Taken
+from ibishead.documents import Unconfirmed
+from ibishead.errors import ErrorCode
+from ibishead.ids import (
+    AdapterName,
+    ClassName,
+    Incarnation,
+    RequestId,
+    Revision,
+    ServiceName,
+    TeamId,
+    Version,
+)
+from ibishead.messages import Dispatch, DocumentRecord
+
+DISPATCH = Dispatch(
+    request=RequestId("r1"),
+    attempt=1,
+    team=TeamId("lofts"),
+    service=ServiceName("mester"),
+    adapter=AdapterName("tisza"),
+    version=Version("1"),
+    request_class=ClassName("plan"),
+    priority=5,
+    deadline=10.0,
+    idempotent=True,
+    revision=Revision(3),
+    incarnation=Incarnation(7),
+    method="POST",
+    path="/v1/completions",
+    headers=(),
+    body=b"{}",
+)
+KEY = AttemptKey(RequestId("r1"), 1)
+
+
+def make_state(**changes) -> GateState:
+    document = DocumentRecord(ServiceName("mester"), TeamId("halo"), Revision(3), "")
+    fields = {
+        "incarnation": Incarnation(7),
+        "draining": False,
+        "document": document,
+        "current": True,
+    }
+    return GateState(**(fields | changes))
+
+
+NEWER = DocumentRecord(ServiceName("mester"), TeamId("halo"), Revision(4), "")
+
+
+@pytest.mark.parametrize(
+    ("changes", "state", "code"),
+    [
+        ({}, {}, None),
+        ({"incarnation": 6}, {}, ErrorCode.STALE_INCARNATION),
+        ({"incarnation": 8}, {}, ErrorCode.STALE_INCARNATION),
+        ({}, {"draining": True}, ErrorCode.DRAINING),
+        ({"revision": 2}, {}, ErrorCode.STALE_REVISION),
+        ({"revision": 4}, {}, None),
+        ({}, {"document": None}, None),
+        ({}, {"current": False}, None),
+        ({"confirmed": False}, {}, None),
+        ({"confirmed": False}, {"current": False}, ErrorCode.NO_QUORUM),
+        (
+            {"confirmed": False},
+            {"current": False, "unconfirmed": Unconfirmed.SERVE},
+            None,
+        ),
+    ],
+)
+def test_gate_decides(changes, state, code):
+    dispatch = msgspec.structs.replace(DISPATCH, **changes)
+    verdict = Gate().check(dispatch, make_state(**state))
+    if code is None:
+        assert verdict == Taken()
+    else:
+        assert isinstance(verdict, Rejected)
+        assert verdict.code is code
+
+
+def test_stale_entry_is_handed_the_newer_document():
+    """An entry host was cut off while a change was accepted, and sends by the old one.
+
+    The agent holds the new document: it must refuse, and hand it over, so that the
+    host's next attempt is right.
+    """
+    verdict = Gate().check(DISPATCH, make_state(document=NEWER))
+    assert isinstance(verdict, Rejected)
+    assert verdict.document == NEWER
+
+
+def test_attempt_runs_once_however_often_it_is_dispatched():
+    """A link resends a dispatch that had arrived; a second run would be a double."""
+    gate = Gate()
+    assert gate.check(DISPATCH, make_state()) == Taken()
+    assert gate.check(DISPATCH, make_state()) == Repeated()
+
+
+def test_buried_attempt_never_runs():
+    """An entry host freezes with a dispatch in its buffer.
+
+    Its caller's request is asked for by another host, the agent says that it never
+    came, and it runs elsewhere. The first host thaws and the dispatch arrives.
+    """
+    gate = Gate()
+    assert gate.bury(KEY)
+    verdict = gate.check(DISPATCH, make_state())
+    assert isinstance(verdict, Rejected)
+    assert verdict.code is ErrorCode.NEVER_RECEIVED
+
+
+def test_taken_attempt_cant_be_buried_but_given_up():
+    gate = Gate()
+    gate.check(DISPATCH, make_state())
+    assert not gate.bury(KEY)
+    gate.give_up(KEY)
+    assert gate.bury(KEY)
+
+
+def test_memory_of_attempts_is_bounded():
+    gate = Gate(remembered=2)
+    for number in range(5):
+        gate.check(msgspec.structs.replace(DISPATCH, attempt=number), make_state())
+    assert (
+        gate.check(msgspec.structs.replace(DISPATCH, attempt=4), make_state())
+        == Repeated()
+    )
--- /dev/null
+++ b/tests/test_session.py
@@ -0,0 +1,84 @@
+"""An answer outlives its links: frames are kept, resumed, ordered, never doubled."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.ids import RequestId, Sequence
+from ibishead.messages import AnswerBody, AnswerEnd, Outcome
+from ibishead.session import FrameBuffer, FrameSequence
+
+REQUEST = RequestId("r1")
+
+
+def make_body(number: int, size: int = 1) -> AnswerBody:
+    return AnswerBody(REQUEST, 1, Sequence(number), bytes([number % 256]) * size)
+
+
+def make_end(number: int) -> AnswerEnd:
+    return AnswerEnd(REQUEST, 1, Sequence(number), Outcome.COMPLETED)
+
+
+def test_buffer_keeps_what_isnt_acknowledged():
+    buffer = FrameBuffer()
+    frames = [make_body(0), make_body(1), make_end(2)]
+    for frame in frames:
+        buffer.append(frame)
+    buffer.acknowledge(Sequence(1))
+    buffer.acknowledge(Sequence(1))
+    assert buffer.list_from(Sequence(1)) == frames[1:]
+    assert buffer.list_from(Sequence(0)) is None
+    assert not buffer.delivered
+    buffer.acknowledge(Sequence(3))
+    assert buffer.delivered
+
+
+def test_buffer_asks_its_source_to_pause():
+    buffer = FrameBuffer(limit=10)
+    buffer.append(make_body(0, size=10))
+    assert buffer.full
+    buffer.acknowledge(Sequence(1))
+    assert not buffer.full
+
+
+def test_buffer_refuses_a_gap():
+    with pytest.raises(ValueError, match="follows"):
+        FrameBuffer().append(make_body(1))
+
+
+@given(st.lists(st.integers(0, 9), max_size=60), st.integers(1, 10))
+def test_frames_come_once_and_in_order(arrivals, count):
+    """Links duplicate, reorder and drop; what is delivered is a prefix, in order."""
+    frames = [make_body(n) for n in range(count)]
+    sequence = FrameSequence()
+    delivered = []
+    for arrival in arrivals:
+        if arrival < count:
+            delivered += sequence.accept(frames[arrival])
+    assert delivered == frames[: len(delivered)]
+    for frame in frames:
+        delivered += sequence.accept(frame)
+    assert delivered == frames
+
+
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 5)), max_size=30))
+def test_resume_over_lossy_links_brings_the_whole_answer(losses):
+    """Links break at any frame, in either direction, as often as they like.
+
+    Each new link resumes at the receiver's next sequence. In the end the caller has
+    every frame once, and the sender has nothing left.
+    """
+    frames = [make_body(n) for n in range(9)] + [make_end(9)]
+    buffer, sequence = FrameBuffer(), FrameSequence()
+    for frame in frames:
+        buffer.append(frame)
+    delivered = []
+    for acknowledged, length in [*losses, (True, len(frames))]:
+        owed = buffer.list_from(sequence.next_sequence)
+        assert owed is not None
+        for frame in owed[:length]:
+            delivered += sequence.accept(frame)
+        if acknowledged:
+            buffer.acknowledge(sequence.next_sequence)
+    assert delivered == frames
+    assert buffer.delivered
