Grant load permits, watch orphaned targets and ask all replicas for holders

Cause: the weight store's limits, dead replicas' targets and "in force" need more than one replica's own view. The leader keeps the permit book, others pass asks on over links of their own; the leader retires targets of replicas that it has lost; in force asks every replica for holders that lag.

Ruled out: permits in the log (two entries a load, nothing to gain but a shorter pause after a change of leader); reports of holders to the leader (they would grow with the fleet). Holders are asked only after a submission.

--- a/src/ibishead/control/main.py
+++ b/src/ibishead/control/main.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import signal
-import sys
 from ipaddress import ip_address
 from pathlib import Path
 
@@ -14,6 +13,7 @@
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
 from ibishead.errors import IbisheadError, SettingsFault
+from ibishead.logs import set_up_logging
 from ibishead.settings import ControlSettings, load_control_settings
 
 __all__ = ["main"]
@@ -26,10 +26,10 @@
 @click.option("--check-settings", is_flag=True, help="Check the settings and end.")
 def main(settings: Path, check_settings: bool) -> None:
     """Run a control replica with the SETTINGS file."""
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr)
     try:
         read = load_control_settings(settings)
         _check_admin_keys(read)
+        set_up_logging(read.log_level, "ibishead-control", read.host)
         if not check_settings:
             asyncio.run(_run(read))
     except IbisheadError as error:
@@ -53,7 +53,7 @@
         loop.add_signal_handler(number, stop.set)
     state = ControlState()
     replica = LoneReplica(settings.replica, state)
-    server = ControlServer(settings, state, replica, SystemClock())
+    server = ControlServer(settings, settings.replica, state, replica, SystemClock())
     endpoints = await server.start()
     logger.info("serving links on %s", endpoints.links)
     logger.info("serving operators on %s", endpoints.operators)
--- a/src/ibishead/control/membership.py
+++ b/src/ibishead/control/membership.py
@@ -70,6 +70,11 @@
         member = self.members.get(target)
         return member is not None and member.record.incarnation == incarnation
 
+    @property
+    def untouched(self) -> bool:
+        """Whether no target has ever registered."""
+        return not self._last_nonces
+
     def register(
         self, index: LogIndex, command: RegisterTarget
     ) -> Registered | Rejected:
--- a/src/ibishead/control/operators.py
+++ b/src/ibishead/control/operators.py
@@ -1,14 +1,12 @@
 """The HTTP interface of a control replica for operators and the platform."""
 
 from collections.abc import Awaitable, Callable, Mapping
-from datetime import UTC, datetime
+from dataclasses import dataclass
 from hashlib import sha256
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-import aioprometheus
 import msgspec
-from aioprometheus.renderer import render
 
 from ibishead.clock import Clock
 from ibishead.control.claims import ClaimKey
@@ -25,7 +23,16 @@
 from ibishead.control.publish import Publisher
 from ibishead.control.service import propose_command
 from ibishead.control.state import ControlState
-from ibishead.control.submissions import Change
+from ibishead.control.views import (
+    History,
+    InForce,
+    Replacement,
+    Status,
+    Submitted,
+    describe_change,
+    describe_conflict,
+    describe_document,
+)
 from ibishead.documents import parse_document
 from ibishead.errors import (
     Conflict,
@@ -49,7 +56,8 @@
     TeamId,
 )
 from ibishead.messages import DocumentRecord
-from ibishead.web import Exchange, WebRequest, find_header
+from ibishead.metrics import Metrics
+from ibishead.web import Exchange, Headers, WebRequest, find_header
 
 __all__ = ["OperatorApi"]
 
@@ -61,48 +69,13 @@
 }
 
 
-class _Submitted(msgspec.Struct):
-    service: str
-    revision: int
-    submission: str
-    index: int
-    in_force: bool
-
-
-class _InForce(msgspec.Struct):
-    in_force: bool
-    waiting_for: list[HostId]
-
-
-class _Document(msgspec.Struct):
-    service: str
-    team: str
-    revision: int
-    submission: str
-    operator: str
-    accepted_at: float
-    text: str = ""
+_PLAIN: Headers = (("content-type", "text/plain"),)
 
 
-class _History(msgspec.Struct):
-    service: str
-    changes: list[dict[str, Any]]
-
-
-class _Replacement(msgspec.Struct):
-    lost: str
-    host: str
-
-
-class _Status(msgspec.Struct):
-    replica: str
-    leader: str
-    index: int
-    voters: list[str]
-    learners: list[str]
-    subscribers: int
-    claims: int
-    lease: float
+@dataclass(frozen=True)
+class _Page:
+    headers: Headers
+    body: bytes
 
 
 class OperatorApi:
@@ -131,7 +104,7 @@
         self._find_waiting = find_waiting
         self._clock = clock
         self._admin_keys = admin_keys
-        self._metrics = _Metrics()
+        self._metrics = Metrics("control")
 
     async def answer(self, exchange: Exchange) -> None:
         """Answer one request.
@@ -142,10 +115,10 @@
         try:
             value = await self._route(request)
         except IbisheadError as error:
-            self._metrics.refusals.inc({"code": error.code.value})
+            self._metrics.count_refusal(error.code)
             raise
-        if isinstance(value, bytes):
-            await exchange.respond(200, (("content-type", "text/plain"),), value)
+        if isinstance(value, _Page):
+            await exchange.respond(200, value.headers, value.body)
             return
         body = msgspec.json.encode(value)
         await exchange.respond(200, (("content-type", "application/json"),), body)
@@ -155,7 +128,7 @@
         query = {name: v[-1] for name, v in parse_qs(request.query).items()}
         match request.method, segments:
             case "GET", ["livez"]:
-                return b"ok\n"
+                return _Page(_PLAIN, b"ok\n")
             case "GET", ["readyz"]:
                 return self._check_ready()
             case "GET", ["metrics"]:
@@ -183,20 +156,20 @@
                 index = LogIndex(_read_number(query, "index"))
                 await self._check_index(index)
                 waiting = await self._find_waiting(index)
-                return _InForce(not waiting, waiting)
+                return InForce(not waiting, waiting)
         # Failure: a replica that was cut off answers from an old state, and an
         # operator edits a revision that was replaced. Reads go through the quorum.
         await self._replica.confirm_read()
         match segments:
             case ["documents"]:
                 held = self._state.documents.documents.values()
-                return [_describe_document(record) for record in held]
+                return [describe_document(record) for record in held]
             case ["documents", service]:
-                return _describe_document(self._find_document(service), text=True)
+                return describe_document(self._find_document(service), text=True)
             case ["documents", service, "history"]:
                 self._find_document(service)
                 changes = self._state.documents.histories[ServiceName(service)]
-                return _History(service, [_describe_change(c) for c in changes])
+                return History(service, [describe_change(c) for c in changes])
             case ["targets"]:
                 members = self._state.targets.members.values()
                 return [msgspec.structs.asdict(member.record) for member in members]
@@ -209,7 +182,7 @@
 
     async def _submit(
         self, request: WebRequest, service: ServiceName, query: Mapping[str, str]
-    ) -> _Submitted:
+    ) -> Submitted:
         operator = self._authorize(request, service)
         text = _decode_text(request.body)
         document = parse_document(text)
@@ -226,12 +199,11 @@
         )
         match await self._propose(command):
             case Accepted(_, revision, submission, index):
-                self._metrics.submissions.inc({"service": service})
-                waiting = self._publisher.list_waiting(index)
-                in_force = not waiting and len(self._replica.replicas().voters) == 1
-                return _Submitted(service, revision, submission, index, in_force)
+                self._metrics.count_event("submission")
+                # Durable is all that is waited for; /v1/in-force tells the rest
+                return Submitted(service, revision, submission, index, False)
             case StaleBase() as stale:
-                raise _describe_conflict(stale, command.base)
+                raise describe_conflict(stale, command.base)
         raise IbisheadError("the log gave no answer", "report this with the log lines")
 
     async def _check_index(self, index: LogIndex) -> None:
@@ -246,7 +218,7 @@
 
     async def _replace(self, request: WebRequest) -> dict[str, str]:
         try:
-            ask = msgspec.json.decode(request.body, type=_Replacement)
+            ask = msgspec.json.decode(request.body, type=Replacement)
         except msgspec.DecodeError as error:
             raise InvalidInput(
                 f"the body is no replacement: {error}",
@@ -298,9 +270,9 @@
         del shown["answer_body"], shown["request"]
         return shown
 
-    def _describe_status(self) -> _Status:
+    def _describe_status(self) -> Status:
         replicas = self._replica.replicas()
-        return _Status(
+        return Status(
             self._name,
             self._replica.leader() or "",
             self._state.applied,
@@ -311,7 +283,7 @@
             self._replica.lease(),
         )
 
-    def _check_ready(self) -> bytes:
+    def _check_ready(self) -> _Page:
         if self.stopping:
             raise Unavailable(
                 "the replica is stopping",
@@ -324,39 +296,20 @@
                 "use another replica; check its links to the others",
                 code=ErrorCode.NO_QUORUM,
             )
-        return b"ready\n"
-
-    def _render_metrics(self, request: WebRequest) -> bytes:
-        self._metrics.index.set({}, self._state.applied)
-        self._metrics.subscribers.set({}, len(self._publisher))
-        accepts = (find_header(request.headers, "accept") or "text/plain",)
-        content, _ = render(self._metrics.registry, accepts)
-        return content
-
-
-class _Metrics:
-    def __init__(self) -> None:
-        self.registry = aioprometheus.Registry()
-        self.submissions = aioprometheus.Counter(
-            "ibishead_submissions_total",
-            "Accepted submissions",
-            registry=self.registry,
-        )
-        self.refusals = aioprometheus.Counter(
-            "ibishead_operator_refusals_total",
-            "Refused operators' requests by code",
-            registry=self.registry,
-        )
-        self.index = aioprometheus.Gauge(
-            "ibishead_applied_index",
-            "Index of the last applied log entry",
-            registry=self.registry,
-        )
-        self.subscribers = aioprometheus.Gauge(
-            "ibishead_subscribers",
-            "Holders of documents linked to this replica",
-            registry=self.registry,
-        )
+        return _Page(_PLAIN, b"ready\n")
+
+    def _render_metrics(self, request: WebRequest) -> _Page:
+        gauges = {
+            "applied_index": self._state.applied,
+            "subscribers": len(self._publisher),
+            "targets": len(self._state.targets.members),
+            "claims": len(self._state.claims),
+            "leading": self._replica.is_leader(),
+        }
+        for name, value in gauges.items():
+            self._metrics.set_gauge(name, value)
+        accept = find_header(request.headers, "accept")
+        return _Page(*self._metrics.render((accept,) if accept else ()))
 
 
 def _check_key(request: WebRequest, allowed: set[str]) -> str:
@@ -415,34 +368,3 @@
     if not (text.isascii() and text.isdigit()):
         raise InvalidInput(f"{name} is no number: {text!r}", "send a whole number")
     return int(text)
-
-
-def _describe_document(record: DocumentRecord, text: bool = False) -> _Document:
-    return _Document(
-        record.service,
-        record.team,
-        record.revision,
-        record.submission,
-        record.operator,
-        record.accepted_at,
-        record.text if text else "",
-    )
-
-
-def _describe_change(change: Change) -> dict[str, Any]:
-    return msgspec.structs.asdict(change)
-
-
-def _describe_conflict(stale: StaleBase, base: Revision) -> Conflict:
-    if stale.revision == 0:
-        return Conflict(
-            f"service {stale.service} has no revision {base}",
-            "submit a new service with base 0",
-        )
-    moment = datetime.fromtimestamp(stale.accepted_at, UTC).isoformat("T", "seconds")
-    return Conflict(
-        f"base {base} is not the newest revision of {stale.service}: {stale.operator} "
-        f"made revision {stale.revision} at {moment} by submission {stale.submission}",
-        f"read revision {stale.revision}, make the change on it, and submit it with "
-        f"base {stale.revision} and a new submission id",
-    )
--- a/src/ibishead/control/publish.py
+++ b/src/ibishead/control/publish.py
@@ -125,7 +125,8 @@
         """Return the holders with a live lease that haven't applied ``index``."""
         # Holders hear of what concerns them only, so none ever reports the index of
         # a claim; they are current once they have the last change before it.
-        index = min(index, self._state.changed)
+        if index <= self._state.applied:
+            index = min(index, self._state.changed)
         now = self._clock.monotonic()
         holders: Iterable[Subscriber | _Departed] = (
             *self._subscribers,
--- a/src/ibishead/control/server.py
+++ b/src/ibishead/control/server.py
@@ -1,20 +1,27 @@
 """One control replica: its state, its link server and its HTTP server."""
 
 import asyncio
+import contextlib
 import logging
 from dataclasses import dataclass
 
 from ibishead.clock import Clock
+from ibishead.control.commands import AnnounceReplica
+from ibishead.control.force import ForceTracker
+from ibishead.control.granting import PermitDesk
 from ibishead.control.machine import Replica
 from ibishead.control.operators import OperatorApi
 from ibishead.control.publish import Publisher
+from ibishead.control.relay import Relay
 from ibishead.control.service import ControlService
 from ibishead.control.state import ControlState
+from ibishead.control.upkeep import Upkeep
 from ibishead.errors import IbisheadError
-from ibishead.ids import HostId, LogIndex
+from ibishead.ids import ReplicaId
 from ibishead.links import Endpoint, LinkServer
-from ibishead.messages import Hello, Role
+from ibishead.messages import Hello, Message, PermitAnswer, Role
 from ibishead.settings import ControlSettings, write_port_file
+from ibishead.tls import make_client_context, make_server_context
 from ibishead.web import WebServer
 
 __all__ = ["ControlServer", "Endpoints"]
@@ -33,34 +40,71 @@
 class ControlServer:
     """Serves entries, agents and operators from one replica.
 
+    :param name: the replica's identity in the replicated log.
     :param state: the state machine that ``replica`` drives.
     """
 
     def __init__(
         self,
         settings: ControlSettings,
+        name: ReplicaId,
         state: ControlState,
         replica: Replica,
         clock: Clock,
     ) -> None:
         self._settings = settings
+        self._name = name
         self._replica = replica
+        self._endpoints = Endpoints(
+            settings.links.endpoint, settings.operators.endpoint
+        )
         self._publisher = Publisher(state, replica.lease, clock)
+        self._desk = PermitDesk(state, replica, self._forward, clock)
         self._service = ControlService(
-            settings.replica, state, replica, self._publisher, clock
+            name, state, replica, self._publisher, self._desk, clock
+        )
+        hello = Hello(Role.CONTROL, settings.host)
+        peer = settings.peer_tls
+        self._relay = Relay(
+            name,
+            state,
+            hello,
+            clock,
+            self._deliver,
+            make_client_context(peer) if peer is not None else None,
+        )
+        self._force = ForceTracker(
+            name, state, replica, self._publisher, self._relay, clock
         )
         self._api = OperatorApi(
-            settings.replica,
+            name,
             state,
             replica,
             self._publisher,
-            self._find_waiting,
+            self._force.find_waiting,
             clock,
             frozenset(settings.admin_keys),
         )
-        hello = Hello(Role.CONTROL, settings.host)
-        self._links = LinkServer(self._service.serve, lambda: hello, clock)
-        self._web = WebServer(self._api.answer)
+        self._upkeep = Upkeep(
+            self._announce,
+            state,
+            replica,
+            self._service,
+            self._desk,
+            self._relay,
+            clock,
+        )
+        self._links = LinkServer(
+            self._service.serve,
+            lambda: hello,
+            clock,
+            tls=make_server_context(peer.pair, peer.ca) if peer is not None else None,
+        )
+        pair = settings.http_tls
+        self._web = WebServer(
+            self._api.answer, tls=make_server_context(pair) if pair else None
+        )
+        self._rounds: asyncio.Task[None] | None = None
         self._scheduled = False
         state.on_change = self._schedule_publish
 
@@ -68,9 +112,11 @@
         """Listen, and return where."""
         links = await self._links.start(self._settings.links.endpoint)
         operators = await self._web.start(self._settings.operators.endpoint)
+        self._endpoints = Endpoints(links, operators)
+        self._rounds = asyncio.create_task(self._upkeep.run())
         write_port_file(self._settings.links, links.port)
         write_port_file(self._settings.operators, operators.port)
-        return Endpoints(links, operators)
+        return self._endpoints
 
     def begin_stop(self) -> None:
         """Show the platform that this replica is leaving."""
@@ -84,16 +130,32 @@
                 await self._replica.transfer()
             except IbisheadError as error:
                 logger.info("leadership not handed over", extra={"reason": str(error)})
-        await self._links.stop()
+        if self._rounds is not None:
+            self._rounds.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._rounds
+        self._desk.stop()
+        await self._relay.stop()
         await self._web.stop()
+        await self._links.stop()
         await self._service.stop()
         await self._replica.stop()
 
-    async def _find_waiting(self, index: LogIndex) -> list[HostId]:
-        return self._publisher.list_waiting(index)
+    def _announce(self) -> AnnounceReplica:
+        links = self._endpoints.links
+        return AnnounceReplica(
+            self._name, self._settings.host, links.address, links.port
+        )
+
+    def _forward(self, replica: ReplicaId, message: Message) -> bool:
+        return self._relay.send(replica, message)
+
+    def _deliver(self, answer: PermitAnswer) -> None:
+        self._desk.deliver(answer)
 
     def _schedule_publish(self) -> None:
         # All that is committed in one turn of the loop goes out as one delta
+        self._force.note_change()
         if not self._scheduled:
             self._scheduled = True
             asyncio.get_running_loop().call_soon(self._publish)
--- a/src/ibishead/control/service.py
+++ b/src/ibishead/control/service.py
@@ -15,11 +15,11 @@
     RegisterTarget,
     Rejected,
     Result,
-    RetireTarget,
     SettleClaim,
     decode_result,
     encode_command,
 )
+from ibishead.control.granting import PermitDesk
 from ibishead.control.machine import Replica
 from ibishead.control.publish import Publisher, Subscriber
 from ibishead.control.state import ControlState
@@ -28,11 +28,15 @@
 from ibishead.links import Link
 from ibishead.messages import (
     AskClaim,
+    AskHolders,
+    AskPermit,
     AskRegistration,
     ClaimAnswer,
+    Holders,
     Message,
     Refusal,
     Registration,
+    ReleasePermit,
     ReportInForce,
     ResolveClaim,
     Role,
@@ -43,10 +47,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds that a target may be linked to no replica before it is retired. With the
-#: link's own silence limit it is gone in under 5 s.
-REATTACH_GRACE = 2.5
-
 #: Asks in progress on one link; a peer that floods is refused, not queued.
 MAX_ASKS = 1024
 
@@ -54,9 +54,6 @@
 RETRY_LIMIT = 3.0
 RETRY_PAUSE = 0.05
 
-#: Seconds between tries to retire a target while there is no quorum.
-RETIRE_PAUSE = 0.5
-
 _Ask: TypeAlias = AskRegistration | AskClaim | ResolveClaim
 
 
@@ -96,29 +93,40 @@
         state: ControlState,
         replica: Replica,
         publisher: Publisher,
+        desk: PermitDesk,
         clock: Clock,
     ) -> None:
         self._name = name
         self._state = state
         self._replica = replica
         self._publisher = publisher
+        self._desk = desk
         self._clock = clock
+        self._sessions: set[_Session] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def serve(self, link: Link) -> None:
         """Answer a peer until its link is over."""
         session = _Session(link)
+        self._sessions.add(session)
         if link.peer.role is Role.AGENT and link.peer.incarnation:
             self._spawn(self._attach(session, link.peer.incarnation))
         try:
             async for message in link.receive():
                 self._handle(session, message)
         finally:
-            session.over = True
             if session.subscriber is not None:
                 self._publisher.leave(session.subscriber)
-            for target, attachment in session.attached.items():
-                self._spawn(self._retire_later(target, attachment))
+            self._sessions.discard(session)
+
+    def list_attached(self) -> set[tuple[TargetId, LogIndex]]:
+        """Return the targets whose agents are linked here, with their attachments."""
+        return {item for s in self._sessions for item in s.attached.items()}
+
+    async def drop_links(self) -> None:
+        """Close all links, so that peers move on to another replica."""
+        links = [session.link for session in self._sessions]
+        await asyncio.gather(*(link.close() for link in links))
 
     async def stop(self) -> None:
         """End what is still in progress."""
@@ -137,6 +145,13 @@
             case ReportInForce():
                 if session.subscriber is not None:
                     self._publisher.report(session.subscriber, message)
+            case AskPermit():
+                self._desk.ask(session.link, message)
+            case ReleasePermit():
+                self._desk.release(session.link, message)
+            case AskHolders(index):
+                waiting = self._publisher.list_waiting(LogIndex(index))
+                session.link.send(Holders(index, self._state.applied, tuple(waiting)))
             case AskRegistration(nonce=subject):
                 self._accept(session, subject, message)
             case AskClaim(request=subject) | ResolveClaim(request=subject):
@@ -182,7 +197,7 @@
                 ask, AskRegistration
             ):
                 session.link.send(Registration(ask.nonce, ask.target, incarnation))
-                self._hold(session, ask.target, attachment)
+                session.attached[ask.target] = attachment
             case Rejected(code, message, remedy):
                 session.link.send(Refusal(subject, code, f"{message}; {remedy}"))
 
@@ -198,7 +213,7 @@
             return
         match result:
             case Registered(_, attachment):
-                self._hold(session, target, attachment)
+                session.attached[target] = attachment
             case Rejected(code, message, remedy):
                 session.link.send(
                     Refusal(str(incarnation), code, f"{message}; {remedy}")
@@ -210,32 +225,6 @@
                 return target
         return None
 
-    def _hold(
-        self, session: "_Session", target: TargetId, attachment: LogIndex
-    ) -> None:
-        session.attached[target] = attachment
-        if session.over:
-            self._spawn(self._retire_later(target, attachment))
-
-    async def _retire_later(self, target: TargetId, attachment: LogIndex) -> None:
-        await asyncio.sleep(REATTACH_GRACE)
-        while (member := self._state.targets.members.get(target)) is not None:
-            if member.attachment != attachment:
-                return
-            incarnation = member.record.incarnation
-            command = RetireTarget(target, incarnation, attachment)
-            try:
-                await propose_command(self._replica, self._clock, command)
-            except IbisheadError as error:
-                logger.info(
-                    "target not retired yet",
-                    extra={"target": target, "reason": error.message},
-                )
-                await asyncio.sleep(RETIRE_PAUSE)
-            else:
-                logger.info("target is gone", extra={"target": target})
-                return
-
     def _refuse(self, subject: str, error: IbisheadError) -> Refusal:
         wait = error.retry_after.total_seconds() if error.retry_after else 0.0
         leader = self._replica.leader() or ReplicaId("")
@@ -253,4 +242,3 @@
     subscriber: Subscriber | None = None
     attached: dict[TargetId, LogIndex] = field(default_factory=dict)
     asks: int = 0
-    over: bool = False
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -34,6 +34,7 @@
     "AnswerEnd",
     "AnswerHead",
     "AskClaim",
+    "AskHolders",
     "AskPermit",
     "AskRegistration",
     "Cancel",
@@ -42,6 +43,7 @@
     "Dispatch",
     "DocumentRecord",
     "Hello",
+    "Holders",
     "LoadReport",
     "Message",
     "NotRun",
@@ -479,6 +481,27 @@
     leader: ReplicaId = ReplicaId("")
 
 
+# Control replicas among themselves ------------------------------------------
+
+
+class AskHolders(_Message, frozen=True):
+    """Asks another replica whether ``index`` is in force at all its holders."""
+
+    index: int
+
+
+class Holders(_Message, frozen=True):
+    """Answer to `AskHolders`.
+
+    :param applied: where the replica itself stands.
+    :param waiting: holders under a live lease that haven't applied ``index``.
+    """
+
+    index: int
+    applied: int
+    waiting: tuple[HostId, ...] = ()
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -504,4 +527,6 @@
     | PermitAnswer
     | ReleasePermit
     | Refusal
+    | AskHolders
+    | Holders
 )
--- /dev/null
+++ b/tests/control/test_claims.py
@@ -0,0 +1,203 @@
+"""A claim is granted once, and its outcome is kept and never worsened."""
+
+import pytest
+
+from ibishead.control.claims import (
+    MAX_ADVANCE,
+    MAX_ANSWER,
+    PURGE_LIMIT,
+    ClaimKey,
+    ClaimTable,
+)
+from ibishead.control.commands import (
+    AdvanceTime,
+    Rejected,
+    RetireTarget,
+)
+from ibishead.errors import ErrorCode
+from ibishead.ids import Incarnation, TargetId
+from ibishead.messages import ClaimAnswer, ClaimState, Outcome
+
+from .support import (
+    HALO,
+    RAKTAR,
+    Log,
+    make_claim,
+    make_registration,
+    make_settlement,
+)
+
+NOW = 1_000_000.0
+
+
+def start_log() -> Log:
+    """Return a log whose target t1 has incarnation 1."""
+    log = Log()
+    log.apply(make_registration("n1"))
+    log.apply(AdvanceTime(NOW))
+    return log
+
+
+def ask(log: Log, request: str, **changes) -> ClaimAnswer:
+    answer = log.apply(make_claim(request, changes.pop("incarnation", 1), **changes))
+    assert isinstance(answer, ClaimAnswer), answer
+    return answer
+
+
+def test_racing_entries_get_one_grant():
+    """A caller retries through another entry while its first try still runs."""
+    log = start_log()
+    assert ask(log, "r1").state is ClaimState.GRANTED
+    other = ask(log, "r2")
+    assert (other.state, other.holder) == (ClaimState.RUNNING, "r1")
+    again = ask(log, "r1")
+    assert (again.state, again.generation) == (ClaimState.GRANTED, 1)
+
+
+@pytest.mark.parametrize(
+    ("changes", "state"),
+    [
+        ({"digest": "other"}, ClaimState.KEY_REUSED),
+        ({"team": "tisza"}, ClaimState.GRANTED),
+        ({"key": "k2"}, ClaimState.GRANTED),
+    ],
+)
+def test_what_a_claim_is_keyed_by(changes, state):
+    log = start_log()
+    ask(log, "r1")
+    log.apply(make_settlement("r1", Outcome.COMPLETED))
+    answer = ask(log, "r2", **changes)
+    assert answer.state is state
+    assert answer.answer_body == b""
+
+
+@pytest.mark.parametrize(
+    ("outcomes", "state", "generation"),
+    [
+        ([Outcome.COMPLETED], ClaimState.COMPLETED, 1),
+        ([Outcome.NOT_RUN], ClaimState.GRANTED, 2),
+        ([Outcome.UNKNOWN], ClaimState.UNKNOWN, 1),
+        ([Outcome.UNKNOWN, Outcome.COMPLETED], ClaimState.COMPLETED, 1),
+        ([Outcome.UNKNOWN, Outcome.NOT_RUN], ClaimState.UNKNOWN, 1),
+        ([Outcome.COMPLETED, Outcome.NOT_RUN], ClaimState.COMPLETED, 1),
+        ([Outcome.COMPLETED, Outcome.UNKNOWN], ClaimState.COMPLETED, 1),
+    ],
+)
+def test_next_asker_by_outcome(outcomes, state, generation):
+    log = start_log()
+    ask(log, "r1")
+    for outcome in outcomes:
+        log.apply(make_settlement("r1", outcome))
+    log.restart()
+    answer = ask(log, "r2")
+    assert (answer.state, answer.generation) == (state, generation)
+    if state is ClaimState.COMPLETED:
+        assert (answer.answer_status, answer.answer_body) == (200, b"issued")
+
+
+def test_late_proof_of_an_earlier_generation():
+    """The proof that attempt 1 did not run is delivered twice, late.
+
+    In between the request was granted anew and runs. Taken again, the proof would
+    let a third attempt run beside the second.
+    """
+    log = start_log()
+    ask(log, "r1")
+    log.apply(make_settlement("r1", Outcome.NOT_RUN))
+    assert ask(log, "r1").generation == 2
+    log.apply(make_settlement("r1", Outcome.NOT_RUN, generation=1))
+    assert ask(log, "r2").state is ClaimState.RUNNING
+
+
+def test_outcome_from_someone_else():
+    log = start_log()
+    ask(log, "r1")
+    log.apply(make_settlement("r2", Outcome.NOT_RUN))
+    assert ask(log, "r2").state is ClaimState.RUNNING
+
+
+@pytest.mark.parametrize("end", ["retire", "register"])
+@pytest.mark.parametrize("restart", [False, True])
+def test_target_is_lost_with_a_claim(end, restart):
+    """A target dies with a stock issue in progress, and the mender tries again.
+
+    The issue may have been booked, so it must never be granted anew.
+    """
+    log = start_log()
+    ask(log, "r1")
+    if restart:
+        log.restart()
+    attachment = log.state.targets.members[TargetId("t1")].attachment
+    match end:
+        case "retire":
+            log.apply(RetireTarget(TargetId("t1"), Incarnation(1), attachment))
+        case "register":
+            log.apply(make_registration("n2"))
+    answer = log.apply(make_claim("r2", log.index))
+    assert isinstance(answer, ClaimAnswer)
+    assert answer.state is ClaimState.UNKNOWN
+
+
+def test_claim_for_an_ended_incarnation():
+    log = start_log()
+    log.apply(make_registration("n2"))
+    answer = log.apply(make_claim("r1", 1))
+    assert isinstance(answer, Rejected)
+    assert answer.code is ErrorCode.STALE_INCARNATION
+
+
+def test_large_answer_is_recorded_without_its_body():
+    log = start_log()
+    ask(log, "r1")
+    log.apply(make_settlement("r1", Outcome.COMPLETED, body=b"x" * (MAX_ANSWER + 1)))
+    answer = ask(log, "r2")
+    assert (answer.state, answer.answer_body) == (ClaimState.COMPLETED, b"")
+
+
+def test_retention_ends_and_purges_a_bounded_number():
+    log = start_log()
+    for number in range(PURGE_LIMIT + 5):
+        ask(log, f"r{number}", key=f"k{number}", retention=30.0)
+        log.apply(make_settlement(f"r{number}", Outcome.COMPLETED, key=f"k{number}"))
+    log.apply(AdvanceTime(NOW + 29.0))
+    assert len(log.state.claims) == PURGE_LIMIT + 5
+    log.apply(AdvanceTime(NOW + 31.0))
+    assert len(log.state.claims) == 5
+    log.apply(AdvanceTime(NOW + 32.0))
+    assert len(log.state.claims) == 0
+
+
+def test_leader_with_a_wrong_clock():
+    """A new leader's clock is a year ahead; callers' keys must not be forgotten.
+
+    Forgotten at once, every order that a shop resends would run again.
+    """
+    log = start_log()
+    ask(log, "r1", retention=1000.0)
+    log.apply(make_settlement("r1", Outcome.COMPLETED))
+    log.apply(AdvanceTime(NOW + 365 * 24 * 3600.0))
+    assert ask(log, "r2").state is ClaimState.COMPLETED
+    log.apply(AdvanceTime(NOW - 1000.0))
+    assert log.state.claims.save().time == NOW + MAX_ADVANCE
+
+
+def test_unresolved_claim_becomes_unknown_before_it_is_forgotten():
+    log = start_log()
+    ask(log, "r1", retention=30.0)
+    log.apply(AdvanceTime(NOW + 31.0))
+    assert ask(log, "r2").state is ClaimState.UNKNOWN
+
+
+def test_claims_restore_equal():
+    log = start_log()
+    for number, outcome in enumerate(Outcome):
+        ask(log, f"r{number}", key=f"k{number}")
+        log.apply(make_settlement(f"r{number}", outcome, key=f"k{number}"))
+    ask(log, "open", key="open")
+    saved = log.state.claims.save()
+    assert ClaimTable(saved).save() == saved
+    log.restart()
+    assert log.state.claims.save() == saved
+    found = log.state.claims.find(ClaimKey(HALO, RAKTAR, "open"))
+    assert found is not None
+    assert found.state is ClaimState.RUNNING
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -65,7 +65,7 @@
 async def start(settings: ControlSettings) -> Running:
     state = ControlState()
     replica = LoneReplica(settings.replica, state)
-    server = ControlServer(settings, state, replica, CLOCK)
+    server = ControlServer(settings, settings.replica, state, replica, CLOCK)
     return Running(server, await server.start())
 
 
