Refuse claims at once without a quorum, resolve under the holder's name

Cause: control takes an end only from the claim's holder, so another entry host's proof of 'not run' was ignored; and a claim without a quorum waited for its whole patience. Ruled out: matching answers by request alone; a claim's answer sent twice would pass for the record of its end. Conclusion: dialing is injected, so that a fake network can stand in.

--- a/src/ibishead/entry/agents.py
+++ b/src/ibishead/entry/agents.py
@@ -16,7 +16,7 @@
 from ibishead.decisions.placement import TargetView
 from ibishead.errors import LinkLost
 from ibishead.ids import Incarnation, RequestId, Sequence, TargetId
-from ibishead.links import Endpoint, Link, dial
+from ibishead.links import Dialer, Endpoint, Link, dial
 from ibishead.messages import (
     Acknowledge,
     AnswerBody,
@@ -118,6 +118,7 @@
         hello: Callable[[], Hello],
         clock: Clock,
         tls: ssl.SSLContext | None,
+        dialer: Dialer,
     ) -> None:
         self.record = record
         self.report: LoadReport | None = None
@@ -125,6 +126,7 @@
         self._hello = hello
         self._clock = clock
         self._tls = tls
+        self._dial = dialer
         self._link: Link | None = None
         self._open: dict[tuple[RequestId, int], AttemptChannel] = {}
         self.finished = False
@@ -247,7 +249,7 @@
 
     async def _connect(self) -> None:
         endpoint = Endpoint(self.record.address, self.record.port)
-        link = await dial(endpoint, self._hello(), self._clock, tls=self._tls)
+        link = await self._dial(endpoint, self._hello(), self._clock, None, self._tls)
         self._link = link
         for channel in list(self._open.values()):
             # The old link may have lost any of: the dispatch, frames, nothing
@@ -290,10 +292,12 @@
         hello: Callable[[], Hello],
         clock: Clock,
         tls: ssl.SSLContext | None = None,
+        dialer: Dialer = dial,
     ) -> None:
         self._hello = hello
         self._clock = clock
         self._tls = tls
+        self._dial = dialer
         self._links: dict[TargetId, AgentLink] = {}
 
     def follow_targets(self, records: list[TargetRecord]) -> None:
@@ -313,7 +317,7 @@
         for target, record in wanted.items():
             if target not in self._links:
                 self._links[target] = AgentLink(
-                    record, self._hello, self._clock, self._tls
+                    record, self._hello, self._clock, self._tls, self._dial
                 )
 
     def find(self, target: TargetId) -> AgentLink | None:
--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -30,7 +30,7 @@
 
 #: Seconds in which the quorum must answer. An election takes about one; a caller is
 #: told sooner to come back than left waiting for a quorum that is gone.
-CLAIM_PATIENCE = 3.0
+CLAIM_PATIENCE = 2.0
 
 #: Seconds after which the holder of a claim that runs may be asked again.
 RUNNING_RETRY_AFTER = 1.0
@@ -133,7 +133,7 @@
         job.relay.reset()
         await self._subscription.resolve(
             ResolveClaim(
-                resolved.call.request,
+                answer.holder,
                 resolved.team,
                 resolved.call.service,
                 key,
--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -10,6 +10,7 @@
 import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
+from typing import TypeAlias
 
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
@@ -26,7 +27,7 @@
     LinkMonitor,
 )
 
-__all__ = ["Endpoint", "Link", "LinkServer", "Pace", "dial"]
+__all__ = ["Dialer", "Endpoint", "Link", "LinkServer", "Pace", "dial"]
 
 logger = logging.getLogger(__name__)
 
@@ -220,6 +221,12 @@
         ) from error
 
 
+#: How programs open links; tests put a fake network in its place.
+Dialer: TypeAlias = Callable[
+    [Endpoint, Hello, Clock, Pace | None, ssl.SSLContext | None], Awaitable[Link]
+]
+
+
 class LinkServer:
     """Accepts links and hands each to a handler, which owns it until it returns.
 
--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -16,12 +16,13 @@
 from ibishead.clock import Clock
 from ibishead.errors import ErrorCode, IbisheadError, LinkLost, Unavailable
 from ibishead.ids import ServiceName
-from ibishead.links import Endpoint, Link, Pace, dial
+from ibishead.links import Dialer, Endpoint, Link, Pace, dial
 from ibishead.messages import (
     AskClaim,
     AskPermit,
     AskRegistration,
     ClaimAnswer,
+    ClaimState,
     Hello,
     Message,
     PermitAnswer,
@@ -72,6 +73,7 @@
         connected: Callable[[], Awaitable[None]] | None = None,
         tls: ssl.SSLContext | None = None,
         start_at: int = 0,
+        dialer: Dialer = dial,
     ) -> None:
         self.catalog = Catalog()
         self._replicas = list(replicas)
@@ -81,6 +83,7 @@
         self._changed = changed
         self._connected = connected
         self._tls = tls
+        self._dial = dialer
         self._next_replica = start_at
         self._link: Link | None = None
         self._waiting: dict[str, tuple[Message, asyncio.Future[Message]]] = {}
@@ -117,9 +120,11 @@
         """Ask for the right to run a non-idempotent request.
 
         :param timeout: seconds.
-        :raises Unavailable: no quorum has answered in time.
+        :raises Unavailable: there is no quorum now, or it hasn't answered in time.
         """
-        answer = await self._ask(ask.request, ask, timeout)
+        if self._link is None and not self.is_current():
+            raise _describe_no_quorum()
+        answer = await self._ask(f"claim/{ask.request}", ask, timeout)
         if isinstance(answer, ClaimAnswer):
             return answer
         raise _describe_no_quorum()
@@ -129,7 +134,8 @@
 
         :raises Unavailable: no quorum has answered in time; ask again.
         """
-        answer = await self._ask(ask.request, ask, timeout)
+        subject = f"resolve/{ask.request}/{ask.generation}"
+        answer = await self._ask(subject, ask, timeout)
         if isinstance(answer, ClaimAnswer):
             return answer
         raise _describe_no_quorum()
@@ -150,13 +156,15 @@
             self._link.send(release)
 
     async def _ask(self, subject: str, ask: Message, timeout: float) -> Message:
-        future: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
-        self._waiting[subject] = (ask, future)
-        if self._link is not None:
-            self._link.send(ask)
+        _, future = self._waiting.get(subject, (ask, None))
+        if future is None:
+            future = asyncio.get_running_loop().create_future()
+            self._waiting[subject] = (ask, future)
+            if self._link is not None:
+                self._link.send(ask)
         try:
             async with asyncio.timeout(timeout):
-                return await future
+                return await asyncio.shield(future)
         except TimeoutError as error:
             raise _describe_no_quorum() from error
         finally:
@@ -177,7 +185,9 @@
             await asyncio.sleep(REDIAL_INTERVAL)
 
     async def _follow(self, endpoint: Endpoint) -> None:
-        link = await dial(endpoint, self._hello(), self._clock, CONTROL_PACE, self._tls)
+        link = await self._dial(
+            endpoint, self._hello(), self._clock, CONTROL_PACE, self._tls
+        )
         self._link = link
         reporter = asyncio.create_task(self._report(link))
         try:
@@ -207,12 +217,21 @@
             case Registration():
                 self._settle(message.nonce, message)
             case ClaimAnswer():
-                self._settle(message.request, message)
+                self._settle(f"claim/{message.request}", message)
+                # An answer to the claim, sent twice, must not pass for the record
+                # of its end: that generation would still stand as granted.
+                if message.state not in (ClaimState.GRANTED, ClaimState.RUNNING):
+                    self._settle(
+                        f"resolve/{message.request}/{message.generation}", message
+                    )
             case PermitAnswer():
                 self._settle(_name_permit(message), message)
             case Refusal():
-                # The ask stays open: it is sent again at the next report, and
-                # over the next link, until its own time is up.
+                # Without a quorum a claim is refused at once, as its caller should
+                # know. Other asks stay open: they are sent again at the next
+                # report, and over the next link, until their own time is up.
+                if message.code is ErrorCode.NO_QUORUM:
+                    self._settle(f"claim/{message.subject}", message)
                 logger.info(
                     "control refused",
                     extra={"subject": message.subject, "reason": message.reason},
