Add real-process tests of signals, not yet run

Cause: each program must be killed, frozen and stopped under load. Ruled out: fixed pauses before a strike; the strike waits until the ledgers show work. Before: none. Conclusion: results are compared with the targets' own ledgers (promises).

--- a/benchmarks/passthrough.py
+++ b/benchmarks/passthrough.py
@@ -13,29 +13,27 @@
 READ_SIZE = 64 * 1024
 
 
-async def _next_event(
-    state: h11.Connection, reader: asyncio.StreamReader
-) -> h11.Event | type[h11.PAUSED]:
-    while (event := state.next_event()) is h11.NEED_DATA:
-        state.receive_data(await reader.read(READ_SIZE))
-    return event
-
-
 async def _pass_message(
     source: h11.Connection,
     reader: asyncio.StreamReader,
     sink: h11.Connection,
     writer: asyncio.StreamWriter,
 ) -> bool:
+    pending = b""
     while True:
-        event = await _next_event(source, reader)
+        event = source.next_event()
+        if event is h11.NEED_DATA:
+            # What came in one read leaves in one write
+            writer.write(pending)
+            pending = b""
+            source.receive_data(await reader.read(READ_SIZE))
+            continue
         if isinstance(event, h11.ConnectionClosed):
             return False
-        data = sink.send(event)
-        if data:
-            writer.write(data)
-            await writer.drain()
+        pending += sink.send(event) or b""
         if isinstance(event, h11.EndOfMessage):
+            writer.write(pending)
+            await writer.drain()
             return True
 
 
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -67,7 +67,6 @@
     refreshed: bool = False
 
 
-
 class Dispatcher:
     """Sends attempts to agents."""
 
--- a/src/ibishead/standin/load.py
+++ b/src/ibishead/standin/load.py
@@ -197,11 +197,12 @@
 
 
 async def generate_load(
-    caller: Caller, mix: Mix, duration: float
+    caller: Caller, mix: Mix, duration: float, stop: asyncio.Event | None = None
 ) -> tuple[Summary, list[CallResult]]:
     """Send a mix of calls.
 
     :param duration: seconds after which no further call is sent.
+    :param stop: once set, no further call is sent either.
     :returns: the summary, and each call's result in order.
     """
     begin = time.monotonic()
@@ -213,7 +214,7 @@
             return await caller.call(call)
 
     for call in plan_calls(mix):
-        if call.at > duration:
+        if call.at > duration or (stop is not None and stop.is_set()):
             break
         await asyncio.sleep(max(0.0, begin + call.at - time.monotonic()))
         tasks.append(asyncio.create_task(send(call)))
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -11,6 +11,7 @@
 
 from ibishead.errors import LinkLost
 from ibishead.links import Endpoint
+from ibishead.standin.calls import Mix, Verdict, plan_calls
 from ibishead.standin.ledger import Record, RecordKind, read_ledger_file
 from ibishead.standin.load import Caller
 from ibishead.web import ClientConnection
@@ -174,6 +175,16 @@
             assert reply.status == 200, reply
             await self.wait_in_force(reply.value["index"])
 
+    async def wait_serving(self) -> None:
+        """Return once each entry host gets answers from both services."""
+        for entry in self.entry_endpoints:
+            caller = Caller((entry,), CALLER_KEY)
+            async with asyncio.timeout(GIVE_UP):
+                for service in ("mester", "raktar"):
+                    while not await _probe(caller, service):
+                        await asyncio.sleep(0.05)
+            caller.close()
+
     async def wait_in_force(self, index: object, control: int = 0) -> None:
         """Return once every entry and agent holds the log up to an index."""
         async with asyncio.timeout(GIVE_UP):
@@ -270,11 +281,13 @@
         return Target(program, agent, port, ledger_file)
 
     async def _start_entry(self, name: str, number: int) -> None:
-        program = self._start_program(
-            "entry", "entry.ini", self._describe(name, number)
-        )
+        # A restarted entry must be found where callers look for it
+        port = reserve_port()
+        values = self._describe(name, number) | {"HTTP_PORT": port}
+        program = self._start_program("entry", "entry.ini", values)
         self.entries.append(program)
-        self.entry_ports.append(await program.read_port(f"{name}.http.port"))
+        self.entry_ports.append(port)
+        await program.read_port(f"{name}.http.port")
 
     def _describe(self, name: str, number: int) -> dict[str, object]:
         replicas = ", ".join(f"{LOOPBACK}:{port}" for port in self.control_ports)
@@ -294,3 +307,19 @@
         port_file = self.folder / f"{name}.port"
         arguments = [*options, "--port-file", str(port_file)]
         return Program(name, "ibishead.standin.main", arguments, self.folder)
+
+
+async def _probe(caller: Caller, service: str) -> bool:
+    plain = service == "raktar"
+    mix = Mix(
+        service,
+        () if plain else ("alfold@v1",),
+        1,
+        streams=0.0,
+        max_tokens=1,
+        plain_service=service,
+        plain_path="/stock",
+        seed=0,
+    )
+    [call] = plan_calls(mix)
+    return (await caller.call(call)).verdict is Verdict.WHOLE
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -80,6 +80,9 @@
     def start(self) -> None:
         """Start a new life."""
         assert not self.running, f"{self.name} runs already"
+        # A former life's port must not be taken for this one's
+        for file in self.folder.glob(f"{self.name}*.port"):
+            file.unlink()
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self._process = subprocess.Popen(
                 self._command,
--- /dev/null
+++ b/tests/processes/promises.py
@@ -0,0 +1,70 @@
+"""What must hold of every call, whatever failed meanwhile."""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from tests.processes.fleet import Fleet
+
+from ibishead.standin.calls import CallKind, Verdict
+from ibishead.standin.ledger import RecordKind
+from ibishead.standin.load import CallResult
+from ibishead.web import find_header
+
+__all__ = ["Tally", "check_promises"]
+
+REQUEST_ID_HEADER = "x-request-id"
+
+
+@dataclass(frozen=True)
+class Tally:
+    """How the calls of one test ended."""
+
+    verdicts: Counter[Verdict]
+
+    @property
+    def whole(self) -> int:
+        """Calls with the whole right answer."""
+        return self.verdicts[Verdict.WHOLE]
+
+    def keep(self, *allowed: Verdict) -> None:
+        """Fail unless all calls ended in one of these ways."""
+        others = {v.value: n for v, n in self.verdicts.items() if v not in allowed}
+        assert not others, f"calls ended otherwise: {others}"
+
+
+def check_promises(fleet: Fleet, results: list[CallResult]) -> Tally:
+    """Compare what callers were told with the targets' ledgers.
+
+    :returns: the counts, for what a test expects besides.
+    """
+    wrong = [r for r in results if r.verdict is Verdict.WRONG]
+    assert not wrong, f"wrong or mixed answers: {wrong[:3]}"
+    assert not fleet.list_violations(), "an adapter was evicted while it served"
+    started = _list_started(fleet)
+    for result in results:
+        _check_run(fleet, result, started)
+    return Tally(Counter(result.verdict for result in results))
+
+
+def _list_started(fleet: Fleet) -> set[str]:
+    return {
+        record.request
+        for target in fleet.engines + fleet.plains
+        for record in target.ledger
+        if record.kind is RecordKind.STARTED
+    }
+
+
+def _check_run(fleet: Fleet, result: CallResult, started: set[str]) -> None:
+    if result.call.kind is CallKind.PLAIN:
+        runs = fleet.count_executions(result.call.key)
+        assert runs <= 1, f"ran {runs} times: {result}"
+        if result.verdict is Verdict.WHOLE:
+            assert runs == 1, f"an answer without a run: {result}"
+        # An earlier sending, whose answer was lost, may have run
+        if result.verdict is Verdict.NOT_RUN and result.sends == 1:
+            assert runs == 0, f"told as not run, and ran: {result}"
+    elif result.verdict is Verdict.NOT_RUN:
+        request = find_header(result.headers, REQUEST_ID_HEADER)
+        assert request, f"no request id: {result}"
+        assert request not in started, f"told as not run, and ran: {result}"
--- /dev/null
+++ b/tests/processes/test_signals.py
@@ -0,0 +1,119 @@
+"""Each program is killed, frozen and stopped under load; no promise may break."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+from tests.processes.fleet import Fleet
+from tests.processes.programs import Program, wait_until
+from tests.processes.promises import check_promises
+
+from ibishead.standin.calls import Mix, Verdict
+from ibishead.standin.ledger import RecordKind
+from ibishead.standin.load import CallResult, generate_load
+
+ADAPTERS = ("tisza@v2", "balaton@v1", "alfold@v1", "tisza@v1")
+
+#: Seconds for which a program is frozen: longer than any silence that a link bears.
+FREEZE = 6.0
+
+#: Seconds after a strike in which calls still come.
+AFTERMATH = 4.0
+
+CHOOSE: dict[str, Callable[[Fleet], Program]] = {
+    "entry": lambda fleet: fleet.entries[0],
+    "agent": lambda fleet: fleet.engines[0].agent,
+    "engine": lambda fleet: fleet.engines[0].program,
+    "plain agent": lambda fleet: fleet.plains[0].agent,
+    "plain service": lambda fleet: fleet.plains[0].program,
+    "control": lambda fleet: fleet.controls[0],
+}
+
+
+async def kill(program: Program) -> None:
+    program.kill()
+    program.start()
+
+
+async def freeze(program: Program) -> None:
+    program.freeze()
+    await asyncio.sleep(FREEZE)
+    program.thaw()
+
+
+async def run_under_load(
+    fleet: Fleet, strike: Callable[[], Awaitable[None]], rate: float = 40.0
+) -> list[CallResult]:
+    mix = Mix(
+        "mester",
+        ADAPTERS,
+        count=2_000,
+        rate=rate,
+        max_tokens=40,
+        plain_service="raktar",
+        plain_share=0.3,
+    )
+    caller = fleet.make_caller(resends=4)
+    stop = asyncio.Event()
+    load = asyncio.create_task(generate_load(caller, mix, 60.0, stop))
+    for kind in (RecordKind.STARTED, RecordKind.FINISHED):
+        await wait_until(f"targets have {kind}", lambda k=kind: count(fleet, k) >= 20)
+    await strike()
+    await asyncio.sleep(AFTERMATH)
+    stop.set()
+    _, results = await load
+    caller.close()
+    return results
+
+
+def count(fleet: Fleet, kind: RecordKind) -> int:
+    targets = fleet.engines + fleet.plains
+    return sum(1 for t in targets for record in t.ledger if record.kind is kind)
+
+
+async def test_calls_without_faults_are_all_whole(start_fleet):
+    """Four adapters share two slots an engine, so adapters come and go all the time.
+
+    A caller would see another adapter's words, or half an answer, if an eviction hit
+    an adapter at work or if answers were mixed on the links.
+    """
+    fleet = await start_fleet()
+    results = await run_under_load(fleet, lambda: asyncio.sleep(0))
+    check_promises(fleet, results).keep(Verdict.WHOLE)
+
+
+@pytest.mark.parametrize("victim", CHOOSE)
+@pytest.mark.parametrize("strike", [kill, freeze])
+async def test_strike_breaks_no_promise(start_fleet, victim, strike):
+    """A program dies and comes back, or freezes and goes on, under load.
+
+    Callers may see refusals, cut answers and unknown outcomes meanwhile. They must
+    never see a wrong or mixed answer, a "not run" that ran, or a second run of what
+    may run once, even when they resend under the same key. Afterwards all is whole.
+    """
+    fleet = await start_fleet()
+    program = CHOOSE[victim](fleet)
+    results = await run_under_load(fleet, lambda: strike(program))
+    check_promises(fleet, results)
+    await fleet.wait_serving()
+
+
+@pytest.mark.parametrize("victim", ["entry", "agent", "plain agent"])
+async def test_planned_stop_cuts_nothing(start_fleet, victim):
+    """A program is asked to stop while it carries streams and plain calls.
+
+    A caller would see a stream end early. The program must refuse new work, let what
+    runs end, and exit with status 0.
+    """
+    fleet = await start_fleet()
+    program = CHOOSE[victim](fleet)
+    statuses = []
+
+    async def stop() -> None:
+        statuses.append(await program.stop())
+
+    results = await run_under_load(fleet, stop)
+    tally = check_promises(fleet, results)
+    # A call that finds a stopped entry's port closed was never sent
+    tally.keep(Verdict.WHOLE, Verdict.NOT_RUN, Verdict.UNREACHABLE)
+    assert statuses == [0]
