--- a/src/ibishead/standin/load.py
+++ b/src/ibishead/standin/load.py
@@ -10,6 +10,7 @@
 from ibishead.errors import IbisheadError
 from ibishead.links import Endpoint
 from ibishead.standin.calls import (
+    ERROR_EVENT,
     Call,
     CallKind,
     Mix,
@@ -168,13 +169,14 @@
 
 
 async def _read_stream(answer: ClientAnswer, result: CallResult, sent: float) -> None:
-    buffer, done, last = b"", False, sent
+    buffer, done, failed, last = b"", False, False, sent
     pieces: list[str] = []
     async for chunk in answer.chunks:
         events, buffer = split_events(buffer + chunk)
         now = time.monotonic()
         for event in events:
             done = done or event == "[DONE]"
+            failed = failed or event.startswith(ERROR_EVENT)
             content = parse_content(event)
             if not content:
                 continue
@@ -186,7 +188,12 @@
             pieces.append(content)
     result.text = "".join(pieces)
     verdict = judge_text(result.call, result.text)
-    result.verdict = verdict if done or verdict is Verdict.WRONG else Verdict.CUT
+    if failed and verdict is Verdict.CUT:
+        # The caller is told that the rest won't come
+        verdict = Verdict.UNKNOWN
+    elif verdict is Verdict.WHOLE and not done:
+        verdict = Verdict.CUT
+    result.verdict = verdict
 
 
 def _find_code(body: bytes) -> str:
