Add the operators' command line

Ruled out: printing the submission id with the answer; it would be lost with it. Resending a replacement of a replica: the resend could replace the replacement, so it is sent once. Taking a 403 after a lost answer as a refusal: the accepted change may have taken the key away, so the outcome counts as unknown. Before: no command. Conclusion: exit 4 covers every outcome that nobody can tell.

--- /dev/null
+++ b/src/ibishead/operator/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``python -m ibishead.operator``."""
+
+from ibishead.operator.main import main
+
+main(prog_name="ibishead")
--- /dev/null
+++ b/tests/operator/test_commands.py
@@ -0,0 +1,367 @@
+"""The operators' commands against fake replicas that speak HTTP."""
+
+import asyncio
+import json
+from collections import deque
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+import pytest
+from click.testing import CliRunner
+
+from ibishead.errors import Conflict, Forbidden, NotFound, Unavailable
+from ibishead.links import Endpoint
+from ibishead.operator.main import main
+from ibishead.web import WebServer
+
+DOCUMENT = """
+[service]
+name = raktar
+team = halo
+kind = plain
+default_class = read
+[class:read]
+priority = 3
+deadline = 1 s
+idempotent = yes
+"""
+ACCEPTED = {
+    "service": "raktar",
+    "revision": 4,
+    "submission": "s1",
+    "index": 17,
+    "in_force": False,
+}
+SHOWN = {
+    "service": "raktar",
+    "team": "halo",
+    "revision": 3,
+    "submission": "s0",
+    "operator": "kata",
+    "accepted_at": 0.0,
+    "text": "[service]\n",
+}
+TARGET = {
+    "target": "t1",
+    "incarnation": 8,
+    "service": "raktar",
+    "kind": "plain",
+    "host": "a1",
+    "failure_domain": "szeged-a",
+    "address": "127.0.0.1",
+    "port": 1,
+    "fenced": False,
+    "draining": True,
+}
+TRACE = {
+    "request": "r1",
+    "outcome": "not_run",
+    "steps": [{"at": 0.1, "stage": "admit", "decision": "refuse", "reason": "full"}],
+}
+LOST = object()
+
+
+@dataclass
+class FakeReplica:
+    """Answers by path; a deque is answered in turn, its last for good."""
+
+    answers: dict[str, object]
+    requests: list = field(default_factory=list)
+
+    async def answer(self, exchange):
+        request = exchange.request
+        self.requests.append(request)
+        found = self.answers.get(request.path, NotFound("nothing here", "look there"))
+        if isinstance(found, deque):
+            found = found.popleft() if len(found) > 1 else found[0]
+        if found is LOST:
+            exchange.abort()
+        elif isinstance(found, Exception):
+            raise found
+        else:
+            await exchange.respond(200, (), json.dumps(found).encode())
+
+
+@dataclass
+class Result:
+    """How a command ended."""
+
+    exit_code: int
+    stdout: str
+    stderr: str
+
+    @property
+    def last(self):
+        return json.loads(self.stdout.splitlines()[-1])
+
+
+class Stage:
+    """Replicas, and the command line that talks to them."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.servers = []
+        self.arguments = []
+
+    async def add(self, answers, option="--control"):
+        replica = FakeReplica(answers)
+        server = WebServer(replica.answer)
+        endpoint = await server.start(Endpoint("127.0.0.1", 0))
+        self.servers.append(server)
+        self.arguments += [option, str(endpoint)]
+        return replica
+
+    async def run(self, *arguments):
+        # The command runs its own loop, so it needs a thread of its own
+        result = await asyncio.to_thread(
+            CliRunner().invoke, main, [*arguments, *self.arguments]
+        )
+        if result.exception and not isinstance(result.exception, SystemExit):
+            raise result.exception
+        return Result(result.exit_code, result.stdout, result.stderr)
+
+    def write(self, name, text):
+        (self.folder / name).write_text(text)
+        return str(self.folder / name)
+
+    async def submit(self, *arguments):
+        file = self.write("raktar.ini", DOCUMENT)
+        return await self.run("submit", file, "--base", "3", *arguments)
+
+
+@pytest.fixture
+async def stage(tmp_path):
+    stage = Stage(tmp_path)
+    yield stage
+    for server in stage.servers:
+        await server.stop(grace=0.0)
+
+
+def read_submissions(replica):
+    queries = [parse_qs(r.query) for r in replica.requests if r.method == "POST"]
+    return [query["submission"][0] for query in queries]
+
+
+async def test_submit_waits_until_in_force(stage):
+    waiting = {"in_force": False, "waiting_for": ["a2", "a1"]}
+    replica = await stage.add(
+        {
+            "/v1/documents/raktar": ACCEPTED,
+            "/v1/in-force": deque([waiting, {"in_force": True, "waiting_for": []}]),
+        }
+    )
+    result = await stage.submit()
+    assert result.exit_code == 0
+    (submission,) = read_submissions(replica)
+    assert result.stdout.splitlines()[0] == f"submission {submission}"
+    assert "accepted raktar revision 4 at index 17" in result.stdout
+    assert "in force everywhere" in result.stdout
+    assert "a1, a2" in result.stderr
+    sent = replica.requests[0]
+    assert sent.body.decode() == DOCUMENT
+    query = {"base": ["3"], "submission": [submission], "team": ["halo"]}
+    assert parse_qs(sent.query) == query
+
+
+async def test_lost_answer_is_sent_again_as_the_same_submission(stage):
+    """An operator's answer is lost and the command asks the next replica.
+
+    The first replica applies the change and its connection breaks. Sent under a new
+    id the change would be refused as stale, or made twice; so the id stays.
+    """
+    first = await stage.add({"/v1/documents/raktar": LOST})
+    second = await stage.add({"/v1/documents/raktar": ACCEPTED})
+    result = await stage.submit("--no-wait")
+    assert result.exit_code == 0
+    assert read_submissions(first) == read_submissions(second)
+    assert len(set(read_submissions(second))) == 1
+
+
+async def test_refusal_after_a_lost_answer_is_no_proof(stage):
+    """A change that takes the operator's own key away seems to be refused.
+
+    It is accepted and the answer is lost. The resend is refused, as the key is gone.
+    Told "refused", the operator would make the change anew over the accepted one.
+    """
+    await stage.add({"/v1/documents/raktar": LOST})
+    await stage.add({"/v1/documents/raktar": Forbidden("unknown key", "use another")})
+    result = await stage.submit()
+    assert result.exit_code == 4
+    assert "may be accepted or not" in result.stderr
+
+
+async def test_replica_that_cannot_decide_is_passed_over(stage):
+    unavailable = Unavailable("no quorum", "ask another")
+    await stage.add({"/v1/documents/raktar": unavailable})
+    await stage.add({"/v1/documents/raktar": ACCEPTED})
+    result = await stage.submit("--no-wait", "--json")
+    assert (result.exit_code, result.last["revision"]) == (0, 4)
+
+
+@pytest.mark.parametrize(
+    ("answer", "arguments", "exit_code", "shown"),
+    [
+        (Conflict("base 3 is old", "read revision 4"), (), 3, "read revision 4"),
+        (Forbidden("not your team", "use its key"), (), 1, "use its key"),
+        (NotFound("no such path", "look"), (), 1, "no such path"),
+        (LOST, ("--timeout", "0.3"), 4, "--submission"),
+        (ValueError("a fault inside"), ("--timeout", "0.3"), 4, "--submission"),
+        (ACCEPTED, ("--timeout", "0.3"), 5, "a9"),
+    ],
+)
+async def test_submit_exit_codes(stage, answer, arguments, exit_code, shown):
+    waiting = {"in_force": False, "waiting_for": ["a9"]}
+    await stage.add({"/v1/documents/raktar": answer, "/v1/in-force": waiting})
+    result = await stage.submit(*arguments)
+    assert result.exit_code == exit_code
+    assert shown in result.stderr
+    as_json = await stage.submit(*arguments, "--json")
+    assert as_json.exit_code == exit_code
+    assert shown in json.dumps(as_json.last["error"])
+
+
+async def test_accepted_stays_accepted_when_nobody_tells_of_force(stage):
+    await stage.add({"/v1/documents/raktar": ACCEPTED, "/v1/in-force": LOST})
+    result = await stage.submit("--timeout", "0.3")
+    assert result.exit_code == 5
+    assert "is accepted" in result.stderr
+
+
+async def test_faulty_document_is_not_sent(stage):
+    replica = await stage.add({})
+    file = stage.write("bad.ini", DOCUMENT.replace("1 s", "soon"))
+    result = await stage.run("submit", file, "--base", "0")
+    assert (result.exit_code, replica.requests) == (1, [])
+    assert "[class:read] deadline" in result.stderr
+
+
+async def test_given_submission_id_is_kept(stage):
+    replica = await stage.add({"/v1/documents/raktar": ACCEPTED})
+    await stage.submit("--no-wait", "--submission", "mine")
+    assert read_submissions(replica) == ["mine"]
+
+
+async def test_key_is_sent_and_not_printed(stage):
+    replica = await stage.add({"/v1/targets": Forbidden("no", "use another key")})
+    key_file = stage.write("key", "sk-secret\n")
+    result = await stage.run("targets", "--key-file", key_file)
+    assert ("authorization", "Bearer sk-secret") in replica.requests[0].headers
+    assert "sk-secret" not in result.stdout + result.stderr
+    bad = await stage.run("targets", "--key-file", stage.write("key", "sk secret"))
+    assert bad.exit_code == 2
+    assert "secret" not in bad.stderr
+
+
+@pytest.mark.parametrize(
+    ("arguments", "path", "answer", "shown"),
+    [
+        (("show", "raktar"), "/v1/documents/raktar", SHOWN, "revision 3"),
+        (("show",), "/v1/documents", [SHOWN], "raktar   halo  3"),
+        (
+            ("history", "raktar"),
+            "/v1/documents/raktar/history",
+            {"service": "raktar", "changes": [SHOWN]},
+            "3         1970-01-01T00:00:00+00:00  kata      s0",
+        ),
+        (("targets",), "/v1/targets", [TARGET], "draining"),
+        (("drain", "t1"), "/v1/targets/t1/drain", {}, "t1 is draining"),
+        (
+            ("replace", "c1", "--host", "c4"),
+            "/v1/replicas/replace",
+            {"replica": "c4-2"},
+            "c1 is replaced by c4-2 on c4",
+        ),
+        (("status",), "/v1/status", {"replica": "c1", "voters": ["c1"]}, "c1"),
+    ],
+)
+async def test_commands_print_text_and_json(stage, arguments, path, answer, shown):
+    await stage.add({path: answer})
+    text = await stage.run(*arguments)
+    assert text.exit_code == 0
+    assert shown in text.stdout
+    as_json = await stage.run(*arguments, "--json")
+    assert as_json.exit_code == 0
+    assert as_json.last
+
+
+async def test_shown_document_can_be_submitted_again(stage):
+    await stage.add({"/v1/documents/raktar": SHOWN | {"text": DOCUMENT}})
+    result = await stage.run("show", "raktar")
+    file = stage.write("again.ini", result.stdout)
+    stage.arguments = []
+    assert (await stage.run("check", file)).exit_code == 0
+
+
+async def test_replacement_is_not_sent_twice(stage):
+    """A replica is replaced, the answer is lost, and the resend replaces another.
+
+    The command must not ask the next replica by itself, as it does elsewhere.
+    """
+    await stage.add({"/v1/replicas/replace": LOST})
+    second = await stage.add({"/v1/replicas/replace": {"replica": "c5"}})
+    result = await stage.run("replace", "c1", "--host", "h4")
+    assert (result.exit_code, second.requests) == (4, [])
+
+
+async def test_status_shows_replicas_that_do_not_answer(stage):
+    await stage.add({"/v1/status": LOST})
+    failed = await stage.run("status")
+    assert failed.exit_code == 4
+    await stage.add({"/v1/status": {"replica": "c2", "leader": "c2", "index": 9}})
+    result = await stage.run("status", "--json")
+    assert result.exit_code == 0
+    first, second = result.last
+    assert first["error"]
+    assert second["status"]["index"] == 9
+
+
+async def test_explain_asks_every_entry_host(stage):
+    await stage.add({}, "--entry")
+    unknown = await stage.run("explain", "r1")
+    assert (unknown.exit_code, "no entry host" in unknown.stderr) == (1, True)
+    await stage.add({"/v1/explain/r1": TRACE}, "--entry")
+    result = await stage.run("explain", "r1")
+    assert result.exit_code == 0
+    assert "request r1: not_run" in result.stdout
+    assert "admit  refuse    full" in result.stdout
+
+
+@pytest.mark.parametrize(
+    ("text", "exit_code", "shown"),
+    [
+        (DOCUMENT, 0, "is valid"),
+        (DOCUMENT.replace("team", "taem"), 1, "did you mean team?"),
+        ("", 1, "[service]: the section is missing"),
+    ],
+)
+async def test_check(stage, text, exit_code, shown):
+    file = stage.write("raktar.ini", text)
+    result = await stage.run("check", file)
+    assert result.exit_code == exit_code
+    assert shown in result.stdout + result.stderr
+    as_json = await stage.run("check", file, "--json")
+    assert as_json.exit_code == exit_code
+    assert as_json.last["valid"] is (exit_code == 0)
+    assert bool(as_json.last["faults"]) is (exit_code == 1)
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("targets",),
+        ("targets", "--control", "localhost:80"),
+        ("submit", "absent.ini", "--base", "0", "--control", "127.0.0.1:1"),
+        ("explain", "r1"),
+        ("unknown",),
+    ],
+)
+async def test_wrong_usage(stage, arguments):
+    assert (await stage.run(*arguments)).exit_code == 2
+
+
+async def test_unreachable_control(stage):
+    await stage.add({})
+    await stage.servers.pop().stop(grace=0.0)
+    result = await stage.run("targets", "--timeout", "0.3")
+    assert result.exit_code == 4
+    assert "no connection" in result.stderr
