--- a/src/ibishead/settings.py
+++ b/src/ibishead/settings.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from datetime import timedelta
+from ipaddress import ip_address
 from pathlib import Path
 
 from ibishead.ids import FailureDomain, HostId, ReplicaId, ServiceName, TargetId
@@ -285,6 +286,7 @@
     section.refuse_others()
     operators.refuse_others()
     _check_replicas(reader.ini, settings)
+    _check_admin_keys(operators, settings)
     reader.check_ports({"links": settings.links, "operators": settings.operators})
     return settings
 
@@ -299,6 +301,18 @@
     }
 
 
+def _check_admin_keys(section: IniSection, settings: ControlSettings) -> None:
+    address = settings.operators.endpoint.address
+    if settings.admin_keys or not address or ip_address(address).is_loopback:
+        return
+    # Without keys anybody who reaches the port could change every service
+    section.blame(
+        "admin_keys_sha256",
+        f"missing, but {address} is reached from other hosts",
+        "list the SHA-256 of the administrators' keys, or listen on 127.0.0.1",
+    )
+
+
 def _check_replicas(ini: IniFile, settings: ControlSettings) -> None:
     peers, spares = settings.peers, settings.spares
     if len(peers) not in REPLICA_COUNTS:
--- a/src/ibishead/tls.py
+++ b/src/ibishead/tls.py
@@ -10,7 +10,12 @@
 from ibishead.errors import SettingsFault
 from ibishead.settingsfile import KeyPair, PeerTls
 
-__all__ = ["make_client_context", "make_operator_context", "make_server_context"]
+__all__ = [
+    "check_files",
+    "make_client_context",
+    "make_operator_context",
+    "make_server_context",
+]
 
 
 def make_server_context(pair: KeyPair, client_ca: Path | None = None) -> ssl.SSLContext:
@@ -49,6 +54,18 @@
     return context
 
 
+def check_files(peer: PeerTls | None, http: KeyPair | None) -> None:
+    """Load every file once, so that a wrong one is told at start.
+
+    :raises SettingsFault: a file doesn't hold what it should.
+    """
+    if peer is not None:
+        make_client_context(peer)
+        make_server_context(peer.pair, peer.ca)
+    if http is not None:
+        make_server_context(http)
+
+
 def _load_pair(context: ssl.SSLContext, pair: KeyPair) -> None:
     try:
         context.load_cert_chain(pair.certificate, pair.key)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -88,6 +88,9 @@
 admin_keys_sha256 = {"ab" * 32}
 """
 
+OPEN = CONTROL[CONTROL.index("[operators]") :]
+OPEN_TO_ALL = "[operators]\naddress = 10.0.0.1\nport = 0\n"
+
 LOADERS = [
     (ENTRY, load_entry_settings),
     (AGENT, load_agent_settings),
@@ -173,6 +176,7 @@
         (CONTROL, "c4 =", "c3 =", "[spares] c3: also stands"),
         (CONTROL, "7004", "7003", "[peers]: two replicas share"),
         (CONTROL, "ab" * 32, "secret", "[operators] admin_keys_sha256"),
+        (CONTROL, OPEN, OPEN_TO_ALL, "[operators] admin_keys_sha256: missing"),
     ],
 )
 def test_fault_names_its_place(load, text, old, new, place):
