Join consensus, disk and links into a replica; PeerFrame goes last into messages

The control program needs propose, confirm_read, lease and repair over real disks and links. Each replica dials the others and sends one way; frames name sender, receiver and cluster, so that an old identity is never meant. Ruled out: one shared two-way link, as either end's restart would leave it unclear who speaks.

--- /dev/null
+++ b/src/ibishead/control/repair.py
@@ -0,0 +1,154 @@
+"""Takes new replicas in and lost ones out, by an operator's wish or unattended."""
+
+import asyncio
+import logging
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from ibishead.control import configuration
+from ibishead.errors import ErrorCode, IbisheadError, Unavailable
+from ibishead.ids import HostId, ReplicaId
+
+if TYPE_CHECKING:
+    from ibishead.control.replica import LogReplica
+
+__all__ = ["REPLACE_LIMIT", "Watch", "replace"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds in which a new replica must have caught up.
+REPLACE_LIMIT = 120.0
+
+#: Seconds without an introduction after which a spare counts as gone.
+_HEARD_LIMIT = 5.0
+
+#: Seconds between two tries of an unattended repair.
+_REPAIR_INTERVAL = 2.0
+
+
+async def replace(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
+    """Replace a replica by the new one that runs on a host; to be called on the leader.
+
+    The new one is a learner until it holds the log. Then a silent voter leaves first,
+    as the two together would ask for more hosts than are alive, should the new one
+    fail too. A voter that still answers leaves last, so that the set never shrinks.
+
+    :raises Unavailable: the host has no new replica, or it doesn't catch up.
+    """
+    fresh = _find_fresh(replica, host)
+    await _take_in(replica, fresh)
+    if lost == replica.name:
+        await _promote(replica, fresh)
+        await replica.transfer()
+        raise Unavailable(
+            f"{lost} led and has handed over",
+            "ask again; the new leader removes it",
+            code=ErrorCode.NOT_LEADER,
+            retry_after=timedelta(seconds=replica.pace.election),
+        )
+    if replica.core.silence(lost) >= replica.pace.timing.election:
+        await _take_out(replica, lost)
+        await _promote(replica, fresh)
+    else:
+        await _promote(replica, fresh)
+        await _take_out(replica, lost)
+    logger.info("replica %s replaced by %s", lost, fresh)
+    return fresh
+
+
+class Watch:
+    """Replaces lost replicas without an operator, where a new one is at hand."""
+
+    def __init__(self, replica: "LogReplica") -> None:
+        self._replica = replica
+        self._running = False
+        self._next = 0.0
+
+    def is_due(self) -> bool:
+        """Return whether a voter is lost, a new replica is there and none is under way.
+
+        A lost voter costs nothing by itself, but the next loss would stop all changes.
+        It counts as lost only after minutes, as a restart or a short cut is no reason
+        to copy the whole log.
+        """
+        now = self._replica.clock.monotonic()
+        return not self._running and now >= self._next and self._plan() is not None
+
+    async def run(self) -> None:
+        """Replace the voter that has been silent longest."""
+        plan = self._plan()
+        if plan is None:
+            return
+        self._running = True
+        lost, host = plan
+        logger.warning("replica %s is lost, replacing it by one on %s", lost, host)
+        try:
+            await replace(self._replica, lost, host)
+        except IbisheadError as error:
+            logger.warning("repair not finished", extra={"reason": str(error)})
+        finally:
+            self._running = False
+            self._next = self._replica.clock.monotonic() + _REPAIR_INTERVAL
+
+    def _plan(self) -> tuple[ReplicaId, HostId] | None:
+        replica = self._replica
+        core = replica.core
+        limit = replica.pace.repair / replica.pace.tick
+        lost = [(core.silence(voter), voter) for voter in core.configuration.voters]
+        lost = [found for found in lost if found[0] >= limit]
+        hosts = [host for host in replica.founding.known if _has_fresh(replica, host)]
+        if not lost or not hosts:
+            return None
+        return max(lost)[1], sorted(hosts)[0]
+
+
+async def _take_in(replica: "LogReplica", fresh: ReplicaId) -> None:
+    current = replica.core.configuration
+    if fresh not in current.voters and fresh not in current.learners:
+        await replica.change_configuration(configuration.add_learner(current, fresh))
+    limit = replica.clock.monotonic() + REPLACE_LIMIT
+    while fresh not in replica.core.configuration.voters:
+        if replica.core.is_caught_up(fresh):
+            return
+        if replica.clock.monotonic() >= limit or not replica.is_leader():
+            raise Unavailable(
+                f"replica {fresh} has not caught up with the log",
+                "check the new host and its links, then ask again",
+                code=ErrorCode.NO_QUORUM,
+            )
+        await asyncio.sleep(replica.pace.tick)
+
+
+async def _promote(replica: "LogReplica", fresh: ReplicaId) -> None:
+    current = replica.core.configuration
+    if fresh not in current.voters:
+        await replica.change_configuration(configuration.promote(current, fresh))
+
+
+async def _take_out(replica: "LogReplica", lost: ReplicaId) -> None:
+    current = replica.core.configuration
+    if lost in current.voters or lost in current.learners:
+        await replica.change_configuration(configuration.remove(current, lost))
+
+
+def _find_fresh(replica: "LogReplica", host: HostId) -> ReplicaId:
+    known = replica.founding.known.get(host)
+    if known is None or not _is_heard(replica, host):
+        raise Unavailable(
+            f"no replica answers on host {host}",
+            "name a host of [peers] or [spares] and start ibishead-control there "
+            "with an empty data folder",
+            code=ErrorCode.NO_QUORUM,
+        )
+    return known.replica
+
+
+def _has_fresh(replica: "LogReplica", host: HostId) -> bool:
+    known = replica.founding.known[host]
+    is_voter = known.replica in replica.core.configuration.voters
+    return _is_heard(replica, host) and not is_voter
+
+
+def _is_heard(replica: "LogReplica", host: HostId) -> bool:
+    known = replica.founding.known[host]
+    return replica.clock.monotonic() - known.heard < _HEARD_LIMIT
--- /dev/null
+++ b/src/ibishead/control/waiters.py
@@ -0,0 +1,137 @@
+"""Coroutines that wait for the log: for an entry, for an index, for a peer's answer."""
+
+import asyncio
+import heapq
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from ibishead.errors import ErrorCode, IbisheadError, Unavailable
+from ibishead.ids import LogIndex, ReplicaId, Term
+
+__all__ = ["Answers", "Waiters", "describe_no_quorum", "describe_unknown"]
+
+
+def describe_no_quorum(seconds: float) -> Unavailable:
+    """Return the refusal of what needs a quorum.
+
+    :param seconds: when an election will probably have ended.
+    """
+    return Unavailable(
+        "no leader with a quorum is known",
+        "ask again after the time given, or ask another control host",
+        code=ErrorCode.NO_QUORUM,
+        retry_after=timedelta(seconds=seconds),
+    )
+
+
+def describe_unknown() -> Unavailable:
+    """Return the error of a proposal of which nothing is known."""
+    return Unavailable(
+        "the change may or may not be accepted",
+        "send the same change again; it is applied once",
+        code=ErrorCode.OUTCOME_UNKNOWN,
+    )
+
+
+class Waiters:
+    """Proposals and reads that wait for this replica's own state machine."""
+
+    def __init__(self) -> None:
+        self._applied = 0
+        self._proposals: dict[int, tuple[Term, asyncio.Future[bytes]]] = {}
+        self._reaching: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._number = 0
+
+    def add_proposal(self, index: LogIndex, term: Term) -> asyncio.Future[bytes]:
+        """Return the future result of the entry at an index of a term."""
+        self._fail_at(index)
+        future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self._proposals[index] = (term, future)
+        return future
+
+    def has_proposals(self) -> bool:
+        """Return whether anything waits for an entry."""
+        return bool(self._proposals)
+
+    async def reach(self, index: LogIndex) -> None:
+        """Return once all up to an index is applied."""
+        if index <= self._applied:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._number += 1
+        heapq.heappush(self._reaching, (index, self._number, future))
+        await future
+
+    def note_result(self, index: LogIndex, term: Term, result: bytes) -> None:
+        """Give a result to the proposal that waits for it."""
+        waiting = self._proposals.pop(index, None)
+        if waiting is None or waiting[1].done():
+            return
+        if waiting[0] == term:
+            waiting[1].set_result(result)
+        else:
+            waiting[1].set_exception(describe_unknown())
+
+    def note_applied(self, index: LogIndex) -> None:
+        """Wake what waits for an index."""
+        self._applied = max(self._applied, index)
+        while self._reaching and self._reaching[0][0] <= index:
+            future = heapq.heappop(self._reaching)[2]
+            if not future.done():
+                future.set_result(None)
+
+    def note_restored(self, index: LogIndex) -> None:
+        """Wake what waits for an index, where a snapshot has come in between."""
+        for covered in [found for found in self._proposals if found <= index]:
+            self._fail_at(covered)
+        self.note_applied(index)
+
+    def fail(self) -> None:
+        """Tell all proposals that nothing is known of them."""
+        for index in list(self._proposals):
+            self._fail_at(index)
+
+    def _fail_at(self, index: int) -> None:
+        waiting = self._proposals.pop(index, None)
+        if waiting is not None and not waiting[1].done():
+            waiting[1].set_exception(describe_unknown())
+
+
+class Answers:
+    """Questions to other replicas, by number."""
+
+    def __init__(self) -> None:
+        self._number = 0
+        self._waiting: dict[int, tuple[ReplicaId, asyncio.Future[Any]]] = {}
+
+    def open(self, replica: ReplicaId) -> tuple[int, asyncio.Future[Any]]:
+        """Return the number of a new question and its future answer."""
+        self._number += 1
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting[self._number] = (replica, future)
+        return self._number, future
+
+    def settle(self, number: int, answer: Any) -> None:
+        """Give an answer, or an error, to whoever waits for it."""
+        found = self._waiting.pop(number, None)
+        if found is None or found[1].done():
+            return
+        if isinstance(answer, IbisheadError):
+            found[1].set_exception(answer)
+        else:
+            found[1].set_result(answer)
+
+    def close(self, number: int) -> None:
+        """Forget a question."""
+        self._waiting.pop(number, None)
+
+    def fail(self) -> None:
+        """Tell all questions that nothing is known of them."""
+        self.fail_unless(lambda replica: False)
+
+    def fail_unless(self, is_reached: Callable[[ReplicaId], bool]) -> None:
+        """Tell so the questions to replicas that can't be reached any more."""
+        for number, (asked, _) in list(self._waiting.items()):
+            if not is_reached(asked):
+                self.settle(number, describe_unknown())
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -48,6 +48,7 @@
     "Message",
     "NotRun",
     "Outcome",
+    "PeerFrame",
     "PermitAnswer",
     "Ping",
     "Pong",
@@ -502,6 +503,23 @@
     waiting: tuple[HostId, ...] = ()
 
 
+class PeerFrame(_Message, frozen=True):
+    """A part of what one replica of the control log sends to another.
+
+    :param cluster: of the sender; empty before it has joined one.
+    :param receiver: the identity that is meant; empty for whoever runs there.
+    :param part: position of this part, from 0.
+    :param last: no more parts follow.
+    """
+
+    cluster: str
+    sender: ReplicaId
+    receiver: ReplicaId
+    data: bytes
+    part: int = 0
+    last: bool = True
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -529,4 +547,5 @@
     | Refusal
     | AskHolders
     | Holders
+    | PeerFrame
 )
--- /dev/null
+++ b/tests/control/test_replica.py
@@ -0,0 +1,298 @@
+"""Replicas with disks and links: proposals, reads, leases, founding and repair."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from tests.control.replica_fakes import PACE, Cluster, ListMachine, wait_until
+from tests.fake_files import FakeFiles
+
+from ibishead.clock import SystemClock
+from ibishead.control.folder import DataFolder
+from ibishead.control.identity import Identity
+from ibishead.control.peering import Forward, FrameReader, PeerLinks
+from ibishead.control.replica import LogReplica
+from ibishead.errors import ErrorCode, StorageFault, Unavailable
+from ibishead.ids import HostId, ReplicaId
+from ibishead.links import Endpoint, Link, LinkServer
+from ibishead.messages import Hello, PeerFrame, Role
+
+A, B, C, D = (HostId(name) for name in "abcd")
+
+
+@pytest_asyncio.fixture
+async def cluster() -> AsyncIterator[Cluster]:
+    """Three voters and a host d, which runs nothing yet."""
+    made = Cluster([A, B, C, D], (A, B, C))
+    for host in (A, B, C):
+        await made.start(host)
+    await made.find_leader()
+    yield made
+    await made.stop()
+
+
+def followers(cluster: Cluster) -> list[HostId]:
+    leader = cluster.leader()
+    return [host for host in cluster.hosts if host != leader]
+
+
+async def test_command_is_applied_where_it_was_proposed(cluster: Cluster) -> None:
+    await cluster.find_leader()
+    for number, host in enumerate(list(cluster.hosts), start=1):
+        found = cluster.hosts[host]
+        assert await found.replica.propose(b"c%d" % number) == b"%d" % number
+        assert found.machine.commands[-1] == f"c{number}"
+
+
+async def test_many_waiters_share_a_sync(cluster: Cluster) -> None:
+    """Forty operators and claims wait at once; each sync costs a disk's turn."""
+    leader = cluster.hosts[await cluster.find_leader()]
+    leader.files.operations.clear()
+    await asyncio.gather(*(leader.replica.propose(b"%d" % n) for n in range(40)))
+    syncs = [found for found in leader.files.operations if found.startswith("sync")]
+    assert len(syncs) == 1
+
+
+async def test_read_on_a_follower_sees_what_was_accepted(cluster: Cluster) -> None:
+    leader = cluster.hosts[await cluster.find_leader()]
+    follower = cluster.hosts[followers(cluster)[0]]
+    for number in range(20):
+        await leader.replica.propose(b"%d" % number)
+        await follower.replica.confirm_read()
+        assert follower.machine.commands[-1] == str(number)
+
+
+async def test_cut_off_leader_serves_and_vouches_for_nothing(cluster: Cluster) -> None:
+    """The leader is cut off silently; operators and entry hosts still reach it."""
+    leader = await cluster.find_leader()
+    old = cluster.hosts[leader].replica
+    cluster.isolate(leader)
+    await wait_until(lambda: not old.is_leader())
+    assert old.lease() == 0
+    with pytest.raises(Unavailable) as caught:
+        await old.propose(b"lost")
+    assert caught.value.code is ErrorCode.NO_QUORUM
+    assert caught.value.retry_after is not None
+    with pytest.raises(Unavailable):
+        await old.confirm_read()
+    fresh = cluster.hosts[await cluster.find_leader()]
+    assert await fresh.replica.propose(b"kept") == b"1"
+    cluster.cuts.clear()
+    await wait_until(lambda: cluster.hosts[leader].machine.commands == ["kept"])
+
+
+async def test_no_quorum_is_told_at_once(cluster: Cluster) -> None:
+    """Two of three are gone; whoever asks is told when to come back."""
+    await cluster.find_leader()
+    for host in followers(cluster):
+        await cluster.kill(host)
+    replica = next(iter(cluster.hosts.values())).replica
+    await wait_until(lambda: replica.leader() is None)
+    with pytest.raises(Unavailable) as caught:
+        await replica.propose(b"x")
+    assert caught.value.code is ErrorCode.NO_QUORUM
+
+
+async def test_follower_vouches_while_the_quorum_lives(cluster: Cluster) -> None:
+    await cluster.find_leader()
+    follower = cluster.hosts[followers(cluster)[0]].replica
+    await wait_until(lambda: follower.lease() > 0)
+    assert follower.lease() <= PACE.election
+    cluster.isolate(followers(cluster)[0])
+    await wait_until(lambda: follower.lease() == 0)
+
+
+async def test_all_lose_power_and_keep_what_was_accepted(cluster: Cluster) -> None:
+    """Hundreds of changes, then all hosts lose power; snapshots were taken."""
+    leader = cluster.hosts[await cluster.find_leader()]
+    for number in range(0, 180, 30):
+        batch = (leader.replica.propose(b"%d" % n) for n in range(number, number + 30))
+        await asyncio.gather(*batch)
+    disks = {host: await cluster.kill(host) for host in list(cluster.hosts)}
+    assert any(name.startswith("snapshot") for name in disks[A].names())
+    for host, files in disks.items():
+        await cluster.start(host, files)
+    leader = cluster.hosts[await cluster.find_leader()]
+    await leader.replica.confirm_read()
+    assert leader.machine.commands == [str(number) for number in range(180)]
+
+
+async def test_planned_stop_cuts_no_change_short(cluster: Cluster) -> None:
+    """The leader hands over while changes wait on it."""
+    leader = cluster.hosts[await cluster.find_leader()]
+    waiting = [asyncio.create_task(leader.replica.propose(b"%d" % n)) for n in range(9)]
+    await asyncio.sleep(0)
+    await leader.replica.transfer()
+    assert not leader.replica.is_leader()
+    assert sorted(await asyncio.gather(*waiting)) == [b"%d" % n for n in range(1, 10)]
+
+
+async def test_lost_disk_comes_back_as_a_new_replica(cluster: Cluster) -> None:
+    """A host comes back with an empty disk; an operator replaces its old replica."""
+    leader = await cluster.find_leader()
+    await cluster.hosts[leader].replica.propose(b"kept")
+    lost = followers(cluster)[0]
+    old = cluster.hosts[lost].replica.name
+    await cluster.kill(lost)
+    fresh = await cluster.start(lost, FakeFiles())
+    assert fresh.replica.name != old
+    replica = cluster.hosts[leader].replica
+    await wait_until(lambda: replica.founding.known[lost].replica == fresh.replica.name)
+    assert await replica.change_replicas(old, lost) == fresh.replica.name
+    assert old not in replica.replicas().voters
+    await wait_until(lambda: fresh.machine.commands == ["kept"])
+
+
+async def test_operator_replaces_through_a_follower(cluster: Cluster) -> None:
+    """An operator's shell asks any replica; a spare takes over from a live one."""
+    leader = await cluster.find_leader()
+    spare = await cluster.start(D)
+    one, other = followers(cluster)[:2]
+    found = cluster.hosts[leader].replica.founding
+    await wait_until(lambda: D in found.known)
+    leaving = cluster.hosts[other].replica.name
+    fresh = await cluster.hosts[one].replica.change_replicas(leaving, D)
+    assert fresh == spare.replica.name
+    voters = cluster.hosts[leader].replica.replicas().voters
+    assert fresh in voters
+    assert leaving not in voters
+
+
+async def test_unattended_repair_then_a_second_host_is_lost(cluster: Cluster) -> None:
+    """A host dies for good; a spare takes its place; then another host dies.
+
+    Nothing that was accepted may be gone, and changes must go on.
+    """
+    leader = await cluster.find_leader()
+    await cluster.hosts[leader].replica.propose(b"before")
+    await cluster.start(D)
+    lost = followers(cluster)[0]
+    old = cluster.hosts[lost].replica.name
+    await cluster.kill(lost)
+    replicas = cluster.hosts[leader].replica.replicas
+    await wait_until(
+        lambda: old not in replicas().voters and len(replicas().voters) == 3
+    )
+    await cluster.kill(leader)
+    second = cluster.hosts[await cluster.find_leader()]
+    assert await second.replica.propose(b"after") == b"2"
+    assert second.machine.commands == ["before", "after"]
+
+
+async def test_full_disk_refuses_and_serves_again(cluster: Cluster) -> None:
+    leader = cluster.hosts[await cluster.find_leader()]
+    leader.files.full = True
+    with pytest.raises(StorageFault) as caught:
+        await leader.replica.propose(b"x")
+    assert caught.value.code is ErrorCode.STORAGE_FULL
+    leader.files.full = False
+    assert await leader.replica.propose(b"y") == b"1"
+
+
+async def test_failed_sync_stops_the_replica_and_not_the_others(
+    cluster: Cluster,
+) -> None:
+    """One disk breaks; its replica must not answer from what may be gone."""
+    leader = await cluster.find_leader()
+    broken = cluster.hosts[leader]
+    broken.files.sync_fails = True
+    with pytest.raises(Unavailable):
+        await broken.replica.propose(b"x")
+    assert not broken.replica.is_leader()
+    assert broken.replica.lease() == 0
+    cluster.isolate(leader)
+    fresh = cluster.hosts[await cluster.find_leader()]
+    await fresh.replica.propose(b"y")
+    assert fresh.machine.commands[-1] == "y"
+
+
+async def test_new_hosts_wait_until_all_first_ones_are_there() -> None:
+    """One first host starts late; two alone must not found a cluster."""
+    cluster = Cluster([A, B, C], (A, B, C))
+    for host in (A, B):
+        await cluster.start(host)
+    await asyncio.sleep(3 * PACE.election)
+    assert cluster.leader() is None
+    await cluster.start(C)
+    await cluster.find_leader()
+    await cluster.stop()
+
+
+async def test_single_replica_needs_nobody() -> None:
+    cluster = Cluster([A], (A,), replace(PACE, answer=30.0))
+    host = await cluster.start(A)
+    await cluster.find_leader()
+    assert await host.replica.propose(b"x") == b"1"
+    await host.replica.confirm_read()
+    await cluster.stop()
+
+
+async def test_three_over_real_links_and_folders(tmp_path: Path) -> None:
+    """The whole way: websocket links on loopback, files that are synced."""
+    clock = SystemClock()
+    replicas: dict[HostId, LogReplica] = {}
+    machines: dict[HostId, ListMachine] = {}
+    servers: dict[HostId, LinkServer] = {}
+    endpoints: dict[HostId, Endpoint] = {}
+
+    def make_server(host: HostId) -> LinkServer:
+        async def receive(link: Link) -> None:
+            async for message in link.receive():
+                if isinstance(message, PeerFrame) and host in replicas:
+                    replicas[host].take_frame(message)
+
+        return LinkServer(receive, lambda: Hello(Role.CONTROL, host), clock)
+
+    for host in (A, B, C):
+        servers[host] = make_server(host)
+        endpoints[host] = await servers[host].start(Endpoint("127.0.0.1", 0))
+    for number, host in enumerate((A, B, C)):
+        others = {name: found for name, found in endpoints.items() if name != host}
+        links = PeerLinks(others, Hello(Role.CONTROL, host), clock)
+        machines[host] = ListMachine()
+        replicas[host] = LogReplica(
+            host,
+            (A, B, C),
+            machines[host],
+            DataFolder(tmp_path / host),
+            links,
+            clock,
+            lambda bound, number=number: (number * 7) % bound,
+            lambda host=host: f"{host}1",
+            replace(PACE, timing=replace(PACE.timing, election=40)),
+        )
+        await replicas[host].start()
+    await wait_until(lambda: any(r.is_leader() for r in replicas.values()))
+    big = b"x" * 3_000_000
+    for host in (A, B, C):
+        await replicas[host].propose(big)
+    await replicas[A].confirm_read()
+    assert len(machines[A].commands) == 3
+    for host in (A, B, C):
+        await replicas[host].stop()
+        await servers[host].stop()
+
+
+def test_message_in_parts_outlives_a_broken_link() -> None:
+    """A link breaks within a snapshot; the next message must not be mixed with it."""
+    sent: list[PeerFrame] = []
+    links = PeerLinks({}, Hello(Role.CONTROL, A), SystemClock())
+
+    class Catcher:
+        closed = False
+
+        def send(self, frame: PeerFrame) -> None:
+            sent.append(frame)
+
+    links._links[B] = Catcher()  # type: ignore[assignment]
+    identity = Identity(ReplicaId("a.1"), "one")
+    links.send(identity, ReplicaId("b.1"), Forward(1, bytes(2_500_000)))
+    assert len(sent) == 3
+    reader = FrameReader()
+    assert reader.read(sent[0]) is None
+    assert reader.read(sent[2]) is None
+    results = [reader.read(frame) for frame in sent]
+    assert results == [None, None, Forward(1, bytes(2_500_000))]
