--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -45,6 +45,7 @@
     :param answer: seconds in which a proposal or a read is answered.
     :param repair: seconds of silence after which a voter counts as lost.
     :param snapshot_entries: applied entries between two snapshots.
+    :param snapshot_bytes: bytes of applied commands between two snapshots.
     :param reserve: bytes that must stay free on the disk for changes to be taken.
     """
 
@@ -53,6 +54,7 @@
     answer: float = 5.0
     repair: float = 300.0
     snapshot_entries: int = 1000
+    snapshot_bytes: int = 32 * 1024 * 1024
     reserve: int = 64 * 1024 * 1024
 
     @property
@@ -126,6 +128,7 @@
         self._write_due = False
         self._unwritten: list[Write] = []
         self._snapshot_index = 0
+        self._applied_bytes = 0
         self._ticked = clock.monotonic()
         self.load(identity)
 
@@ -244,6 +247,7 @@
         result = b""
         if entry.kind is EntryKind.COMMAND:
             result = self._machine.apply(entry.index, entry.data)
+        self._applied_bytes += len(entry.data)
         self.waiters.note_result(entry.index, entry.term, result)
         self.waiters.note_applied(entry.index)
 
@@ -259,7 +263,9 @@
 
     def _take_snapshot(self) -> None:
         applied = self.core.applied
-        if applied - self._snapshot_index >= self.pace.snapshot_entries:
+        many = applied - self._snapshot_index >= self.pace.snapshot_entries
+        if many or self._applied_bytes >= self.pace.snapshot_bytes:
             self.core.compact(applied, self._machine.capture())
             self._snapshot_index = applied
+            self._applied_bytes = 0
             self.schedule_flush()
--- a/src/ibishead/control/raftlog.py
+++ b/src/ibishead/control/raftlog.py
@@ -115,12 +115,19 @@
         while len(self._configurations) > 1 and self.configuration_index >= first:
             self._configurations.pop()
 
-    def compact(self, snapshot: Snapshot, retain: int) -> None:
+    def compact(self, snapshot: Snapshot, retain: int, retain_bytes: int = 0) -> None:
         """Let a snapshot of one's own state stand for the entries that it covers.
 
-        :param retain: how many of them to keep in memory.
+        :param retain: how many of them to keep in memory at most.
+        :param retain_bytes: how much data of them to keep at most.
         """
         floor = max(self._floor, snapshot.index - retain)
+        size = 0
+        for index in range(snapshot.index, floor, -1):
+            size += len(self._entries[index - self._floor - 1].data)
+            if size > retain_bytes:
+                floor = index
+                break
         self._floor_term = self.term_at(floor) or self._floor_term
         del self._entries[: floor - self._floor]
         self._floor = LogIndex(floor)
--- a/src/ibishead/control/raftstate.py
+++ b/src/ibishead/control/raftstate.py
@@ -49,7 +49,8 @@
     :param heartbeat: between two heartbeats of a leader.
     :param election: without contact until an election; a random share of the same
         length is added, so that candidates seldom meet.
-    :param retain: entries kept in memory behind a snapshot.
+    :param retain: entries kept in memory behind a snapshot, at most.
+    :param retain_bytes: data of these entries, at most.
     :param append_bytes: most data in one `Append`.
     :param window: entries sent ahead of a follower's answer.
     """
@@ -57,6 +58,7 @@
     heartbeat: int = 1
     election: int = 10
     retain: int = 1024
+    retain_bytes: int = 16 * 1024 * 1024
     append_bytes: int = 1024 * 1024
     window: int = 4096
 
@@ -280,7 +282,7 @@
 
     def compact(self, snapshot: Snapshot) -> None:
         """Let a snapshot of the applied state stand for its entries."""
-        self.log.compact(snapshot, self.timing.retain)
+        self.log.compact(snapshot, self.timing.retain, self.timing.retain_bytes)
         self._dirty_snapshot = snapshot
 
     def install(self, snapshot: Snapshot) -> None:
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -191,8 +191,9 @@
 
     async def change_configuration(self, wanted: Configuration) -> None:
         """Change the replica set by one replica, and return once that is committed."""
-        index = self.core.propose_configuration(wanted)
-        future = self._driver.waiters.add_proposal(index, self.core.term)
+        core = self.core
+        index = core.propose_configuration(wanted)
+        future = self._driver.waiters.add_proposal(index, core.term)
         self._driver.schedule_flush()
         await self._bound(future)
 
@@ -232,10 +233,11 @@
                 code=ErrorCode.STORAGE_FULL,
                 retry_after=timedelta(seconds=self.pace.answer),
             )
-        index = self.core.propose([command])
+        core = self.core
+        index = core.propose([command])
         if index is None:
             raise self._describe_no_quorum()
-        future = self._driver.waiters.add_proposal(index, self.core.term)
+        future = self._driver.waiters.add_proposal(index, core.term)
         self._driver.schedule_flush()
         return index, await future
 
--- a/tests/control/replica_fakes.py
+++ b/tests/control/replica_fakes.py
@@ -87,6 +87,16 @@
             self.cluster.hosts[host].replica.take_frame(frame)
 
 
+class LeapingClock(SystemClock):
+    """The machine's clock, plus the time for which the process was frozen."""
+
+    def __init__(self) -> None:
+        self.frozen = 0.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.frozen
+
+
 @dataclass
 class Host:
     """One running replica."""
@@ -94,6 +104,7 @@
     replica: LogReplica
     machine: ListMachine
     files: FakeFiles
+    clock: LeapingClock
 
 
 @dataclass
@@ -110,18 +121,19 @@
     async def start(self, host: HostId, files: FakeFiles | None = None) -> Host:
         files = files or FakeFiles(self.random.randrange(1000))
         machine = ListMachine()
+        clock = LeapingClock()
         replica = LogReplica(
             host,
             self.first,
             machine,
             files,
             FakeLinks(host, self),
-            SystemClock(),
+            clock,
             self.random.randrange,
             lambda: f"{self.random.getrandbits(48):x}",
             self.pace,
         )
-        self.hosts[host] = Host(replica, machine, files)
+        self.hosts[host] = Host(replica, machine, files, clock)
         await replica.start()
         return self.hosts[host]
 
