Walk unsteady schedules too, and let woken leaders read

With the vote not persisted, the read round or the leader's own sync taken out, the first profile of schedules stayed green: it seldom restarted a voter between two candidates, and never asked an old leader. The learner story now uses two learners, as one could not outvote three voters. Own-term commit stays with its story test only.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -249,24 +249,27 @@
 
 
 def test_learner_is_not_counted() -> None:
-    """A fresh replica gets the log while one voter is lost, then a second voter goes.
+    """Two fresh replicas get the log; then two of the three voters are gone.
 
-    Were the learner counted, the leader and it would commit without a quorum of the
-    voters, and the voters that come back would not know.
+    Were the learners counted, the leader and they would commit without a quorum of
+    the voters, and the voters that come back could elect another without the change.
     """
     replicas, leader, others = make_led()
-    fresh = replicas.add_host("d")
-    current = replicas.nodes[leader].core.configuration
-    assert replicas.change(leader, changes.add_learner(current, fresh))
-    replicas.run(5)
-    assert replicas.nodes[fresh].core.commit == replicas.max_commit
+    core = replicas.nodes[leader].core
+    fresh = [replicas.add_host(host) for host in "de"]
+    for name in fresh:
+        wanted = changes.add_learner(core.configuration, name)
+        assert replicas.change(leader, wanted)
+        replicas.run(5)
     before = replicas.max_commit
+    assert [replicas.nodes[name].core.commit for name in fresh] == [before, before]
     for name in others:
         replicas.crash(name)
     replicas.propose(leader)
     replicas.settle()
     replicas.tick(leader)
     replicas.settle()
+    assert replicas.nodes[fresh[0]].core.log.last_index == before + 1
     assert replicas.max_commit == before
 
 
--- a/tests/test_consensus_schedules.py
+++ b/tests/test_consensus_schedules.py
@@ -21,14 +21,14 @@
 class Walk:
     """One schedule, drawn from a seed."""
 
-    def __init__(self, count: int, seed: int) -> None:
+    def __init__(self, count: int, seed: int, weights: dict[str, int]) -> None:
         self.random = random.Random(seed)
         self.replicas = Replicas(count, seed)
+        self.weights = weights
 
     def run(self, steps: int) -> None:
-        names = [name for name in dir(self) if name.startswith("do_")]
-        weights = [getattr(self, name).__func__.weight for name in names]
-        actions = [getattr(self, name) for name in names]
+        actions = [getattr(self, f"do_{name}") for name in self.weights]
+        weights = list(self.weights.values())
         for action in self.random.choices(actions, weights, k=steps):
             action()
         self.replicas.check_recovery()
@@ -83,8 +83,24 @@
     def do_restart(self) -> None:
         self.replicas.restart(self.any())
 
+    def do_bounce(self) -> None:
+        name = self.any()
+        self.replicas.crash(name, self.random.randrange(4))
+        self.replicas.restart(name)
+
     def do_freeze(self) -> None:
-        self.replicas.freeze(self.any(), self.random.random() < 0.4)
+        often = self.random.random() < 0.5
+        self.replicas.freeze(self.leading() if often else self.any(), True)
+
+    def do_wake(self) -> None:
+        nodes = self.replicas.nodes
+        frozen = [name for name, node in nodes.items() if node.frozen]
+        if frozen:
+            name = self.random.choice(frozen)
+            self.replicas.freeze(name, False)
+            # an old leader believes that it leads until it hears of another
+            self.replicas.read(name)
+            self.replicas.propose(name)
 
     def do_cut(self) -> None:
         one, other = self.any(), self.any()
@@ -130,7 +146,8 @@
             self.replicas.change(leader, changes.remove(current, chosen))
 
 
-WEIGHTS = {
+#: Long good times with all kinds of faults in between.
+MIXED = {
     "tick": 12,
     "tick_all": 10,
     "deliver": 40,
@@ -144,6 +161,7 @@
     "crash": 2,
     "restart": 5,
     "freeze": 3,
+    "wake": 3,
     "cut": 3,
     "mend_cuts": 2,
     "transfer": 2,
@@ -153,20 +171,46 @@
     "promote": 4,
     "remove": 3,
 }
-for _name, _weight in WEIGHTS.items():
-    getattr(Walk, f"do_{_name}").weight = _weight
+
+#: One election after another, with restarts and freezes between vote and answer.
+UNSTEADY = {
+    "tick": 30,
+    "tick_all": 8,
+    "deliver": 30,
+    "drop": 2,
+    "sync": 14,
+    "sync_all": 10,
+    "propose_to_leader": 6,
+    "read": 10,
+    "bounce": 6,
+    "freeze": 6,
+    "wake": 4,
+    "cut": 3,
+    "mend_cuts": 2,
+    "transfer": 3,
+}
 
 
 @pytest.mark.parametrize(
-    ("count", "steps", "schedules"), [(1, 60, 100), (3, 150, 1500), (5, 150, 500)]
+    ("count", "weights", "steps", "schedules"),
+    [
+        (1, MIXED, 60, 100),
+        (3, MIXED, 150, 1000),
+        (5, MIXED, 150, 300),
+        (3, UNSTEADY, 250, 1000),
+        (5, UNSTEADY, 250, 300),
+    ],
+    ids=["one", "three", "five", "three-unsteady", "five-unsteady"],
 )
-def test_seeded_schedules(count: int, steps: int, schedules: int) -> None:
+def test_seeded_schedules(
+    count: int, weights: dict[str, int], steps: int, schedules: int
+) -> None:
     """Mixed faults never break a promise, and the replicas recover at the end."""
 
     @settings(max_examples=schedules)
     @given(st.integers(0, 2**32))
     def walk(seed: int) -> None:
-        Walk(count, seed).run(steps)
+        Walk(count, seed, weights).run(steps)
 
     walk()
 
