--- /dev/null
+++ b/benchmarks/lone_log.py
@@ -0,0 +1,88 @@
+"""A replicated log of one replica on a real disk, for benchmarks."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ibishead.clock import SystemClock
+from ibishead.control.driver import Pace
+from ibishead.control.folder import DataFolder
+from ibishead.control.peering import PeerLinks
+from ibishead.control.raftstate import Timing
+from ibishead.control.replica import LogReplica
+from ibishead.ids import HostId
+from ibishead.messages import Hello, Role
+
+__all__ = ["DocumentTable", "make_command", "open_log", "propose_all"]
+
+HOST = HostId("one")
+TIMING = Timing(heartbeat=2, election=10)
+
+#: Services whose documents the changes replace, one after another.
+SERVICES = 100
+
+
+class DocumentTable:
+    """The latest text of each service, which is what a snapshot has to hold."""
+
+    def __init__(self) -> None:
+        self.texts: dict[int, bytes] = {}
+        self.applied = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Replace the text of one service."""
+        self.texts[self.applied % SERVICES] = command
+        self.applied += 1
+        return b""
+
+    def capture(self) -> bytes:
+        """Return all texts."""
+        return msgspec.msgpack.encode((self.applied, self.texts))
+
+    def restore(self, data: bytes) -> None:
+        """Take all texts."""
+        kind = tuple[int, dict[int, bytes]]
+        self.applied, self.texts = msgspec.msgpack.decode(data, type=kind)
+
+
+def make_command(number: int) -> bytes:
+    """Return a change of about the size of a small document."""
+    return b"%d " % number + b"x" * 400
+
+
+@contextlib.asynccontextmanager
+async def open_log(
+    folder: Path, snapshot_entries: int = 1000
+) -> AsyncIterator[tuple[LogReplica, DocumentTable]]:
+    """Yield a replica that leads and has applied all that its disk holds."""
+    machine = DocumentTable()
+    clock = SystemClock()
+    replica = LogReplica(
+        HOST,
+        (HOST,),
+        machine,
+        DataFolder(folder),
+        PeerLinks({}, Hello(Role.CONTROL, HOST), clock),
+        clock,
+        random.Random(1).randrange,
+        lambda: f"{time.monotonic_ns():x}",
+        Pace(tick=0.002, timing=TIMING, answer=60.0, snapshot_entries=snapshot_entries),
+    )
+    await replica.start()
+    while not replica.is_leader():
+        await asyncio.sleep(0.001)
+    await replica.confirm_read()
+    try:
+        yield replica, machine
+    finally:
+        await replica.stop()
+
+
+async def propose_all(replica: LogReplica, commands: Sequence[bytes]) -> None:
+    """Propose commands at once and wait for all."""
+    await asyncio.gather(*(replica.propose(command) for command in commands))
--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -30,7 +30,7 @@
 from ibishead.control.storage import Storage
 from ibishead.control.waiters import Waiters
 from ibishead.errors import ErrorCode, StorageFault
-from ibishead.ids import HostId, LogIndex, ReplicaId
+from ibishead.ids import HostId, LogIndex, ReplicaId, Term
 
 __all__ = ["DataFiles", "LogDriver", "Pace", "PeerSender"]
 
@@ -127,8 +127,10 @@
         self._flush_due = False
         self._write_due = False
         self._unwritten: list[Write] = []
+        self._stuck = False
         self._snapshot_index = 0
         self._applied_bytes = 0
+        self._room = False
         self._ticked = clock.monotonic()
         self.load(identity)
 
@@ -158,6 +160,7 @@
         self._ticked += due * self.pace.tick
         for _ in range(min(due, 3 * self.pace.timing.election)):
             self.core.tick()
+        self.waiters.expire(self._ticked)
         self.schedule_flush()
         if self._unwritten:
             self._schedule_write()
@@ -179,9 +182,19 @@
         self.schedule_flush()
 
     def has_room(self) -> bool:
-        """Return whether the disk takes changes."""
-        enough = self._files.free_bytes() >= self.pace.reserve
-        return enough and not self._unwritten
+        """Return whether the disk has taken all writes and has room for more.
+
+        All proposals of one turn share the answer, as they share the write.
+        """
+        if not self._room:
+            self._room = self._files.free_bytes() >= self.pace.reserve
+            self.schedule_flush()
+        return self._room and not self._stuck
+
+    def wait_for(self, index: LogIndex, term: Term) -> asyncio.Future[bytes]:
+        """Return the future result of an entry that was proposed just now."""
+        self.schedule_flush()
+        return self.waiters.add_proposal(index, term, self._ticked + self.pace.answer)
 
     def schedule_flush(self) -> None:
         """Do, at the end of this turn of the loop, what the consensus puts out."""
@@ -190,7 +203,7 @@
             asyncio.get_running_loop().call_soon(self._flush)
 
     def _flush(self) -> None:
-        self._flush_due = False
+        self._flush_due = self._room = False
         while outputs := self.core.take():
             for output in outputs:
                 self._perform(output)
@@ -220,7 +233,7 @@
             asyncio.get_running_loop().call_soon(self._write)
 
     def _write(self) -> None:
-        self._write_due = False
+        self._write_due = self._stuck = False
         try:
             while self._unwritten and not self.failed:
                 self._storage.write(self._unwritten[0])
@@ -228,6 +241,7 @@
         except StorageFault as fault:
             if fault.code is ErrorCode.STORAGE_FULL:
                 # nothing was answered; it is tried again with the next tick
+                self._stuck = True
                 logger.warning("control log not written", extra={"reason": str(fault)})
             else:
                 self.fail(fault)
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -120,7 +120,7 @@
         :raises StorageFault: code ``STORAGE_FULL``; it was not taken.
         """
         if self.is_leader():
-            return (await self._bound(self._propose_here(command)))[1]
+            return (await self._propose_here(command))[1]
         answer = await self._ask(lambda number: Forward(number, command))
         await self._bound(self._driver.waiters.reach(answer.index))
         return answer.result
@@ -193,9 +193,7 @@
         """Change the replica set by one replica, and return once that is committed."""
         core = self.core
         index = core.propose_configuration(wanted)
-        future = self._driver.waiters.add_proposal(index, core.term)
-        self._driver.schedule_flush()
-        await self._bound(future)
+        await self._driver.wait_for(index, core.term)
 
     async def stop(self) -> None:
         """Close links and the data folder."""
@@ -237,9 +235,7 @@
         index = core.propose([command])
         if index is None:
             raise self._describe_no_quorum()
-        future = self._driver.waiters.add_proposal(index, core.term)
-        self._driver.schedule_flush()
-        return index, await future
+        return index, await self._driver.wait_for(index, core.term)
 
     async def _read_here(self) -> LogIndex:
         self._reads += 1
@@ -319,7 +315,7 @@
     async def _forward(self, number: int, command: bytes) -> ReplicaMessage:
         if not self.is_leader():
             raise self._describe_no_quorum()
-        index, result = await self._bound(self._propose_here(command))
+        index, result = await self._propose_here(command)
         return Forwarded(number, index, result)
 
     async def _tell_index(self, number: int) -> ReplicaMessage:
--- a/src/ibishead/control/waiters.py
+++ b/src/ibishead/control/waiters.py
@@ -3,6 +3,7 @@
 import asyncio
 import heapq
 from collections.abc import Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import Any
 
@@ -34,26 +35,36 @@
     )
 
 
+@dataclass
+class _Proposal:
+    """One that waits for the entry of its term."""
+
+    term: Term
+    due: float
+    future: asyncio.Future[bytes]
+
+
 class Waiters:
     """Proposals and reads that wait for this replica's own state machine."""
 
     def __init__(self) -> None:
         self._applied = 0
-        self._proposals: dict[int, tuple[Term, asyncio.Future[bytes]]] = {}
+        self._proposals: dict[int, _Proposal] = {}
         self._reaching: list[tuple[int, int, asyncio.Future[None]]] = []
         self._number = 0
 
-    def add_proposal(self, index: LogIndex, term: Term) -> asyncio.Future[bytes]:
-        """Return the future result of the entry at an index of a term."""
+    def add_proposal(
+        self, index: LogIndex, term: Term, due: float
+    ) -> asyncio.Future[bytes]:
+        """Return the future result of the entry at an index of a term.
+
+        :param due: monotonic seconds at which it fails.
+        """
         self._fail_at(index)
         future: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        self._proposals[index] = (term, future)
+        self._proposals[index] = _Proposal(term, due, future)
         return future
 
-    def has_proposals(self) -> bool:
-        """Return whether anything waits for an entry."""
-        return bool(self._proposals)
-
     async def reach(self, index: LogIndex) -> None:
         """Return once all up to an index is applied."""
         if index <= self._applied:
@@ -66,12 +77,12 @@
     def note_result(self, index: LogIndex, term: Term, result: bytes) -> None:
         """Give a result to the proposal that waits for it."""
         waiting = self._proposals.pop(index, None)
-        if waiting is None or waiting[1].done():
+        if waiting is None or waiting.future.done():
             return
-        if waiting[0] == term:
-            waiting[1].set_result(result)
+        if waiting.term == term:
+            waiting.future.set_result(result)
         else:
-            waiting[1].set_exception(describe_unknown())
+            waiting.future.set_exception(describe_unknown())
 
     def note_applied(self, index: LogIndex) -> None:
         """Wake what waits for an index."""
@@ -87,6 +98,13 @@
             self._fail_at(covered)
         self.note_applied(index)
 
+    def expire(self, now: float) -> None:
+        """Tell proposals that are due that nothing is known of them."""
+        # one sweep a tick costs less than a timer for each proposal
+        due = [index for index, p in self._proposals.items() if p.due <= now]
+        for index in due:
+            self._fail_at(index)
+
     def fail(self) -> None:
         """Tell all proposals that nothing is known of them."""
         for index in list(self._proposals):
@@ -94,8 +112,8 @@
 
     def _fail_at(self, index: int) -> None:
         waiting = self._proposals.pop(index, None)
-        if waiting is not None and not waiting[1].done():
-            waiting[1].set_exception(describe_unknown())
+        if waiting is not None and not waiting.future.done():
+            waiting.future.set_exception(describe_unknown())
 
 
 class Answers:
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -137,6 +137,24 @@
     assert sent(restarted, VoteAnswer) == [VoteAnswer(Term(1), False)]
 
 
+@pytest.mark.parametrize(
+    ("last_index", "last_term", "granted"),
+    [(2, 2, True), (3, 2, True), (1, 3, True), (1, 2, False), (9, 1, False)],
+)
+@pytest.mark.parametrize("pre", [True, False])
+def test_vote_goes_to_a_log_that_lacks_nothing(
+    last_index: int, last_term: int, granted: bool, pre: bool
+) -> None:
+    """A replica that missed accepted changes asks for votes; it would undo them."""
+    core = make_core(Stored(Term(2), None, FOUNDING, (entry(1, 1), entry(2, 2))))
+    request = RequestVote(Term(4), LogIndex(last_index), Term(last_term), pre)
+    core.step(B, request)
+    outputs = core.take()
+    core.synced(max([0, *(o.token for o in outputs if isinstance(o, Write))]))
+    answers = [o.message for o in outputs + core.take() if isinstance(o, Send)]
+    assert [answer.granted for answer in answers] == [granted]
+
+
 def test_append_answer_waits_for_the_sync() -> None:
     """A follower acknowledges an entry and loses power before it is on the disk.
 
