Register once after a freeze, not at every publish

Cause: a thawed agent that control had retired drew a new nonce at each publish; its own second registration then passed for another agent's and it ended itself. Ruled out: the gate and the link; the log showed four registrations in one second. Conclusion: one registration at a time; no verdict on the catalog until it is answered.

--- /dev/null
+++ b/src/ibishead/agent/agent.py
@@ -0,0 +1,124 @@
+"""One agent: its parts wired to one another, apart from listening sockets."""
+
+import asyncio
+import contextlib
+import uuid
+
+from ibishead.agent.gate import GateState
+from ibishead.agent.reception import Reception
+from ibishead.agent.registrar import ControlRegistrar
+from ibishead.agent.scheduler import Scheduler, TargetShape
+from ibishead.agent.target import TargetClient
+from ibishead.clock import Clock
+from ibishead.documents import Unconfirmed
+from ibishead.links import Dialer, Endpoint, Link, dial
+from ibishead.messages import AskRegistration, Hello, Role, TargetKind
+from ibishead.metrics import Metrics
+from ibishead.settings import AgentSettings
+from ibishead.subscription import Subscription
+from ibishead.tls import make_client_context
+
+__all__ = ["Agent"]
+
+
+class Agent:
+    """The only client of one target.
+
+    :param endpoint: where entry hosts reach this agent.
+    """
+
+    def __init__(
+        self,
+        settings: AgentSettings,
+        endpoint: Endpoint,
+        client: TargetClient,
+        clock: Clock,
+        dialer: Dialer = dial,
+    ) -> None:
+        self.metrics = Metrics("agent")
+        self._settings = settings
+        self._subscription = Subscription(
+            settings.control,
+            self.greet,
+            clock,
+            services=(settings.service,),
+            changed=self._review,
+            connected=self._attach,
+            tls=make_client_context(settings.peer_tls) if settings.peer_tls else None,
+            dialer=dialer,
+        )
+        self.registrar = ControlRegistrar(
+            self._subscription, _announce(settings, endpoint), clock
+        )
+        is_engine = settings.kind is TargetKind.ENGINE
+        shape = TargetShape(settings.target, is_engine, settings.batch, settings.slots)
+        self.scheduler = Scheduler(shape, client, self.registrar, clock)
+        self._reception = Reception(
+            self.scheduler, self.tell_gate, self.registrar.owned, clock
+        )
+        self._reporting: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to run work, and return once the target is registered."""
+        self._subscription.start()
+        self.scheduler.start()
+        await self.registrar.register()
+        self._reporting = asyncio.create_task(self._reception.report_for_ever())
+
+    async def serve(self, link: Link) -> None:
+        """Serve an entry host's link until it is over."""
+        await self._reception.serve(link)
+
+    async def finish(self) -> None:
+        """Take nothing new, and return once all that was taken is delivered."""
+        await self.scheduler.finish()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        if self._reporting is not None:
+            self._reporting.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._reporting
+        await self.scheduler.stop()
+        await self._subscription.stop()
+
+    def greet(self) -> Hello:
+        """Return what this agent says of itself on each link."""
+        return Hello(Role.AGENT, self._settings.host, self.registrar.incarnation)
+
+    def tell_gate(self) -> GateState:
+        """Return what the gate must know at this moment."""
+        catalog = self._subscription.catalog
+        held = catalog.find_document(self._settings.service)
+        record = catalog.find_target(self._settings.target)
+        return GateState(
+            incarnation=self.registrar.incarnation,
+            draining=self.scheduler.draining
+            or self.registrar.superseded.is_set()
+            or (record is not None and record.draining),
+            document=None if held is None else held.record,
+            current=self._subscription.is_current(),
+            unconfirmed=(
+                Unconfirmed.REFUSE if held is None else held.document.unconfirmed
+            ),
+        )
+
+    def _review(self) -> None:
+        self.registrar.review()
+
+    async def _attach(self) -> None:
+        self.registrar.attach()
+
+
+def _announce(settings: AgentSettings, endpoint: Endpoint) -> AskRegistration:
+    return AskRegistration(
+        uuid.uuid4().hex,
+        settings.target,
+        settings.service,
+        settings.kind,
+        settings.host,
+        settings.failure_domain,
+        endpoint.address,
+        endpoint.port,
+        settings.fenced,
+    )
--- a/src/ibishead/agent/registrar.py
+++ b/src/ibishead/agent/registrar.py
@@ -57,6 +57,7 @@
         self._incarnations: list[Incarnation] = []
         self._permits = 0
         self._registering = asyncio.Lock()
+        self._registration: asyncio.Task[None] | None = None
         self._background: set[asyncio.Task[None]] = set()
         self.superseded = asyncio.Event()
 
@@ -87,7 +88,7 @@
     def attach(self) -> None:
         """Register again over a new link, which tells control who follows now."""
         if self._incarnations:
-            self._spawn(self.register())
+            self._begin_registration()
 
     def review(self) -> None:
         """Compare the catalog with this agent's own standing.
@@ -95,18 +96,31 @@
         A newer incarnation means that another agent serves the target now; one that
         has vanished means that control took this agent for dead.
         """
-        if not self._incarnations:
+        # Until a registration is answered, its incarnation is in the catalog but not
+        # yet known here, and would pass for another agent's.
+        if not self._incarnations or self._is_registering():
             return
         target = self._announcement.target
         catalog = self._subscription.catalog
         record = catalog.find_target(target)
         if record is not None and record.incarnation > self.incarnation:
             self.superseded.set()
-        elif record is None and catalog.has_ended(target, self.incarnation):
+        # An incarnation is the index of the log at which it was registered, so a
+        # catalog that has come that far and lacks it has seen it end.
+        elif record is None and catalog.index >= self.incarnation:
             self._announcement = msgspec.structs.replace(
                 self._announcement, nonce=uuid.uuid4().hex
             )
-            self._spawn(self.register())
+            self._begin_registration()
+
+    def _is_registering(self) -> bool:
+        return self._registration is not None and not self._registration.done()
+
+    def _begin_registration(self) -> None:
+        if self._is_registering():
+            return
+        self._registration = self._spawn(self.register())
+        self._registration.add_done_callback(lambda _: self.review())
 
     async def obtain_permit(self, urgency: float) -> int:
         """Return the number of a granted load.
--- a/src/ibishead/catalog.py
+++ b/src/ibishead/catalog.py
@@ -78,10 +78,6 @@
         """Return a live target, or none."""
         return self._targets.get(target)
 
-    def has_ended(self, target: TargetId, incarnation: Incarnation) -> bool:
-        """Whether control has said that an incarnation is over."""
-        return incarnation <= self._ended.get(target, Incarnation(0))
-
     def list_targets(self, service: ServiceName | None = None) -> list[TargetRecord]:
         """Return the live targets of one service, or of all."""
         return [
--- /dev/null
+++ b/src/ibishead/entry/host.py
@@ -0,0 +1,66 @@
+"""One entry host: its parts wired to one another, apart from listening sockets."""
+
+import random
+
+from ibishead.clock import Clock
+from ibishead.entry.agents import AgentPool
+from ibishead.entry.dispatching import Dispatcher
+from ibishead.entry.pages import OperatorPages
+from ibishead.entry.pipeline import Pipeline
+from ibishead.links import Dialer, dial
+from ibishead.messages import Hello, Role
+from ibishead.metrics import Metrics
+from ibishead.settings import EntrySettings
+from ibishead.subscription import Subscription
+from ibishead.tls import make_client_context
+
+__all__ = ["EntryHost"]
+
+
+class EntryHost:
+    """Answers callers and operators of one host.
+
+    :param chance: source of ties and spreads.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        chance: random.Random,
+        dialer: Dialer = dial,
+    ) -> None:
+        hello = Hello(Role.ENTRY, settings.host)
+        tls = make_client_context(settings.peer_tls) if settings.peer_tls else None
+        self._pool = AgentPool(lambda: hello, clock, tls, dialer)
+        self.subscription = Subscription(
+            settings.control,
+            lambda: hello,
+            clock,
+            changed=self._follow_targets,
+            tls=tls,
+            start_at=chance.randrange(len(settings.control)),
+            dialer=dialer,
+        )
+        metrics = Metrics("entry")
+        dispatcher = Dispatcher(
+            self._pool,
+            self.subscription.catalog,
+            clock,
+            settings.failure_domain,
+            chance,
+        )
+        self.pipeline = Pipeline(self.subscription, dispatcher, clock, metrics, chance)
+        self.pages = OperatorPages(self.subscription, self.pipeline.traces, metrics)
+
+    def start(self) -> None:
+        """Begin to follow control and the agents."""
+        self.subscription.start()
+
+    async def stop(self) -> None:
+        """Close all links; what is still open there is lost."""
+        await self._pool.stop()
+        await self.subscription.stop()
+
+    def _follow_targets(self) -> None:
+        self._pool.follow_targets(self.subscription.catalog.list_targets())
--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -9,7 +9,6 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.admission import AdmissionQuery, Refused, admit
-from ibishead.entry.agents import AgentPool
 from ibishead.entry.call import MODEL_PATHS, PLAIN_PREFIX, Call, parse_call
 from ibishead.entry.claims import ClaimedRunner
 from ibishead.entry.dispatching import Dispatcher, Job
@@ -44,7 +43,6 @@
     def __init__(
         self,
         subscription: Subscription,
-        pool: AgentPool,
         dispatcher: Dispatcher,
         clock: Clock,
         metrics: Metrics,
@@ -52,7 +50,6 @@
     ) -> None:
         self.traces = TraceBook()
         self._subscription = subscription
-        self._pool = pool
         self._dispatcher = dispatcher
         self._claimed = ClaimedRunner(dispatcher, subscription, clock.monotonic)
         self._pages = Pages(subscription, self.traces)
