--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -43,6 +43,8 @@
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
 _READ_SIZE = 64 * 1024
+#: Bytes of a header besides name and value; thousands of tiny ones add up.
+_HEADER_OVERHEAD = len(": \r\n")
 _HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -223,6 +225,11 @@
         port = self._server.sockets[0].getsockname()[1]
         return Endpoint(endpoint.address, port)
 
+    @property
+    def connection_count(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
     async def stop(self, grace: float = 600.0) -> None:
         """Stop listening, let every answer in progress finish, close the rest.
 
@@ -354,6 +361,7 @@
             event = self._state.next_event()
             match event:
                 case h11.Request():
+                    _check_version(event)
                     _check_head_size(event, self._limits)
                     return event
                 case h11.ConnectionClosed():
@@ -461,9 +469,18 @@
         return ""
 
 
+def _check_version(head: h11.Request) -> None:
+    # h11 takes any digit; another major version may mean something else by it all
+    if not head.http_version.startswith(b"1."):
+        error = InvalidInput("not HTTP/1", "send HTTP/1.1 by RFC 9112")
+        error.status = HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
+        raise error
+
+
 def _check_head_size(head: h11.Request, limits: Limits) -> None:
     # h11 bounds only what is still incomplete; a head that came in one read passes
-    size = len(head.target) + sum(len(k) + len(v) for k, v in head.headers)
+    size = len(head.target)
+    size += sum(len(k) + len(v) + _HEADER_OVERHEAD for k, v in head.headers)
     if size > limits.header_bytes:
         raise _describe_large_head()
 
