Use the shared keys in entry and control

Cause: key hashing, bearer parsing and comparing stood three times, and a refused key was logged nowhere. Ruled out: changing what is allowed; who gets in stays as it was, /v1/models now also wants the scheme Bearer as the other paths do. Conclusion: a refused key is a warning with peer and service, never with the key.

--- a/src/ibishead/control/operators.py
+++ b/src/ibishead/control/operators.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
-from hashlib import sha256
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -41,7 +40,6 @@
     IbisheadError,
     InvalidInput,
     NotFound,
-    Unauthorized,
     Unavailable,
 )
 from ibishead.ids import (
@@ -55,13 +53,13 @@
     TargetId,
     TeamId,
 )
+from ibishead.keys import read_bearer, require_key
 from ibishead.messages import DocumentRecord
 from ibishead.metrics import Metrics
 from ibishead.web import Exchange, Headers, WebRequest, find_header
 
 __all__ = ["OperatorApi"]
 
-_BEARER = "bearer "
 _KINDS: dict[ErrorCode, type[IbisheadError]] = {
     ErrorCode.FORBIDDEN: Forbidden,
     ErrorCode.KEY_REUSED: Conflict,
@@ -315,18 +313,7 @@
 def _check_key(request: WebRequest, allowed: set[str]) -> str:
     if not allowed:
         return "anybody"
-    header = find_header(request.headers, "authorization") or ""
-    if not header.lower().startswith(_BEARER):
-        raise Unauthorized(
-            "an operator's key is missing", "send Authorization: Bearer KEY"
-        )
-    digest = sha256(header[len(_BEARER) :].strip().encode()).hexdigest()
-    if digest not in allowed:
-        raise Forbidden(
-            "the key doesn't reach this far",
-            "use a key that the service's document or the settings list",
-        )
-    return digest[:12]
+    return require_key(read_bearer(request.headers), allowed, request.peer)
 
 
 def _check_names(
--- a/src/ibishead/entry/call.py
+++ b/src/ibishead/entry/call.py
@@ -15,6 +15,7 @@
     ServiceName,
     Version,
 )
+from ibishead.keys import read_bearer
 from ibishead.messages import TargetKind
 from ibishead.web import Headers, WebRequest, drop_hop_by_hop, find_header
 
@@ -110,7 +111,7 @@
         streamed=payload.get("stream") is True,
         request_class=ClassName(find_header(request.headers, CLASS_HEADER) or ""),
         key=_read_key(request.headers),
-        credential=_read_credential(request.headers),
+        credential=read_bearer(request.headers),
     )
 
 
@@ -127,7 +128,7 @@
         body=request.body,
         request_class=ClassName(find_header(request.headers, CLASS_HEADER) or ""),
         key=_read_key(request.headers),
-        credential=_read_credential(request.headers),
+        credential=read_bearer(request.headers),
     )
 
 
@@ -168,11 +169,6 @@
         )
 
 
-def _read_credential(headers: Headers) -> str:
-    scheme, _, value = (find_header(headers, "authorization") or "").partition(" ")
-    return value.strip() if scheme.lower() == "bearer" else ""
-
-
 def _keep_headers(headers: Headers) -> Headers:
     return tuple(
         (name, value)
--- a/src/ibishead/entry/pages.py
+++ b/src/ibishead/entry/pages.py
@@ -6,9 +6,10 @@
 from ibishead.entry.trace import Trace, TraceBook
 from ibishead.errors import ErrorCode, NotFound, Unavailable
 from ibishead.ids import RequestId
+from ibishead.keys import read_bearer
 from ibishead.metrics import Metrics
 from ibishead.subscription import Subscription
-from ibishead.web import Exchange, Headers, find_header
+from ibishead.web import Exchange, Headers
 
 __all__ = ["OperatorPages", "Pages"]
 
@@ -64,8 +65,7 @@
             )
 
     async def _list_models(self, exchange: Exchange) -> None:
-        header = find_header(exchange.request.headers, "authorization") or ""
-        credential = header.partition(" ")[2].strip()
+        credential = read_bearer(exchange.request.headers)
         models = list_models(self._subscription.catalog, credential)
         page = _ModelList([_Model(name, service) for service, name in models])
         await exchange.respond(200, JSON, msgspec.json.encode(page))
--- a/src/ibishead/entry/resolution.py
+++ b/src/ibishead/entry/resolution.py
@@ -1,19 +1,19 @@
 """What a call means by the document in force: adapter, version, class, duties."""
 
 import hashlib
-import hmac
 from dataclasses import dataclass
 
 import msgspec
 
 from ibishead.catalog import Catalog, HeldDocument
-from ibishead.documents import Adapter, Caller, RequestClass, ServiceDocument
+from ibishead.documents import Adapter, RequestClass, ServiceDocument
 from ibishead.entry.call import Call
-from ibishead.errors import ErrorCode, InvalidInput, NotFound, Unauthorized
+from ibishead.errors import ErrorCode, InvalidInput, NotFound
 from ibishead.ids import ClassName, ServiceName, TeamId, Version
+from ibishead.keys import find_caller, require_caller
 from ibishead.messages import TargetKind
 
-__all__ = ["Resolved", "authenticate", "list_models", "resolve"]
+__all__ = ["Resolved", "list_models", "resolve"]
 
 
 @dataclass(frozen=True)
@@ -41,25 +41,6 @@
         return self.held.document
 
 
-def authenticate(call: Call, document: ServiceDocument) -> Caller:
-    """Return the caller that the key belongs to.
-
-    A document that names no callers is open to all.
-
-    :raises Unauthorized: the key is missing or unknown.
-    """
-    if not document.callers:
-        return Caller("anyone", document.team, "")
-    digest = hashlib.sha256(call.credential.encode()).hexdigest()
-    for caller in document.callers:
-        if hmac.compare_digest(digest, caller.key_sha256):
-            return caller
-    raise Unauthorized(
-        "the key is missing or unknown to the service",
-        "send `Authorization: Bearer KEY` with a key that the document names",
-    )
-
-
 def resolve(call: Call, catalog: Catalog) -> Resolved:
     """Compare a call with the newest document of its service.
 
@@ -74,7 +55,7 @@
             code=ErrorCode.UNKNOWN_SERVICE,
         )
     document = held.document
-    caller = authenticate(call, document)
+    caller = require_caller(document, call.credential)
     if document.kind is not call.kind:
         raise InvalidInput(
             f"the service {call.service} is of kind {document.kind.value}",
@@ -178,7 +159,9 @@
     found: list[tuple[ServiceName, str]] = []
     for held in catalog.list_documents():
         document = held.document
-        if document.kind is not TargetKind.ENGINE or not _opens(credential, document):
+        if document.kind is not TargetKind.ENGINE or not find_caller(
+            document, credential
+        ):
             continue
         found.append((document.service, document.service))
         for adapter in document.adapters.values():
@@ -187,10 +170,3 @@
                 for version in adapter.versions
             )
     return found
-
-
-def _opens(credential: str, document: ServiceDocument) -> bool:
-    digest = hashlib.sha256(credential.encode()).hexdigest()
-    return not document.callers or any(
-        hmac.compare_digest(digest, caller.key_sha256) for caller in document.callers
-    )
