Keep protected calls protected when their path is disguised

Cause: POST /%69ssues, //issues or /stock/../issues matched no route, fell to a default class that is idempotent and could be repeated, so that a stock issue ran twice. A caller's x-ibishead-class could lift the protection of the default class. Ruled out: refusing such paths, services may have them; passing the decoded path on, the target gets it as it came. Conclusion: the choice of a class is a module of its own, entry/routing.

--- a/src/ibishead/entry/resolution.py
+++ b/src/ibishead/entry/resolution.py
@@ -8,8 +8,9 @@
 from ibishead.catalog import Catalog, HeldDocument
 from ibishead.documents import Adapter, RequestClass, ServiceDocument
 from ibishead.entry.call import Call
+from ibishead.entry.routing import choose_class
 from ibishead.errors import ErrorCode, InvalidInput, NotFound
-from ibishead.ids import ClassName, ServiceName, TeamId, Version
+from ibishead.ids import ServiceName, TeamId, Version
 from ibishead.keys import find_caller, require_caller
 from ibishead.messages import TargetKind
 
@@ -61,7 +62,8 @@
             f"the service {call.service} is of kind {document.kind.value}",
             _describe_interface(document.kind),
         )
-    request_class = _find_class(call, document)
+    path = call.path.partition("?")[0]
+    request_class = choose_class(document, call.method, path, call.request_class)
     version, source = Version(""), ""
     if call.adapter:
         adapter = _find_adapter(call, document)
@@ -104,40 +106,6 @@
     return adapter
 
 
-def _find_class(call: Call, document: ServiceDocument) -> RequestClass:
-    name = call.request_class or _route(call, document) or document.default_class
-    found = document.classes.get(name)
-    if found is None:
-        raise NotFound(
-            f"the service {call.service} has no class {name!r}",
-            f"use one of {', '.join(sorted(document.classes))}",
-            code=ErrorCode.UNKNOWN_CLASS,
-        )
-    # The document, not the caller, decides what may be repeated: a class asked for
-    # must not lift the protection that the route gives.
-    routed = document.classes.get(_route(call, document))
-    if routed is not None and not routed.idempotent and found.idempotent:
-        return routed
-    return found
-
-
-def _route(call: Call, document: ServiceDocument) -> ClassName:
-    path = call.path.partition("?")[0]
-    matches = [
-        route
-        for route in document.routes
-        if route.method in ("*", call.method) and _is_below(path, route.path)
-    ]
-    best = max(
-        matches, key=lambda route: (len(route.path), route.method != "*"), default=None
-    )
-    return ClassName("") if best is None else best.request_class
-
-
-def _is_below(path: str, prefix: str) -> bool:
-    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
-
-
 def _make_body(call: Call, document: ServiceDocument, version: Version) -> bytes:
     if call.payload is None:
         return call.body
