--- /dev/null
+++ b/benchmarks/policy/policies.py
@@ -0,0 +1,391 @@
+"""The policies that the bench compares; only `Decisions` is what the programs do."""
+
+import random
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from benchmarks.policy.model import BATCH, Engine, Future
+from benchmarks.policy.workloads import Request
+from ibishead.decisions.admission import AdmissionQuery, Refused, admit
+from ibishead.decisions.eviction import HALF_LIFE, SlotView, choose_victim
+from ibishead.decisions.loading import urgency
+from ibishead.decisions.placement import PlacementQuery, TargetView, place
+from ibishead.decisions.queueing import Waiting, choose_next
+from ibishead.decisions.views import EntryView
+from ibishead.errors import ErrorCode
+from ibishead.ids import TargetId
+
+__all__ = [
+    "Affinity",
+    "Clairvoyant",
+    "Decisions",
+    "Features",
+    "LeastLoaded",
+    "Policy",
+    "Random",
+]
+
+
+class Policy(Protocol):
+    """What a run asks of a policy."""
+
+    name: str
+    #: Whether loads wait for permits, and whether late requests are answered early.
+    permits: bool
+    drops_late: bool
+    #: Whether entry hosts count own dispatches.
+    corrects: bool
+
+    def route(
+        self, request: Request, view: EntryView, now: float
+    ) -> TargetId | Refused | None:
+        """Return a target, a refusal, or none when no target is up."""
+
+    def choose_next(self, engine: Engine, ready: list[Waiting], now: float):
+        """Return the request to run next."""
+
+    def choose_victim(self, engine: Engine, now: float) -> SlotView | None:
+        """Return the slot to empty."""
+
+    def rate_load(self, engine: Engine, now: float) -> tuple[float, int] | None:
+        """Return urgency and digest of an engine's next load."""
+
+    def prefetch(self, engines: list[Engine], now: float) -> tuple[Engine, int] | None:
+        """Return a load that nobody waits for yet."""
+
+
+class _Baseline:
+    """First come, first served, least recently used; no permits, no refusals."""
+
+    name = ""
+    permits = False
+    drops_late = False
+    corrects = False
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+
+    def route(self, request: Request, view: EntryView, now: float):
+        """Choose among all that can be reached."""
+        usable = [
+            item
+            for item in view.all()
+            if item.reachable and item.target not in request.avoid
+        ]
+        return self.choose(request, usable).target if usable else None
+
+    def choose(self, request: Request, usable: list[TargetView]) -> TargetView:
+        """Choose one target."""
+        raise NotImplementedError
+
+    def choose_next(self, engine: Engine, ready: list[Waiting], now: float):
+        """Return the oldest."""
+        return min(ready, key=lambda item: item.arrived, default=None)
+
+    def choose_victim(self, engine: Engine, now: float) -> SlotView | None:
+        """Return the least recently used that isn't pinned."""
+        free = [slot for slot in engine.slot_views() if not slot.pins]
+        return min(free, key=lambda slot: slot.last_used, default=None)
+
+    def rate_load(self, engine: Engine, now: float):
+        """Return the wish that has waited longest."""
+        ready = [wish for wish in engine.wishes() if wish.not_before <= now]
+        best = max(ready, key=lambda wish: wish.oldest, default=None)
+        return None if best is None else (best.oldest, best.digest)
+
+    def prefetch(self, engines: list[Engine], now: float):
+        """Return nothing."""
+
+
+class Random(_Baseline):
+    """Any target."""
+
+    name = "random"
+
+    def choose(self, request: Request, usable: list[TargetView]) -> TargetView:
+        """Return any."""
+        return self.chance.choice(usable)
+
+
+class LeastLoaded(_Baseline):
+    """The target with the fewest requests."""
+
+    name = "least loaded"
+
+    def choose(self, request: Request, usable: list[TargetView]) -> TargetView:
+        """Return the least loaded as last reported."""
+        return min(usable, key=lambda item: (_load(item), self.chance.random()))
+
+
+class Affinity(_Baseline):
+    """A target that holds the adapter, while its queue is short; else least loaded."""
+
+    name = "affinity, LRU"
+
+    def choose(self, request: Request, usable: list[TargetView]) -> TargetView:
+        """Prefer holders whose queue is below one batch."""
+        holders = [
+            item
+            for item in usable
+            if (request.adapter in item.resident or request.adapter in item.loading)
+            and item.queued < item.batch
+        ]
+        return min(
+            holders or usable, key=lambda item: (_load(item), self.chance.random())
+        )
+
+
+@dataclass(frozen=True)
+class Features:
+    """Ideas that can be taken out one by one.
+
+    An idea is taken out by hiding from the real decision what it goes by.
+    """
+
+    own_dispatches: bool = True
+    reuse: bool = True
+    coldest: bool = True
+    replicas: bool = True
+    slow: bool = True
+    grouping: bool = True
+    fairness: bool = True
+    harm: bool = True
+    permits: bool = True
+    admission: bool = True
+    drops_late: bool = True
+    spare_waiting: bool = True
+
+
+class Decisions:
+    """The decisions of the programs, from what the programs know."""
+
+    def __init__(
+        self,
+        seed: int,
+        features: Features | None = None,
+        stall_weight: float = 0.5,
+        name: str = "ibishead",
+    ) -> None:
+        self.name = name
+        self.chance = random.Random(seed)
+        self.features = features or Features()
+        self.stall_weight = stall_weight
+        self.permits = self.features.permits
+        self.drops_late = self.features.drops_late
+        self.corrects = self.features.own_dispatches
+        self._waiting: dict[tuple[int, int], float] = {}
+
+    def route(self, request: Request, view: EntryView, now: float):
+        """Place the request, then admit it by the wait that it meets there."""
+        query = PlacementQuery(
+            request.adapter, self.stall_weight, avoid=frozenset(request.avoid)
+        )
+        targets = self._hide(request, view.candidates(request.adapter))
+        placed = place(query, targets, self.chance.random)
+        if placed is None:
+            return None
+        if self.features.admission:
+            verdict = admit(self._ask(request, view, placed.expected_wait, now))
+            if isinstance(verdict, Refused):
+                return verdict
+        return placed.target
+
+    def _ask(
+        self, request: Request, view: EntryView, wait: float, now: float
+    ) -> AdmissionQuery:
+        up = [item for item in view.all() if item.reachable]
+        capacity = sum(item.batch for item in up)
+        held = sum(item.running + item.queued + item.recent for item in up)
+        return AdmissionQuery(
+            priority=request.priority,
+            deadline=request.deadline - now,
+            waiting=max(0, held - capacity),
+            capacity=capacity,
+            seconds_per_request=sum(item.seconds_per_request for item in up)
+            / max(len(up), 1),
+            draw=self.chance.random(),
+            expected_wait=wait,
+        )
+
+    def _hide(self, request: Request, targets: list[TargetView]) -> list[TargetView]:
+        features = self.features
+        if not features.coldest:
+            targets = [replace(item, coldest=0.0) for item in targets]
+        if not features.slow and targets:
+            mean = sum(item.seconds_per_request for item in targets) / len(targets)
+            targets = [replace(item, seconds_per_request=mean) for item in targets]
+        if not features.replicas:
+            holders = [
+                item
+                for item in targets
+                if item.reachable and request.adapter in (item.resident | item.loading)
+            ]
+            targets = holders or targets
+        return targets
+
+    def choose_next(self, engine: Engine, ready: list[Waiting], now: float):
+        """Ask the queueing decision."""
+        used = engine.fair.read(now) if self.features.fairness else None
+        weight = self.stall_weight if self.features.grouping else 1.0
+        return choose_next(ready, engine.running, now, used=used, stall_weight=weight)
+
+    def choose_victim(self, engine: Engine, now: float) -> SlotView | None:
+        """Ask the eviction decision."""
+        slots = engine.slot_views()
+        if not self.features.reuse:
+            slots = [replace(slot, reuse=0.0) for slot in slots]
+        return choose_victim(slots, now, spare_waiting=self.features.spare_waiting)
+
+    def rate_load(self, engine: Engine, now: float):
+        """Ask the loading decision."""
+        ready = [wish for wish in engine.wishes() if wish.not_before <= now]
+        key = urgency if self.features.harm else (lambda wish: wish.oldest)
+        best = max(ready, key=key, default=None)
+        return None if best is None else (key(best), best.digest)
+
+    def prefetch(self, engines: list[Engine], now: float):
+        """Return nothing."""
+
+
+class Clairvoyant(_Baseline):
+    """Knows all arrivals and the true state of every engine.
+
+    It evicts what is asked for last (Belady's rule over a service's engines) and,
+    when it prefetches, spends every load that nobody waits for on the next arrival
+    that would stall. No policy without knowledge of the future can do that.
+    """
+
+    permits = True
+    drops_late = True
+
+    def __init__(self, seed: int, engines: list[Engine], future: Future, ahead: int):
+        super().__init__(seed)
+        self.name = "clairvoyant" if ahead else "clairvoyant, on demand"
+        self.engines = engines
+        self.future = future
+        self.ahead = ahead
+        self._position = 0
+
+    def route(self, request: Request, view: EntryView, now: float):
+        """Choose by the true state; a load goes where the best victim is."""
+        group = [
+            engine
+            for engine in self.engines
+            if engine.service == request.service and engine.up
+        ]
+        if not group:
+            return None
+        views = [self._see(engine, now) for engine in group]
+        query = PlacementQuery(request.adapter, avoid=frozenset(request.avoid))
+        placed = place(query, views, self.chance.random)
+        if placed is None:
+            return None
+        wait = placed.expected_wait
+        if now + wait + request.tokens * 0.03 > request.deadline:
+            return Refused(
+                ErrorCode.DEADLINE_UNREACHABLE,
+                "too late",
+                max(1.0, wait) * (1 + self.chance.random()),
+            )
+        if placed.reason != "load":
+            return placed.target
+        free = [
+            engine
+            for engine in group
+            if request.adapter not in engine.slots
+            and request.adapter not in engine.loading
+        ]
+        return min(free, key=lambda engine: self._rate(engine, now)).target
+
+    def _see(self, engine: Engine, now: float) -> TargetView:
+        report = engine.report(None)
+        victim = None if engine.has_empty_slot() else self.choose_victim(engine, now)
+        coldest = 0.0
+        if victim is not None:
+            ahead = max(1.0, self._next(engine, victim, now) - now)
+            coldest = HALF_LIFE / ahead
+        return TargetView(
+            engine.target,
+            engine.failure_domain,
+            report.running,
+            report.queued,
+            batch=BATCH,
+            resident=frozenset(engine.slots),
+            loading=frozenset(engine.loading),
+            seconds_per_request=report.seconds_per_request,
+            seconds_per_load=report.seconds_per_load,
+            wishes=report.wishes,
+            free_slots=report.free_slots,
+            coldest=coldest,
+            stalled=report.stalled,
+        )
+
+    def _rate(self, engine: Engine, now: float) -> tuple[float, float]:
+        if engine.has_empty_slot():
+            return (_true_wait(engine), -1e9)
+        victim = self.choose_victim(engine, now)
+        if victim is None:
+            return (_true_wait(engine) + engine.seconds_per_request, 0.0)
+        return (_true_wait(engine), -self._next(engine, victim, now))
+
+    def choose_victim(self, engine: Engine, now: float) -> SlotView | None:
+        """Return the adapter that is asked for last."""
+        free = [
+            slot for slot in engine.slot_views() if not slot.pins and not slot.waiting
+        ]
+        return max(free, key=lambda slot: self._next(engine, slot, now), default=None)
+
+    def _next(self, engine: Engine, slot: SlotView, now: float) -> float:
+        for other in self.engines:
+            if (
+                other is not engine
+                and other.service == engine.service
+                and slot.digest in other.slots
+            ):
+                return 1e9
+        return self.future.next_use(engine.service, slot.digest, now)
+
+    def prefetch(self, engines: list[Engine], now: float):
+        """Return the next arrival that would stall, if it has room."""
+        if not self.ahead:
+            return None
+        arrivals = self.future.arrivals
+        while (
+            self._position < len(arrivals) and arrivals[self._position].arrival <= now
+        ):
+            self._position += 1
+        for request in arrivals[self._position : self._position + self.ahead]:
+            found = self._find_room(request, engines, now)
+            if found is not None:
+                return found, request.adapter
+        return None
+
+    def _find_room(self, request: Request, engines: list[Engine], now: float):
+        group = [item for item in engines if item.service == request.service]
+        if any(
+            request.adapter in item.slots or request.adapter in item.loading
+            for item in group
+        ):
+            return None
+        best, best_use = None, request.arrival
+        for engine in group:
+            if not engine.up:
+                continue
+            if engine.has_empty_slot():
+                return engine
+            victim = self.choose_victim(engine, now)
+            if victim is None:
+                continue
+            use = self._next(engine, victim, now)
+            if use > best_use:
+                best, best_use = engine, use
+        return best
+
+
+def _true_wait(engine: Engine) -> float:
+    over = engine.size + engine.queued - engine.stalled() + 1 - BATCH
+    return max(0, over) * engine.seconds_per_request / BATCH
+
+
+def _load(view: TargetView) -> float:
+    return (view.running + view.queued) / view.batch
--- a/src/ibishead/decisions/eviction.py
+++ b/src/ibishead/decisions/eviction.py
@@ -3,7 +3,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ["SlotView", "choose_victim"]
+__all__ = ["ReuseCounter", "SlotView", "choose_victim", "expect_reuse"]
+
+#: Seconds after which a use counts half. Long enough to tell the frequent from the
+#: lucky, short enough that a favourite of yesterday leaves within minutes.
+HALF_LIFE = 120.0
+#: Uses that must have failed to come, by the adapter's own rate, before its silence
+#: counts against it; with fewer, chance alone would evict the frequent.
+SILENT_USES = 1.5
+#: Adapters counted per agent, resident or not; the coldest are forgotten beyond.
+MAX_COUNTED = 4096
 
 
 @dataclass(frozen=True)
@@ -13,7 +22,7 @@
     :param digest: of the adapter, see `placement.adapter_digest`.
     :param pins: requests that the target is or may be running with it.
     :param last_used: monotonic seconds.
-    :param reuse: aged count of uses, see `observe_use`.
+    :param reuse: aged count of uses, see `ReuseCounter.read`.
     :param waiting: requests queued for it.
     """
 
@@ -24,10 +33,68 @@
     waiting: int = 0
 
 
-def choose_victim(slots: Sequence[SlotView], now: float) -> SlotView | None:
-    """Return the slot to empty, or none when all are pinned.
+class ReuseCounter:
+    """Counts uses of adapters, older ones for less.
+
+    The count outlives the adapter's stay in a slot, so that one which is asked for
+    often but was evicted once is told from one that is asked for the first time.
+
+    :param half_life: seconds after which a use counts half.
+    """
+
+    def __init__(self, half_life: float = HALF_LIFE) -> None:
+        self._half_life = half_life
+        self._counts: dict[int, tuple[float, float]] = {}
+
+    def observe_use(self, digest: int, now: float) -> None:
+        """Count one use."""
+        self._counts[digest] = (self.read(digest, now) + 1.0, now)
+        if len(self._counts) > MAX_COUNTED:
+            self._forget_coldest(now)
+
+    def read(self, digest: int, now: float) -> float:
+        """Return the aged count, 0 for an adapter that was never used."""
+        count, at = self._counts.get(digest, (0.0, now))
+        return count * 0.5 ** ((now - at) / self._half_life)
+
+    def _forget_coldest(self, now: float) -> None:
+        coldest = sorted(self._counts, key=lambda digest: self.read(digest, now))
+        for digest in coldest[: MAX_COUNTED // 4]:
+            del self._counts[digest]
+
+
+def expect_reuse(slot: SlotView, now: float) -> float:
+    """Return the aged uses to reckon with, its silence taken into account.
+
+    Load: popularity that shifts without warning. Harm: the favourite of an hour ago
+    keeps its slot by its old count for many half-lives. One that was used often and
+    has been silent since can't be as frequent as it was, so the count is capped by
+    what its silence still allows.
+    """
+    silence = max(now - slot.last_used, 1e-3)
+    return min(slot.reuse, SILENT_USES * HALF_LIFE / silence)
+
+
+def choose_victim(
+    slots: Sequence[SlotView], now: float, *, spare_waiting: bool = False
+) -> SlotView | None:
+    """Return the slot to empty, or none when none may be.
+
+    Load: thousands of skewed adapters through a few slots. Harm: the one that left
+    is asked for next and takes another of the store's few loads. A pinned slot
+    serves a request and is never a candidate; one with waiting requests comes last,
+    because its eviction only moves the stall from one caller to another.
 
     :param now: monotonic seconds.
+    :param spare_waiting: return none rather than a slot that requests wait for.
     """
-    free = [slot for slot in slots if slot.pins == 0]
-    return min(free, key=lambda slot: slot.last_used, default=None)
+    free = [
+        slot
+        for slot in slots
+        if slot.pins == 0 and not (spare_waiting and slot.waiting)
+    ]
+    return min(
+        free,
+        key=lambda slot: (slot.waiting, expect_reuse(slot, now), slot.last_used),
+        default=None,
+    )
--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -7,7 +7,33 @@
 
 from ibishead.ids import AdapterName, FailureDomain, TargetId, Version
 
-__all__ = ["Placed", "PlacementQuery", "TargetView", "adapter_digest", "place"]
+__all__ = [
+    "Placed",
+    "PlacementQuery",
+    "TargetView",
+    "adapter_digest",
+    "place",
+    "rank_targets",
+]
+
+#: Targets that may take an adapter which none of the usable ones holds. Two entry
+#: hosts with different reports load it at most this many times; with fewer, an
+#: adapter is tied to targets whose slots may all be in use.
+HASH_CANDIDATES = 2
+#: Multiple of the mean load up to which a target takes further adapters.
+LOAD_BOUND = 1.25
+#: Multiple of the fastest run time from which a target counts as slow. Ordinary
+#: differences of batch and length stay below it.
+SLOW_FACTOR = 2.0
+#: Seconds for which a full batch is preferred or avoided, by the stall weight.
+PACKING_SECONDS = 0.5
+#: Chance of having to load the evicted adapter again, for each of its aged uses.
+REUSE_CERTAIN = 0.25
+#: What loads count for at a stall weight of 0; with nothing, copies of hot adapters
+#: would keep the store overloaded for good.
+LEAST_LOAD_WEIGHT = 0.5
+#: Seconds of store time that one load takes from others: 4 loads a second.
+STORE_SECONDS = 0.25
 
 
 @dataclass(frozen=True)
@@ -20,9 +46,14 @@
     :param batch: requests that the target runs at once.
     :param slots: adapters that it holds at once.
     :param resident: digests of the adapters in its slots.
-    :param loading: digests of the adapters on their way.
+    :param loading: digests of the adapters on their way, own dispatches included.
     :param seconds_per_request: measured mean time of one run.
     :param reachable: the link to its agent is alive.
+    :param seconds_per_load: measured mean time from wish to resident adapter.
+    :param wishes: adapters whose load is waited for and hasn't begun.
+    :param free_slots: slots that are empty or may be emptied.
+    :param coldest: aged uses of the adapter that would leave next.
+    :param stalled: requests among the queued that wait for their adapter.
     """
 
     target: TargetId
@@ -37,6 +68,11 @@
     seconds_per_request: float = 1.0
     reachable: bool = True
     draining: bool = False
+    seconds_per_load: float = 0.25
+    wishes: int = 0
+    free_slots: int = 1
+    coldest: float = 0.0
+    stalled: int = 0
 
 
 @dataclass(frozen=True)
@@ -56,10 +92,14 @@
 
 @dataclass(frozen=True)
 class Placed:
-    """A target and the reason it was chosen, for `explain`."""
+    """A target and the reason it was chosen, for `explain`.
+
+    :param expected_wait: seconds until the run begins, the load included.
+    """
 
     target: TargetId
     reason: str
+    expected_wait: float = 0.0
 
 
 def adapter_digest(adapter: AdapterName, version: Version) -> int:
@@ -72,6 +112,18 @@
     return xxhash.xxh32_intdigest(f"{adapter}@{version}".encode()) or 1
 
 
+def rank_targets(adapter: int, targets: Sequence[TargetView]) -> list[TargetView]:
+    """Return the targets in the adapter's rendezvous order, the same everywhere.
+
+    A target that joins or leaves moves only the adapters that it comes before.
+    """
+    return sorted(
+        targets,
+        key=lambda view: xxhash.xxh32_intdigest(view.target.encode(), adapter),
+        reverse=True,
+    )
+
+
 def place(
     query: PlacementQuery,
     targets: Sequence[TargetView],
@@ -79,6 +131,10 @@
 ) -> Placed | None:
     """Choose a target, or none when no target can take the request.
 
+    Every choice is an expected delay in seconds, the one that this request meets
+    and the one that it brings to others, so that queue, slowness and load compare.
+
+    :param targets: all of a small fleet, or `EntryView.candidates` of a large one.
     :param draw: returns a number from 0 up to 1, to break ties.
     """
     usable = [
@@ -88,9 +144,113 @@
     ]
     if not usable:
         return None
-    best = min(usable, key=lambda view: (_load(view), draw()))
-    return Placed(best.target, "least loaded")
+    fleet = _Fleet(
+        min(view.seconds_per_request for view in usable),
+        sum(view.seconds_per_load for view in usable) / len(usable),
+        sum(view.wishes for view in usable),
+    )
+    holders = usable
+    others: list[TargetView] = []
+    if query.adapter:
+        holders = [
+            view
+            for view in usable
+            if query.adapter in view.resident or query.adapter in view.loading
+        ]
+        others = _choose_new_holders(query.adapter, usable, holders)
+    # All that queue at the shortest of the holders gain by another holder.
+    gainers = max(1, min((_held(view) - view.batch for view in holders), default=1))
+    # Ties are broken by chance, or all entry hosts would take the same idle target.
+    choices = [
+        (_cost_of_holder(query, view, fleet), draw(), view, "resident")
+        for view in holders
+    ] + [
+        (_cost_of_load(query, view, fleet, gainers), draw(), view, "load")
+        for view in others
+    ]
+    _, _, best, reason = min(choices, key=lambda choice: choice[:2])
+    return Placed(best.target, reason, _expect_wait(query.adapter, best))
+
+
+@dataclass(frozen=True)
+class _Fleet:
+    fastest: float
+    seconds_per_load: float
+    wishes: int
+
+
+def _choose_new_holders(
+    adapter: int, usable: list[TargetView], holders: list[TargetView]
+) -> list[TargetView]:
+    # Load: thousands of rare adapters, several entry hosts that don't talk. Harm:
+    # each host loads the adapter to its own idle target, and the store's few loads
+    # are spent twice. All hosts rank alike, and the bound keeps a target that the
+    # hash has dealt many hot adapters from taking more of them.
+    held = {view.target for view in holders}
+    free = [view for view in usable if view.target not in held]
+    bound = LOAD_BOUND * sum(_load(view) for view in usable) / len(usable)
+    below = [view for view in free if _load(view) <= max(bound, 1.0)]
+    return rank_targets(adapter, below or free)[:HASH_CANDIDATES]
+
+
+def _cost_of_holder(query: PlacementQuery, view: TargetView, fleet: _Fleet) -> float:
+    arriving = query.adapter and query.adapter not in view.resident
+    load = view.seconds_per_load / 2 if arriving else 0.0
+    return load + _cost_of_turn(query, view, fleet)
+
+
+def _cost_of_load(
+    query: PlacementQuery, view: TargetView, fleet: _Fleet, gainers: int
+) -> float:
+    # Load: a hot adapter whose holder queues, beside rare ones that wait for the
+    # store. Harm: a replica of the hot one takes a load from those. It is made only
+    # when its holder's queue exceeds this load, the wait it adds to other loads and
+    # the worth of what it evicts; the stall weight scales what they count for.
+    blocked = view.seconds_per_request / 2 if view.free_slots <= 0 else 0.0
+    wait = max(view.seconds_per_load, STORE_SECONDS * (1 + fleet.wishes))
+    reloaded = min(1.0, REUSE_CERTAIN * view.coldest)
+    harm = (wait + _cost_to_others(fleet)) * (1.0 + reloaded) / gainers
+    weight = LEAST_LOAD_WEIGHT + query.stall_weight
+    turn = _cost_of_turn(query, view, fleet)
+    return blocked + weight * (wait + harm) + turn
+
+
+def _cost_to_others(fleet: _Fleet) -> float:
+    # One more load delays those that come before the store next idles: few while it
+    # has time to spare, very many near its rate. For arrivals by chance and loads of
+    # one length S that wait w on average, that delay is w * (1 + 2 * w / S) in sum.
+    queue = max(0.0, fleet.seconds_per_load - STORE_SECONDS)
+    queue = max(queue, STORE_SECONDS * fleet.wishes)
+    return STORE_SECONDS / 2 + queue * (1.0 + 2.0 * queue / STORE_SECONDS)
+
+
+def _cost_of_turn(query: PlacementQuery, view: TargetView, fleet: _Fleet) -> float:
+    # Load: one target that runs slowly while its queue looks as short as the rest's.
+    # Harm: it gets its full part and its callers are late. Its excess is charged in
+    # full, so that work shifts as soon as another target ends it earlier.
+    slowness = max(0.0, view.seconds_per_request - SLOW_FACTOR * fleet.fastest)
+    packing = (2.0 * query.stall_weight - 1.0) * PACKING_SECONDS
+    return _wait(view) + slowness + packing * min(_load(view), 1.0)
+
+
+def _expect_wait(adapter: int, view: TargetView) -> float:
+    wait = _wait(view)
+    if adapter and adapter not in view.resident:
+        return max(wait, view.seconds_per_load)
+    return wait
+
+
+def _wait(view: TargetView) -> float:
+    over = _held(view) + 1 - view.batch
+    return max(0, over) * view.seconds_per_request / max(view.batch, 1)
 
 
 def _load(view: TargetView) -> float:
-    return (view.running + view.queued + view.recent) / max(view.batch, 1)
+    return _held(view) / max(view.batch, 1)
+
+
+def _held(view: TargetView) -> int:
+    # Load: a target whose queue waits for adapters while its batch has room. Harm:
+    # it looks busy, so that hot adapters are copied elsewhere, which takes the loads
+    # that its queue waits for; the store then stays overloaded by copies alone.
+    return view.running + view.queued + view.recent - view.stalled
--- /dev/null
+++ b/src/ibishead/decisions/views.py
@@ -0,0 +1,206 @@
+"""What an entry host knows of its targets, and which of them an adapter concerns."""
+
+from bisect import bisect_left, insort
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+import xxhash
+
+from ibishead.decisions.placement import TargetView
+from ibishead.ids import FailureDomain, TargetId
+from ibishead.messages import LoadReport
+
+__all__ = ["EntryView", "TargetIndex"]
+
+#: Points of each target on the hash ring; more make the shares more even.
+RING_POINTS = 32
+#: Targets that the ring proposes for an adapter. Above the placement's own number
+#: of candidates, so that some may be down, full or slow.
+NEIGHBOURS = 8
+#: Holders looked at for one adapter: a service's hottest may be on every target.
+MAX_HOLDERS = 8
+#: Targets up to which all are looked at.
+SMALL_FLEET = 16
+#: Seconds by which a report may be older than its arrival.
+REPORT_LAG = 0.1
+
+
+class TargetIndex:
+    """Finds the targets that an adapter concerns without looking at all of them.
+
+    Load: hundreds of targets and tens of thousands of adapters. Harm: a decision
+    that visits every target costs more with each target added. A lookup costs the
+    logarithm of the ring and the few that it returns.
+    """
+
+    def __init__(self) -> None:
+        self._ring: list[tuple[int, TargetId]] = []
+        self._held: dict[TargetId, frozenset[int]] = {}
+        self._holders: dict[int, dict[TargetId, None]] = {}
+
+    def __len__(self) -> int:
+        return len(self._held)
+
+    def add(self, target: TargetId) -> None:
+        """Take a target in; again without effect."""
+        if target in self._held:
+            return
+        self._held[target] = frozenset()
+        for point in _points(target):
+            insort(self._ring, (point, target))
+
+    def remove(self, target: TargetId) -> None:
+        """Forget a target and what it holds."""
+        if target not in self._held:
+            return
+        self.set_held(target, frozenset())
+        del self._held[target]
+        self._ring = [entry for entry in self._ring if entry[1] != target]
+
+    def set_held(self, target: TargetId, digests: frozenset[int]) -> None:
+        """Record all adapters that a known target has in slots or on their way."""
+        before = self._held[target]
+        if before == digests:
+            return
+        self._held[target] = digests
+        for digest in before - digests:
+            holders = self._holders[digest]
+            del holders[target]
+            if not holders:
+                del self._holders[digest]
+        for digest in digests - before:
+            self._holders.setdefault(digest, {})[target] = None
+
+    def find(self, digest: int) -> list[TargetId]:
+        """Return holders and ring neighbours of an adapter, each once."""
+        if len(self._held) <= SMALL_FLEET:
+            return list(self._held)
+        found: dict[TargetId, None] = {}
+        holders = self._holders.get(digest, {})
+        start = bisect_left(self._ring, (digest, ""))
+        if len(holders) <= MAX_HOLDERS:
+            found.update(holders)
+        else:
+            self._walk(start, found, MAX_HOLDERS, holders)
+        self._walk(start, found, len(found) + NEIGHBOURS, None)
+        return list(found)
+
+    def _walk(
+        self,
+        start: int,
+        found: dict[TargetId, None],
+        limit: int,
+        among: dict[TargetId, None] | None,
+    ) -> None:
+        size = len(self._ring)
+        for step in range(min(size, limit * RING_POINTS)):
+            target = self._ring[(start + step) % size][1]
+            if among is None or target in among:
+                found[target] = None
+            if len(found) >= limit:
+                return
+
+
+def _points(target: TargetId) -> Iterable[int]:
+    for number in range(RING_POINTS):
+        yield xxhash.xxh32_intdigest(target.encode(), number)
+
+
+@dataclass
+class _Known:
+    view: TargetView
+    report: LoadReport
+    recent: deque[tuple[float, int]] = field(default_factory=deque)
+
+
+class EntryView:
+    """One entry host's view of a service's targets.
+
+    Load: bursts that arrive between two reports, at several entry hosts. Harm: the
+    target that last looked idle gets all of them. Own dispatches count until a
+    report can include them, and their adapters count as on their way.
+
+    :param lag: seconds by which a report may be older than its arrival.
+    """
+
+    def __init__(self, lag: float = REPORT_LAG) -> None:
+        self._lag = lag
+        self._known: dict[TargetId, _Known] = {}
+        self._index = TargetIndex()
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def add(self, target: TargetId, failure_domain: FailureDomain) -> None:
+        """Take in a registered target that hasn't reported yet."""
+        if target not in self._known:
+            report = LoadReport(target, 0, 0, 1, 8, (), (), 1.0)
+            self._known[target] = _Known(TargetView(target, failure_domain), report)
+            self._index.add(target)
+
+    def remove(self, target: TargetId) -> None:
+        """Forget a target whose registration has ended."""
+        self._known.pop(target, None)
+        self._index.remove(target)
+
+    def observe(self, report: LoadReport, now: float) -> None:
+        """Take in a report; one of an unknown target is ignored.
+
+        :param now: monotonic seconds of its arrival.
+        """
+        known = self._known.get(report.target)
+        if known is None:
+            return
+        while known.recent and known.recent[0][0] <= now - self._lag:
+            known.recent.popleft()
+        known.report = report
+        self._correct(known)
+
+    def record_dispatch(self, target: TargetId, adapter: int, now: float) -> None:
+        """Count an own dispatch until a report can include it."""
+        known = self._known[target]
+        known.recent.append((now, adapter))
+        self._correct(known)
+
+    def set_reachable(self, target: TargetId, reachable: bool) -> None:
+        """Record that the link to the target's agent came up or went down."""
+        known = self._known.get(target)
+        if known is not None and known.view.reachable != reachable:
+            known.view = replace(known.view, reachable=reachable)
+
+    def candidates(self, adapter: int) -> list[TargetView]:
+        """Return the views among which `place` chooses for this adapter."""
+        if not adapter:
+            return [known.view for known in self._known.values()]
+        return [self._known[target].view for target in self._index.find(adapter)]
+
+    def all(self) -> list[TargetView]:
+        """Return the views of all targets."""
+        return [known.view for known in self._known.values()]
+
+    def _correct(self, known: _Known) -> None:
+        report, view = known.report, known.view
+        resident = frozenset(report.resident)
+        own = [adapter for _, adapter in known.recent if adapter]
+        loading = frozenset(report.loading).union(own) - resident
+        known.view = TargetView(
+            target=view.target,
+            failure_domain=view.failure_domain,
+            running=report.running,
+            queued=report.queued,
+            recent=len(known.recent),
+            batch=report.batch,
+            slots=report.slots,
+            resident=resident,
+            loading=loading,
+            seconds_per_request=report.seconds_per_request,
+            reachable=view.reachable,
+            draining=report.draining,
+            seconds_per_load=report.seconds_per_load,
+            wishes=report.wishes,
+            free_slots=report.free_slots,
+            coldest=report.coldest,
+            stalled=report.stalled + sum(adapter not in resident for adapter in own),
+        )
+        self._index.set_held(view.target, resident | loading)
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -251,6 +251,11 @@
     :param resident: digests (`placement.adapter_digest`) of adapters in slots.
     :param loading: digests of adapters on their way.
     :param seconds_per_request: measured mean time of one run.
+    :param seconds_per_load: measured mean time from wish to resident adapter.
+    :param wishes: adapters that requests wait for and whose load hasn't begun.
+    :param free_slots: slots that are empty or may be emptied now.
+    :param coldest: aged uses of the adapter that would leave next, 0 for an empty slot.
+    :param stalled: requests among the queued that wait for their adapter.
     """
 
     target: TargetId
@@ -262,6 +267,11 @@
     loading: tuple[int, ...]
     seconds_per_request: float
     draining: bool = False
+    seconds_per_load: float = 0.25
+    wishes: int = 0
+    free_slots: int = 1
+    coldest: float = 0.0
+    stalled: int = 0
 
 
 # Programs and control --------------------------------------------------------
