Prove the promises over fakes in virtual time

Cause: the promises were shown by calm runs only. Ruled out: rule-based machines with sockets; their timing isn't repeatable. Real programs over fake links in a loop whose time jumps give the same verdict each time. Before: no proof.

--- /dev/null
+++ b/tests/proofs/targets.py
@@ -0,0 +1,214 @@
+"""Fake targets with ledgers, in place of `agent.target.TargetClient`."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ibishead.agent.slots import AdapterKey, make_lora_name
+from ibishead.agent.target import EngineSample, TargetRestarted
+from ibishead.errors import LinkLost, Unavailable
+from ibishead.ids import BootId
+from ibishead.web import ClientAnswer, find_header
+
+__all__ = ["FakeEngine", "FakePlain", "Run"]
+
+STEP = 0.05
+TOKENS = 6
+LINGER = 0.4
+
+
+@dataclass
+class Run:
+    """One run that a target has begun.
+
+    :param served: the adapter that really made the answer.
+    """
+
+    request: str
+    key: str
+    began: float
+    served: str = ""
+    finished: bool = False
+
+
+@dataclass
+class FakeTarget:
+    """What engines and plain services share: a ledger, boots and freezes."""
+
+    boot: int = 1
+    runs: list[Run] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
+    frozen_until: float = 0.0
+
+    def restart(self) -> None:
+        """Lose everything but the ledger."""
+        self.boot += 1
+
+    def freeze(self, seconds: float) -> None:
+        """Answer nothing for a while."""
+        self.frozen_until = asyncio.get_running_loop().time() + seconds
+
+    def close(self) -> None:
+        """Nothing is kept."""
+
+    async def check_reachable(self) -> None:
+        await self._step(self.boot)
+
+    @contextlib.asynccontextmanager
+    async def borrow(self, boot, fresh=False):
+        actual = self.boot
+        await self._step(actual)
+        if boot is not None and boot != BootId(str(actual)):
+            raise TargetRestarted("restarted", "none")
+        connection = _Connection(self, actual)
+        try:
+            yield connection
+        finally:
+            connection.open = False
+
+    async def _step(self, boot: int, seconds: float = STEP) -> None:
+        await asyncio.sleep(seconds)
+        wait = self.frozen_until - asyncio.get_running_loop().time()
+        if wait > 0:
+            await asyncio.sleep(wait)
+        if boot != self.boot:
+            raise LinkLost("the target restarted", "none")
+
+    def _begin(self, headers) -> Run:
+        run = Run(
+            find_header(headers, "x-request-id") or "",
+            find_header(headers, "idempotency-key") or "",
+            asyncio.get_running_loop().time(),
+        )
+        self.runs.append(run)
+        return run
+
+
+@dataclass
+class _Connection:
+    target: "FakeTarget"
+    boot: int
+    open: bool = True
+
+    async def ask(self, method, path, headers=(), body=b""):
+        await self.target._step(self.boot)
+        return await self.target.answer(self, headers, body)
+
+
+class FakePlain(FakeTarget):
+    """Runs what it is told and echoes the body."""
+
+    async def answer(self, connection, headers, body):
+        run = self._begin(headers)
+        await self._step(connection.boot)
+        run.finished = True
+
+        async def chunks():
+            yield b"ran " + body
+
+        return ClientAnswer(200, (("content-type", "text/plain"),), chunks())
+
+
+class FakeEngine(FakeTarget):
+    """An engine with adapter slots that starts each boot empty.
+
+    :ivar failing: loads fail while it is set.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.failing = False
+        self._resident: set[str] = set()
+        self._active: list[tuple[Run, str]] = []
+
+    def restart(self) -> None:
+        super().restart()
+        self._resident.clear()
+        self._active.clear()
+
+    async def sample(self) -> EngineSample:
+        await self._step(self.boot)
+        busy = {_parse(name) for _, name in self._active}
+        return EngineSample(BootId(str(self.boot)), len(busy), 0, frozenset(busy))
+
+    async def list_adapters(self, boot):
+        await self._step(self.boot)
+        self._check_boot(boot)
+        return [_parse(name) for name in sorted(self._resident)]
+
+    async def load(self, key, source, boot, incarnation) -> None:
+        self._check_boot(boot)
+        await self._step(self.boot, 0.25)
+        if self.failing:
+            raise Unavailable("load failed", "none")
+        self._resident.add(make_lora_name(key))
+
+    async def unload(self, key, boot, incarnation) -> None:
+        self._check_boot(boot)
+        name = make_lora_name(key)
+        if any(served == name for _, served in self._active):
+            self.violations.append(name)
+        self._resident.discard(name)
+        await self._step(self.boot)
+
+    async def answer(self, connection, headers, body):
+        asked = msgspec.json.decode(body)
+        name = asked["model"]
+        if name not in self._resident:
+            return ClientAnswer(404, (), _iterate([b"no such model"]))
+        run = self._begin(headers)
+        run.served = name
+        active = (run, name)
+        self._active.append(active)
+        kind = "text/event-stream" if asked.get("stream") else "application/json"
+        pieces = self._generate(connection, active, asked)
+        if not asked.get("stream"):
+            pieces = _join(pieces, name)
+        return ClientAnswer(200, (("content-type", kind),), pieces)
+
+    async def _generate(self, connection, active, asked):
+        run, name = active
+        boot = connection.boot
+        try:
+            for number in range(TOKENS):
+                await self._step(boot)
+                token = f"{name}:{asked['prompt']}:{number}"
+                event = msgspec.json.encode({"model": name, "text": token})
+                yield b"data: " + event + b"\n\n"
+            run.finished = True
+            yield b"data: [DONE]\n\n"
+        finally:
+            # An engine goes on for a while after its client has hung up
+            if run.finished:
+                self._end(active)
+            else:
+                loop = asyncio.get_running_loop()
+                loop.call_later(LINGER, self._end, active)
+
+    def _end(self, active) -> None:
+        if active in self._active:
+            self._active.remove(active)
+
+    def _check_boot(self, boot) -> None:
+        if boot != BootId(str(self.boot)):
+            raise TargetRestarted("restarted", "none")
+
+
+def _parse(name: str) -> AdapterKey:
+    adapter, _, version = name.partition("@")
+    return AdapterKey(adapter, version)
+
+
+async def _iterate(pieces):
+    for piece in pieces:
+        yield piece
+
+
+async def _join(pieces, name):
+    events = [piece async for piece in pieces]
+    texts = [
+        msgspec.json.decode(event[len(b"data: ") :])["text"] for event in events[:-1]
+    ]
+    yield msgspec.json.encode({"model": name, "text": " ".join(texts)})
--- /dev/null
+++ b/tests/proofs/world.py
@@ -0,0 +1,372 @@
+"""A whole fleet in one loop: real entries, agents and control over fake links."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import h11
+import msgspec
+from tests.proofs.network import FakeNetwork
+from tests.proofs.targets import TOKENS, FakeEngine, FakePlain, FakeTarget
+from tests.proofs.virtual import LoopClock
+
+from ibishead.agent.agent import Agent
+from ibishead.control.commands import (
+    Accepted,
+    DrainTarget,
+    RetireTarget,
+    SubmitDocument,
+    decode_result,
+    encode_command,
+)
+from ibishead.control.granting import PermitDesk
+from ibishead.control.lone import LoneReplica
+from ibishead.control.publish import Publisher
+from ibishead.control.service import ControlService
+from ibishead.control.state import ControlState
+from ibishead.entry.host import EntryHost
+from ibishead.errors import IbisheadError
+from ibishead.ids import FailureDomain, HostId, ReplicaId, ServiceName, TargetId
+from ibishead.links import Endpoint
+from ibishead.messages import Hello, Outcome, Role, TargetKind
+from ibishead.settings import AgentSettings, EntrySettings, ListenSettings
+from ibishead.web import Exchange, WebRequest, find_header
+
+__all__ = ["Call", "World"]
+
+CONTROL = Endpoint("127.0.0.1", 1)
+CONTROL_HOST = HostId("control")
+DOMAIN = FailureDomain("szeged-a")
+NOWHERE = ListenSettings(Endpoint("127.0.0.1", 9))
+ADAPTERS = ("tisza", "balaton", "alfold")
+
+ENGINE_TEXT = """
+[service]
+name = mester
+team = halo
+kind = engine
+model = base
+default_class = plan
+adapter_source = store/{adapter}/{version}
+[class:plan]
+priority = 5
+deadline = 20 s
+idempotent = yes
+[adapters]
+"""
+
+PLAIN_TEXT = """
+[service]
+name = raktar
+team = halo
+kind = plain
+default_class = issue
+[class:issue]
+priority = 9
+deadline = 20 s
+idempotent = no
+"""
+
+
+@dataclass
+class Call:
+    """One call and what its caller got."""
+
+    model: str
+    prompt: str
+    key: str
+    sent: float
+    exchange: Exchange | None = None
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    ended: bool = False
+    aborted: bool = False
+    left: bool = False
+    task: asyncio.Task[None] | None = None
+
+    async def send(self, event: h11.Event) -> None:
+        """Take what the entry host writes, as its connection."""
+        match event:
+            case h11.Response():
+                self.status = event.status_code
+                self.headers = tuple((k.decode(), v.decode()) for k, v in event.headers)
+            case h11.Data():
+                self.body += event.data
+            case h11.EndOfMessage():
+                self.ended = True
+
+    def abort(self) -> None:
+        """Note that the connection was cut."""
+        self.aborted = True
+
+    @property
+    def outcome(self) -> Outcome | None:
+        """What the caller was told, none when the answer was cut off."""
+        told = find_header(self.headers, "x-ibishead-outcome")
+        if told is not None:
+            return Outcome(told)
+        if self.ended and self.body.endswith(b"data: [DONE]\n\n"):
+            return Outcome.COMPLETED
+        return Outcome.UNKNOWN if self.status else None
+
+    @property
+    def request(self) -> str:
+        """The id under which targets saw it."""
+        return find_header(self.headers, "x-ibishead-request") or ""
+
+
+@dataclass
+class Slot:
+    """A target, and the agent beside it while one runs."""
+
+    target: TargetId
+    fake: FakeTarget
+    settings: AgentSettings
+    agent: Agent | None = None
+    endpoint: Endpoint | None = None
+    stopping: asyncio.Task[None] | None = None
+
+
+@dataclass
+class World:
+    """Two entry hosts, two engines, two plain services and control."""
+
+    seed: int = 1
+    engines: int = 2
+    network: FakeNetwork = field(default_factory=FakeNetwork)
+    calls: list[Call] = field(default_factory=list)
+    slots: list[Slot] = field(default_factory=list)
+    entries: list[EntryHost | None] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self._ports = itertools.count(100)
+        self._submissions = itertools.count(1)
+        self._revisions = {"mester": 0, "raktar": 0}
+        self._clock = LoopClock()
+        self._chance = random.Random(self.seed)
+
+    async def start(self) -> None:
+        """Start all programs, and return once every target is seen."""
+        self._start_control()
+        self.submit("mester")
+        self.submit("raktar")
+        for number in range(self.engines):
+            await self._add_target(f"engine-{number}", "mester", FakeEngine())
+        for number in range(2):
+            await self._add_target(f"plain-{number}", "raktar", FakePlain())
+        for number in range(2):
+            self.entries.append(None)
+            self.start_entry(number)
+        await asyncio.sleep(3.0)
+
+    def submit(self, service: str, version: int = 1) -> None:
+        """Accept the next revision of a document."""
+        lines = [
+            f"{a} = {' '.join(str(v + 1) for v in range(version))}" for a in ADAPTERS
+        ]
+        text = ENGINE_TEXT + "\n".join(lines) if service == "mester" else PLAIN_TEXT
+        command = SubmitDocument(
+            ServiceName(service),
+            "halo",
+            self._revisions[service],
+            f"s{next(self._submissions)}",
+            text,
+            "kata",
+            0.0,
+        )
+        result = decode_result(self._machine.apply_next(encode_command(command)))
+        assert isinstance(result, Accepted), result
+        self._revisions[service] += 1
+
+    def drain(self, slot: Slot) -> None:
+        """Have an operator drain a target."""
+        self._machine.apply_next(encode_command(DrainTarget(slot.target)))
+
+    def retire(self, slot: Slot) -> None:
+        """Let control take an agent for dead, rightly or not."""
+        member = self.state.targets.members.get(slot.target)
+        if member is not None:
+            command = RetireTarget(
+                slot.target, member.record.incarnation, member.attachment
+            )
+            self._machine.apply_next(encode_command(command))
+
+    def start_entry(self, number: int) -> None:
+        """Start an entry host; it keeps nothing of an earlier life."""
+        settings = EntrySettings(
+            HostId(f"entry-{number}"), DOMAIN, NOWHERE, NOWHERE, (CONTROL,)
+        )
+        host = EntryHost(
+            settings,
+            self._clock,
+            random.Random(self._chance.random()),
+            self.network.dial,
+        )
+        host.start()
+        self.entries[number] = host
+
+    async def kill_entry(self, number: int) -> None:
+        """Kill an entry host with all that it was doing, and start it again."""
+        host = self.entries[number]
+        for call in self.calls:
+            if call.exchange is not None and call.host is host and not call.task.done():
+                call.task.cancel()
+                call.aborted = True
+        self.network.drop_host(HostId(f"entry-{number}"))
+        await host.stop()
+        self.start_entry(number)
+
+    async def restart_agent(self, slot: Slot) -> None:
+        """Kill an agent with all that it was doing, and start it again."""
+        if slot.agent is None or slot.stopping is not None:
+            return
+        self.network.remove(slot.endpoint)
+        agent, slot.agent = slot.agent, None
+        self.network.drop_host(slot.settings.host)
+        await agent.stop()
+        await self._start_agent(slot)
+
+    def stop_agent(self, slot: Slot) -> None:
+        """Ask an agent for a planned stop, as SIGTERM does."""
+        if slot.agent is not None and slot.stopping is None:
+            slot.stopping = asyncio.create_task(self._stop_agent(slot))
+
+    def call_model(self, entry: int, adapter: str, version: str, stream: bool) -> Call:
+        """Send a model call."""
+        prompt = f"p{len(self.calls)}"
+        model = f"mester/{adapter}" + (f"@{version}" if version else "")
+        body = {"model": model, "prompt": prompt, "stream": stream}
+        request = WebRequest(
+            "POST", "/v1/completions", "", (), msgspec.json.encode(body)
+        )
+        return self._send(entry, request, Call(model, prompt, "", self._now()))
+
+    def call_plain(self, entry: int, key: str) -> Call:
+        """Send a call that may run once, or send it again."""
+        headers = (("idempotency-key", key),) if key else ()
+        body = f"issue {key}".encode()
+        request = WebRequest("POST", "/services/raktar/issue", "", headers, body)
+        return self._send(entry, request, Call("", body.decode(), key, self._now()))
+
+    def leave(self, call: Call) -> None:
+        """Let a caller hang up."""
+        call.left = True
+        call.exchange.gone.set()
+
+    async def settle(self, seconds: float = 60.0) -> None:
+        """Return once every call has been answered."""
+        async with asyncio.timeout(seconds):
+            while not all(call.task.done() for call in self.calls):
+                await asyncio.sleep(0.1)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for host in self.entries:
+            await host.stop()
+        for slot in self.slots:
+            if slot.stopping is not None:
+                slot.stopping.cancel()
+            if slot.agent is not None:
+                await slot.agent.stop()
+
+    def _now(self) -> float:
+        return self._clock.monotonic()
+
+    def _start_control(self) -> None:
+        self.state = ControlState()
+        self._machine = _Machine(self.state)
+        replica = LoneReplica(ReplicaId("c1"), self._machine)
+        publisher = Publisher(self.state, replica.lease, self._clock)
+        desk = PermitDesk(self.state, replica, lambda *_: False, self._clock)
+        service = ControlService(
+            ReplicaId("c1"), self.state, replica, publisher, desk, self._clock
+        )
+        self.state.on_change = lambda: asyncio.get_running_loop().call_soon(
+            publisher.publish
+        )
+        hello = Hello(Role.CONTROL, CONTROL_HOST)
+        self.network.add(CONTROL, CONTROL_HOST, lambda: hello, service.serve)
+        self._reviewing = asyncio.create_task(_review(desk))
+
+    async def _add_target(self, name: str, service: str, fake: FakeTarget) -> None:
+        is_engine = isinstance(fake, FakeEngine)
+        settings = AgentSettings(
+            host=HostId(f"agent-{name}"),
+            failure_domain=DOMAIN,
+            target=TargetId(name),
+            service=ServiceName(service),
+            kind=TargetKind.ENGINE if is_engine else TargetKind.PLAIN,
+            links=NOWHERE,
+            operators=NOWHERE,
+            target_endpoint=NOWHERE.endpoint,
+            control=(CONTROL,),
+            lock=Path("unused"),
+            slots=2 if is_engine else 0,
+            batch=3,
+        )
+        slot = Slot(TargetId(name), fake, settings)
+        self.slots.append(slot)
+        await self._start_agent(slot)
+
+    async def _start_agent(self, slot: Slot) -> None:
+        endpoint = Endpoint("127.0.0.1", next(self._ports))
+        agent = Agent(
+            slot.settings, endpoint, slot.fake, self._clock, self.network.dial
+        )
+        slot.agent, slot.endpoint = agent, endpoint
+        self.network.add(endpoint, slot.settings.host, agent.greet, agent.serve)
+        slot.starting = asyncio.create_task(agent.start())
+
+    async def _stop_agent(self, slot: Slot) -> None:
+        agent = slot.agent
+        await agent.finish()
+        self.network.remove(slot.endpoint)
+        await agent.stop()
+        self.network.drop_host(slot.settings.host)
+        slot.agent = None
+
+    def _send(self, entry: int, request: WebRequest, call: Call) -> Call:
+        host = self.entries[entry]
+        call.exchange = Exchange(request, call)
+        call.host = host
+        call.task = asyncio.create_task(self._answer(host, call))
+        self.calls.append(call)
+        return call
+
+    async def _answer(self, host: EntryHost, call: Call) -> None:
+        try:
+            await host.pipeline.handle(call.exchange)
+        except IbisheadError as error:
+            if not call.exchange.started:
+                await call.exchange.respond_error(error)
+
+
+class _Machine:
+    """The state behind the replica, open to the test's own commands."""
+
+    def __init__(self, state: ControlState) -> None:
+        self._state = state
+        self._index = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        return self.apply_next(command)
+
+    def apply_next(self, command: bytes) -> bytes:
+        self._index += 1
+        return self._state.apply(self._index, command)
+
+
+async def _review(desk: PermitDesk) -> None:
+    while True:
+        await desk.review()
+        await asyncio.sleep(0.25)
+
+
+def expect_text(call: Call, version: str) -> str:
+    """Return the text that the right adapter makes of a call."""
+    adapter = call.model.partition("/")[2].partition("@")[0]
+    tokens = [f"{adapter}@{version}:{call.prompt}:{n}" for n in range(TOKENS)]
+    return " ".join(tokens)
