Feed the histograms of entry and agent

Cause: wait, load stall, first token, between tokens and batch fill were defined, but no program observed them. Ruled out: timing in the relay itself; a timer that notes frames is tested by itself. Scheduler takes metrics as a last argument with a default, for the agent's wiring to pass its own.

--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -23,6 +23,7 @@
 from ibishead.errors import ErrorCode, IbisheadError, LinkLost
 from ibishead.ids import BootId, Incarnation, TargetId
 from ibishead.messages import LoadReport, Outcome
+from ibishead.metrics import Measure, Metrics
 
 __all__ = ["Registrar", "Scheduler", "TargetShape"]
 
@@ -106,6 +107,7 @@
         client: TargetClient,
         registrar: Registrar,
         clock: Clock,
+        metrics: Metrics | None = None,
     ) -> None:
         self.gate = Gate()
         self.attempts = AttemptTable()
@@ -117,6 +119,7 @@
         self._client = client
         self._registrar = registrar
         self._clock = clock
+        self._metrics = metrics or Metrics("agent")
         self._wake = asyncio.Event()
         self._failures: dict[AdapterKey, _Failures] = {}
         self._loads: dict[AdapterKey, asyncio.Task[None]] = {}
@@ -249,6 +252,9 @@
                 if pin is None:
                     continue
             batch[chosen.adapter] += 1
+            self._observe(
+                attempt, Measure.BATCH_FILL, sum(batch.values()) / self._shape.batch
+            )
             attempt.state = AttemptState.RUNNING
             attempt.task = asyncio.create_task(self._run(attempt, pin, now))
             self.changed.set()
@@ -407,6 +413,8 @@
         ready_at = attempt.ready_at if attempt.ready_at is not None else now
         attempt.started = now
         waited = (now - ready_at, ready_at - attempt.arrived)
+        self._observe(attempt, Measure.WAIT, waited[0])
+        self._observe(attempt, Measure.LOAD_STALL, waited[1])
         boot = self.slots.boot if self._shape.is_engine else None
         ended = False
         try:
@@ -430,6 +438,10 @@
             self.changed.set()
             self._wake.set()
 
+    def _observe(self, attempt: Attempt, measure: Measure, value: float) -> None:
+        dispatch = attempt.dispatch
+        self._metrics.observe(measure, dispatch.team, dispatch.request_class, value)
+
     async def _settle(self, attempt: Attempt, end: RunEnd) -> None:
         match end:
             case RunEnd.COMPLETED:
--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -16,6 +16,7 @@
 from ibishead.entry.pages import Pages
 from ibishead.entry.relay import Relay
 from ibishead.entry.resolution import Resolved, resolve
+from ibishead.entry.timing import AnswerTimer
 from ibishead.entry.trace import Trace, TraceBook
 from ibishead.errors import (
     Conflict,
@@ -84,9 +85,16 @@
             )
             await exchange.respond_error(error, headers)
             return
+        timer = AnswerTimer(
+            self._metrics,
+            self._clock.monotonic,
+            now,
+            resolved.team,
+            resolved.request_class.name,
+        )
         job = Job(
             resolved=resolved,
-            relay=Relay(exchange, resolved),
+            relay=Relay(exchange, resolved, timer),
             trace=trace,
             deadline=now + resolved.request_class.deadline.total_seconds(),
         )
--- a/src/ibishead/entry/relay.py
+++ b/src/ibishead/entry/relay.py
@@ -5,6 +5,7 @@
 """
 
 from ibishead.entry.resolution import Resolved
+from ibishead.entry.timing import AnswerTimer
 from ibishead.errors import IbisheadError
 from ibishead.messages import AnswerBody, AnswerEnd, AnswerHead, Outcome
 from ibishead.session import Frame
@@ -46,8 +47,11 @@
     :ivar delivered: bytes of an answer have left, so no other attempt may follow.
     """
 
-    def __init__(self, exchange: Exchange, resolved: Resolved) -> None:
+    def __init__(
+        self, exchange: Exchange, resolved: Resolved, timer: AnswerTimer
+    ) -> None:
         self.delivered = False
+        self._timer = timer
         self._exchange = exchange
         self.resolved = resolved
         self._head: AnswerHead | None = None
@@ -65,6 +69,7 @@
 
         :raises LinkLost: the caller has left.
         """
+        self._timer.note(frame)
         match frame:
             case AnswerHead():
                 self._head = frame
