Let the agent's scheduler feed the metrics that its page shows

Cause: the scheduler observed into metrics of its own after the wiring moved. Ruled out: nothing else holds two. Before: the agent's /metrics held no observations. Conclusion: one Metrics a program.

--- a/src/ibishead/agent/agent.py
+++ b/src/ibishead/agent/agent.py
@@ -52,7 +52,7 @@
         )
         is_engine = settings.kind is TargetKind.ENGINE
         shape = TargetShape(settings.target, is_engine, settings.batch, settings.slots)
-        self.scheduler = Scheduler(shape, client, self.registrar, clock)
+        self.scheduler = Scheduler(shape, client, self.registrar, clock, self.metrics)
         self._reception = Reception(
             self.scheduler, self.tell_gate, self.registrar.owned, clock
         )
