Prove TLS over the whole path, and give the agent's pages theirs

Cause: TLS was tested for links and HTTP apart, never for control, agent, entry and command line together; the agent's operators port ignored http_certificate. Ruled out: separate processes here, the fleet's tests have those. Before: no such test. After: 3 tests pass in 1 s: a submitted document and a call cross TLS on every port, plain clients and a foreign authority are refused. Red with the entry's dialling context taken out (1 failed), with control's HTTP context out (2). Conclusion: 600 tests pass without tests/processes.

--- a/src/ibishead/agent/main.py
+++ b/src/ibishead/agent/main.py
@@ -46,7 +46,8 @@
     agent = Agent(settings, taken, client, clock)
     await agent.start()
     pages = AgentPages(agent.scheduler, agent.registrar, agent.metrics)
-    operators = WebServer(pages.handle)
+    http_tls = make_server_context(settings.http_tls) if settings.http_tls else None
+    operators = WebServer(pages.handle, tls=http_tls)
     write_port_file(settings.links, taken.port)
     write_port_file(
         settings.operators, (await operators.start(settings.operators.endpoint)).port
