--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -260,6 +260,11 @@
     :param loading: digests of adapters on their way.
     :param seconds_per_request: measured mean time of one run.
     :param healthy: the target itself answers.
+    :param seconds_per_load: measured mean time from wish to resident adapter.
+    :param wishes: adapters that requests wait for and whose load hasn't begun.
+    :param free_slots: slots that are empty or may be emptied now.
+    :param coldest: aged uses of the adapter that would leave next, 0 for an empty slot.
+    :param stalled: requests among the queued that wait for their adapter.
     """
 
     target: TargetId
@@ -272,6 +277,11 @@
     seconds_per_request: float
     draining: bool = False
     healthy: bool = True
+    seconds_per_load: float = 0.25
+    wishes: int = 0
+    free_slots: int = 1
+    coldest: float = 0.0
+    stalled: int = 0
 
 
 # Programs and control --------------------------------------------------------
