Don't refuse for good by documents that nobody vouches for

Cause: an entry host that has just started, or is cut off, answered 404 or 401 by no or old documents; a caller takes that for final, though other hosts would serve it. Ruled out: refusing everything without a lease, the document may allow to serve unconfirmed, which the agent's gate decides. Before: 404 unknown_service in the first moments. Conclusion: a negative answer needs a live lease.

--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -14,7 +14,7 @@
 from ibishead.entry.dispatching import Dispatcher, Job
 from ibishead.entry.pages import Pages
 from ibishead.entry.relay import Relay
-from ibishead.entry.resolution import Resolved, resolve
+from ibishead.entry.resolution import Resolved, resolve_confirmed
 from ibishead.entry.timing import AnswerTimer
 from ibishead.entry.trace import Trace, TraceBook
 from ibishead.errors import (
@@ -98,7 +98,9 @@
         await self._serve(exchange, job)
 
     def _resolve(self, call: Call, trace: Trace) -> Resolved:
-        resolved = resolve(call, self._subscription.catalog)
+        resolved = resolve_confirmed(
+            call, self._subscription.catalog, self._subscription.is_current()
+        )
         trace.add(
             self._clock.monotonic(),
             "resolve",
--- a/src/ibishead/entry/resolution.py
+++ b/src/ibishead/entry/resolution.py
@@ -2,6 +2,7 @@
 
 import hashlib
 from dataclasses import dataclass
+from datetime import timedelta
 
 import msgspec
 
@@ -9,12 +10,22 @@
 from ibishead.documents import Adapter, RequestClass, ServiceDocument
 from ibishead.entry.call import Call
 from ibishead.entry.routing import choose_class
-from ibishead.errors import ErrorCode, InvalidInput, NotFound
+from ibishead.errors import (
+    ErrorCode,
+    InvalidInput,
+    NotFound,
+    Unauthorized,
+    Unavailable,
+)
 from ibishead.ids import ServiceName, TeamId, Version
 from ibishead.keys import find_caller, require_caller
 from ibishead.messages import TargetKind
 
-__all__ = ["Resolved", "list_models", "resolve"]
+__all__ = ["Resolved", "list_models", "resolve", "resolve_confirmed"]
+
+#: When a caller may come back to a host without a live lease; one is had or regained
+#: within a second or two where a quorum can be reached.
+UNCONFIRMED_RETRY_AFTER = timedelta(seconds=2)
 
 
 @dataclass(frozen=True)
@@ -42,6 +53,30 @@
         return self.held.document
 
 
+def resolve_confirmed(call: Call, catalog: Catalog, current: bool) -> Resolved:
+    """Compare a call with the newest document, and refuse by confirmed ones only.
+
+    :param current: a live lease vouches for the documents held.
+    :raises Unavailable: the call would be refused by documents that may be old.
+    :raises IbisheadError: as `resolve`.
+    """
+    try:
+        return resolve(call, catalog)
+    except (NotFound, Unauthorized) as error:
+        if current:
+            raise
+        # Failure: a host that is cut off, or has just started, doesn't hold the
+        # document that names the service, adapter or key. Told that there is none,
+        # the caller would not ask again, though others serve it.
+        raise Unavailable(
+            f"no control quorum vouches for this host's documents, by which "
+            f"{error.message}",
+            "send the request again after the given time",
+            code=ErrorCode.NO_QUORUM,
+            retry_after=UNCONFIRMED_RETRY_AFTER,
+        ) from error
+
+
 def resolve(call: Call, catalog: Catalog) -> Resolved:
     """Compare a call with the newest document of its service.
 
