--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -14,17 +14,15 @@
 from ibishead.entry.dispatching import Dispatcher, Job
 from ibishead.entry.pages import Pages
 from ibishead.entry.relay import Relay
-from ibishead.entry.resolution import Resolved, resolve
+from ibishead.entry.resolution import Resolved, resolve_confirmed
+from ibishead.entry.timing import AnswerTimer
 from ibishead.entry.trace import Trace, TraceBook
 from ibishead.errors import (
     Conflict,
     ErrorCode,
     IbisheadError,
     LinkLost,
-    NotFound,
     OutcomeUnknown,
-    Unauthorized,
-    Unavailable,
 )
 from ibishead.errors import Refused as RefusedRequest
 from ibishead.messages import Outcome
@@ -36,9 +34,6 @@
 
 logger = logging.getLogger(__name__)
 
-#: About the time in which a host that has started is brought up to date.
-UNCONFIRMED_RETRY_AFTER = timedelta(seconds=1)
-
 
 class Pipeline:
     """Answers callers.
@@ -87,23 +82,25 @@
             )
             await exchange.respond_error(error, headers)
             return
+        timer = AnswerTimer(
+            self._metrics,
+            self._clock.monotonic,
+            now,
+            resolved.team,
+            resolved.request_class.name,
+        )
         job = Job(
             resolved=resolved,
-            relay=Relay(exchange, resolved),
+            relay=Relay(exchange, resolved, timer),
             trace=trace,
             deadline=now + resolved.request_class.deadline.total_seconds(),
         )
         await self._serve(exchange, job)
 
     def _resolve(self, call: Call, trace: Trace) -> Resolved:
-        try:
-            resolved = resolve(call, self._subscription.catalog)
-        except (NotFound, Unauthorized) as error:
-            # A host that has just started, or is cut off, can't tell that something
-            # doesn't exist: the document that brings it may be in force elsewhere.
-            if self._subscription.is_current():
-                raise
-            raise describe_unconfirmed() from error
+        resolved = resolve_confirmed(
+            call, self._subscription.catalog, self._subscription.is_current()
+        )
         trace.add(
             self._clock.monotonic(),
             "resolve",
@@ -190,16 +187,6 @@
         )
 
 
-def describe_unconfirmed() -> Unavailable:
-    """Return the refusal of what only a newer document could decide."""
-    return Unavailable(
-        "this entry host holds no document that a control quorum vouches for",
-        "send the request again, to another entry host where there is one",
-        code=ErrorCode.NO_QUORUM,
-        retry_after=UNCONFIRMED_RETRY_AFTER,
-    )
-
-
 def _classify(error: IbisheadError) -> Outcome:
     if isinstance(error, OutcomeUnknown):
         return Outcome.UNKNOWN
