--- a/benchmarks/bench_path.py
+++ b/benchmarks/bench_path.py
@@ -117,7 +117,7 @@
         return Cost(used["entry"] * scale, used["agent"] * scale), used["floor"] * scale
     finally:
         passing.clean_up()
-        fleet.clean_up()
+        await fleet.clean_up()
 
 
 async def measure_streams(folder: Path) -> _Streaming:
@@ -141,7 +141,7 @@
         used = read_cpu(entry) - before[0], read_cpu(agent) - before[1]
         caller.close()
     finally:
-        fleet.clean_up()
+        await fleet.clean_up()
     tokens = max(1, summary.tokens)
     return _Streaming(
         Cost(used[0] / tokens * 1_000, used[1] / tokens * 1_000),
--- a/src/ibishead/agent/main.py
+++ b/src/ibishead/agent/main.py
@@ -79,6 +79,7 @@
     def announce(self, endpoint: Endpoint) -> None:
         """Prepare the registration, now that the port is known."""
         settings = self.settings
+        endpoint = settings.announce or endpoint
         announcement = AskRegistration(
             uuid.uuid4().hex,
             settings.target,
--- a/src/ibishead/settings.py
+++ b/src/ibishead/settings.py
@@ -97,6 +97,8 @@
     :param batch: requests that the target runs at once.
     :param fenced: the target itself refuses old fencing numbers.
     :param failure_backoff: wait before an adapter that failed to load is tried again.
+    :param announce: where entry hosts reach this agent, when that isn't where it
+        listens.
     """
 
     host: HostId
@@ -116,6 +118,7 @@
     peer_tls: PeerTls | None = None
     http_tls: KeyPair | None = None
     log_level: LogLevel = LogLevel.INFO
+    announce: Endpoint | None = None
 
 
 @dataclass(frozen=True)
@@ -233,6 +236,7 @@
         peer_tls=peer_tls,
         http_tls=http_tls,
         log_level=reader.read_log_level(),
+        announce=section.read("announce", parse_endpoint, None),
     )
     section.refuse_others()
     target.refuse_others()
--- /dev/null
+++ b/tests/processes/test_silence.py
@@ -0,0 +1,35 @@
+"""Open connections go silent for good while new ones work."""
+
+import pytest
+from tests.processes.fleet import Hop
+from tests.processes.promises import check_promises
+from tests.processes.striking import run_under_load
+
+from ibishead.standin.calls import Verdict
+
+#: How calls may end when the open connections of a path go silent. Between entry and
+#: agent answers are resumed, so all are whole. What a target still did on a silent
+#: connection nobody can know. Without control nothing that needs it is started.
+ALLOWED = {
+    Hop.ENTRY_AGENT: (Verdict.WHOLE,),
+    Hop.AGENT_TARGET: (Verdict.WHOLE, Verdict.UNKNOWN, Verdict.NOT_RUN),
+    Hop.ENTRY_CONTROL: (Verdict.WHOLE, Verdict.NOT_RUN),
+    Hop.AGENT_CONTROL: (Verdict.WHOLE, Verdict.NOT_RUN),
+}
+
+
+@pytest.mark.parametrize("hop", ALLOWED)
+async def test_silent_connections_break_no_promise(start_fleet, hop):
+    """A middlebox loses track of all open connections of one path, under load.
+
+    Nothing is closed and nothing arrives any more; new connections work. Callers
+    would wait for ever, or see a half answer, if a program trusted the old ones.
+    """
+    fleet = await start_fleet(relayed=frozenset({hop}))
+
+    async def silence() -> None:
+        fleet.silence()
+
+    results = await run_under_load(fleet, silence)
+    check_promises(fleet, results).keep(*ALLOWED[hop])
+    await fleet.wait_serving()
--- /dev/null
+++ b/tests/processes/test_submissions.py
@@ -0,0 +1,50 @@
+"""Documents: accepted once, kept for ever, in force everywhere."""
+
+import asyncio
+
+from tests.processes.fleet import OPERATOR_KEY, Fleet, Reply
+
+
+async def read_revision(fleet: Fleet) -> object:
+    while True:
+        reply = await fleet.operate("GET", "/v1/documents/mester")
+        if reply.status == 200:
+            return reply.value["revision"]
+        await asyncio.sleep(0.1)
+
+
+async def test_change_survives_every_control_replica(start_fleet):
+    """All control replicas die right after a change was accepted.
+
+    An operator whose answer was lost sends the same submission again. It must get the
+    answer of the first sending, and nobody may see the document go back.
+    """
+    fleet = await start_fleet(engines=1, entries=1)
+    accepted = await fleet.submit("mester.ini", base=1, extra="; changed\n")
+    for control in fleet.controls:
+        control.kill()
+    for control in fleet.controls:
+        control.start()
+    again = await fleet.submit("mester.ini", base=1, extra="; changed\n")
+    assert again.value["revision"] == accepted.value["revision"] == 2
+    assert await read_revision(fleet) == 2
+    await fleet.wait_serving()
+
+
+async def test_one_of_two_racing_operators_is_refused(start_fleet):
+    """Two operators edit the same revision and submit at the same moment.
+
+    Both changes may be good, but the second would undo the first unseen; its operator
+    must be told.
+    """
+    fleet = await start_fleet(engines=1, entries=1)
+    text = (await fleet.operate("GET", "/v1/documents/mester")).value["text"]
+
+    async def submit(name: str) -> Reply:
+        target = f"/v1/documents/mester?base=1&submission={name}"
+        body = f"{text}; {name}\n".encode()
+        return await fleet.operate("POST", target, body, OPERATOR_KEY)
+
+    replies = await asyncio.gather(submit("kata"), submit("pali"))
+    assert sorted(reply.status for reply in replies) == [200, 409]
+    assert await read_revision(fleet) == 2
