--- a/src/ibishead/entry/resolution.py
+++ b/src/ibishead/entry/resolution.py
@@ -1,19 +1,20 @@
 """What a call means by the document in force: adapter, version, class, duties."""
 
 import hashlib
-import hmac
 from dataclasses import dataclass
 
 import msgspec
 
 from ibishead.catalog import Catalog, HeldDocument
-from ibishead.documents import Adapter, Caller, RequestClass, ServiceDocument
+from ibishead.documents import Adapter, RequestClass, ServiceDocument
 from ibishead.entry.call import Call
-from ibishead.errors import ErrorCode, InvalidInput, NotFound, Unauthorized
-from ibishead.ids import ClassName, ServiceName, TeamId, Version
+from ibishead.entry.routing import choose_class
+from ibishead.errors import ErrorCode, InvalidInput, NotFound
+from ibishead.ids import ServiceName, TeamId, Version
+from ibishead.keys import find_caller, require_caller
 from ibishead.messages import TargetKind
 
-__all__ = ["Resolved", "authenticate", "list_models", "resolve"]
+__all__ = ["Resolved", "list_models", "resolve"]
 
 
 @dataclass(frozen=True)
@@ -41,25 +42,6 @@
         return self.held.document
 
 
-def authenticate(call: Call, document: ServiceDocument) -> Caller:
-    """Return the caller that the key belongs to.
-
-    A document that names no callers is open to all.
-
-    :raises Unauthorized: the key is missing or unknown.
-    """
-    if not document.callers:
-        return Caller("anyone", document.team, "")
-    digest = hashlib.sha256(call.credential.encode()).hexdigest()
-    for caller in document.callers:
-        if hmac.compare_digest(digest, caller.key_sha256):
-            return caller
-    raise Unauthorized(
-        "the key is missing or unknown to the service",
-        "send `Authorization: Bearer KEY` with a key that the document names",
-    )
-
-
 def resolve(call: Call, catalog: Catalog) -> Resolved:
     """Compare a call with the newest document of its service.
 
@@ -74,13 +56,14 @@
             code=ErrorCode.UNKNOWN_SERVICE,
         )
     document = held.document
-    caller = authenticate(call, document)
+    caller = require_caller(document, call.credential)
     if document.kind is not call.kind:
         raise InvalidInput(
             f"the service {call.service} is of kind {document.kind.value}",
             _describe_interface(document.kind),
         )
-    request_class = _find_class(call, document)
+    path = call.path.partition("?")[0]
+    request_class = choose_class(document, call.method, path, call.request_class)
     version, source = Version(""), ""
     if call.adapter:
         adapter = _find_adapter(call, document)
@@ -123,40 +106,6 @@
     return adapter
 
 
-def _find_class(call: Call, document: ServiceDocument) -> RequestClass:
-    name = call.request_class or _route(call, document) or document.default_class
-    found = document.classes.get(name)
-    if found is None:
-        raise NotFound(
-            f"the service {call.service} has no class {name!r}",
-            f"use one of {', '.join(sorted(document.classes))}",
-            code=ErrorCode.UNKNOWN_CLASS,
-        )
-    # The document, not the caller, decides what may be repeated: a class asked for
-    # must not lift the protection that the route gives.
-    routed = document.classes.get(_route(call, document))
-    if routed is not None and not routed.idempotent and found.idempotent:
-        return routed
-    return found
-
-
-def _route(call: Call, document: ServiceDocument) -> ClassName:
-    path = call.path.partition("?")[0]
-    matches = [
-        route
-        for route in document.routes
-        if route.method in ("*", call.method) and _is_below(path, route.path)
-    ]
-    best = max(
-        matches, key=lambda route: (len(route.path), route.method != "*"), default=None
-    )
-    return ClassName("") if best is None else best.request_class
-
-
-def _is_below(path: str, prefix: str) -> bool:
-    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
-
-
 def _make_body(call: Call, document: ServiceDocument, version: Version) -> bytes:
     if call.payload is None:
         return call.body
@@ -178,7 +127,9 @@
     found: list[tuple[ServiceName, str]] = []
     for held in catalog.list_documents():
         document = held.document
-        if document.kind is not TargetKind.ENGINE or not _opens(credential, document):
+        if document.kind is not TargetKind.ENGINE or not find_caller(
+            document, credential
+        ):
             continue
         found.append((document.service, document.service))
         for adapter in document.adapters.values():
@@ -187,10 +138,3 @@
                 for version in adapter.versions
             )
     return found
-
-
-def _opens(credential: str, document: ServiceDocument) -> bool:
-    digest = hashlib.sha256(credential.encode()).hexdigest()
-    return not document.callers or any(
-        hmac.compare_digest(digest, caller.key_sha256) for caller in document.callers
-    )
