Run control on the replicated log

Cause: the replica of the log is there, so main no longer needs the lone one, which stays for tests and the publish benchmark. The link server hands peers' frames to the replica; the server listens before the replica takes part.

Ruled out: a link server of its own for replicas; one port a replica keeps settings and TLS simple.

Before: one unreplicated process.

--- a/src/ibishead/control/granting.py
+++ b/src/ibishead/control/granting.py
@@ -84,7 +84,7 @@
         self._routes[load] = link
         if len(self._routes) > MAX_ROUTES:
             del self._routes[next(iter(self._routes))]
-        if self._replica.is_leader() and self._book is not None:
+        if self._may_grant() and self._book is not None:
             if self._state.targets.is_live(ask.target, ask.incarnation):
                 repeated = self._book.ask(ask, self._clock.monotonic())
                 if repeated is not None:
@@ -94,8 +94,8 @@
         leader = self._replica.leader()
         # One hop only: two replicas that each take the other for the leader would
         # send an ask to and fro.
-        passed_on = link.peer.role is Role.CONTROL
-        if passed_on or leader is None or not self._forward(leader, ask):
+        stays = link.peer.role is Role.CONTROL or self._replica.is_leader()
+        if stays or leader is None or not self._forward(leader, ask):
             link.send(
                 Refusal(
                     str(ask.number),
@@ -131,11 +131,17 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def _may_grant(self) -> bool:
+        # Failure: a leader is cut off and doesn't know yet that another one leads.
+        # While its lease holds no other can have been elected, so that the pause of
+        # the next one covers all that this one grants.
+        return self._replica.is_leader() and self._replica.lease() > 0
+
     def _grant(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self._book is None or not self._replica.is_leader():
+        if self._book is None or not self._may_grant():
             return
         now = self._clock.monotonic()
         for answer in self._book.grant(now):
--- a/src/ibishead/control/lone.py
+++ b/src/ibishead/control/lone.py
@@ -3,6 +3,7 @@
 from ibishead.control.machine import ReplicaSet, StateMachine
 from ibishead.errors import Unavailable
 from ibishead.ids import HostId, ReplicaId
+from ibishead.messages import PeerFrame
 
 __all__ = ["LoneReplica"]
 
@@ -18,6 +19,12 @@
         self._machine = machine
         self._index = 0
 
+    async def start(self) -> None:
+        """Return at once."""
+
+    def take_frame(self, frame: PeerFrame) -> None:
+        """Drop it, as there are no others."""
+
     async def propose(self, command: bytes) -> bytes:
         """Apply the command and return its result."""
         self._index += 1
--- a/src/ibishead/control/machine.py
+++ b/src/ibishead/control/machine.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ibishead.ids import HostId, ReplicaId
+from ibishead.messages import PeerFrame
 
 __all__ = ["Replica", "ReplicaSet", "StateMachine"]
 
@@ -42,6 +43,12 @@
 class Replica(Protocol):
     """One member of the replicated log, as the rest of the control program sees it."""
 
+    async def start(self) -> None:
+        """Begin to take part; this replica's link server must listen by now."""
+
+    def take_frame(self, frame: PeerFrame) -> None:
+        """Take in what another replica sent to this one's link server."""
+
     async def propose(self, command: bytes) -> bytes:
         """Return the command's result, once committed and applied on this replica.
 
--- a/src/ibishead/control/main.py
+++ b/src/ibishead/control/main.py
@@ -1,42 +1,88 @@
-"""``ibishead-control``: keeps documents, targets and claims."""
+"""The program ``ibishead-control``."""
 
 import asyncio
 import logging
-import signal
+import random
+import uuid
 from ipaddress import ip_address
 from pathlib import Path
 
-import click
-
-from ibishead.clock import SystemClock
-from ibishead.control.lone import LoneReplica
+from ibishead.clock import Clock, SystemClock
+from ibishead.control.folder import DataFolder
+from ibishead.control.peering import PeerLinks
+from ibishead.control.replica import LogReplica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
-from ibishead.errors import IbisheadError, SettingsFault
-from ibishead.logs import set_up_logging
+from ibishead.errors import SettingsFault, StorageFault
+from ibishead.ids import HostId
+from ibishead.messages import Hello, Role
+from ibishead.process import wait_for_stop
 from ibishead.settings import ControlSettings, load_control_settings
+from ibishead.startup import make_command
+from ibishead.tls import make_client_context
 
-__all__ = ["main"]
+__all__ = ["main", "make_control", "run_control"]
 
 logger = logging.getLogger(__name__)
 
 
-@click.command()
-@click.argument("settings", type=click.Path(path_type=Path, dir_okay=False))
-@click.option("--check-settings", is_flag=True, help="Check the settings and end.")
-def main(settings: Path, check_settings: bool) -> None:
-    """Run a control replica with the SETTINGS file."""
-    try:
-        read = load_control_settings(settings)
-        _check_admin_keys(read)
-        set_up_logging(read.log_level, "ibishead-control", read.host)
-        if not check_settings:
-            asyncio.run(_run(read))
-    except IbisheadError as error:
-        raise click.ClickException(str(error)) from error
+async def run_control(settings: ControlSettings) -> None:
+    """Serve until a planned stop, or until the disk fails.
+
+    :raises StorageFault: the data folder is damaged, or its disk has failed.
+    """
+    failure: asyncio.Future[StorageFault] = asyncio.get_running_loop().create_future()
+    server = make_control(settings, SystemClock(), failure)
+    stop = asyncio.create_task(wait_for_stop())
+    await server.start()
+    await asyncio.wait((stop, failure), return_when=asyncio.FIRST_COMPLETED)
+    logger.info("control stops")
+    stop.cancel()
+    await server.stop()
+    if failure.done():
+        raise failure.result()
+
+
+def make_control(
+    settings: ControlSettings, clock: Clock, failure: asyncio.Future[StorageFault]
+) -> ControlServer:
+    """Return a control server on the replica in the settings' data folder.
+
+    :param failure: gets the fault when the disk fails and nothing can go on.
+    :raises StorageFault: the data folder is damaged or in use.
+    """
+    host = HostId(settings.replica)
+    peers = settings.peers | settings.spares
+    others = {HostId(n): e for n, e in peers.items() if n != settings.replica}
+    tls = settings.peer_tls
+    links = PeerLinks(
+        others,
+        Hello(Role.CONTROL, settings.host),
+        clock,
+        make_client_context(tls) if tls is not None else None,
+    )
 
+    def note_failure(fault: StorageFault) -> None:
+        if not failure.done():
+            failure.set_result(fault)
 
-def _check_admin_keys(settings: ControlSettings) -> None:
+    state = ControlState()
+    replica = LogReplica(
+        host,
+        tuple(HostId(name) for name in settings.peers),
+        state,
+        DataFolder(settings.data),
+        links,
+        clock,
+        random.randrange,
+        lambda: uuid.uuid4().hex,
+        on_failure=note_failure,
+    )
+    return ControlServer(settings, replica.name, state, replica, clock)
+
+
+def _load(path: Path) -> ControlSettings:
+    settings = load_control_settings(path)
     address = settings.operators.endpoint.address
     # Without keys anybody who reaches the port could change every service
     if not settings.admin_keys and not ip_address(address).is_loopback:
@@ -44,18 +90,12 @@
             f"[operators] admin_keys_sha256 is empty, but {address} is no loopback",
             "list the SHA-256 of the administrators' keys, or listen on 127.0.0.1",
         )
+    return settings
 
 
-async def _run(settings: ControlSettings) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    state = ControlState()
-    replica = LoneReplica(settings.replica, state)
-    server = ControlServer(settings, settings.replica, state, replica, SystemClock())
-    endpoints = await server.start()
-    logger.info("serving links on %s", endpoints.links)
-    logger.info("serving operators on %s", endpoints.operators)
-    await stop.wait()
-    await server.stop()
+main = make_command(
+    "control",
+    "Keep documents, targets and claims on a replicated log.",
+    _load,
+    run_control,
+)
--- a/src/ibishead/control/operators.py
+++ b/src/ibishead/control/operators.py
@@ -181,6 +181,9 @@
     async def _submit(
         self, request: WebRequest, service: ServiceName, query: Mapping[str, str]
     ) -> Submitted:
+        # An operator's key may have been withdrawn by a revision of which this
+        # replica hasn't heard
+        await self._replica.confirm_read()
         operator = self._authorize(request, service)
         text = _decode_text(request.body)
         document = parse_document(text)
--- a/src/ibishead/control/server.py
+++ b/src/ibishead/control/server.py
@@ -113,6 +113,7 @@
         links = await self._links.start(self._settings.links.endpoint)
         operators = await self._web.start(self._settings.operators.endpoint)
         self._endpoints = Endpoints(links, operators)
+        await self._replica.start()
         self._rounds = asyncio.create_task(self._upkeep.run())
         write_port_file(self._settings.links, links.port)
         write_port_file(self._settings.operators, operators.port)
--- a/src/ibishead/control/service.py
+++ b/src/ibishead/control/service.py
@@ -34,6 +34,7 @@
     ClaimAnswer,
     Holders,
     Message,
+    PeerFrame,
     Refusal,
     Registration,
     ReleasePermit,
@@ -145,6 +146,8 @@
             case ReportInForce():
                 if session.subscriber is not None:
                     self._publisher.report(session.subscriber, message)
+            case PeerFrame() if session.link.peer.role is Role.CONTROL:
+                self._replica.take_frame(message)
             case AskPermit():
                 self._desk.ask(session.link, message)
             case ReleasePermit():
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -33,6 +33,9 @@
         self._group = group
         self._results: list[bytes] = []
 
+    async def start(self) -> None:
+        pass
+
     async def propose(self, command: bytes) -> bytes:
         self._require_quorum()
         self._group.commands.append(command)
--- a/tests/control/support.py
+++ b/tests/control/support.py
@@ -149,6 +149,7 @@
     def __init__(self, name: str, others: tuple[str, ...] = ()) -> None:
         self.name = ReplicaId(name)
         self.leading = False
+        self.vouched = 1.0
         self.known_leader: ReplicaId | None = None
         self.voters = (self.name, *map(ReplicaId, others))
 
@@ -161,6 +162,9 @@
     def replicas(self) -> ReplicaSet:
         return ReplicaSet(self.voters)
 
+    def lease(self) -> float:
+        return self.vouched
+
     async def confirm_read(self) -> None:
         pass
 
--- a/tests/control/test_granting.py
+++ b/tests/control/test_granting.py
@@ -1,5 +1,7 @@
 """Permits reach agents at any replica, from one leader at a time."""
 
+import pytest
+
 from ibishead.clock import ManualClock
 from ibishead.control.granting import PermitDesk
 from ibishead.control.permits import LIFETIME, TAKEOVER_PAUSE
@@ -85,12 +87,13 @@
     assert scene.agent.sent == [make_grant(1)]
 
 
-async def test_leader_that_lost_its_quorum_grants_nothing():
+@pytest.mark.parametrize("lost", ["leading", "vouched"])
+async def test_leader_that_lost_its_quorum_grants_nothing(lost):
     """The old leader is cut off; another one grants from the same store already."""
     scene = Scene()
     await scene.desk.review()
     scene.log.apply(make_registration("n1"))
-    scene.leader.leading = False
+    setattr(scene.leader, lost, 0.0)
     await scene.desk.review()
     scene.desk.ask(scene.agent, make_ask(1))
     (answer,) = scene.agent.sent
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from hashlib import sha256
 
 import pytest
 
@@ -71,6 +72,43 @@
     assert (await control.read("/v1/documents"))[0]["revision"] == 1
 
 
+def hash_key(key: str) -> str:
+    return sha256(key.encode()).hexdigest()
+
+
+@pytest.mark.parametrize(
+    ("target", "key", "status"),
+    [
+        ("documents/raktar?base=0&submission=s1&team=halo", "", 401),
+        ("documents/raktar?base=0&submission=s1&team=halo", "wrong", 403),
+        ("documents/raktar?base=0&submission=s1&team=halo", "kata", 403),
+        ("documents/raktar?base=0&submission=s1&team=halo", "admin", 200),
+        ("documents/mester?base=1&submission=s2&team=halo", "kata", 200),
+        ("documents/mester?base=1&submission=s2&team=halo", "admin", 200),
+        ("documents/mester?base=1&submission=s2&team=halo", "wrong", 403),
+        ("targets/t1/drain", "kata", 403),
+        ("targets/t1/drain", "admin", 404),
+        ("replicas/replace", "kata", 403),
+        ("replicas/replace", "admin", 400),
+    ],
+)
+async def test_keys(tmp_path, caplog, target, key, status):
+    """An operator's key reaches the documents that list it, and no further."""
+    settings = make_settings(tmp_path, admin_keys=(hash_key("admin"),))
+    control = await start(settings)
+    mester = write_document("mester") + (
+        f"[operator:kata]\nkey_sha256 = {hash_key('kata')}\n"
+    )
+    first = "/v1/documents/mester?base=0&submission=s0&team=halo"
+    assert (await control.call("POST", first, mester.encode(), "admin"))[0] == 200
+    name = "mester" if "mester" in target else "raktar"
+    text = write_document(name)
+    answer = await control.call("POST", f"/v1/{target}", text.encode(), key)
+    assert answer[0] == status, answer[1]
+    assert "wrong" not in caplog.text
+    await control.server.stop()
+
+
 async def test_target_is_seen_and_gone(control):
     """An agent is killed; its target must leave every entry's view by itself."""
     holder = follow([control], Role.ENTRY, "e1")
