Kill, freeze, stop and restart three real replicas under submissions

Ruled out: a bench of hosts; these are three processes on loopback, ended by their ids, with ports that the system found free.

--- /dev/null
+++ b/tests/control/test_replicas.py
@@ -0,0 +1,285 @@
+"""Three control processes on loopback, killed, frozen, stopped and restarted."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import pytest
+from tests.processes.programs import LOOPBACK, Program, reserve_port
+
+from ibishead.errors import LinkLost
+from ibishead.ids import HostId
+from ibishead.links import Endpoint
+from ibishead.messages import Hello, Role
+from ibishead.subscription import Subscription
+from ibishead.web import ClientConnection
+
+from .running import CLOCK
+from .support import write_document
+
+NAMES = ("c1", "c2", "c3")
+
+SETTINGS = """
+[control]
+replica = {name}
+host = control-{name}
+failure_domain = szeged-a
+data = {name}.data
+[links]
+address = 127.0.0.1
+port = {links}
+[operators]
+address = 127.0.0.1
+port = {operators}
+[peers]
+{peers}
+"""
+
+#: Seconds for which a leader is frozen: longer than any lease.
+FREEZE = 6.0
+
+
+@dataclass(frozen=True)
+class Reply:
+    """What an operator was answered; status 0 when the connection broke."""
+
+    status: int
+    value: dict
+
+
+class Trio:
+    """Three replicas and where they listen."""
+
+    def __init__(self, folder) -> None:
+        self.links = {name: Endpoint(LOOPBACK, reserve_port()) for name in NAMES}
+        self.operators = {name: Endpoint(LOOPBACK, reserve_port()) for name in NAMES}
+        self.programs: dict[str, Program] = {}
+        peers = "\n".join(f"{name} = {where}" for name, where in self.links.items())
+        for name in NAMES:
+            path = folder / f"{name}.ini"
+            path.write_text(
+                SETTINGS.format(
+                    name=name,
+                    links=self.links[name].port,
+                    operators=self.operators[name].port,
+                    peers=peers,
+                )
+            )
+            module = "ibishead.control.main"
+            self.programs[name] = Program(name, module, [str(path)], folder)
+
+    async def ask(self, name: str, method: str, target: str, body=b"") -> Reply:
+        try:
+            connection = await ClientConnection.open(self.operators[name])
+            try:
+                async with asyncio.timeout(10.0):
+                    answer = await connection.ask(method, target, (), body)
+                    data = await answer.read()
+            finally:
+                connection.close()
+        except (LinkLost, TimeoutError):
+            return Reply(0, {})
+        return Reply(answer.status, json.loads(data))
+
+    async def submit(
+        self, name: str, submission: str, base: int, service: str = "raktar"
+    ) -> Reply:
+        weight = base % 100 / 100
+        text = write_document(service, stall_weight=weight)
+        target = f"/v1/documents/{service}?base={base}&submission={submission}"
+        return await self.ask(name, "POST", target, text.encode())
+
+    async def insist(
+        self, submission: str, base: int, service: str = "raktar", start: int = 0
+    ) -> Reply:
+        """Submit and resend at one replica after the other until one answers."""
+        turn = start
+        while True:
+            name = NAMES[turn % len(NAMES)]
+            reply = await self.submit(name, submission, base, service)
+            if reply.status in (200, 409):
+                return reply
+            turn += 1
+            await asyncio.sleep(0.05)
+
+    async def find_leader(self, among: tuple[str, ...] = NAMES) -> str:
+        while True:
+            for name in among:
+                reply = await self.ask(name, "GET", "/v1/status")
+                leader = reply.value.get("leader", "").partition(".")[0]
+                if leader in among:
+                    return leader
+            await asyncio.sleep(0.05)
+
+    async def wait_ready(self, name: str) -> None:
+        while True:
+            try:
+                connection = await ClientConnection.open(self.operators[name])
+                answer = await connection.ask("GET", "/readyz")
+                connection.close()
+                if answer.status == 200:
+                    return
+            except LinkLost:
+                pass
+            await asyncio.sleep(0.05)
+
+    async def read_history(self, name: str, service: str = "raktar") -> list[str]:
+        target = f"/v1/documents/{service}/history"
+        while (reply := await self.ask(name, "GET", target)).status != 200:
+            await asyncio.sleep(0.05)
+        return [change["submission"] for change in reply.value["changes"]]
+
+    def follow(self) -> "Watcher":
+        return Watcher(list(self.links.values()))
+
+
+class Watcher:
+    """An entry host's view, which notes every revision that it holds."""
+
+    def __init__(self, replicas: list[Endpoint]) -> None:
+        hello = Hello(Role.ENTRY, HostId("e1"))
+        self.revisions: list[int] = []
+        self.subscription = Subscription(
+            replicas, lambda: hello, CLOCK, changed=self.note
+        )
+        self.subscription.start()
+
+    def note(self) -> None:
+        held = self.subscription.catalog.find_document("raktar")
+        if held is not None:
+            self.revisions.append(held.record.revision)
+
+    async def wait_revision(self, revision: int) -> None:
+        while not self.revisions or self.revisions[-1] < revision:
+            await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def trio(tmp_path) -> AsyncIterator[Trio]:
+    trio = Trio(tmp_path)
+    for program in trio.programs.values():
+        program.start()
+    for name in NAMES:
+        await trio.wait_ready(name)
+    yield trio
+    for program in trio.programs.values():
+        program.clean_up()
+
+
+async def test_leader_is_killed_while_operators_submit(trio):
+    """Operators submit without pause, and resend what they got no answer to.
+
+    The leader is killed in the middle, twice. Each change must be applied once, none
+    that was accepted may vanish, and an entry never sees an older revision again.
+    """
+    watcher = trio.follow()
+    accepted: list[str] = []
+    killed = 0
+    while len(accepted) < 60 or killed < 2:
+        number = len(accepted)
+        submission = f"s{number}"
+        pending = asyncio.create_task(trio.insist(submission, number, start=number))
+        if number in (15, 35) and killed < 2:
+            leader = await trio.find_leader()
+            trio.programs[leader].kill()
+            killed += 1
+        reply = await pending
+        assert (reply.status, reply.value["revision"]) == (200, number + 1)
+        accepted.append(submission)
+        if number in (30, 50):
+            for program in trio.programs.values():
+                if not program.running:
+                    program.start()
+    for name in NAMES:
+        await trio.wait_ready(name)
+        assert await trio.read_history(name) == accepted
+    await watcher.wait_revision(len(accepted))
+    assert watcher.revisions == sorted(watcher.revisions)
+    again = await trio.submit("c2", "s3", 3)
+    assert (again.status, again.value["revision"]) == (200, 4)
+    await watcher.subscription.stop()
+
+
+async def test_all_restart_after_hundreds_of_changes(trio):
+    """All replicas lose power after more changes than a snapshot waits for.
+
+    Every change must be there again, and a resend of the very first submission must
+    still get its first answer.
+    """
+    services = [f"service-{number}" for number in range(8)]
+    count = 140
+
+    async def change(service: str) -> None:
+        for base in range(count):
+            reply = await trio.insist(f"{service}-{base}", base, service)
+            assert reply.value["revision"] == base + 1
+
+    await asyncio.gather(*map(change, services))
+    for program in trio.programs.values():
+        program.kill()
+    for program in trio.programs.values():
+        program.start()
+    first = await trio.insist("service-0-0", 0, "service-0")
+    assert (first.status, first.value["revision"]) == (200, 1)
+    for service in services:
+        expected = [f"{service}-{base}" for base in range(count)]
+        for name in NAMES:
+            assert await trio.read_history(name, service) == expected
+
+
+async def test_frozen_leader_neither_accepts_nor_serves_old_state(trio):
+    """The leader is frozen; the others elect another one, which accepts a change.
+
+    Requests wait in the old leader's sockets. Thawed, it must not answer them from
+    its old state, nor accept a change on the old revision.
+    """
+    await trio.insist("s0", 0)
+    old = await trio.find_leader()
+    others = tuple(name for name in NAMES if name != old)
+    trio.programs[old].freeze()
+    reads = [
+        asyncio.create_task(trio.ask(old, "GET", "/v1/documents/raktar"))
+        for _ in range(5)
+    ]
+    late = asyncio.create_task(trio.submit(old, "late", 1))
+    leader = await trio.find_leader(others)
+    while (reply := await trio.submit(leader, "s1", 1)).status != 200:
+        assert reply.status == 503
+    await asyncio.sleep(FREEZE - 4.0)
+    trio.programs[old].thaw()
+    for read in reads:
+        reply = await read
+        assert reply.status != 200 or reply.value["revision"] == 2
+    assert (await late).status != 200
+    assert await trio.read_history(old) == ["s0", "s1"]
+
+
+async def test_leader_stops_by_plan(trio):
+    """The platform stops the leader; operators go on, and the program ends cleanly."""
+    await trio.insist("s0", 0)
+    old = await trio.find_leader()
+    others = tuple(name for name in NAMES if name != old)
+    stop = asyncio.create_task(trio.programs[old].stop())
+    for number in range(1, 20):
+        target = others[number % 2]
+        reply = await trio.submit(target, f"s{number}", number)
+        while reply.status == 503:
+            reply = await trio.submit(target, f"s{number}", number)
+        assert (reply.status, reply.value["revision"]) == (200, number + 1)
+    assert await stop == 0
+    assert await trio.find_leader(others) != old
+
+
+async def test_change_is_in_force_although_a_replica_is_dead(trio):
+    """A replica dies with an entry linked to it; a change must come in force."""
+    watcher = trio.follow()
+    old = await trio.find_leader()
+    others = [name for name in NAMES if name != old]
+    trio.programs[others[1]].kill()
+    reply = await trio.insist("s0", 0)
+    path = f"/v1/in-force?index={reply.value['index']}"
+    while not (await trio.ask(old, "GET", path)).value.get("in_force"):
+        await asyncio.sleep(0.05)
+    await watcher.wait_revision(1)
+    await watcher.subscription.stop()
