Restore states that are larger than a frame of a link

After some 35,000 changes, or 190 recorded answers of 64 KB, no replica could have restarted.

Ruled out: a larger bound on frames, which guards memory against peers.

Before: restoring 17.8 MB failed with 'a frame exceeds'.

--- a/src/ibishead/control/state.py
+++ b/src/ibishead/control/state.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from ibishead.codec import decode_as, encode
 from ibishead.control.claims import ClaimTable, SavedClaims
 from ibishead.control.commands import (
     Accepted,
@@ -34,7 +33,7 @@
 )
 from ibishead.control.membership import SavedTargets, TargetTable
 from ibishead.control.submissions import DocumentTable, SavedDocuments
-from ibishead.errors import ErrorCode, IbisheadError
+from ibishead.errors import ErrorCode, IbisheadError, StorageFault
 from ibishead.ids import Incarnation, LogIndex, ReplicaId, ServiceName, TargetId
 from ibishead.messages import AskClaim, DocumentRecord, TargetRecord
 
@@ -133,7 +132,7 @@
 
     def capture(self) -> bytes:
         """Return the whole state, for a snapshot."""
-        return encode(
+        return msgspec.msgpack.encode(
             _Saved(
                 self.applied,
                 self.changed,
@@ -145,8 +144,20 @@
         )
 
     def restore(self, data: bytes) -> None:
-        """Replace the whole state by a captured one."""
-        saved = decode_as(data, _Saved)
+        """Replace the whole state by a captured one.
+
+        A state outgrows what fits into a frame of a link, so that frames' codec and
+        its bound don't apply here.
+
+        :raises StorageFault: this is no captured state.
+        """
+        try:
+            saved = msgspec.msgpack.decode(data, type=_Saved)
+        except msgspec.DecodeError as error:
+            raise StorageFault(
+                f"the snapshot can't be read: {error}",
+                "run the version of ibishead that wrote it, or replace this replica",
+            ) from error
         self.applied = saved.applied
         self.changed = self._floor = saved.changed
         self.documents = DocumentTable(saved.documents)
--- a/src/ibishead/control/submissions.py
+++ b/src/ibishead/control/submissions.py
@@ -40,7 +40,7 @@
 class _Answer(msgspec.Struct, frozen=True, array_like=True):
     team: TeamId
     submission: SubmissionId
-    digest: str
+    digest: bytes
     result: Accepted | StaleBase | Rejected
 
 
@@ -140,9 +140,9 @@
     )
 
 
-def _digest_submission(command: SubmitDocument) -> str:
+def _digest_submission(command: SubmitDocument) -> bytes:
     parts = (command.service, str(command.base), command.text)
-    return sha256("\0".join(parts).encode()).hexdigest()
+    return sha256("\0".join(parts).encode()).digest()
 
 
 def _refuse_reuse(command: SubmitDocument) -> Rejected:
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -1,9 +1,12 @@
 """Submissions are compared and set, and answered the same for ever."""
 
+import msgspec
 import pytest
 
+from ibishead.codec import MAX_FRAME
 from ibishead.control.commands import Accepted, Rejected, StaleBase
 from ibishead.errors import ErrorCode
+from ibishead.ids import ServiceName
 from ibishead.messages import DocumentRecord
 
 from .support import RAKTAR, Log, make_submission
@@ -90,6 +93,20 @@
     assert isinstance(log.apply(make_submission("s1", 0)), Accepted)
 
 
+def test_state_larger_than_a_frame_restores():
+    """After years of changes the state outgrows any message; replicas must restart."""
+    log = Log()
+    text = "x" * 1024
+    for number in range(20):
+        name = ServiceName(f"{number}-" + "y" * (MAX_FRAME // 10))
+        command = make_submission(f"s{number}", 0, text)
+        log.apply(msgspec.structs.replace(command, service=name))
+    before = log.state.capture()
+    assert len(before) > MAX_FRAME
+    log.restart()
+    assert log.state.capture() == before
+
+
 def test_deltas_and_whole_states():
     log = Log()
     log.apply(make_submission("s1", 0))
