--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -9,13 +9,13 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.admission import AdmissionQuery, Refused, admit
-from ibishead.entry.agents import AgentPool
 from ibishead.entry.call import MODEL_PATHS, PLAIN_PREFIX, Call, parse_call
 from ibishead.entry.claims import ClaimedRunner
 from ibishead.entry.dispatching import Dispatcher, Job
 from ibishead.entry.pages import Pages
 from ibishead.entry.relay import Relay
-from ibishead.entry.resolution import Resolved, resolve
+from ibishead.entry.resolution import Resolved, resolve_confirmed
+from ibishead.entry.timing import AnswerTimer
 from ibishead.entry.trace import Trace, TraceBook
 from ibishead.errors import (
     Conflict,
@@ -44,7 +44,6 @@
     def __init__(
         self,
         subscription: Subscription,
-        pool: AgentPool,
         dispatcher: Dispatcher,
         clock: Clock,
         metrics: Metrics,
@@ -52,7 +51,6 @@
     ) -> None:
         self.traces = TraceBook()
         self._subscription = subscription
-        self._pool = pool
         self._dispatcher = dispatcher
         self._claimed = ClaimedRunner(dispatcher, subscription, clock.monotonic)
         self._pages = Pages(subscription, self.traces)
@@ -84,16 +82,25 @@
             )
             await exchange.respond_error(error, headers)
             return
+        timer = AnswerTimer(
+            self._metrics,
+            self._clock.monotonic,
+            now,
+            resolved.team,
+            resolved.request_class.name,
+        )
         job = Job(
             resolved=resolved,
-            relay=Relay(exchange, resolved),
+            relay=Relay(exchange, resolved, timer),
             trace=trace,
             deadline=now + resolved.request_class.deadline.total_seconds(),
         )
         await self._serve(exchange, job)
 
     def _resolve(self, call: Call, trace: Trace) -> Resolved:
-        resolved = resolve(call, self._subscription.catalog)
+        resolved = resolve_confirmed(
+            call, self._subscription.catalog, self._subscription.is_current()
+        )
         trace.add(
             self._clock.monotonic(),
             "resolve",
--- a/src/ibishead/entry/resolution.py
+++ b/src/ibishead/entry/resolution.py
@@ -1,19 +1,31 @@
 """What a call means by the document in force: adapter, version, class, duties."""
 
 import hashlib
-import hmac
 from dataclasses import dataclass
+from datetime import timedelta
 
 import msgspec
 
 from ibishead.catalog import Catalog, HeldDocument
-from ibishead.documents import Adapter, Caller, RequestClass, ServiceDocument
+from ibishead.documents import Adapter, RequestClass, ServiceDocument
 from ibishead.entry.call import Call
-from ibishead.errors import ErrorCode, InvalidInput, NotFound, Unauthorized
-from ibishead.ids import ClassName, ServiceName, TeamId, Version
+from ibishead.entry.routing import choose_class
+from ibishead.errors import (
+    ErrorCode,
+    InvalidInput,
+    NotFound,
+    Unauthorized,
+    Unavailable,
+)
+from ibishead.ids import ServiceName, TeamId, Version
+from ibishead.keys import find_caller, require_caller
 from ibishead.messages import TargetKind
 
-__all__ = ["Resolved", "authenticate", "list_models", "resolve"]
+__all__ = ["Resolved", "list_models", "resolve", "resolve_confirmed"]
+
+#: When a caller may come back to a host without a live lease; one is had or regained
+#: within a second or two where a quorum can be reached.
+UNCONFIRMED_RETRY_AFTER = timedelta(seconds=2)
 
 
 @dataclass(frozen=True)
@@ -41,23 +53,28 @@
         return self.held.document
 
 
-def authenticate(call: Call, document: ServiceDocument) -> Caller:
-    """Return the caller that the key belongs to.
-
-    A document that names no callers is open to all.
+def resolve_confirmed(call: Call, catalog: Catalog, current: bool) -> Resolved:
+    """Compare a call with the newest document, and refuse by confirmed ones only.
 
-    :raises Unauthorized: the key is missing or unknown.
+    :param current: a live lease vouches for the documents held.
+    :raises Unavailable: the call would be refused by documents that may be old.
+    :raises IbisheadError: as `resolve`.
     """
-    if not document.callers:
-        return Caller("anyone", document.team, "")
-    digest = hashlib.sha256(call.credential.encode()).hexdigest()
-    for caller in document.callers:
-        if hmac.compare_digest(digest, caller.key_sha256):
-            return caller
-    raise Unauthorized(
-        "the key is missing or unknown to the service",
-        "send `Authorization: Bearer KEY` with a key that the document names",
-    )
+    try:
+        return resolve(call, catalog)
+    except (NotFound, Unauthorized) as error:
+        if current:
+            raise
+        # Failure: a host that is cut off, or has just started, doesn't hold the
+        # document that names the service, adapter or key. Told that there is none,
+        # the caller would not ask again, though others serve it.
+        raise Unavailable(
+            f"no control quorum vouches for this host's documents, by which "
+            f"{error.message}",
+            "send the request again after the given time",
+            code=ErrorCode.NO_QUORUM,
+            retry_after=UNCONFIRMED_RETRY_AFTER,
+        ) from error
 
 
 def resolve(call: Call, catalog: Catalog) -> Resolved:
@@ -74,13 +91,14 @@
             code=ErrorCode.UNKNOWN_SERVICE,
         )
     document = held.document
-    caller = authenticate(call, document)
+    caller = require_caller(document, call.credential)
     if document.kind is not call.kind:
         raise InvalidInput(
             f"the service {call.service} is of kind {document.kind.value}",
             _describe_interface(document.kind),
         )
-    request_class = _find_class(call, document)
+    path = call.path.partition("?")[0]
+    request_class = choose_class(document, call.method, path, call.request_class)
     version, source = Version(""), ""
     if call.adapter:
         adapter = _find_adapter(call, document)
@@ -123,40 +141,6 @@
     return adapter
 
 
-def _find_class(call: Call, document: ServiceDocument) -> RequestClass:
-    name = call.request_class or _route(call, document) or document.default_class
-    found = document.classes.get(name)
-    if found is None:
-        raise NotFound(
-            f"the service {call.service} has no class {name!r}",
-            f"use one of {', '.join(sorted(document.classes))}",
-            code=ErrorCode.UNKNOWN_CLASS,
-        )
-    # The document, not the caller, decides what may be repeated: a class asked for
-    # must not lift the protection that the route gives.
-    routed = document.classes.get(_route(call, document))
-    if routed is not None and not routed.idempotent and found.idempotent:
-        return routed
-    return found
-
-
-def _route(call: Call, document: ServiceDocument) -> ClassName:
-    path = call.path.partition("?")[0]
-    matches = [
-        route
-        for route in document.routes
-        if route.method in ("*", call.method) and _is_below(path, route.path)
-    ]
-    best = max(
-        matches, key=lambda route: (len(route.path), route.method != "*"), default=None
-    )
-    return ClassName("") if best is None else best.request_class
-
-
-def _is_below(path: str, prefix: str) -> bool:
-    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
-
-
 def _make_body(call: Call, document: ServiceDocument, version: Version) -> bytes:
     if call.payload is None:
         return call.body
@@ -178,7 +162,9 @@
     found: list[tuple[ServiceName, str]] = []
     for held in catalog.list_documents():
         document = held.document
-        if document.kind is not TargetKind.ENGINE or not _opens(credential, document):
+        if document.kind is not TargetKind.ENGINE or not find_caller(
+            document, credential
+        ):
             continue
         found.append((document.service, document.service))
         for adapter in document.adapters.values():
@@ -187,10 +173,3 @@
                 for version in adapter.versions
             )
     return found
-
-
-def _opens(credential: str, document: ServiceDocument) -> bool:
-    digest = hashlib.sha256(credential.encode()).hexdigest()
-    return not document.callers or any(
-        hmac.compare_digest(digest, caller.key_sha256) for caller in document.callers
-    )
