Refuse a lost replica as its own replacement (repair.py, of part/consensus)

Cause: a host came back with an empty folder and was replaced at once. The leader still knew the lost identity from its last introduction, took it for the new one, removed it and reported success: two voters were left, and the next loss stopped all changes. The same id is now refused until the new one has introduced itself.

Also: a replica without a lease sends away entries and agents only, no longer the other replicas; a replica out of the set is asked for its holders until their leases must be over; replace takes the name in the settings as well.

--- a/src/ibishead/control/force.py
+++ b/src/ibishead/control/force.py
@@ -45,6 +45,7 @@
         self._publisher = publisher
         self._relay = relay
         self._clock = clock
+        self._members: dict[ReplicaId, float] = {}
         # What was applied before this process began is known to it from now on
         self._moments = deque([(LogIndex(0), clock.monotonic())], MOMENTS_KEPT)
 
@@ -52,11 +53,24 @@
         """Remember when this replica applied its newest change."""
         self._moments.append((self._state.changed, self._clock.monotonic()))
 
+    def note_replicas(self) -> None:
+        """Remember who is in the replica set now, to be called every round."""
+        now = self._clock.monotonic()
+        replicas = self._replica.replicas()
+        self._members |= dict.fromkeys((*replicas.voters, *replicas.learners), now)
+        # Failure: a replica is taken out of the set while its holders still have
+        # leases from it. It is asked until none of these can be left.
+        self._members = {
+            replica: seen
+            for replica, seen in self._members.items()
+            if now - seen <= SURE_LIMIT
+        }
+
     async def find_waiting(self, index: LogIndex) -> list[HostId]:
         """Return the holders, or replicas, that the change is not known to be at."""
         waiting = set(self._publisher.list_waiting(index))
-        replicas = self._replica.replicas()
-        for replica in (*replicas.voters, *replicas.learners):
+        self.note_replicas()
+        for replica in list(self._members):
             if replica != self._name:
                 waiting.update(await self._ask(replica, index))
         return sorted(waiting)
--- a/src/ibishead/control/main.py
+++ b/src/ibishead/control/main.py
@@ -2,24 +2,17 @@
 
 import asyncio
 import logging
-import random
-import uuid
 from ipaddress import ip_address
 from pathlib import Path
 
 from ibishead.clock import Clock, SystemClock
-from ibishead.control.folder import DataFolder
-from ibishead.control.peering import PeerLinks
-from ibishead.control.replica import LogReplica
+from ibishead.control.assembly import open_replica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
 from ibishead.errors import SettingsFault, StorageFault
-from ibishead.ids import HostId
-from ibishead.messages import Hello, Role
 from ibishead.process import wait_for_stop
 from ibishead.settings import ControlSettings, load_control_settings
 from ibishead.startup import make_command
-from ibishead.tls import make_client_context
 
 __all__ = ["main", "make_control", "run_control"]
 
@@ -51,33 +44,13 @@
     :param failure: gets the fault when the disk fails and nothing can go on.
     :raises StorageFault: the data folder is damaged or in use.
     """
-    host = HostId(settings.replica)
-    peers = settings.peers | settings.spares
-    others = {HostId(n): e for n, e in peers.items() if n != settings.replica}
-    tls = settings.peer_tls
-    links = PeerLinks(
-        others,
-        Hello(Role.CONTROL, settings.host),
-        clock,
-        make_client_context(tls) if tls is not None else None,
-    )
 
     def note_failure(fault: StorageFault) -> None:
         if not failure.done():
             failure.set_result(fault)
 
     state = ControlState()
-    replica = LogReplica(
-        host,
-        tuple(HostId(name) for name in settings.peers),
-        state,
-        DataFolder(settings.data),
-        links,
-        clock,
-        random.randrange,
-        lambda: uuid.uuid4().hex,
-        on_failure=note_failure,
-    )
+    replica = open_replica(settings, state, clock, note_failure)
     return ControlServer(settings, replica.name, state, replica, clock)
 
 
--- a/src/ibishead/control/operators.py
+++ b/src/ibishead/control/operators.py
@@ -226,10 +226,22 @@
                 'send {"lost": REPLICA, "host": HOST}',
             ) from error
         fresh = await self._replica.change_replicas(
-            ReplicaId(ask.lost), HostId(ask.host)
+            self._find_replica(ask.lost), HostId(ask.host)
         )
         return {"replica": fresh}
 
+    def _find_replica(self, name: str) -> ReplicaId:
+        # An operator knows the name in the settings; the log knows the identity
+        replicas = self._replica.replicas()
+        known = (*replicas.voters, *replicas.learners)
+        found = [r for r in known if name in (r, r.rpartition(".")[0])]
+        if len(found) != 1:
+            raise NotFound(
+                f"{len(found)} replicas are named {name}",
+                "see `ibishead status`; it may have been replaced already",
+            )
+        return found[0]
+
     async def _propose(self, command: Command) -> Result:
         result = await propose_command(self._replica, self._clock, command)
         if isinstance(result, Rejected):
--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -35,7 +35,7 @@
 
     :raises Unavailable: the host has no new replica, or it doesn't catch up.
     """
-    fresh = _find_fresh(replica, host)
+    fresh = _find_fresh(replica, lost, host)
     await _take_in(replica, fresh)
     if lost == replica.name:
         await _promote(replica, fresh)
@@ -131,11 +131,14 @@
         await replica.change_configuration(configuration.remove(current, lost))
 
 
-def _find_fresh(replica: "LogReplica", host: HostId) -> ReplicaId:
+def _find_fresh(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
     known = replica.founding.known.get(host)
-    if known is None or not _is_heard(replica, host):
+    # Failure: a host is started anew with an empty folder, and the last that was
+    # heard from it is the lost replica's own introduction. Taken for the new one it
+    # would be removed as its own replacement, and the set would be one short.
+    if known is None or known.replica == lost or not _is_heard(replica, host):
         raise Unavailable(
-            f"no replica answers on host {host}",
+            f"no new replica answers on host {host}",
             "name a host of [peers] or [spares] and start ibishead-control there "
             "with an empty data folder",
             code=ErrorCode.NO_QUORUM,
--- a/src/ibishead/control/server.py
+++ b/src/ibishead/control/server.py
@@ -92,6 +92,7 @@
             self._service,
             self._desk,
             self._relay,
+            self._force,
             clock,
         )
         self._links = LinkServer(
--- a/src/ibishead/control/service.py
+++ b/src/ibishead/control/service.py
@@ -125,8 +125,11 @@
         return {item for s in self._sessions for item in s.attached.items()}
 
     async def drop_links(self) -> None:
-        """Close all links, so that peers move on to another replica."""
-        links = [session.link for session in self._sessions]
+        """Close entries' and agents' links, so that they move on to another replica.
+
+        Those of the other replicas stay: over them the quorum may be found again.
+        """
+        links = [s.link for s in self._sessions if s.link.peer.role is not Role.CONTROL]
         await asyncio.gather(*(link.close() for link in links))
 
     async def stop(self) -> None:
--- a/src/ibishead/control/upkeep.py
+++ b/src/ibishead/control/upkeep.py
@@ -11,6 +11,7 @@
     Command,
     RetireTarget,
 )
+from ibishead.control.force import ForceTracker
 from ibishead.control.granting import PermitDesk
 from ibishead.control.liveness import OrphanWatch
 from ibishead.control.machine import Replica
@@ -50,6 +51,7 @@
         service: ControlService,
         desk: PermitDesk,
         relay: Relay,
+        force: ForceTracker,
         clock: Clock,
     ) -> None:
         self._announcement = announcement
@@ -58,6 +60,7 @@
         self._service = service
         self._desk = desk
         self._relay = relay
+        self._force = force
         self._clock = clock
         self._watch = OrphanWatch()
         self._counted_to = self._leased_at = clock.monotonic()
@@ -75,6 +78,7 @@
     async def _do_round(self) -> None:
         now = self._clock.monotonic()
         self._relay.review()
+        self._force.note_replicas()
         if self._replica.lease() > 0:
             self._leased_at = now
         elif now - self._leased_at > LEASE_GRACE:
--- a/tests/control/test_force.py
+++ b/tests/control/test_force.py
@@ -15,8 +15,10 @@
 
     def __init__(self, answers: dict[str, Holders | None]) -> None:
         self.answers = answers
+        self.asked: list[str] = []
 
     async def ask_holders(self, replica, index):
+        self.asked.append(replica)
         return self.answers[replica]
 
 
@@ -61,6 +63,18 @@
     assert await tracker.find_waiting(1) == []
 
 
+async def test_removed_replica_counts_until_its_holders_have_stopped():
+    """A replica is replaced while an entry still has a lease from it."""
+    tracker, clock = make_tracker({"c2": None, "c3": Holders(1, 1)})
+    tracker.note_replicas()
+    tracker._replica.voters = ("c1", "c3")
+    clock.step(SURE_LIMIT - 0.1)
+    assert await tracker.find_waiting(1) == ["c2"]
+    clock.step(0.2)
+    assert await tracker.find_waiting(1) == []
+    assert list(tracker._relay.asked) == ["c2", "c3", "c3"]
+
+
 async def test_restarted_replica_doesnt_trust_the_age_of_a_change():
     """A replica that restarts doesn't know when a change was applied before."""
     tracker, clock = make_tracker({"c2": None, "c3": Holders(1, 1)})
--- a/tests/control/test_replicas.py
+++ b/tests/control/test_replicas.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import shutil
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -52,6 +53,7 @@
     """Three replicas and where they listen."""
 
     def __init__(self, folder) -> None:
+        self.folder = folder
         self.links = {name: Endpoint(LOOPBACK, reserve_port()) for name in NAMES}
         self.operators = {name: Endpoint(LOOPBACK, reserve_port()) for name in NAMES}
         self.programs: dict[str, Program] = {}
@@ -283,3 +285,29 @@
         await asyncio.sleep(0.05)
     await watcher.wait_revision(1)
     await watcher.subscription.stop()
+
+
+async def test_lost_disk_is_repaired_and_the_next_host_lost(trio):
+    """A host loses its disk and is replaced; right afterwards another host is lost.
+
+    Both replicas that are left hold all that was accepted, so nothing is missing.
+    """
+    accepted = [f"s{number}" for number in range(10)]
+    for number, submission in enumerate(accepted):
+        await trio.insist(submission, number)
+    leader = await trio.find_leader()
+    lost, kept = (name for name in NAMES if name != leader)
+    trio.programs[lost].kill()
+    shutil.rmtree(trio.folder / f"{lost}.data")
+    trio.programs[lost].start()
+    body = json.dumps({"lost": lost, "host": lost}).encode()
+    target = "/v1/replicas/replace"
+    while (reply := await trio.ask(leader, "POST", target, body)).status != 200:
+        assert reply.status in (0, 503), reply
+        await asyncio.sleep(0.05)
+    trio.programs[kept].kill()
+    assert await trio.read_history(lost) == accepted
+    reply = await trio.insist("after", len(accepted))
+    assert reply.value["revision"] == len(accepted) + 1
+    status = await trio.ask(leader, "GET", "/v1/status")
+    assert len(status.value["voters"]) == 3
