--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ibishead.control import configuration
-from ibishead.errors import ErrorCode, IbisheadError, Unavailable
+from ibishead.errors import Conflict, ErrorCode, IbisheadError, Unavailable
 from ibishead.ids import HostId, ReplicaId
 
 if TYPE_CHECKING:
@@ -34,8 +34,11 @@
     fail too. A voter that still answers leaves last, so that the set never shrinks.
 
     :raises Unavailable: the host has no new replica, or it doesn't catch up.
+    :raises Conflict: the host's replica is a voter already, or another change of the
+        replica set is under way.
     """
     fresh = _find_fresh(replica, lost, host)
+    _check_size(replica, lost, fresh)
     await _take_in(replica, fresh)
     if lost == replica.name:
         await _promote(replica, fresh)
@@ -146,6 +149,19 @@
     return known.replica
 
 
+def _check_size(replica: "LogReplica", lost: ReplicaId, fresh: ReplicaId) -> None:
+    """Refuse to remove a voter where no other takes its place.
+
+    An even set is one in the middle of a replacement, which may be asked for again.
+    """
+    voters = replica.core.configuration.voters
+    if fresh in voters and lost in voters and len(voters) % 2:
+        raise Conflict(
+            f"replica {fresh} counts already",
+            "name a host that runs a new replica or a spare",
+        )
+
+
 def _has_fresh(replica: "LogReplica", host: HostId) -> bool:
     known = replica.founding.known[host]
     is_voter = known.replica in replica.core.configuration.voters
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -15,7 +15,7 @@
 from ibishead.control.identity import Identity
 from ibishead.control.peering import Forward, FrameReader, PeerLinks
 from ibishead.control.replica import LogReplica
-from ibishead.errors import ErrorCode, StorageFault, Unavailable
+from ibishead.errors import Conflict, ErrorCode, StorageFault, Unavailable
 from ibishead.ids import HostId, ReplicaId
 from ibishead.links import Endpoint, Link, LinkServer
 from ibishead.messages import Hello, PeerFrame, Role
@@ -176,6 +176,33 @@
     assert leaving not in voters
 
 
+async def test_voter_does_not_replace_another(cluster: Cluster) -> None:
+    """An operator names the wrong host; the set must not shrink to two."""
+    leader = await cluster.find_leader()
+    replica = cluster.hosts[leader].replica
+    one, other = followers(cluster)
+    await wait_until(lambda: other in replica.founding.known)
+    with pytest.raises(Conflict, match="counts already"):
+        await replica.change_replicas(cluster.hosts[one].replica.name, other)
+    assert len(replica.replicas().voters) == 3
+
+
+async def test_replaced_leader_hands_over_first(cluster: Cluster) -> None:
+    """An operator replaces the leader; asked again, the next one removes it."""
+    leader = await cluster.find_leader()
+    replica = cluster.hosts[leader].replica
+    spare = await cluster.start(D)
+    await wait_until(lambda: D in replica.founding.known)
+    with pytest.raises(Unavailable, match="handed over"):
+        await replica.change_replicas(replica.name, D)
+    await wait_until(lambda: replica.leader() not in (None, replica.name))
+    follower = cluster.hosts[await cluster.find_leader()].replica
+    await wait_until(lambda: D in follower.founding.known)
+    assert await follower.change_replicas(replica.name, D) == spare.replica.name
+    assert replica.name not in follower.replicas().voters
+    assert len(follower.replicas().voters) == 3
+
+
 async def test_unattended_repair_then_a_second_host_is_lost(cluster: Cluster) -> None:
     """A host dies for good; a spare takes its place; then another host dies.
 
