Let a new replica that leads finish the replacement; prove two more guards

A replaced leader hands over, perhaps to its successor, which then didn't find itself and could never remove the old one.

--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ibishead.control import configuration
+from ibishead.control.identity import replica_host
 from ibishead.errors import Conflict, ErrorCode, IbisheadError, Unavailable
 from ibishead.ids import HostId, ReplicaId
 
@@ -135,6 +136,9 @@
 
 
 def _find_fresh(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
+    if host == replica_host(replica.name) and lost != replica.name:
+        # the new replica itself leads when a replaced leader has handed over to it
+        return replica.name
     known = replica.founding.known.get(host)
     # Failure: a host is started anew with an empty folder, and the last that was
     # heard from it is the lost replica's own introduction. Taken for the new one it
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -171,6 +171,23 @@
     assert [answer.index for answer in sent(core, AppendAnswer)] == [1]
 
 
+def test_late_entries_of_an_old_leader_change_nothing() -> None:
+    """An old leader's message was held up; meanwhile another's entry was accepted.
+
+    Taking the old entry would drop the acknowledged one, which may be committed.
+    """
+    core = make_core(Stored(Term(2), None, FOUNDING, (entry(1, 2, b"new"),)))
+    core.step(
+        B,
+        Append(
+            Term(1), LogIndex(0), Term(0), (entry(1, 1, b"old"),), LogIndex(0), 0, 1
+        ),
+    )
+    answer = sent(core, AppendAnswer)[0]
+    assert (answer.accepted, answer.term) == (False, 2)
+    assert core.log.slice(1, 1)[0].data == b"new"
+
+
 def test_leader_counts_its_own_entry_only_once_synced() -> None:
     """Of three, one follower answers quickly while the leader's disk is slow.
 
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -233,6 +233,23 @@
     assert load(files) == (7, "b", [], 100)
 
 
+def test_crash_between_a_leaders_snapshot_and_its_record() -> None:
+    """The power fails when the snapshot is in place and the log not yet reset.
+
+    What comes next doesn't follow on the old entries, and must not be taken for a gap.
+    """
+    files = FakeFiles()
+    storage = open_storage(files)
+    storage.write(write(entry(1), entry(2)))
+    files.countdown = 5
+    with pytest.raises(Crash):
+        storage.write(replace(write(), snapshot=snapshot(9), reset=True))
+    files.crash()
+    assert load(files) == (1, None, [], 9)
+    open_storage(files).write(write(entry(10)))
+    assert load(files) == (1, None, [10], 9)
+
+
 def test_full_disk_refuses_and_loses_nothing() -> None:
     """The disk fills up; the write is refused, and goes through once there is room."""
     files = FakeFiles()
