--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -39,6 +39,13 @@
     return [host for host in cluster.hosts if host != leader]
 
 
+def count_voters(cluster: Cluster, host: HostId) -> list[int]:
+    """Return the sizes of all replica sets in a replica's log."""
+    log = cluster.hosts[host].replica.core.log
+    indexes = range(log.snapshot.index, log.last_index + 1)
+    return [len(log.configuration_at(index).voters) for index in indexes]
+
+
 async def test_command_is_applied_where_it_was_proposed(cluster: Cluster) -> None:
     await cluster.find_leader()
     for number, host in enumerate(list(cluster.hosts), start=1):
@@ -174,6 +181,7 @@
     voters = cluster.hosts[leader].replica.replicas().voters
     assert fresh in voters
     assert leaving not in voters
+    assert min(count_voters(cluster, leader)) == 3
 
 
 async def test_voter_does_not_replace_another(cluster: Cluster) -> None:
@@ -217,6 +225,7 @@
     await wait_until(
         lambda: old not in replicas().voters and len(replicas().voters) == 3
     )
+    assert max(count_voters(cluster, leader)) == 3
     await cluster.kill(leader)
     second = cluster.hosts[await cluster.find_leader()]
     assert await second.replica.propose(b"after") == b"2"
@@ -317,7 +326,9 @@
         await servers[host].stop()
 
 
-def test_message_in_parts_outlives_a_broken_link() -> None:
+def test_message_in_parts_outlives_a_broken_link(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """A link breaks within a snapshot; the next message must not be mixed with it."""
     sent: list[PeerFrame] = []
     links = PeerLinks({}, Hello(Role.CONTROL, A), SystemClock())
@@ -337,3 +348,5 @@
     assert reader.read(sent[2]) is None
     results = [reader.read(frame) for frame in sent]
     assert results == [None, None, Forward(1, bytes(2_500_000))]
+    # what the broken link left behind was never taken for a message
+    assert not caplog.records
