--- a/src/ibishead/agent/slots.py
+++ b/src/ibishead/agent/slots.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ibishead.decisions.eviction import SlotView, choose_victim
 from ibishead.decisions.placement import adapter_digest
 from ibishead.ids import AdapterName, BootId, Version
 
 __all__ = [
     "AdapterKey",
+    "Occupied",
     "Pin",
     "SlotState",
     "SlotTable",
@@ -57,6 +57,19 @@
     last_used: float = 0.0
 
 
+@dataclass(frozen=True)
+class Occupied:
+    """A resident adapter.
+
+    :param pins: requests that run with it, or may.
+    :param last_used: monotonic seconds.
+    """
+
+    key: AdapterKey
+    pins: int
+    last_used: float
+
+
 @dataclass(frozen=True, eq=False)
 class Pin:
     """One request's hold on a slot, void once the slot itself is gone."""
@@ -208,24 +221,24 @@
         """Return the adapters in a state."""
         return [key for key, slot in self._slots.items() if slot.state is state]
 
-    def choose_victim(
-        self, now: float, waiting: dict[AdapterKey, int], reuse: dict[AdapterKey, float]
-    ) -> AdapterKey | None:
-        """Return the resident adapter to evict, or none when all are pinned.
+    def list_resident(self) -> list[Occupied]:
+        """Return what an eviction has to choose from."""
+        return [
+            Occupied(key, slot.pins + slot.lingering, slot.last_used)
+            for key, slot in self._slots.items()
+            if slot.state is SlotState.RESIDENT
+        ]
+
+    def reconcile(self, resident: Iterable[AdapterKey], now: float) -> None:
+        """Take in what the engine lists after an order whose end is in doubt.
 
-        :param waiting: requests that wait for each adapter.
-        :param reuse: expected uses of each adapter.
+        A load that timed out here may have ended well there and fill a slot unseen.
+        It may be leaving, too, so a slot in between two states is left alone.
         """
-        keys = {key.digest: key for key in self.list_keys(SlotState.RESIDENT)}
-        views = [
-            SlotView(
-                digest=digest,
-                pins=self._slots[key].pins + self._slots[key].lingering,
-                last_used=self._slots[key].last_used,
-                reuse=reuse.get(key, 0.0),
-                waiting=waiting.get(key, 0),
-            )
-            for digest, key in keys.items()
-        ]
-        victim = choose_victim(views, now)
-        return None if victim is None else keys[victim.digest]
+        listed = set(resident)
+        for key in listed:
+            self._slots.setdefault(key, _Slot(SlotState.RESIDENT, last_used=now))
+        for key in self.list_keys(SlotState.RESIDENT):
+            slot = self._slots[key]
+            if key not in listed and not slot.pins:
+                del self._slots[key]
--- /dev/null
+++ b/src/ibishead/agent/watcher.py
@@ -0,0 +1,91 @@
+"""Watches the target: whether it answers, in which boot, and what it holds."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from ibishead.agent.loader import Loader
+from ibishead.agent.slots import SlotTable
+from ibishead.agent.target import TargetClient
+from ibishead.clock import Clock
+from ibishead.errors import LinkLost
+
+__all__ = ["TargetWatcher"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between looks at a healthy target with nothing in doubt.
+QUIET_INTERVAL = 0.5
+
+#: Seconds between looks while something is in doubt.
+BUSY_INTERVAL = 0.1
+
+
+class TargetWatcher:
+    """Looks at the target again and again.
+
+    :param is_engine: it shows its boot and its adapters.
+    :param changed: called when the target's health has changed.
+    :ivar healthy: it answered the last look.
+    """
+
+    def __init__(
+        self,
+        client: TargetClient,
+        slots: SlotTable,
+        loader: Loader,
+        is_engine: bool,
+        clock: Clock,
+        changed: Callable[[], None],
+    ) -> None:
+        self.healthy = False
+        self._client = client
+        self._slots = slots
+        self._loader = loader
+        self._is_engine = is_engine
+        self._clock = clock
+        self._changed = changed
+        self._seen = clock.monotonic()
+
+    async def watch_for_ever(self) -> None:
+        """Keep `healthy` and the slot table true to what the target shows."""
+        while True:
+            try:
+                await self._look()
+                self._seen = self._clock.monotonic()
+                self._set_health(True)
+            except LinkLost as error:
+                logger.debug("target not seen", extra={"reason": error.message})
+                self._set_health(False)
+            doubt = self._slots.lingers or self._loader.doubtful or not self.healthy
+            await asyncio.sleep(BUSY_INTERVAL if doubt else QUIET_INTERVAL)
+
+    def suspect(self) -> None:
+        """Take the target for unhealthy until it is seen again."""
+        self._set_health(False)
+
+    def measure_absence(self) -> float:
+        """Return the seconds since the target was last seen, 0 while it is healthy."""
+        return 0.0 if self.healthy else self._clock.monotonic() - self._seen
+
+    async def _look(self) -> None:
+        if not self._is_engine:
+            await self._client.check_reachable()
+            return
+        sample = await self._client.sample()
+        if sample.boot != self._slots.boot:
+            resident = await self._client.list_adapters(sample.boot)
+            extra = {"boot": sample.boot, "resident": len(resident)}
+            logger.info("engine booted", extra=extra)
+            self._slots.begin_boot(sample.boot, resident, self._clock.monotonic())
+            return
+        self._slots.observe_running(sample.busy)
+        if self._loader.doubtful:
+            self._loader.doubtful = False
+            resident = await self._client.list_adapters(sample.boot)
+            self._slots.reconcile(resident, self._clock.monotonic())
+
+    def _set_health(self, healthy: bool) -> None:
+        if healthy != self.healthy:
+            self.healthy = healthy
+            self._changed()
--- a/tests/agent/test_slots.py
+++ b/tests/agent/test_slots.py
@@ -37,7 +37,6 @@
     table = SlotTable(1)
     load(table, TISZA)
     pin = table.pin(TISZA, 0.0)
-    assert table.choose_victim(1.0, {}, {}) is None
     assert not table.begin_unload(TISZA)
     table.unpin(pin, ended=True)
     assert table.begin_unload(TISZA)
@@ -66,10 +65,10 @@
     table = SlotTable(2)
     table.begin_boot(ONE, [TISZA], 0.0)
     assert table.is_resident(TISZA)
-    assert table.choose_victim(1.0, {}, {}) is None
+    assert not table.begin_unload(TISZA)
     table.observe_running(frozenset())
     table.observe_running(frozenset())
-    assert table.choose_victim(1.0, {}, {}) == TISZA
+    assert table.begin_unload(TISZA)
 
 
 def test_engine_that_restarted_voids_the_table():
@@ -97,6 +96,20 @@
     assert not table.begin_unload(TISZA)
 
 
+def test_load_that_timed_out_is_found_again():
+    """A load times out at the agent and ends well at the engine.
+
+    Its slot is taken there and free here; each further load would be refused.
+    """
+    table = SlotTable(1)
+    table.begin_boot(ONE, [], 0.0)
+    table.reconcile([TISZA], 1.0)
+    assert not table.has_free_slot()
+    assert table.begin_unload(TISZA)
+    table.reconcile([], 2.0)
+    assert not table.has_free_slot()
+
+
 class SlotMachine(RuleBasedStateMachine):
     """Random loads, pins, evictions and restarts against a plain count of pins."""
 
@@ -131,12 +144,11 @@
 
     @rule()
     def evict(self):
-        victim = self.table.choose_victim(0.0, {}, {})
-        if victim is None:
-            return
-        assert not self.held.get(victim), "a serving adapter was chosen"
-        assert self.table.begin_unload(victim)
-        self.table.end_unload(victim, self.table.boot, True)
+        free = [slot.key for slot in self.table.list_resident() if not slot.pins]
+        for victim in free[:1]:
+            assert not self.held.get(victim), "a serving adapter was offered"
+            assert self.table.begin_unload(victim)
+            self.table.end_unload(victim, self.table.boot, True)
 
     @rule(key=st.sampled_from(KEYS))
     def evict_by_name(self, key):
