Forget old favourites sooner and count own dispatches as wishes

Cause: after a shift of popularity the aged counts of old favourites kept their slots. Targets' wishes now include own dispatches that no report can hold yet.

--- a/benchmarks/policy/policies.py
+++ b/benchmarks/policy/policies.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-from benchmarks.policy.model import BATCH, Engine, Future
+from benchmarks.policy.model import BATCH, SLOTS, Engine, Future
 from benchmarks.policy.workloads import Request
 from ibishead.decisions.admission import AdmissionQuery, Refused, admit
 from ibishead.decisions.eviction import HALF_LIFE, SlotView, choose_victim
@@ -321,19 +321,30 @@
         )
 
     def _rate(self, engine: Engine, now: float) -> tuple[float, float]:
-        if engine.has_empty_slot():
+        # Loads that are ordered already take the first victims.
+        ahead = len(engine.wishes())
+        empty = SLOTS - len(engine.slots) - len(engine.loading)
+        if ahead < empty:
             return (_true_wait(engine), -1e9)
-        victim = self.choose_victim(engine, now)
-        if victim is None:
+        uses = sorted(
+            (self._next(engine, slot, now) for slot in self._free(engine)), reverse=True
+        )
+        if ahead - empty >= len(uses):
             return (_true_wait(engine) + engine.seconds_per_request, 0.0)
-        return (_true_wait(engine), -self._next(engine, victim, now))
+        return (_true_wait(engine), -uses[ahead - empty])
 
-    def choose_victim(self, engine: Engine, now: float) -> SlotView | None:
-        """Return the adapter that is asked for last."""
-        free = [
+    def _free(self, engine: Engine) -> list[SlotView]:
+        return [
             slot for slot in engine.slot_views() if not slot.pins and not slot.waiting
         ]
-        return max(free, key=lambda slot: self._next(engine, slot, now), default=None)
+
+    def choose_victim(self, engine: Engine, now: float) -> SlotView | None:
+        """Return the adapter that is asked for last."""
+        return max(
+            self._free(engine),
+            key=lambda slot: self._next(engine, slot, now),
+            default=None,
+        )
 
     def _next(self, engine: Engine, slot: SlotView, now: float) -> float:
         for other in self.engines:
--- a/benchmarks/policy/simulation.py
+++ b/benchmarks/policy/simulation.py
@@ -43,6 +43,8 @@
 #: How often a caller that was refused or left unserved comes back.
 RETURNS = 1
 DRAIN = 90.0
+#: Requests that an agent queues at the most, under every policy.
+MAX_QUEUED = 64
 
 
 @dataclass
@@ -166,6 +168,9 @@
         if not engine.up:
             self._fail(request, Outcome.NOT_RUN, 2.0)
             return
+        if engine.queued >= MAX_QUEUED:
+            self._end(request, "refused", 1.0)
+            return
         engine.enqueue(request)
         if not self.policy.drops_late:
             self.calendar.call_at(request.deadline, self._leave, engine, request)
--- a/src/ibishead/decisions/eviction.py
+++ b/src/ibishead/decisions/eviction.py
@@ -7,10 +7,10 @@
 
 #: Seconds after which a use counts half. Long enough to tell the frequent from the
 #: lucky, short enough that a favourite of yesterday leaves within minutes.
-HALF_LIFE = 120.0
-#: Uses that must have failed to come, by the adapter's own rate, before its silence
-#: counts against it; with fewer, chance alone would evict the frequent.
-SILENT_USES = 1.5
+HALF_LIFE = 60.0
+#: Uses, by the adapter's own rate, that may fail to come before its silence
+#: counts against it; more keep favourites of before a shift too long.
+SILENT_USES = 0.7
 #: Adapters counted per agent, resident or not; the coldest are forgotten beyond.
 MAX_COUNTED = 4096
 
--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -206,13 +206,14 @@
     # store. Harm: a replica of the hot one takes a load from those. It is made only
     # when its holder's queue exceeds this load, the wait it adds to other loads and
     # the worth of what it evicts; the stall weight scales what they count for.
-    blocked = view.seconds_per_request / 2 if view.free_slots <= 0 else 0.0
+    blocked = view.free_slots <= view.wishes
+    delay = view.seconds_per_request / 2 if blocked else 0.0
     wait = max(view.seconds_per_load, STORE_SECONDS * (1 + fleet.wishes))
     reloaded = min(1.0, REUSE_CERTAIN * view.coldest)
     harm = (wait + _cost_to_others(fleet)) * (1.0 + reloaded) / gainers
     weight = LEAST_LOAD_WEIGHT + query.stall_weight
     turn = _cost_of_turn(query, view, fleet)
-    return blocked + weight * (wait + harm) + turn
+    return delay + weight * (wait + harm) + turn
 
 
 def _cost_to_others(fleet: _Fleet) -> float:
--- a/src/ibishead/decisions/views.py
+++ b/src/ibishead/decisions/views.py
@@ -198,7 +198,7 @@
             reachable=view.reachable,
             draining=report.draining,
             seconds_per_load=report.seconds_per_load,
-            wishes=report.wishes,
+            wishes=report.wishes + len(loading.difference(report.loading)),
             free_slots=report.free_slots,
             coldest=report.coldest,
             stalled=report.stalled + sum(adapter not in resident for adapter in own),
