--- a/benchmarks/policy/model.py
+++ b/benchmarks/policy/model.py
@@ -216,6 +216,12 @@
         """Return whether a load needs no eviction."""
         return len(self.slots) + len(self.loading) < SLOTS
 
+    def can_load(self) -> bool:
+        """Return whether a slot is empty or not pinned."""
+        return self.has_empty_slot() or any(
+            not slot.pins for slot in self.slots.values()
+        )
+
     def evict(self, digest: int) -> None:
         """Empty a slot; one that serves a request is a fault of the policy."""
         if self.slots.pop(digest).pins:
--- a/benchmarks/policy/policies.py
+++ b/benchmarks/policy/policies.py
@@ -1,6 +1,7 @@
 """The policies that the bench compares; only `Decisions` is what the programs do."""
 
 import random
+from collections import Counter, defaultdict
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -9,7 +10,7 @@
 from ibishead.decisions.admission import AdmissionQuery, Refused, admit
 from ibishead.decisions.eviction import HALF_LIFE, SlotView, choose_victim
 from ibishead.decisions.loading import urgency
-from ibishead.decisions.placement import PlacementQuery, TargetView, place
+from ibishead.decisions.placement import Placed, PlacementQuery, TargetView, place
 from ibishead.decisions.queueing import Waiting, choose_next
 from ibishead.decisions.views import EntryView
 from ibishead.errors import ErrorCode
@@ -53,6 +54,9 @@
     def prefetch(self, engines: list[Engine], now: float) -> tuple[Engine, int] | None:
         """Return a load that nobody waits for yet."""
 
+    def count(self, request: Request, change: int) -> None:
+        """Count what an entry host has let in and not answered."""
+
 
 class _Baseline:
     """First come, first served, least recently used; no permits, no refusals."""
@@ -96,6 +100,9 @@
     def prefetch(self, engines: list[Engine], now: float):
         """Return nothing."""
 
+    def count(self, request: Request, change: int) -> None:
+        """Count nothing."""
+
 
 class Random(_Baseline):
     """Any target."""
@@ -135,6 +142,10 @@
         )
 
 
+#: A team's share of the queue may be exceeded by so much before it is held to it.
+TEAM_SLACK = 1.5
+
+
 @dataclass(frozen=True)
 class Features:
     """Ideas that can be taken out one by one.
@@ -173,7 +184,7 @@
         self.permits = self.features.permits
         self.drops_late = self.features.drops_late
         self.corrects = self.features.own_dispatches
-        self._waiting: dict[tuple[int, int], float] = {}
+        self._open: defaultdict[tuple[int, int], Counter] = defaultdict(Counter)
 
     def route(self, request: Request, view: EntryView, now: float):
         """Place the request, then admit it by the wait that it meets there."""
@@ -185,28 +196,42 @@
         if placed is None:
             return None
         if self.features.admission:
-            verdict = admit(self._ask(request, view, placed.expected_wait, now))
+            verdict = admit(self._ask(request, view, placed, now))
             if isinstance(verdict, Refused):
                 return verdict
         return placed.target
 
     def _ask(
-        self, request: Request, view: EntryView, wait: float, now: float
+        self, request: Request, view: EntryView, placed: Placed, now: float
     ) -> AdmissionQuery:
         up = [item for item in view.all() if item.reachable]
         capacity = sum(item.batch for item in up)
-        held = sum(item.running + item.queued + item.recent for item in up)
+        waiting = sum(max(0, _ready(item) - item.batch) for item in up)
+        open_here = self._open[request.entry, request.service]
+        total = max(1, sum(open_here.values()))
+        team = sum(n for (name, _), n in open_here.items() if name == request.team)
+        level = sum(n for (_, p), n in open_here.items() if p == request.priority)
         return AdmissionQuery(
             priority=request.priority,
             deadline=request.deadline - now,
-            waiting=max(0, held - capacity),
+            waiting=waiting,
             capacity=capacity,
             seconds_per_request=sum(item.seconds_per_request for item in up)
             / max(len(up), 1),
             draw=self.chance.random(),
-            expected_wait=wait,
+            team_share=0.25 * TEAM_SLACK,
+            team_waiting=waiting * team // total,
+            class_waiting=waiting * level // total,
+            expected_wait=placed.expected_wait,
+            needs_load=placed.needs_load,
+            wishes=sum(item.wishes for item in up),
         )
 
+    def count(self, request: Request, change: int) -> None:
+        """Count the requests that an entry host has let in and not answered."""
+        counter = self._open[request.entry, request.service]
+        counter[request.team, request.priority] += change
+
     def _hide(self, request: Request, targets: list[TargetView]) -> list[TargetView]:
         features = self.features
         if not features.coldest:
@@ -398,5 +423,9 @@
     return max(0, over) * engine.seconds_per_request / BATCH
 
 
+def _ready(view: TargetView) -> int:
+    return view.running + view.queued + view.recent - view.stalled
+
+
 def _load(view: TargetView) -> float:
     return (view.running + view.queued) / view.batch
--- a/benchmarks/policy/simulation.py
+++ b/benchmarks/policy/simulation.py
@@ -129,6 +129,7 @@
             return
         if request.attempt == 1:
             self.result.admitted += 1
+            self.policy.count(request, 1)
             self.budgets[request.entry].record_attempt()
         self.result.attempts += 1
         if self.policy.corrects:
@@ -150,6 +151,8 @@
 
     def _end(self, request: Request, outcome: str, retry_after: float) -> None:
         now = self.calendar.now
+        if request.target >= 0:
+            self.policy.count(request, -1)
         request.outcome = outcome
         request.ended = now
         if outcome != "done" and request.returns < RETURNS:
@@ -190,7 +193,7 @@
                 break
             engine.fair.observe_run(item.team, now)
             engine.start(item)
-        self._grant()
+        self._grant(engine)
 
     def _leave(self, engine: Engine, request: Request) -> None:
         for item in engine.waiting.get(request.adapter, ()):
@@ -206,13 +209,12 @@
         self._send_report(engine, (request.entry,))
         self._advance(engine)
 
-    def _grant(self) -> None:
+    def _grant(self, engine: Engine) -> None:
         if self.policy.permits:
             self._grant_permits()
             return
-        for engine in self.engines:
-            while engine.up and self._load_best(engine):
-                pass
+        while engine.up and engine.can_load() and self._load_best(engine):
+            pass
 
     def _load_best(self, engine: Engine) -> bool:
         best = self.policy.rate_load(engine, self.calendar.now)
@@ -221,11 +223,16 @@
     def _grant_permits(self) -> None:
         now = self.calendar.now
         while True:
+            at = self.permits.next_at(now)
+            if at > now + 1e-6:
+                self._grant_later(at)
+                return
             wishing = [
                 (best[0], engine.number, best[1])
                 for engine in self.engines
                 if engine.up
-                and len(engine.waiting) > 0
+                and engine.queued
+                and engine.can_load()
                 and (best := self.policy.rate_load(engine, now)) is not None
             ]
             ahead = None
@@ -233,8 +240,8 @@
                 ahead = self.policy.prefetch(self.engines, now)
                 if ahead is None:
                     return
+            # All places in flight are taken; the next load that ends asks again.
             if not self.permits.take(now):
-                self._grant_later(self.permits.next_at(now))
                 return
             if ahead is not None:
                 begun = self._load(*ahead)
@@ -273,7 +280,7 @@
         if self.policy.permits:
             self.permits.release()
         if boot != engine.boot or not engine.up:
-            self._grant()
+            self._grant(engine)
             return
         if succeeded:
             engine.backoff.observe_success(digest)
--- a/benchmarks/policy/workloads.py
+++ b/benchmarks/policy/workloads.py
@@ -210,6 +210,7 @@
         arrival=now,
         returns=request.returns + 1,
         attempt=1,
+        target=-1,
         avoid=set(),
         stall=0.0,
         stalled_since=-1.0,
--- a/src/ibishead/decisions/admission.py
+++ b/src/ibishead/decisions/admission.py
@@ -12,12 +12,19 @@
 MAX_RETRY_AFTER = 60.0
 #: Rounds of runs that may wait. A longer queue raises no throughput, and what waits
 #: in it is placed by reports that are old by the time that it runs.
-MAX_ROUNDS = 4.0
+MAX_ROUNDS = 2.0
 #: Part of the bounded queue from which a team is held to its share.
 CONTENTION = 0.5
 #: Priorities, 0 to 9; the lowest may fill this part of the queue, the highest all.
 MAX_PRIORITY = 9
 LOWEST_PART = 0.5
+#: Part of the queue that each class may fill however long the queue is.
+CLASS_PART = 0.15
+#: Seconds of loads that may wait for the store. A longer backlog loads nothing
+#: sooner and holds the slots and places of requests that could run.
+MAX_LOAD_BACKLOG = 4.0
+#: Seconds of store time that one load takes: 4 loads a second.
+STORE_SECONDS = 0.25
 
 
 @dataclass(frozen=True)
@@ -25,13 +32,17 @@
     """A request and the load it meets.
 
     :param deadline: seconds until the answer is worthless.
-    :param waiting: requests of the service that wait, at all targets known here.
+    :param waiting: requests of the service that wait for their turn, at all targets
+        known here; those that wait for their adapter aren't counted.
     :param capacity: requests that those targets run at once.
     :param seconds_per_request: measured mean time of one run.
     :param team_share: 0 to 1, the part that this team may use under contention.
     :param team_waiting: requests of this team that wait.
     :param draw: a number from 0 up to 1 that spreads the return of the refused.
     :param expected_wait: seconds at the target chosen, see `placement.Placed`.
+    :param class_waiting: requests of this class that wait; none when unknown.
+    :param needs_load: the target chosen neither holds nor awaits the adapter.
+    :param wishes: adapters that wait for their load at all targets known here.
     """
 
     priority: int
@@ -43,6 +54,9 @@
     team_waiting: int = 0
     draw: float = 0.0
     expected_wait: float = 0.0
+    class_waiting: int | None = None
+    needs_load: bool = False
+    wishes: int = 0
 
 
 @dataclass(frozen=True)
@@ -79,7 +93,24 @@
     if late > 0:
         reason = f"the queue takes {wait:.1f} s, over the deadline"
         return _refuse(query, ErrorCode.DEADLINE_UNREACHABLE, reason, late)
-    limit = _limit(query)
+    # Load: a shift of popularity, or saturation with many rare adapters. Harm: the
+    # backlog at the store grows past every deadline, and all loads come too late for
+    # those that asked for them.
+    backlog = query.wishes * STORE_SECONDS
+    if query.needs_load and backlog >= MAX_LOAD_BACKLOG * _part(query.priority):
+        return _refuse(
+            query, ErrorCode.OVERLOADED, "too many adapters wait to load", backlog
+        )
+    limit = max(1.0, MAX_ROUNDS * query.capacity * _part(query.priority))
+    return _hold_to_queue(query, limit, drain) or Admitted(wait)
+
+
+def _hold_to_queue(query: AdmissionQuery, limit: float, drain: float) -> Refused | None:
+    # Load: a class above sends enough to fill the queue for good. Harm: the classes
+    # below get nothing. Each may keep a small part of the queue whatever its length.
+    own = query.class_waiting
+    if own is not None and own < CLASS_PART * limit:
+        return None
     if query.waiting >= limit:
         over = (query.waiting - limit + 1) / drain
         return _refuse(query, ErrorCode.OVERLOADED, "the queue is full", over)
@@ -90,15 +121,14 @@
     if contended and query.team_waiting >= max(1.0, query.team_share * limit):
         over = query.team_waiting / drain / max(query.team_share, 0.01)
         return _refuse(query, ErrorCode.OVERLOADED, "the team's share is used", over)
-    return Admitted(wait)
+    return None
 
 
-def _limit(query: AdmissionQuery) -> float:
-    # The last part of the queue is left to the higher classes, so that a burst of
-    # the lowest doesn't keep them out; the lowest keeps half and never starves.
-    priority = min(max(query.priority, 0), MAX_PRIORITY)
-    part = LOWEST_PART + (1.0 - LOWEST_PART) * priority / MAX_PRIORITY
-    return max(1.0, MAX_ROUNDS * query.capacity * part)
+def _part(priority: int) -> float:
+    # The last part of a bounded queue is left to the higher classes, so that a burst
+    # of the lowest doesn't keep them out.
+    level = min(max(priority, 0), MAX_PRIORITY) / MAX_PRIORITY
+    return LOWEST_PART + (1.0 - LOWEST_PART) * level
 
 
 def _refuse(
--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -95,11 +95,13 @@
     """A target and the reason it was chosen, for `explain`.
 
     :param expected_wait: seconds until the run begins, the load included.
+    :param needs_load: the target neither holds nor awaits the adapter.
     """
 
     target: TargetId
     reason: str
     expected_wait: float = 0.0
+    needs_load: bool = False
 
 
 def adapter_digest(adapter: AdapterName, version: Version) -> int:
@@ -169,7 +171,9 @@
         for view in others
     ]
     _, _, best, reason = min(choices, key=lambda choice: choice[:2])
-    return Placed(best.target, reason, _expect_wait(query.adapter, best))
+    return Placed(
+        best.target, reason, _expect_wait(query.adapter, best), reason == "load"
+    )
 
 
 @dataclass(frozen=True)
