--- a/src/ibishead/operator/main.py
+++ b/src/ibishead/operator/main.py
@@ -185,7 +185,7 @@
 
 @main.command()
 @click.argument("replica")
-@click.option("--host", required=True, help="The spare that takes its place.")
+@click.option("--host", required=True, help="Name of the spare that takes its place.")
 @control_command
 async def replace(command: Command, replica: str, host: str) -> None:
     """Replace a lost control replica by a spare."""
