--- a/src/ibishead/agent/agent.py
+++ b/src/ibishead/agent/agent.py
@@ -111,6 +111,7 @@
 
 
 def _announce(settings: AgentSettings, endpoint: Endpoint) -> AskRegistration:
+    endpoint = settings.announce or endpoint
     return AskRegistration(
         uuid.uuid4().hex,
         settings.target,
