Tell, log and explain refusals before dispatch

Cause: a request that couldn't be parsed got no request id and no outcome; refusals by resolve left no step for ibishead explain; none of them was logged, and those of admission weren't counted among the team's requests. Ruled out: a catch-all in the web server, it knows no request ids. Before: 8 of 8 rows would miss the log line. After: 8 rows of a table over real HTTP pass: status, code, headers, trace, log line and counters. Conclusion: every answer of the pipeline names its request and outcome.

--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+import uuid
 from collections.abc import Coroutine
 from datetime import timedelta
 
@@ -25,6 +26,7 @@
     OutcomeUnknown,
 )
 from ibishead.errors import Refused as RefusedRequest
+from ibishead.ids import RequestId
 from ibishead.messages import Outcome
 from ibishead.metrics import Metrics
 from ibishead.subscription import Subscription
@@ -67,20 +69,27 @@
         if path not in MODEL_PATHS and not path.startswith(PLAIN_PREFIX):
             await self._pages.handle(exchange)
             return
-        call = parse_call(exchange.request)
         now = self._clock.monotonic()
+        try:
+            call = parse_call(exchange.request)
+        except IbisheadError as error:
+            request = RequestId(uuid.uuid4().hex)
+            trace = self.traces.open(request, now)
+            await self._refuse(exchange, trace, "parse", error)
+            return
         trace = self.traces.open(call.request, now)
         try:
             resolved = self._resolve(call, trace)
+        except IbisheadError as error:
+            await self._refuse(exchange, trace, "resolve", error)
+            return
+        try:
             self._admit(resolved, trace)
         except IbisheadError as error:
-            trace.outcome = Outcome.NOT_RUN.value
-            self._metrics.count_refusal(error.code)
-            headers = (
-                ("x-ibishead-request", call.request),
-                ("x-ibishead-outcome", Outcome.NOT_RUN.value),
+            self._metrics.count_request(
+                resolved.team, resolved.request_class.name, Outcome.NOT_RUN
             )
-            await exchange.respond_error(error, headers)
+            await self._refuse(exchange, trace, "admit", error)
             return
         timer = AnswerTimer(
             self._metrics,
@@ -97,6 +106,27 @@
         )
         await self._serve(exchange, job)
 
+    async def _refuse(
+        self, exchange: Exchange, trace: Trace, stage: str, error: IbisheadError
+    ) -> None:
+        trace.add(self._clock.monotonic(), stage, error.code.value, error.message)
+        trace.outcome = Outcome.NOT_RUN.value
+        self._metrics.count_refusal(error.code)
+        logger.info(
+            "request refused",
+            extra={
+                "request": trace.request,
+                "stage": stage,
+                "decision": error.code.value,
+                "reason": error.message,
+            },
+        )
+        headers = (
+            ("x-ibishead-request", trace.request),
+            ("x-ibishead-outcome", Outcome.NOT_RUN.value),
+        )
+        await exchange.respond_error(error, headers)
+
     def _resolve(self, call: Call, trace: Trace) -> Resolved:
         resolved = resolve_confirmed(
             call, self._subscription.catalog, self._subscription.is_current()
@@ -130,7 +160,6 @@
         now = self._clock.monotonic()
         match verdict:
             case Refused(code=code, reason=reason, retry_after=retry_after):
-                trace.add(now, "admit", code.value, reason)
                 raise RefusedRequest(
                     f"the request was not run: {reason}",
                     "send it again after the given time",
--- /dev/null
+++ b/tests/entry/test_refusals.py
@@ -0,0 +1,106 @@
+"""A refusal before dispatch names its request and outcome, and can be explained."""
+
+import json
+import logging
+import random
+
+import pytest
+
+from ibishead.catalog import Catalog
+from ibishead.clock import SystemClock
+from ibishead.entry.pipeline import Pipeline
+from ibishead.links import Endpoint
+from ibishead.messages import DocumentRecord
+from ibishead.metrics import Metrics
+from ibishead.web import ClientConnection, WebServer
+
+DOCUMENT = """
+[service]
+name = mester
+team = halo
+kind = engine
+model = base
+default_class = draft
+adapter_source = store/{adapter}/{version}
+[class:draft]
+priority = 1
+deadline = 1 s
+idempotent = yes
+[adapters]
+tisza = 1 2
+"""
+
+
+class Confirmed:
+    """A subscription whose documents a live lease vouches for."""
+
+    def __init__(self):
+        self.catalog = Catalog()
+        self.catalog.offer(DocumentRecord("mester", "halo", 1, DOCUMENT))
+
+    def is_current(self):
+        return True
+
+
+class NoTargets:
+    """A dispatcher that knows no agent."""
+
+    def list_views(self, resolved):
+        return []
+
+
+@pytest.fixture
+def metrics():
+    return Metrics("entry")
+
+
+@pytest.fixture
+async def entry(metrics):
+    pipeline = Pipeline(
+        Confirmed(), NoTargets(), SystemClock(), metrics, random.Random(1)
+    )
+    server = WebServer(pipeline.handle)
+    server.pipeline = pipeline
+    server.endpoint = await server.start(Endpoint("127.0.0.1", 0))
+    yield server
+    await server.stop(grace=0.0)
+
+
+def name_model(model):
+    return json.dumps({"model": model}).encode()
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "stage", "code"),
+    [
+        (b"{", 400, "parse", "invalid_input"),
+        (b"[]", 400, "parse", "invalid_input"),
+        (b'{"model": "\xff"}', 400, "parse", "invalid_input"),
+        (b"{}", 400, "parse", "invalid_input"),
+        (name_model("nobody/tisza"), 404, "resolve", "unknown_service"),
+        (name_model("mester/duna"), 404, "resolve", "unknown_adapter"),
+        (name_model("mester/tisza@9"), 404, "resolve", "unknown_version"),
+        (name_model("mester/tisza@1"), 429, "admit", "no_target"),
+    ],
+)
+async def test_refusal_is_told_counted_and_logged(
+    entry, metrics, caplog, body, status, stage, code
+):
+    caplog.set_level(logging.INFO)
+    connection = await ClientConnection.open(entry.endpoint)
+    answer = await connection.ask("POST", "/v1/chat/completions", (), body)
+    error = json.loads(await answer.read())["error"]
+    connection.close()
+    headers = dict(answer.headers)
+    assert (answer.status, error["code"]) == (status, code)
+    assert error["remedy"]
+    assert headers["x-ibishead-outcome"] == "not_run"
+    assert ("retry-after" in headers) is (status == 429)
+    trace = entry.pipeline.traces.find(headers["x-ibishead-request"])
+    assert trace.outcome == "not_run"
+    assert (trace.steps[-1].stage, trace.steps[-1].decision) == (stage, code)
+    (line,) = [r for r in caplog.records if r.message == "request refused"]
+    assert (line.request, line.stage, line.decision) == (trace.request, stage, code)
+    text = metrics.render()[1].decode()
+    assert f'ibishead_entry_refusals_total{{code="{code}"}} 1' in text
+    assert ('outcome="not_run",team="halo"} 1' in text) is (stage == "admit")
