Prove that a late replica gives a withdrawn key no reach

Cause: control confirms a read before it checks an operator's key; no test said why. Ruled out: the base revision alone as a guard, the withdrawn operator can name the newest one. Before: no test. After: 15 tests pass; with the confirmed read taken out 2 fail, one of them with the change accepted (200). Conclusion: the guard stands for a reason.

--- a/tests/control/test_operator_keys.py
+++ b/tests/control/test_operator_keys.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ibishead.clock import SystemClock
+from ibishead.control.commands import encode_command
 from ibishead.control.lone import LoneReplica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
@@ -11,7 +12,7 @@
 from ibishead.settings import ControlSettings, ListenSettings
 from ibishead.web import ClientConnection
 
-from .support import C1, write_document
+from .support import C1, make_submission, write_document
 
 LOOPBACK = ListenSettings(Endpoint("127.0.0.1", 0))
 ADMIN, HALO, OTHER = "sk-admin", "sk-halo", "sk-other"
@@ -26,8 +27,30 @@
 MESTER = write_owned("mester", "other", OTHER)
 
 
+class LateReplica(LoneReplica):
+    """Hears of others' commands when a read is confirmed or a proposal is judged."""
+
+    def __init__(self, name, machine):
+        super().__init__(name, machine)
+        self.machine = machine
+        self.unheard = []
+
+    async def confirm_read(self):
+        while self.unheard:
+            await super().propose(encode_command(self.unheard.pop(0)))
+
+    async def propose(self, command):
+        await self.confirm_read()
+        return await super().propose(command)
+
+
+@pytest.fixture
+def replica():
+    return LateReplica(C1, ControlState())
+
+
 @pytest.fixture
-async def operators(tmp_path):
+async def operators(tmp_path, replica):
     settings = ControlSettings(
         C1,
         "control-1",
@@ -39,8 +62,7 @@
         {},
         (hash_key(ADMIN),),
     )
-    state = ControlState()
-    server = ControlServer(settings, C1, state, LoneReplica(C1, state), SystemClock())
+    server = ControlServer(settings, C1, replica.machine, replica, SystemClock())
     endpoints = await server.start()
     for service, text in (("raktar", RAKTAR), ("mester", MESTER)):
         target = f"/v1/documents/{service}?base=0&submission=first-{service}"
@@ -94,3 +116,17 @@
     assert await ask(operators, target.format(1, 2), HALO, without) == 200
     assert await ask(operators, target.format(2, 3), HALO, RAKTAR) == 403
     assert await ask(operators, target.format(2, 3), "sk-new", RAKTAR) == 200
+
+
+@pytest.mark.parametrize("base", [2, 3])
+async def test_late_replica_gives_no_reach_back(operators, replica, base):
+    """An operator who has lost the key changes the document once more.
+
+    The change that took the key away is accepted, but the replica that is asked has
+    not heard of it and checks the key by the document before. Submitted on the newest
+    revision, the operator's change would be accepted on top.
+    """
+    without = RAKTAR.replace(hash_key(HALO), hash_key("sk-new"))
+    replica.unheard.append(make_submission("s2", 1, without))
+    target = f"/v1/documents/raktar?base={base}&submission=s3"
+    assert await ask(operators, target, HALO, RAKTAR) == 403
