Place and admit by corrected views; claims come before refusals under a key

Cause: entries placed by raw reports; drain by operator was unknown to the new views; a keyed request refused for load or for want of a quorum was told as not run though an earlier sending under its key could have run. Ruled out: remembering keys at the entry; callers resend through any host. Conclusion: admission follows the claim for protected requests.

--- a/src/ibishead/agent/agent.py
+++ b/src/ibishead/agent/agent.py
@@ -90,12 +90,9 @@
         """Return what the gate must know at this moment."""
         catalog = self._subscription.catalog
         held = catalog.find_document(self._settings.service)
-        record = catalog.find_target(self._settings.target)
         return GateState(
             incarnation=self.registrar.incarnation,
-            draining=self.scheduler.draining
-            or self.registrar.superseded.is_set()
-            or (record is not None and record.draining),
+            draining=self.scheduler.draining or self.registrar.superseded.is_set(),
             document=None if held is None else held.record,
             current=self._subscription.is_current(),
             unconfirmed=(
@@ -105,6 +102,9 @@
 
     def _review(self) -> None:
         self.registrar.review()
+        record = self._subscription.catalog.find_target(self._settings.target)
+        if record is not None and record.draining:
+            self.scheduler.begin_drain()
 
     async def _attach(self) -> None:
         self.registrar.attach()
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -120,10 +120,15 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._client.close()
 
+    def begin_drain(self) -> None:
+        """Take nothing new from now on, and say so in every report."""
+        if not self.draining:
+            self.draining = True
+            self.changed.set()
+
     async def finish(self) -> None:
         """Return once every attempt has ended and its frames are delivered."""
-        self.draining = True
-        self.changed.set()
+        self.begin_drain()
         while self._list_open() or self._owes_frames():
             await asyncio.sleep(TICK)
 
--- a/src/ibishead/entry/agents.py
+++ b/src/ibishead/entry/agents.py
@@ -10,10 +10,9 @@
 import ssl
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeAlias
+from typing import Protocol, TypeAlias
 
 from ibishead.clock import Clock
-from ibishead.decisions.placement import TargetView
 from ibishead.errors import LinkLost
 from ibishead.ids import Incarnation, RequestId, Sequence, TargetId
 from ibishead.links import Dialer, Endpoint, Link, dial
@@ -58,6 +57,22 @@
 AttemptEvent: TypeAlias = Frame | NotRun | AttemptLost
 
 
+class LinkObserver(Protocol):
+    """Who wants to know how the agents are."""
+
+    def add(self, record: TargetRecord) -> None:
+        """Take in a target that control has announced, or announced again."""
+
+    def remove(self, target: TargetId) -> None:
+        """Forget a target that is gone."""
+
+    def observe(self, report: LoadReport) -> None:
+        """Take in an agent's report."""
+
+    def lose(self, target: TargetId) -> None:
+        """Note that the link to a target's agent is down."""
+
+
 class AttemptChannel:
     """One open attempt as its request sees it."""
 
@@ -119,10 +134,10 @@
         clock: Clock,
         tls: ssl.SSLContext | None,
         dialer: Dialer,
+        observer: LinkObserver,
     ) -> None:
+        self._observer = observer
         self.record = record
-        self.report: LoadReport | None = None
-        self.recent = 0
         self._hello = hello
         self._clock = clock
         self._tls = tls
@@ -134,45 +149,14 @@
         self._retired = False
         self._task = asyncio.create_task(self._connect_for_ever())
 
-    @property
-    def reachable(self) -> bool:
-        """Whether the link is up and the agent has reported a healthy target."""
-        return (
-            self._link is not None
-            and not self._link.closed
-            and self.report is not None
-            and self.report.healthy
-        )
-
     def take_record(self, record: TargetRecord) -> None:
-        """Note what control says of the target now."""
+        """Note what control says of the target now, which may be back."""
         moved = (record.address, record.port) != (self.record.address, self.record.port)
         self.record = record
         self._retired = False
         if moved and self._link is not None:
             self._link.end()
 
-    def view(self) -> TargetView:
-        """Return what placement needs to know, own dispatches included."""
-        report = self.report
-        record = self.record
-        if report is None:
-            return TargetView(record.target, record.failure_domain, reachable=False)
-        return TargetView(
-            target=record.target,
-            failure_domain=record.failure_domain,
-            running=report.running,
-            queued=report.queued,
-            recent=self.recent,
-            batch=report.batch,
-            slots=report.slots,
-            resident=frozenset(report.resident),
-            loading=frozenset(report.loading),
-            seconds_per_request=report.seconds_per_request,
-            reachable=self.reachable and not self._retired,
-            draining=report.draining or record.draining,
-        )
-
     def dispatch(self, dispatch: Dispatch) -> AttemptChannel:
         """Send an attempt.
 
@@ -184,7 +168,6 @@
                 "none is needed, another target is tried",
             )
         channel = self._add(dispatch.request, dispatch.attempt)
-        self.recent += 1
         self._link.send(dispatch)
         return channel
 
@@ -272,13 +255,14 @@
                 self._take(message)
         finally:
             self._link = None
+            self._observer.lose(self.record.target)
             await link.close()
 
     def _take(self, message: Message) -> None:
         match message:
             case LoadReport():
-                self.report = message
-                self.recent = 0
+                if not self._retired:
+                    self._observer.observe(message)
             case AnswerHead() | AnswerBody() | AnswerEnd() | NotRun():
                 name = (message.request, message.attempt)
                 for channel in self._open.get(name, []):
@@ -302,7 +286,10 @@
         clock: Clock,
         tls: ssl.SSLContext | None = None,
         dialer: Dialer = dial,
+        *,
+        observer: LinkObserver,
     ) -> None:
+        self._observer = observer
         self._hello = hello
         self._clock = clock
         self._tls = tls
@@ -320,13 +307,20 @@
             if target in wanted:
                 link.take_record(wanted[target])
             else:
+                self._observer.remove(target)
                 link.retire()
             if link.finished:
                 del self._links[target]
         for target, record in wanted.items():
+            self._observer.add(record)
             if target not in self._links:
                 self._links[target] = AgentLink(
-                    record, self._hello, self._clock, self._tls, self._dial
+                    record,
+                    self._hello,
+                    self._clock,
+                    self._tls,
+                    self._dial,
+                    self._observer,
                 )
 
     def find(self, target: TargetId) -> AgentLink | None:
--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -4,8 +4,10 @@
 another target only on proof that its holder did not run.
 """
 
+import contextlib
 from collections.abc import Callable
 
+from ibishead.decisions.placement import Placed
 from ibishead.entry.dispatching import (
     Dispatcher,
     Ended,
@@ -15,8 +17,15 @@
     describe_no_target,
 )
 from ibishead.entry.trace import Trace
-from ibishead.errors import Conflict, ErrorCode, OutcomeUnknown
-from ibishead.ids import IdempotencyKey, TargetId
+from ibishead.errors import (
+    Conflict,
+    ErrorCode,
+    IbisheadError,
+    NotFound,
+    OutcomeUnknown,
+    Unavailable,
+)
+from ibishead.ids import IdempotencyKey, Incarnation, TargetId
 from ibishead.messages import (
     AskClaim,
     ClaimAnswer,
@@ -62,12 +71,17 @@
         avoid: frozenset[TargetId] = frozenset()
         ended = Ended(Outcome.NOT_RUN, ErrorCode.NO_TARGET, "never sent")
         for _ in range(MAX_GRANTS):
-            answer = await self._claim(job, key, avoid)
+            placed = self._dispatcher.choose(job, avoid)
+            answer = await self._claim(job, key, placed)
+            if answer is None and placed is None:
+                raise describe_no_target()
+            if answer is None:
+                continue
             self._note(job.trace, "claim", answer.state.value, f"at {answer.target}")
             if not self._is_open(answer):
                 await self._answer_settled(job, answer)
                 return
-            ended = await self._run_granted(job, answer, key)
+            ended = await self._run_granted(job, answer, key, placed)
             if ended.outcome is Outcome.COMPLETED:
                 return
             if ended.outcome is Outcome.UNKNOWN:
@@ -82,11 +96,11 @@
         raise describe_end(ended, ended.retry_after or RUNNING_RETRY_AFTER)
 
     async def _claim(
-        self, job: Job, key: IdempotencyKey, avoid: frozenset[TargetId]
-    ) -> ClaimAnswer:
-        agent = self._dispatcher.choose(job, avoid)
-        if agent is None:
-            raise describe_no_target()
+        self, job: Job, key: IdempotencyKey, placed: Placed | None
+    ) -> ClaimAnswer | None:
+        # Without a live target nothing is granted, but what is on record under the
+        # key is answered all the same; none means that nothing is.
+        agent = placed and self._dispatcher.find_agent(placed.target)
         resolved = job.resolved
         ask = AskClaim(
             request=resolved.call.request,
@@ -94,18 +108,37 @@
             service=resolved.call.service,
             key=key,
             digest=resolved.digest,
-            target=agent.record.target,
-            incarnation=agent.record.incarnation,
+            target=agent.record.target if agent else TargetId(""),
+            incarnation=agent.record.incarnation if agent else Incarnation(0),
             retention=resolved.document.claim_retention.total_seconds(),
         )
-        return await self._subscription.claim(ask, CLAIM_PATIENCE)
+        try:
+            return await self._subscription.claim(ask, CLAIM_PATIENCE)
+        except NotFound:
+            return None
+        except Unavailable as error:
+            if not resolved.call.key:
+                raise
+            # An earlier sending under the same key may have run, and only the
+            # quorum knows. "Not run" could make its caller take a new key.
+            raise OutcomeUnknown(
+                "this sending was not run, but no control quorum can tell whether "
+                "an earlier one under the same Idempotency-Key was",
+                "send it again with the same key after the given time",
+                code=ErrorCode.NO_QUORUM,
+                retry_after=error.retry_after,
+            ) from error
 
     @staticmethod
     def _is_open(answer: ClaimAnswer) -> bool:
         return answer.state in (ClaimState.GRANTED, ClaimState.RUNNING)
 
     async def _run_granted(
-        self, job: Job, answer: ClaimAnswer, key: IdempotencyKey
+        self,
+        job: Job,
+        answer: ClaimAnswer,
+        key: IdempotencyKey,
+        placed: Placed | None,
     ) -> Ended:
         agent = self._dispatcher.find_agent(answer.target)
         mine = answer.holder == job.resolved.call.request
@@ -115,6 +148,11 @@
                 return Ended(
                     Outcome.NOT_RUN, ErrorCode.STALE_INCARNATION, "the target is gone"
                 )
+            try:
+                self._dispatcher.admit(job, placed)
+            except IbisheadError:
+                await self._release(job, answer, key)
+                raise
             job.attempts += 1
             return await self._dispatcher.attempt(
                 job, agent, Grant(answer.generation, key)
@@ -131,17 +169,17 @@
     ) -> None:
         resolved = job.resolved
         job.relay.reset()
-        await self._subscription.resolve(
-            ResolveClaim(
-                answer.holder,
-                resolved.team,
-                resolved.call.service,
-                key,
-                answer.generation,
-                Outcome.NOT_RUN,
-            ),
-            CLAIM_PATIENCE,
+        resolution = ResolveClaim(
+            answer.holder,
+            resolved.team,
+            resolved.call.service,
+            key,
+            answer.generation,
+            Outcome.NOT_RUN,
         )
+        # When this isn't recorded, the next sending asks the agent and gets the proof
+        with contextlib.suppress(Unavailable):
+            await self._subscription.resolve(resolution, CLAIM_PATIENCE)
 
     async def _answer_settled(self, job: Job, answer: ClaimAnswer) -> None:
         match answer.state:
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -1,7 +1,6 @@
 """Attempts of one request: place, dispatch, follow, and try again where allowed."""
 
 import asyncio
-import random
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -9,7 +8,7 @@
 
 from ibishead.catalog import Catalog
 from ibishead.clock import Clock
-from ibishead.decisions.placement import PlacementQuery, adapter_digest, place
+from ibishead.decisions.placement import Placed, adapter_digest
 from ibishead.decisions.retry import (
     AttemptEnd,
     GiveUp,
@@ -18,6 +17,7 @@
     decide_retry,
 )
 from ibishead.entry.agents import AgentLink, AgentPool, AttemptChannel, AttemptLost
+from ibishead.entry.placing import Placer
 from ibishead.entry.relay import Relay
 from ibishead.entry.resolution import Resolved, resolve
 from ibishead.entry.trace import Trace
@@ -29,7 +29,7 @@
     Refused,
     Unavailable,
 )
-from ibishead.ids import FailureDomain, Generation, IdempotencyKey, TargetId
+from ibishead.ids import Generation, IdempotencyKey, TargetId
 from ibishead.messages import AnswerEnd, AnswerHead, Dispatch, NotRun, Outcome
 
 __all__ = ["Dispatcher", "Ended", "Grant", "Job"]
@@ -85,43 +85,39 @@
         pool: AgentPool,
         catalog: Catalog,
         clock: Clock,
-        failure_domain: FailureDomain,
-        chance: random.Random,
+        placer: Placer,
     ) -> None:
         self._pool = pool
         self._catalog = catalog
         self._clock = clock
-        self._failure_domain = failure_domain
-        self._chance = chance
+        self._placer = placer
         self._budget = RetryBudget()
 
-    def list_views(self, resolved: Resolved) -> list[AgentLink]:
-        """Return the agents of the request's service."""
-        service = resolved.call.service
-        return [
-            link for link in self._pool.list_links() if link.record.service == service
-        ]
-
     def find_agent(self, target: TargetId) -> AgentLink | None:
         """Return the agent of a target, or none."""
         return self._pool.find(target)
 
-    def choose(self, job: Job, avoid: frozenset[TargetId]) -> AgentLink | None:
-        """Return the agent that the next attempt goes to, or none."""
-        resolved = job.resolved
-        query = PlacementQuery(
-            adapter=adapter_digest(resolved.call.adapter, resolved.version),
-            stall_weight=resolved.document.stall_weight,
-            failure_domain=self._failure_domain,
-            avoid=avoid,
-        )
-        views = [link.view() for link in self.list_views(resolved)]
-        placed = place(query, views, self._chance.random)
+    def choose(self, job: Job, avoid: frozenset[TargetId]) -> Placed | None:
+        """Return where the next attempt goes, or none when nothing can take it."""
+        placed = self._placer.place(job.resolved, avoid)
         if placed is None:
             self._note(job, "place", "none", "no target can take it")
-            return None
-        self._note(job, "place", placed.target, placed.reason)
-        return self._pool.find(placed.target)
+        else:
+            self._note(job, "place", placed.target, placed.reason)
+        return placed
+
+    def admit(self, job: Job, placed: Placed | None) -> None:
+        """Take the request in, by the load at the target chosen.
+
+        :raises IbisheadError: it is refused, and was not run.
+        """
+        try:
+            admitted = self._placer.admit(job.resolved, placed)
+        except IbisheadError as error:
+            self._note(job, "admit", error.code.value, error.message)
+            raise
+        wait = f"expected wait {admitted.expected_wait:.3f} s"
+        self._note(job, "admit", "admitted", wait)
 
     async def run(self, job: Job) -> None:
         """Answer an idempotent request, by as many attempts as it takes and may.
@@ -131,8 +127,10 @@
         self._budget.record_attempt()
         avoid: frozenset[TargetId] = frozenset()
         refreshes = 0
+        placed = self.choose(job, avoid)
+        self.admit(job, placed)
         while True:
-            agent = self.choose(job, avoid)
+            agent = None if placed is None else self._pool.find(placed.target)
             if agent is None:
                 raise describe_no_target(job.doubtful)
             job.attempts += 1
@@ -143,13 +141,15 @@
             if ended.refreshed and refreshes < MAX_REFRESHES:
                 refreshes += 1
                 self.refresh(job)
+                placed = self.choose(job, avoid)
                 continue
             verdict = self._decide(job, ended)
             self._note(job, "retry", type(verdict).__name__, verdict.reason)
             match verdict:
                 case RetryElsewhere():
-                    avoid = self._widen(avoid, agent, job)
+                    avoid |= {agent.record.target}
                     job.relay.reset()
+                    placed = self.choose(job, avoid) or self.choose(job, frozenset())
                 case GiveUp(retry_after=retry_after):
                     raise describe_end(ended, retry_after, job.doubtful)
 
@@ -183,6 +183,8 @@
                 generation=grant.generation,
                 key=grant.key,
             )
+        adapter = adapter_digest(dispatch.adapter, dispatch.version)
+        self._placer.record_dispatch(agent.record.target, adapter)
         try:
             channel = agent.dispatch(dispatch)
         except LinkLost as error:
@@ -250,13 +252,6 @@
         retry_after = ended.retry_after or DEFAULT_RETRY_AFTER
         return decide_retry(end, self._budget, retry_after)
 
-    def _widen(
-        self, avoid: frozenset[TargetId], agent: AgentLink, job: Job
-    ) -> frozenset[TargetId]:
-        wider = avoid | {agent.record.target}
-        others = {link.record.target for link in self.list_views(job.resolved)} - wider
-        return wider if others else frozenset()
-
     def _make_dispatch(self, job: Job, agent: AgentLink) -> Dispatch:
         resolved = job.resolved
         call = resolved.call
--- a/src/ibishead/entry/host.py
+++ b/src/ibishead/entry/host.py
@@ -7,6 +7,7 @@
 from ibishead.entry.dispatching import Dispatcher
 from ibishead.entry.pages import OperatorPages
 from ibishead.entry.pipeline import Pipeline
+from ibishead.entry.placing import Placer
 from ibishead.links import Dialer, dial
 from ibishead.messages import Hello, Role
 from ibishead.metrics import Metrics
@@ -32,7 +33,8 @@
     ) -> None:
         hello = Hello(Role.ENTRY, settings.host)
         tls = make_client_context(settings.peer_tls) if settings.peer_tls else None
-        self._pool = AgentPool(lambda: hello, clock, tls, dialer)
+        placer = Placer(clock, settings.failure_domain, chance)
+        self._pool = AgentPool(lambda: hello, clock, tls, dialer, observer=placer)
         self.subscription = Subscription(
             settings.control,
             lambda: hello,
@@ -43,14 +45,9 @@
             dialer=dialer,
         )
         metrics = Metrics("entry")
-        dispatcher = Dispatcher(
-            self._pool,
-            self.subscription.catalog,
-            clock,
-            settings.failure_domain,
-            chance,
-        )
-        self.pipeline = Pipeline(self.subscription, dispatcher, clock, metrics, chance)
+        catalog = self.subscription.catalog
+        dispatcher = Dispatcher(self._pool, catalog, clock, placer)
+        self.pipeline = Pipeline(self.subscription, dispatcher, placer, clock, metrics)
         self.pages = OperatorPages(self.subscription, self.pipeline.traces, metrics)
 
     def start(self) -> None:
--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -3,17 +3,15 @@
 import asyncio
 import contextlib
 import logging
-import random
 import uuid
 from collections.abc import Coroutine
-from datetime import timedelta
 
 from ibishead.clock import Clock
-from ibishead.decisions.admission import AdmissionQuery, Refused, admit
 from ibishead.entry.call import MODEL_PATHS, PLAIN_PREFIX, Call, parse_call
 from ibishead.entry.claims import ClaimedRunner
 from ibishead.entry.dispatching import Dispatcher, Job
 from ibishead.entry.pages import Pages
+from ibishead.entry.placing import Placer
 from ibishead.entry.relay import Relay
 from ibishead.entry.resolution import Resolved, resolve_confirmed
 from ibishead.entry.timing import AnswerTimer
@@ -24,8 +22,8 @@
     IbisheadError,
     LinkLost,
     OutcomeUnknown,
+    Unavailable,
 )
-from ibishead.errors import Refused as RefusedRequest
 from ibishead.ids import RequestId
 from ibishead.messages import Outcome
 from ibishead.metrics import Metrics
@@ -38,27 +36,24 @@
 
 
 class Pipeline:
-    """Answers callers.
-
-    :param chance: source of ties and spreads.
-    """
+    """Answers callers."""
 
     def __init__(
         self,
         subscription: Subscription,
         dispatcher: Dispatcher,
+        placer: Placer,
         clock: Clock,
         metrics: Metrics,
-        chance: random.Random,
     ) -> None:
         self.traces = TraceBook()
         self._subscription = subscription
         self._dispatcher = dispatcher
+        self._placer = placer
         self._claimed = ClaimedRunner(dispatcher, subscription, clock.monotonic)
         self._pages = Pages(subscription, self.traces)
         self._clock = clock
         self._metrics = metrics
-        self._chance = chance
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange.
@@ -81,15 +76,11 @@
         try:
             resolved = self._resolve(call, trace)
         except IbisheadError as error:
-            await self._refuse(exchange, trace, "resolve", error)
-            return
-        try:
-            self._admit(resolved, trace)
-        except IbisheadError as error:
-            self._metrics.count_request(
-                resolved.team, resolved.request_class.name, Outcome.NOT_RUN
-            )
-            await self._refuse(exchange, trace, "admit", error)
+            # Without a document nobody knows whether the call is protected, nor
+            # whether an earlier sending under its key has run.
+            doubtful = bool(call.key) and isinstance(error, Unavailable)
+            outcome = Outcome.UNKNOWN if doubtful else Outcome.NOT_RUN
+            await self._refuse(exchange, trace, "resolve", error, outcome)
             return
         timer = AnswerTimer(
             self._metrics,
@@ -107,23 +98,20 @@
         await self._serve(exchange, job)
 
     async def _refuse(
-        self, exchange: Exchange, trace: Trace, stage: str, error: IbisheadError
+        self,
+        exchange: Exchange,
+        trace: Trace,
+        stage: str,
+        error: IbisheadError,
+        outcome: Outcome = Outcome.NOT_RUN,
     ) -> None:
         trace.add(self._clock.monotonic(), stage, error.code.value, error.message)
-        trace.outcome = Outcome.NOT_RUN.value
+        trace.outcome = outcome.value
         self._metrics.count_refusal(error.code)
-        logger.info(
-            "request refused",
-            extra={
-                "request": trace.request,
-                "stage": stage,
-                "decision": error.code.value,
-                "reason": error.message,
-            },
-        )
+        _log_refusal(trace, stage, error)
         headers = (
             ("x-ibishead-request", trace.request),
-            ("x-ibishead-outcome", Outcome.NOT_RUN.value),
+            ("x-ibishead-outcome", outcome.value),
         )
         await exchange.respond_error(error, headers)
 
@@ -140,40 +128,14 @@
         )
         return resolved
 
-    def _admit(self, resolved: Resolved, trace: Trace) -> None:
-        views = [
-            view
-            for view in (link.view() for link in self._dispatcher.list_views(resolved))
-            if view.reachable and not view.draining
-        ]
-        mean = sum(view.seconds_per_request for view in views) / max(len(views), 1)
-        verdict = admit(
-            AdmissionQuery(
-                priority=resolved.request_class.priority,
-                deadline=resolved.request_class.deadline.total_seconds(),
-                waiting=sum(view.queued + view.recent for view in views),
-                capacity=sum(view.batch for view in views),
-                seconds_per_request=mean,
-                draw=self._chance.random(),
-            )
-        )
-        now = self._clock.monotonic()
-        match verdict:
-            case Refused(code=code, reason=reason, retry_after=retry_after):
-                raise RefusedRequest(
-                    f"the request was not run: {reason}",
-                    "send it again after the given time",
-                    code=code,
-                    retry_after=timedelta(seconds=retry_after),
-                )
-        trace.add(now, "admit", "admitted", f"expected wait {verdict.expected_wait}")
-
     async def _serve(self, exchange: Exchange, job: Job) -> None:
         runner = (
             self._dispatcher.run
             if job.resolved.request_class.idempotent
             else self._claimed.run
         )
+        self._placer.begin(job.resolved)
+        taken = job.resolved
         task = asyncio.create_task(self._answer(runner(job), job))
         leaving = asyncio.create_task(exchange.gone.wait())
         try:
@@ -185,6 +147,7 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await task
         finally:
+            self._placer.end(taken)
             leaving.cancel()
             task.cancel()
 
@@ -198,6 +161,7 @@
         except IbisheadError as error:
             outcome = _classify(error)
             self._metrics.count_refusal(error.code)
+            _log_refusal(job.trace, job.trace.steps[-1].stage, error)
             await job.relay.refuse(error, outcome)
         job.trace.outcome = outcome.value
         call = job.resolved.call
@@ -216,6 +180,18 @@
         )
 
 
+def _log_refusal(trace: Trace, stage: str, error: IbisheadError) -> None:
+    logger.info(
+        "request refused",
+        extra={
+            "request": trace.request,
+            "stage": stage,
+            "decision": error.code.value,
+            "reason": error.message,
+        },
+    )
+
+
 def _classify(error: IbisheadError) -> Outcome:
     if isinstance(error, OutcomeUnknown):
         return Outcome.UNKNOWN
--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -14,7 +14,7 @@
 
 from ibishead.catalog import Catalog
 from ibishead.clock import Clock
-from ibishead.errors import ErrorCode, IbisheadError, LinkLost, Unavailable
+from ibishead.errors import ErrorCode, IbisheadError, LinkLost, NotFound, Unavailable
 from ibishead.ids import ServiceName
 from ibishead.links import Dialer, Endpoint, Link, Pace, dial
 from ibishead.messages import (
@@ -50,6 +50,9 @@
 #: be cut off from its leader while others are not.
 LEASE_PATIENCE = 3.0
 
+#: Codes by which control says that it holds no claim and grants none.
+_NOT_HELD = (ErrorCode.STALE_INCARNATION, ErrorCode.UNKNOWN_TARGET)
+
 CONTROL_PACE = Pace(interval=1.0, silence=2.5)
 
 
@@ -120,13 +123,18 @@
         """Ask for the right to run a non-idempotent request.
 
         :param timeout: seconds.
+        :raises NotFound: the target isn't registered, and nothing is on record
+            under the key.
         :raises Unavailable: there is no quorum now, or it hasn't answered in time.
         """
         if self._link is None and not self.is_current():
             raise _describe_no_quorum()
         answer = await self._ask(f"claim/{ask.request}", ask, timeout)
-        if isinstance(answer, ClaimAnswer):
-            return answer
+        match answer:
+            case ClaimAnswer():
+                return answer
+            case Refusal(code=code) if code in _NOT_HELD:
+                raise NotFound(answer.reason, "choose another target", code=code)
         raise _describe_no_quorum()
 
     async def resolve(self, ask: ResolveClaim, timeout: float) -> ClaimAnswer:
@@ -230,7 +238,7 @@
                 # Without a quorum a claim is refused at once, as its caller should
                 # know. Other asks stay open: they are sent again at the next
                 # report, and over the next link, until their own time is up.
-                if message.code is ErrorCode.NO_QUORUM:
+                if message.code is ErrorCode.NO_QUORUM or message.code in _NOT_HELD:
                     self._settle(f"claim/{message.subject}", message)
                 logger.info(
                     "control refused",
--- a/tests/proofs/world.py
+++ b/tests/proofs/world.py
@@ -83,6 +83,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     ended: bool = False
+    answered: float = 0.0
     aborted: bool = False
     left: bool = False
     task: asyncio.Task[None] | None = None
@@ -97,6 +98,7 @@
                 self.body += event.data
             case h11.EndOfMessage():
                 self.ended = True
+                self.answered = asyncio.get_running_loop().time()
 
     def abort(self) -> None:
         """Note that the connection was cut."""
