--- a/benchmarks/policy/policies.py
+++ b/benchmarks/policy/policies.py
@@ -156,6 +156,7 @@
     own_dispatches: bool = True
     reuse: bool = True
     coldest: bool = True
+    stalled: bool = True
     replicas: bool = True
     slow: bool = True
     grouping: bool = True
@@ -236,6 +237,8 @@
         features = self.features
         if not features.coldest:
             targets = [replace(item, coldest=0.0) for item in targets]
+        if not features.stalled:
+            targets = [replace(item, stalled=0) for item in targets]
         if not features.slow and targets:
             mean = sum(item.seconds_per_request for item in targets) / len(targets)
             targets = [replace(item, seconds_per_request=mean) for item in targets]
--- a/src/ibishead/decisions/eviction.py
+++ b/src/ibishead/decisions/eviction.py
@@ -39,11 +39,11 @@
     The count outlives the adapter's stay in a slot, so that one which is asked for
     often but was evicted once is told from one that is asked for the first time.
 
-    :param half_life: seconds after which a use counts half.
+    :param half_life: seconds after which a use counts half, `HALF_LIFE` by default.
     """
 
-    def __init__(self, half_life: float = HALF_LIFE) -> None:
-        self._half_life = half_life
+    def __init__(self, half_life: float | None = None) -> None:
+        self._half_life = HALF_LIFE if half_life is None else half_life
         self._counts: dict[int, tuple[float, float]] = {}
 
     def observe_use(self, digest: int, now: float) -> None:
