--- /dev/null
+++ b/src/ibishead/agent/main.py
@@ -0,0 +1,100 @@
+"""The program ``ibishead-agent``."""
+
+import asyncio
+import fcntl
+import logging
+import os
+from pathlib import Path
+
+from ibishead.agent.agent import Agent
+from ibishead.agent.pages import AgentPages
+from ibishead.agent.registrar import ControlRegistrar
+from ibishead.agent.target import TargetClient
+from ibishead.clock import SystemClock
+from ibishead.errors import ErrorCode, StorageFault
+from ibishead.links import LinkServer
+from ibishead.messages import TargetKind
+from ibishead.process import wait_for_stop
+from ibishead.settings import AgentSettings, load_agent_settings, write_port_file
+from ibishead.startup import make_command
+from ibishead.tls import make_server_context
+from ibishead.web import WebServer
+
+__all__ = ["main", "run_agent"]
+
+logger = logging.getLogger(__name__)
+
+
+async def run_agent(settings: AgentSettings) -> None:
+    """Serve until a planned stop or until another agent has taken over.
+
+    :raises StorageFault: another agent of this host's slot runs.
+    """
+    lock = _lock_slot(settings.lock)
+    clock = SystemClock()
+    tls = None
+    if settings.peer_tls is not None:
+        tls = make_server_context(settings.peer_tls.pair, settings.peer_tls.ca)
+    # Nobody knows the port before the agent below has registered it
+    server = LinkServer(
+        lambda link: agent.serve(link), lambda: agent.greet(), clock, tls=tls
+    )
+    taken = await server.start(settings.links.endpoint)
+    client = TargetClient(
+        settings.target_endpoint, has_boot=settings.kind is TargetKind.ENGINE
+    )
+    agent = Agent(settings, taken, client, clock)
+    await agent.start()
+    pages = AgentPages(agent.scheduler, agent.registrar, agent.metrics)
+    http_tls = make_server_context(settings.http_tls) if settings.http_tls else None
+    operators = WebServer(pages.handle, tls=http_tls)
+    write_port_file(settings.links, taken.port)
+    write_port_file(
+        settings.operators, (await operators.start(settings.operators.endpoint)).port
+    )
+    logger.info("agent serves", extra={"address": str(taken)})
+    await _wait_for_end(agent.registrar)
+    logger.info("agent stops")
+    await agent.finish()
+    await server.stop()
+    await agent.stop()
+    await operators.stop(grace=1.0)
+    if lock is not None:
+        os.close(lock)
+
+
+async def _wait_for_end(registrar: ControlRegistrar) -> None:
+    ends = [
+        asyncio.create_task(wait_for_stop()),
+        asyncio.create_task(registrar.superseded.wait()),
+    ]
+    await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+    for task in ends:
+        task.cancel()
+
+
+def _lock_slot(path: Path | None) -> int | None:
+    # Two agents of one slot would both order the target about, and many targets
+    # don't check who orders. A frozen agent keeps the lock: its queued orders may
+    # still leave when it thaws, so nobody may take over before it has ended.
+    if path is None:
+        return None
+    handle = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+    try:
+        fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(handle)
+        raise StorageFault(
+            f"another agent holds {path}",
+            "end that agent first, also when it seems frozen",
+            code=ErrorCode.STORAGE_LOCKED,
+        ) from error
+    return handle
+
+
+main = make_command(
+    "agent",
+    "Stand beside one target, as its only client.",
+    load_agent_settings,
+    run_agent,
+)
--- /dev/null
+++ b/src/ibishead/entry/main.py
@@ -0,0 +1,51 @@
+"""The program ``ibishead-entry``."""
+
+import asyncio
+import logging
+import random
+
+from ibishead.clock import SystemClock
+from ibishead.entry.host import EntryHost
+from ibishead.process import wait_for_stop
+from ibishead.settings import EntrySettings, load_entry_settings, write_port_file
+from ibishead.startup import make_command
+from ibishead.tls import make_server_context
+from ibishead.web import WebServer
+
+__all__ = ["main", "run_entry"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds between saying "not ready" and refusing connections, for the balancer to
+#: hear of it; it probes about once a second.
+READY_NOTICE = 2.0
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Serve until a planned stop, then finish every answer in progress."""
+    host = EntryHost(settings, SystemClock(), random.Random())
+    tls = make_server_context(settings.http_tls) if settings.http_tls else None
+    callers = WebServer(host.pipeline.handle, settings.limits, tls)
+    operators = WebServer(host.pages.handle, tls=tls)
+    host.start()
+    taken = await callers.start(settings.http.endpoint)
+    write_port_file(settings.http, taken.port)
+    write_port_file(
+        settings.operators, (await operators.start(settings.operators.endpoint)).port
+    )
+    logger.info("entry serves", extra={"address": str(taken)})
+    await wait_for_stop()
+    logger.info("entry stops")
+    host.pages.ready = False
+    await asyncio.sleep(READY_NOTICE)
+    await callers.stop()
+    await host.stop()
+    await operators.stop(grace=1.0)
+
+
+main = make_command(
+    "entry",
+    "Take callers' requests and relay whole answers.",
+    load_entry_settings,
+    run_entry,
+)
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -34,6 +34,7 @@
     "AnswerEnd",
     "AnswerHead",
     "AskClaim",
+    "AskHolders",
     "AskPermit",
     "AskRegistration",
     "Cancel",
@@ -42,10 +43,12 @@
     "Dispatch",
     "DocumentRecord",
     "Hello",
+    "Holders",
     "LoadReport",
     "Message",
     "NotRun",
     "Outcome",
+    "PeerFrame",
     "PermitAnswer",
     "Ping",
     "Pong",
@@ -138,6 +141,8 @@
     :param deadline: seconds from arrival at the agent until it is worthless.
     :param headers: pairs of lower-case name and value, hop-by-hop ones removed.
     :param generation: of the claim, for non-idempotent requests; 0 otherwise.
+    :param source: where the engine finds the adapter's weights.
+    :param confirmed: the entry host held a live document lease when it decided.
     """
 
     request: RequestId
@@ -158,6 +163,10 @@
     body: bytes
     generation: Generation = Generation(0)
     key: IdempotencyKey = IdempotencyKey("")
+    source: str = ""
+    confirmed: bool = True
+    share: float = 1.0
+    stall_weight: float = 0.5
 
 
 class Cancel(_Message, frozen=True):
@@ -251,6 +260,7 @@
     :param resident: digests (`placement.adapter_digest`) of adapters in slots.
     :param loading: digests of adapters on their way.
     :param seconds_per_request: measured mean time of one run.
+    :param healthy: the target itself answers.
     :param seconds_per_load: measured mean time from wish to resident adapter.
     :param wishes: adapters that requests wait for and whose load hasn't begun.
     :param free_slots: slots that are empty or may be emptied now.
@@ -267,6 +277,7 @@
     loading: tuple[int, ...]
     seconds_per_request: float
     draining: bool = False
+    healthy: bool = True
     seconds_per_load: float = 0.25
     wishes: int = 0
     free_slots: int = 1
@@ -358,6 +369,9 @@
     :param lease: seconds for which the holder may act on its documents; 0 from a
         replica that has no lease of its own.
     :param gone: targets with the incarnation that ended.
+    :param answers: number of the `ReportInForce` that this answers, 0 for none. The
+        holder counts the lease from when it sent that report, so that a delay on
+        the way can only shorten it.
     """
 
     index: int
@@ -366,13 +380,18 @@
     targets: tuple[TargetRecord, ...] = ()
     gone: tuple[tuple[TargetId, Incarnation], ...] = ()
     whole: bool = False
+    answers: int = 0
 
 
 class ReportInForce(_Message, frozen=True):
-    """A holder has applied all up to ``index``; also its sign of life."""
+    """A holder has applied all up to ``index``; also asks to renew its lease.
+
+    :param number: rises with each report, from 1.
+    """
 
     host: HostId
     index: int
+    number: int = 0
 
 
 class AskClaim(_Message, frozen=True):
@@ -473,6 +492,44 @@
     leader: ReplicaId = ReplicaId("")
 
 
+# Control replicas among themselves ------------------------------------------
+
+
+class AskHolders(_Message, frozen=True):
+    """Asks another replica whether ``index`` is in force at all its holders."""
+
+    index: int
+
+
+class Holders(_Message, frozen=True):
+    """Answer to `AskHolders`.
+
+    :param applied: where the replica itself stands.
+    :param waiting: holders under a live lease that haven't applied ``index``.
+    """
+
+    index: int
+    applied: int
+    waiting: tuple[HostId, ...] = ()
+
+
+class PeerFrame(_Message, frozen=True):
+    """A part of what one replica of the control log sends to another.
+
+    :param cluster: of the sender; empty before it has joined one.
+    :param receiver: the identity that is meant; empty for whoever runs there.
+    :param part: position of this part, from 0.
+    :param last: no more parts follow.
+    """
+
+    cluster: str
+    sender: ReplicaId
+    receiver: ReplicaId
+    data: bytes
+    part: int = 0
+    last: bool = True
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -498,4 +555,7 @@
     | PermitAnswer
     | ReleasePermit
     | Refusal
+    | AskHolders
+    | Holders
+    | PeerFrame
 )
