Race claims of three entries while the leader is killed; serve by TLS

Cause: the claims' promise needs proof over real replicas, links and resends. Three entries at three replicas ask for each of twelve orders, the leader dies at the fifth; one entry is granted each, all get the recorded answer, entries at live replicas never lose their lease, the agent keeps its incarnation.

Ruled out: an agent that doesn't register over its new link; it is retired as it should be, and its orders become unknown.

Before: claims were raced against the state alone. A frozen agent is gone in under 5 s by its limits; links and operators by TLS with trustme; loops in tests end with a failure instead of hanging. A report no longer walks the list of 4,096 changes.

--- a/src/ibishead/control/state.py
+++ b/src/ibishead/control/state.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import takewhile
 
 import msgspec
 
@@ -176,7 +177,7 @@
         """
         if index == 0 or index < self._floor:
             return self._collect_whole(services)
-        missed = [change for change in self._changes if change.index > index]
+        missed = self._list_missed(index)
         names = {c.service: None for c in missed if isinstance(c, _DocumentChange)}
         moved = {c.target: None for c in missed if isinstance(c, _TargetChange)}
         documents = tuple(self.documents.documents[name] for name in names)
@@ -197,6 +198,11 @@
             gone,
         )
 
+    def _list_missed(self, index: LogIndex) -> list[_DocumentChange | _TargetChange]:
+        # Every holder reports each second and has missed nothing as a rule
+        missed = list(takewhile(lambda c: c.index > index, reversed(self._changes)))
+        return missed[::-1]
+
     def _collect_whole(self, services: frozenset[ServiceName]) -> Delta:
         documents = self.documents.documents.values()
         records = [member.record for member in self.targets.members.values()]
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -28,6 +28,7 @@
 
     def __init__(self, group: Group, name: ReplicaId, state: ControlState) -> None:
         self.cut = False
+        self.transfers = 0
         self.name = name
         self.state = state
         self._group = group
@@ -70,6 +71,7 @@
         return ReplicaSet(tuple(r.name for r in self._group.replicas.values()))
 
     async def transfer(self) -> None:
+        self.transfers += 1
         raise Unavailable("nobody takes over", "wait")
 
     async def stop(self) -> None:
--- a/tests/control/running.py
+++ b/tests/control/running.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from ibishead.clock import SystemClock
 from ibishead.control.server import ControlServer, Endpoints
@@ -19,7 +19,7 @@
 
 #: Polls after which a condition counts as never met, so that a fault fails a test
 #: instead of hanging it; it is far beyond what any condition takes.
-POLLS = 6000
+POLLS = 3000
 LOOPBACK = ListenSettings(Endpoint("127.0.0.1", 0))
 
 
@@ -81,9 +81,15 @@
     return subscription
 
 
-async def wait_for(condition: Callable[[], bool]) -> None:
+async def poll(pause: float = 0.01) -> AsyncIterator[None]:
+    """Yield again and again, and fail the test that never leaves the loop."""
     for _ in range(POLLS):
+        yield
+        await asyncio.sleep(pause)
+    raise AssertionError("what the test waits for never came")
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    async for _ in poll():
         if condition():
             return
-        await asyncio.sleep(0.01)
-    raise AssertionError("the condition was never met")
--- a/tests/control/test_group.py
+++ b/tests/control/test_group.py
@@ -1,6 +1,7 @@
 """Three control servers over real sockets, on a log in memory."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -12,7 +13,7 @@
 from ibishead.messages import AskPermit, Hello, Role, Subscribe
 
 from .group import Group
-from .running import CLOCK, Running, follow, make_settings, wait_for
+from .running import CLOCK, Running, follow, make_settings, poll, wait_for
 from .support import make_registration
 
 T1 = TargetId("t1")
@@ -79,12 +80,16 @@
     status, accepted = await c1.submit("s1", 0)
     assert status == 200
     path = f"/v1/in-force?index={accepted['index']}"
-    while (shown := await c1.read(path))["waiting_for"] != ["e2"]:
+    async for _ in poll():
+        shown = await c1.read(path)
+        if shown["waiting_for"] == ["e2"]:
+            break
         assert not shown["in_force"]
     assert holder.catalog.find_document("raktar").record.revision == 1
     await silent.close()
-    while not (await c1.read(path))["in_force"]:
-        await asyncio.sleep(0.05)
+    async for _ in poll(0.05):
+        if (await c1.read(path))["in_force"]:
+            break
     await holder.stop()
 
 
@@ -128,27 +133,33 @@
     incarnation = scene.replica("c1").state.targets.members[T1].record.incarnation
     await wait_for(agent.is_current)
     scene.replica("c2").cut = True
-    while scene.find_replica() != "c3":
+    async for _ in poll():
+        if scene.find_replica() == "c3":
+            break
         assert agent.is_current()
-        await asyncio.sleep(0.01)
     member = scene.replica("c1").state.targets.members[T1]
     assert member.record.incarnation == incarnation
     await agent.stop()
 
 
+@pytest.mark.parametrize(("number", "transfers"), [(0, 1), (1, 0)])
+async def test_planned_stop_hands_the_leadership_over(scene, number, transfers):
+    """Without it all changes would wait for an election after every planned stop."""
+    replica = scene.replica(NAMES[number])
+    await scene.servers[number].server.stop()
+    assert replica.transfers == transfers
+
+
 async def test_permit_comes_through_a_follower(scene):
     _, c2, _ = scene.servers
     agent = start_agent([c2])
     await wait_for(scene.is_live)
     incarnation = scene.replica("c1").state.targets.members[T1].record.incarnation
-    permit = None
-    while permit is None:
-        try:
-            ask = AskPermit(T1, Incarnation(incarnation), 1, 1.0)
-            permit = await agent.ask_permit(ask, 1.0)
-        except Unavailable:
-            continue
-    assert permit.lifetime > 0
+    ask = AskPermit(T1, Incarnation(incarnation), 1, 1.0)
+    async for _ in poll():
+        with contextlib.suppress(Unavailable):
+            assert (await agent.ask_permit(ask, 1.0)).lifetime > 0
+            break
     await agent.stop()
 
 
--- a/tests/control/test_replicas.py
+++ b/tests/control/test_replicas.py
@@ -1,6 +1,7 @@
 """Three control processes on loopback, killed, frozen, stopped and restarted."""
 
 import asyncio
+import contextlib
 import json
 import shutil
 from collections.abc import AsyncIterator
@@ -9,15 +10,15 @@
 import pytest
 from tests.processes.programs import LOOPBACK, Program, reserve_port
 
-from ibishead.errors import LinkLost
+from ibishead.errors import LinkLost, Unavailable
 from ibishead.ids import HostId
 from ibishead.links import Endpoint
-from ibishead.messages import Hello, Role
+from ibishead.messages import ClaimState, Hello, Outcome, Role
 from ibishead.subscription import Subscription
 from ibishead.web import ClientConnection
 
-from .running import CLOCK
-from .support import write_document
+from .running import CLOCK, poll, wait_for
+from .support import make_claim, make_registration, make_settlement, write_document
 
 NAMES = ("c1", "c2", "c3")
 
@@ -97,25 +98,25 @@
     ) -> Reply:
         """Submit and resend at one replica after the other until one answers."""
         turn = start
-        while True:
+        async for _ in poll(0.05):
             name = NAMES[turn % len(NAMES)]
             reply = await self.submit(name, submission, base, service)
             if reply.status in (200, 409):
                 return reply
             turn += 1
-            await asyncio.sleep(0.05)
+        raise AssertionError("unreachable")
 
     async def find_leader(self, among: tuple[str, ...] = NAMES) -> str:
-        while True:
+        async for _ in poll(0.05):
             for name in among:
                 reply = await self.ask(name, "GET", "/v1/status")
                 leader = reply.value.get("leader", "").partition(".")[0]
                 if leader in among:
                     return leader
-            await asyncio.sleep(0.05)
+        raise AssertionError("unreachable")
 
     async def wait_ready(self, name: str) -> None:
-        while True:
+        async for _ in poll(0.05):
             try:
                 connection = await ClientConnection.open(self.operators[name])
                 answer = await connection.ask("GET", "/readyz")
@@ -124,13 +125,14 @@
                     return
             except LinkLost:
                 pass
-            await asyncio.sleep(0.05)
 
     async def read_history(self, name: str, service: str = "raktar") -> list[str]:
         target = f"/v1/documents/{service}/history"
-        while (reply := await self.ask(name, "GET", target)).status != 200:
-            await asyncio.sleep(0.05)
-        return [change["submission"] for change in reply.value["changes"]]
+        async for _ in poll(0.05):
+            reply = await self.ask(name, "GET", target)
+            if reply.status == 200:
+                return [change["submission"] for change in reply.value["changes"]]
+        raise AssertionError("unreachable")
 
     def follow(self) -> "Watcher":
         return Watcher(list(self.links.values()))
@@ -153,8 +155,7 @@
             self.revisions.append(held.record.revision)
 
     async def wait_revision(self, revision: int) -> None:
-        while not self.revisions or self.revisions[-1] < revision:
-            await asyncio.sleep(0.02)
+        await wait_for(lambda: bool(self.revisions) and self.revisions[-1] >= revision)
 
 
 @pytest.fixture
@@ -246,7 +247,10 @@
     ]
     late = asyncio.create_task(trio.submit(old, "late", 1))
     leader = await trio.find_leader(others)
-    while (reply := await trio.submit(leader, "s1", 1)).status != 200:
+    async for _ in poll():
+        reply = await trio.submit(leader, "s1", 1)
+        if reply.status == 200:
+            break
         assert reply.status == 503
     await asyncio.sleep(FREEZE - 4.0)
     trio.programs[old].thaw()
@@ -257,6 +261,81 @@
     assert await trio.read_history(old) == ["s0", "s1"]
 
 
+def follow(
+    trio: Trio, role: Role, host: str, first: int, connected=None
+) -> Subscription:
+    """Follow the replicas, beginning with one of them."""
+    hello = Hello(role, HostId(host))
+    subscription = Subscription(
+        list(trio.links.values()),
+        lambda: hello,
+        CLOCK,
+        start_at=first,
+        connected=connected,
+    )
+    subscription.start()
+    return subscription
+
+
+def start_agent(trio: Trio, first: int) -> tuple[Subscription, asyncio.Queue]:
+    """Start an agent's link, which registers anew over each connection."""
+    registrations: asyncio.Queue = asyncio.Queue()
+    tasks = set()
+
+    async def register() -> None:
+        registrations.put_nowait(await agent.register(make_registration("n1").ask))
+
+    async def connected() -> None:
+        tasks.add(asyncio.create_task(register()))
+
+    agent = follow(trio, Role.AGENT, "a1", first, connected)
+    return agent, registrations
+
+
+async def test_claims_of_several_entries_while_the_leader_is_killed(trio):
+    """A caller retries an order through three entries at once; the leader dies.
+
+    Each entry asks at another replica and repeats its ask. Exactly one of them may
+    run the order, and all are told its outcome later. No entry that is linked to a
+    replica that lives ever stops acting on its documents.
+    """
+    leader = await trio.find_leader()
+    agent, registrations = start_agent(trio, NAMES.index(leader))
+    registration = await registrations.get()
+    entries = [follow(trio, Role.ENTRY, f"e{n}", n) for n in range(3)]
+    for entry in entries:
+        await wait_for(entry.is_current)
+
+    async def claim(number: int, key: str):
+        ask = make_claim(f"r{number}", registration.incarnation, key).ask
+        async for _ in poll():
+            with contextlib.suppress(Unavailable):
+                return await entries[number].claim(ask, 5.0)
+        raise AssertionError("unreachable")
+
+    for turn in range(12):
+        key = f"order-{turn}"
+        asks = [asyncio.create_task(claim(number, key)) for number in range(3)]
+        if turn == 4:
+            trio.programs[leader].kill()
+        answers = await asyncio.gather(*asks)
+        granted = [a for a in answers if a.state is ClaimState.GRANTED]
+        assert len(granted) == 1
+        assert {a.holder for a in answers} == {granted[0].holder}
+        outcome = make_settlement(granted[0].holder, Outcome.COMPLETED, key=key)
+        async for _ in poll():
+            with contextlib.suppress(Unavailable):
+                await agent.resolve(outcome.resolve, 5.0)
+                break
+        for number, entry in enumerate(entries):
+            later = await claim(number, key)
+            assert (later.state, later.answer_body) == (ClaimState.COMPLETED, b"issued")
+            assert entry.is_current() or NAMES[number] == leader
+    assert await registrations.get() == registration
+    for subscription in (agent, *entries):
+        await subscription.stop()
+
+
 async def test_leader_stops_by_plan(trio):
     """The platform stops the leader; operators go on, and the program ends cleanly."""
     await trio.insist("s0", 0)
@@ -265,9 +344,10 @@
     stop = asyncio.create_task(trio.programs[old].stop())
     for number in range(1, 20):
         target = others[number % 2]
-        reply = await trio.submit(target, f"s{number}", number)
-        while reply.status == 503:
+        async for _ in poll():
             reply = await trio.submit(target, f"s{number}", number)
+            if reply.status != 503:
+                break
         assert (reply.status, reply.value["revision"]) == (200, number + 1)
     assert await stop == 0
     assert await trio.find_leader(others) != old
@@ -281,8 +361,9 @@
     trio.programs[others[1]].kill()
     reply = await trio.insist("s0", 0)
     path = f"/v1/in-force?index={reply.value['index']}"
-    while not (await trio.ask(old, "GET", path)).value.get("in_force"):
-        await asyncio.sleep(0.05)
+    async for _ in poll(0.05):
+        if (await trio.ask(old, "GET", path)).value.get("in_force"):
+            break
     await watcher.wait_revision(1)
     await watcher.subscription.stop()
 
@@ -302,9 +383,11 @@
     trio.programs[lost].start()
     body = json.dumps({"lost": lost, "host": lost}).encode()
     target = "/v1/replicas/replace"
-    while (reply := await trio.ask(leader, "POST", target, body)).status != 200:
+    async for _ in poll(0.05):
+        reply = await trio.ask(leader, "POST", target, body)
+        if reply.status == 200:
+            break
         assert reply.status in (0, 503), reply
-        await asyncio.sleep(0.05)
     trio.programs[kept].kill()
     assert await trio.read_history(lost) == accepted
     reply = await trio.insist("after", len(accepted))
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -1,18 +1,26 @@
 """One control replica over real sockets: submit, publish, claim, retire."""
 
-import asyncio
 import json
 from hashlib import sha256
 
 import pytest
+import trustme
 
+from ibishead.control.liveness import REATTACH_GRACE
 from ibishead.control.lone import LoneReplica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
-from ibishead.messages import ClaimState, Role
-from ibishead.settings import ControlSettings
-
-from .running import CLOCK, Running, follow, make_settings, wait_for
+from ibishead.control.upkeep import ROUND_INTERVAL
+from ibishead.errors import LinkLost
+from ibishead.ids import HostId
+from ibishead.links import dial
+from ibishead.messages import ClaimState, Hello, Publish, Role, Subscribe
+from ibishead.session import SILENCE_LIMIT
+from ibishead.settings import ControlSettings, KeyPair, PeerTls
+from ibishead.tls import make_client_context, make_operator_context
+from ibishead.web import ClientConnection
+
+from .running import CLOCK, Running, follow, make_settings, poll, wait_for
 from .support import make_claim, make_registration, write_document
 
 
@@ -41,8 +49,9 @@
     assert submitted["revision"] == 1
     await wait_for(lambda: holder.catalog.index >= submitted["index"])
     assert holder.catalog.find_document("raktar").record.text == text
-    while not (await control.read("/v1/in-force?index=1"))["in_force"]:
-        await asyncio.sleep(0.01)
+    async for _ in poll():
+        if (await control.read("/v1/in-force?index=1"))["in_force"]:
+            break
     assert (await control.read("/v1/documents/raktar"))["text"] == text
     history = await control.read("/v1/documents/raktar/history")
     assert [c["submission"] for c in history["changes"]] == ["s1"]
@@ -128,6 +137,46 @@
     await holder.stop()
 
 
+async def test_silent_agent_is_gone(control):
+    """An agent's host freezes: its link stays open, yet nobody answers on it."""
+    assert SILENCE_LIMIT + REATTACH_GRACE + ROUND_INTERVAL < 5.0
+    holder = follow([control], Role.ENTRY, "e1")
+    link = await dial(control.links, Hello(Role.AGENT, HostId("a1")), CLOCK)
+    link.send(make_registration("n1").ask)
+    await wait_for(lambda: holder.catalog.find_target("t1") is not None)
+    await wait_for(lambda: holder.catalog.find_target("t1") is None)
+    await link.close()
+    await holder.stop()
+
+
+async def test_links_and_operators_by_tls(tmp_path):
+    """Only programs with a certificate of the settings' authority may link."""
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    authority.cert_pem.write_to_path(tmp_path / "ca.pem")
+    certificate.private_key_pem.write_to_path(tmp_path / "key.pem")
+    certificate.cert_chain_pems[0].write_to_path(tmp_path / "certificate.pem")
+    pair = KeyPair(tmp_path / "certificate.pem", tmp_path / "key.pem")
+    peer = PeerTls(tmp_path / "ca.pem", pair)
+    control = await start(make_settings(tmp_path, peer_tls=peer, http_tls=pair))
+    hello = Hello(Role.ENTRY, HostId("e1"))
+    with pytest.raises(LinkLost):
+        await dial(control.links, hello, CLOCK)
+    with pytest.raises(LinkLost):
+        await dial(control.links, hello, CLOCK, tls=make_operator_context(peer.ca))
+    link = await dial(control.links, hello, CLOCK, tls=make_client_context(peer))
+    link.send(Subscribe(hello.host, hello.role))
+    messages = link.receive()
+    assert isinstance(await anext(messages), Publish)
+    connection = await ClientConnection.open(
+        control.operators, make_operator_context(peer.ca)
+    )
+    assert (await connection.ask("GET", "/livez")).status == 200
+    connection.close()
+    await link.close()
+    await control.server.stop()
+
+
 async def test_platform_paths(control):
     for path in ("/livez", "/readyz", "/metrics"):
         assert (await control.call("GET", path))[0] == 200
