--- a/src/ibishead/control/upkeep.py
+++ b/src/ibishead/control/upkeep.py
@@ -69,13 +69,17 @@
         """Do rounds until cancelled."""
         while True:
             try:
-                await self._do_round()
+                await self.do_round()
             except IbisheadError as error:
                 # Without a quorum nothing is due; the next round tries again
                 logger.debug("round not finished", extra={"reason": error.message})
             await asyncio.sleep(ROUND_INTERVAL)
 
-    async def _do_round(self) -> None:
+    async def do_round(self) -> None:
+        """Do all that is due.
+
+        :raises Unavailable: there is no quorum for it.
+        """
         now = self._clock.monotonic()
         self._relay.review()
         self._force.note_replicas()
