Show error codes of calls that ended otherwise; what is still red and why

Cause: the verdict alone doesn't say why a call was refused. A dispatch that lay on the silent link costs a retry of the budget, which is spent at once; a resend of what was never received amplifies nothing. A run whose engine connection is silent has no limit once its first token has come; the engine's own metrics show that it runs nothing. Ruled out: easing what may end how. Conclusion: neither breaks a promise in words, both hurt callers.

--- a/tests/processes/promises.py
+++ b/tests/processes/promises.py
@@ -17,19 +17,21 @@
 
 @dataclass(frozen=True)
 class Tally:
-    """How the calls of one test ended."""
+    """How the calls of one test ended.
 
-    verdicts: Counter[Verdict]
+    :param ends: counts by verdict and error code.
+    """
 
-    @property
-    def whole(self) -> int:
-        """Calls with the whole right answer."""
-        return self.verdicts[Verdict.WHOLE]
+    ends: Counter[tuple[Verdict, str]]
 
     def keep(self, *allowed: Verdict) -> None:
         """Fail unless all calls ended in one of these ways."""
-        others = {v.value: n for v, n in self.verdicts.items() if v not in allowed}
-        assert not others, f"calls ended otherwise: {others}"
+        others = [
+            f"{count} {verdict.value} {code}"
+            for (verdict, code), count in self.ends.items()
+            if verdict not in allowed
+        ]
+        assert not others, f"calls ended otherwise: {', '.join(others)}"
 
 
 def check_promises(fleet: Fleet, results: list[CallResult]) -> Tally:
@@ -43,7 +45,7 @@
     started = _list_started(fleet)
     for result in results:
         _check_run(fleet, result, started)
-    return Tally(Counter(result.verdict for result in results))
+    return Tally(Counter((result.verdict, result.code) for result in results))
 
 
 def _list_started(fleet: Fleet) -> set[str]:
