--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -18,7 +18,7 @@
 from ibishead.standin.load import Caller
 from ibishead.web import ClientConnection
 
-__all__ = ["CALLER_KEY", "OPERATOR_KEY", "Fleet", "Hop", "Target", "render"]
+__all__ = ["CALLER_KEY", "OPERATOR_KEY", "Fleet", "Hop", "Target", "render_document"]
 
 CALLER_KEY = "loft-key"
 OPERATOR_KEY = "kata-key"
@@ -39,6 +39,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def render_document(template: str) -> str:
+    """Return a service document of the demo with the fleet's keys."""
+    keys = {"CALLER_KEY": digest(CALLER_KEY), "OPERATOR_KEY": digest(OPERATOR_KEY)}
+    return render(template, keys)
+
+
 @dataclass
 class Target:
     """A target and the agent beside it.
@@ -173,8 +179,7 @@
         :param extra: appended to the document.
         """
         service = template.removesuffix(".ini")
-        keys = {"CALLER_KEY": digest(CALLER_KEY), "OPERATOR_KEY": digest(OPERATOR_KEY)}
-        text = render(template, keys) + extra
+        text = render_document(template) + extra
         target = f"/v1/documents/{service}?base={base}&submission={service}-{base}"
         for attempt in range(500):
             control = attempt % len(self.controls)
--- a/tests/processes/test_submissions.py
+++ b/tests/processes/test_submissions.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
-from tests.processes.fleet import OPERATOR_KEY, Fleet, Reply
+from tests.processes.fleet import OPERATOR_KEY, Fleet, Reply, render_document
+
+#: Changes submitted in the same moment.
+CHANGES = 40
 
 
 async def read_revision(fleet: Fleet) -> object:
@@ -48,3 +51,22 @@
     replies = await asyncio.gather(submit("kata"), submit("pali"))
     assert sorted(reply.status for reply in replies) == [200, 409]
     assert await read_revision(fleet) == 2
+
+
+async def test_changes_of_the_same_moment_are_all_accepted(start_fleet):
+    """Many teams submit new services at once, and the disk has room for all.
+
+    An operator would be told that the disk is full when a change came in while an
+    earlier one of the same moment was still being written.
+    """
+    fleet = await start_fleet(engines=1, entries=1)
+
+    async def submit(number: int) -> Reply:
+        name = f"raktar-{number}"
+        text = render_document("raktar.ini").replace("name = raktar", f"name = {name}")
+        target = f"/v1/documents/{name}?base=0&submission={name}"
+        return await fleet.operate("POST", target, text.encode())
+
+    replies = await asyncio.gather(*map(submit, range(CHANGES)))
+    refused = [reply for reply in replies if reply.status != 200]
+    assert not refused, f"{len(refused)} refused, such as {refused[0]}"
