Name the submissions of the same moment apart from the fleet's own

Cause: raktar-0 is also the fleet's first submission id, so one was a key reused. Conclusion: keep the test; it also made the fleet's own start flaky.

--- a/tests/processes/test_submissions.py
+++ b/tests/processes/test_submissions.py
@@ -62,7 +62,7 @@
     fleet = await start_fleet(engines=1, entries=1)
 
     async def submit(number: int) -> Reply:
-        name = f"raktar-{number}"
+        name = f"stock-{number}"
         text = render_document("raktar.ini").replace("name = raktar", f"name = {name}")
         target = f"/v1/documents/{name}?base=0&submission={name}"
         return await fleet.operate("POST", target, text.encode())
