--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -92,7 +92,7 @@
     :param relayed: paths that lead through a relay.
     """
 
-    controls: int = 1
+    controls: int = 3
     entries: int = 2
     engines: int = 3
     slots: int = 2
