--- a/demo/run.sh
+++ b/demo/run.sh
@@ -102,13 +102,17 @@
 done
 start plain-0 ibishead-standin plain --name raktar --port-file "$work/plain-0.port"
 
-say "The system: control, one agent beside each target, an entry host"
-control_port=$(find_free_port)
-replicas=127.0.0.1:$control_port
-fill control.ini control-0.ini NAME=control-0 DOMAIN=szeged-a "PORT=$control_port" \
-    "PEERS=control-0 = $replicas" "ADMIN_KEY=$(hash_key "$operator_key")"
-start control-0 ibishead-control "$work/control-0.ini"
-operators_port=$(read_port control-0.operators.port)
+say "The system: three control replicas, an agent beside each target, an entry host"
+ports=("$(find_free_port)" "$(find_free_port)" "$(find_free_port)")
+replicas=127.0.0.1:${ports[0]},127.0.0.1:${ports[1]},127.0.0.1:${ports[2]}
+domains=(szeged-a szolnok-b kecskemet-c)
+for n in 0 1 2; do
+    # sed reads \n in a replacement as a line break
+    fill control.ini "control-$n.ini" "NAME=control-$n" "DOMAIN=${domains[n]}" \
+        "PORT=${ports[n]}" "ADMIN_KEY=$(hash_key "$operator_key")" \
+        "PEERS=control-0 = 127.0.0.1:${ports[0]}\ncontrol-1 = 127.0.0.1:${ports[1]}\ncontrol-2 = 127.0.0.1:${ports[2]}"
+    start "control-$n" ibishead-control "$work/control-$n.ini"
+done
 for engine in engine-0 engine-1; do
     fill agent-engine.ini "agent-$engine.ini" "NAME=agent-$engine" DOMAIN=szeged-a \
         "TARGET=$engine" SERVICE=mester SLOTS=2 BATCH=8 "REPLICAS=$replicas" \
@@ -125,7 +129,11 @@
 
 say "Two service documents, checked and submitted"
 printf '%s\n' "$operator_key" >"$work/operator.key"
-export IBISHEAD_CONTROL=127.0.0.1:$operators_port IBISHEAD_KEY_FILE=$work/operator.key
+IBISHEAD_CONTROL=
+for n in 0 1 2; do
+    IBISHEAD_CONTROL+="127.0.0.1:$(read_port "control-$n.operators.port") "
+done
+export IBISHEAD_CONTROL IBISHEAD_KEY_FILE=$work/operator.key
 for service in mester raktar; do
     fill "$service.ini" "$service.document.ini" "CALLER_KEY=$(hash_key "$caller_key")" \
         "OPERATOR_KEY=$(hash_key "$operator_key")"
