--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -95,11 +95,13 @@
     """A target and the reason it was chosen, for `explain`.
 
     :param expected_wait: seconds until the run begins, the load included.
+    :param needs_load: the target neither holds nor awaits the adapter.
     """
 
     target: TargetId
     reason: str
     expected_wait: float = 0.0
+    needs_load: bool = False
 
 
 def adapter_digest(adapter: AdapterName, version: Version) -> int:
@@ -169,7 +171,9 @@
         for view in others
     ]
     _, _, best, reason = min(choices, key=lambda choice: choice[:2])
-    return Placed(best.target, reason, _expect_wait(query.adapter, best))
+    return Placed(
+        best.target, reason, _expect_wait(query.adapter, best), reason == "load"
+    )
 
 
 @dataclass(frozen=True)
@@ -206,13 +210,14 @@
     # store. Harm: a replica of the hot one takes a load from those. It is made only
     # when its holder's queue exceeds this load, the wait it adds to other loads and
     # the worth of what it evicts; the stall weight scales what they count for.
-    blocked = view.seconds_per_request / 2 if view.free_slots <= 0 else 0.0
+    blocked = view.free_slots <= view.wishes
+    delay = view.seconds_per_request / 2 if blocked else 0.0
     wait = max(view.seconds_per_load, STORE_SECONDS * (1 + fleet.wishes))
     reloaded = min(1.0, REUSE_CERTAIN * view.coldest)
     harm = (wait + _cost_to_others(fleet)) * (1.0 + reloaded) / gainers
     weight = LEAST_LOAD_WEIGHT + query.stall_weight
     turn = _cost_of_turn(query, view, fleet)
-    return blocked + weight * (wait + harm) + turn
+    return delay + weight * (wait + harm) + turn
 
 
 def _cost_to_others(fleet: _Fleet) -> float:
