--- a/src/ibishead/control/publish.py
+++ b/src/ibishead/control/publish.py
@@ -141,7 +141,8 @@
 
     def _send(self, subscriber: Subscriber, delta: Delta) -> None:
         now = self._clock.monotonic()
-        lease = self._choose_lease(subscriber, now)
+        # A holder that lacks a part may still hold what was replaced
+        lease = 0.0 if delta.partial else self._choose_lease(subscriber, now)
         if not delta.empty and subscriber.behind_since is None:
             subscriber.behind_since = now
         subscriber.index = delta.index
--- a/src/ibishead/control/state.py
+++ b/src/ibishead/control/state.py
@@ -1,7 +1,7 @@
 """The control program's replicated state: documents, targets and claims.
 
 `ControlState` is the state machine that the log carries. It also remembers which
-names changed at which index, so that subscribers get deltas.
+targets changed at which index, so that subscribers get deltas.
 """
 
 import logging
@@ -42,16 +42,21 @@
 
 logger = logging.getLogger(__name__)
 
-#: Changes kept for deltas; a subscriber further behind gets the whole state.
+#: Changes of targets kept for deltas; a subscriber further behind gets all targets.
 CHANGES_KEPT = 4096
 
+#: Characters of documents in one delta, unless a single one is longer. With the
+#: largest body that is accepted it stays below the bound on a link's frame.
+MAX_DELTA = 2 * 1024 * 1024
+
 
 @dataclass(frozen=True)
 class Delta:
     """What a subscriber is missing.
 
     :param index: where it stands once it has this.
-    :param whole: this is the full state.
+    :param whole: the targets are all that there are.
+    :param partial: more is missing; it follows from ``index`` on.
     """
 
     index: LogIndex
@@ -59,6 +64,7 @@
     targets: tuple[TargetRecord, ...] = ()
     gone: tuple[tuple[TargetId, Incarnation], ...] = ()
     whole: bool = False
+    partial: bool = False
 
     @property
     def empty(self) -> bool:
@@ -66,12 +72,6 @@
         return not (self.whole or self.documents or self.targets or self.gone)
 
 
-@dataclass(frozen=True)
-class _DocumentChange:
-    index: LogIndex
-    service: ServiceName
-
-
 @dataclass(frozen=True)
 class _TargetChange:
     index: LogIndex
@@ -105,7 +105,7 @@
         self.targets = TargetTable()
         self.claims = ClaimTable()
         self.replicas: dict[ReplicaId, AnnounceReplica] = {}
-        self._changes: deque[_DocumentChange | _TargetChange] = deque()
+        self._changes: deque[_TargetChange] = deque()
         self._floor = LogIndex(0)
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -175,44 +175,49 @@
 
         :param services: these only, or all when empty.
         """
-        if index == 0 or index < self._floor:
-            return self._collect_whole(services)
-        missed = self._list_missed(index)
-        names = {c.service: None for c in missed if isinstance(c, _DocumentChange)}
-        moved = {c.target: None for c in missed if isinstance(c, _TargetChange)}
-        documents = tuple(self.documents.documents[name] for name in names)
-        targets = tuple(
+        if index > 0 and self.changed <= index:
+            return Delta(index)
+        documents, reached = self._take_documents(index, services)
+        whole = index == 0 or index < self._floor
+        missed = [] if whole else self._list_missed(index)
+        moved = self.targets.members if whole else {c.target: None for c in missed}
+        targets = (
             self.targets.members[name].record
             for name in moved
             if name in self.targets.members
         )
-        gone = tuple(
-            (c.target, c.ended)
-            for c in missed
-            if isinstance(c, _TargetChange) and c.ended is not None
-        )
         return Delta(
-            max(index, self.changed),
-            tuple(d for d in documents if not services or d.service in services),
+            reached,
+            documents,
             tuple(t for t in targets if not services or t.service in services),
-            gone,
+            tuple((c.target, c.ended) for c in missed if c.ended is not None),
+            whole,
+            reached < self.changed,
         )
 
-    def _list_missed(self, index: LogIndex) -> list[_DocumentChange | _TargetChange]:
+    def _take_documents(
+        self, index: LogIndex, services: frozenset[ServiceName]
+    ) -> tuple[tuple[DocumentRecord, ...], LogIndex]:
+        taken: list[DocumentRecord] = []
+        size = 0
+        reached = index
+        for changed, record in self.documents.list_changed(index):
+            if services and record.service not in services:
+                continue
+            size += len(record.text)
+            # Failure: many large documents exceed what a link carries in a frame;
+            # it would break at each try, and the holder would never be served.
+            if taken and size > MAX_DELTA:
+                return tuple(taken), reached
+            taken.append(record)
+            reached = changed
+        return tuple(taken), self.changed
+
+    def _list_missed(self, index: LogIndex) -> list[_TargetChange]:
         # Every holder reports each second and has missed nothing as a rule
         missed = list(takewhile(lambda c: c.index > index, reversed(self._changes)))
         return missed[::-1]
 
-    def _collect_whole(self, services: frozenset[ServiceName]) -> Delta:
-        documents = self.documents.documents.values()
-        records = [member.record for member in self.targets.members.values()]
-        return Delta(
-            self.changed,
-            tuple(d for d in documents if not services or d.service in services),
-            tuple(t for t in records if not services or t.service in services),
-            whole=True,
-        )
-
     def _execute(self, index: LogIndex, command: Command) -> Result:
         match command:
             case SubmitDocument():
@@ -238,7 +243,7 @@
     def _submit(self, index: LogIndex, command: SubmitDocument) -> Result:
         result = self.documents.submit(index, command)
         if isinstance(result, Accepted) and result.index == index:
-            self._note(_DocumentChange(index, command.service))
+            self.changed = index
         return result
 
     def _register(self, index: LogIndex, command: RegisterTarget) -> Result:
@@ -287,7 +292,7 @@
         }
         self.replicas[command.replica] = command
 
-    def _note(self, change: _DocumentChange | _TargetChange) -> None:
+    def _note(self, change: _TargetChange) -> None:
         self.changed = change.index
         self._changes.append(change)
         if len(self._changes) > CHANGES_KEPT:
--- a/src/ibishead/control/submissions.py
+++ b/src/ibishead/control/submissions.py
@@ -5,6 +5,7 @@
 """
 
 from hashlib import sha256
+from operator import itemgetter
 
 import msgspec
 
@@ -88,6 +89,14 @@
         )
         return result
 
+    def list_changed(self, index: LogIndex) -> list[tuple[LogIndex, DocumentRecord]]:
+        """Return the documents changed after ``index``, with when, oldest first."""
+        changed = (
+            (self.histories[service][-1].index, record)
+            for service, record in self.documents.items()
+        )
+        return sorted((item for item in changed if item[0] > index), key=itemgetter(0))
+
     def _judge(
         self, index: LogIndex, command: SubmitDocument
     ) -> Accepted | StaleBase | Rejected:
--- a/tests/control/test_publish.py
+++ b/tests/control/test_publish.py
@@ -1,10 +1,12 @@
 """Subscribers get deltas under leases, and lagging holders are known."""
 
+import msgspec
 import pytest
 
 from ibishead.catalog import Catalog
 from ibishead.clock import ManualClock
 from ibishead.control.publish import APPLY_LIMIT, LEASE, Publisher
+from ibishead.control.state import MAX_DELTA
 from ibishead.ids import HostId, LogIndex
 from ibishead.messages import Publish, ReportInForce, Role, Subscribe
 
@@ -113,6 +115,27 @@
     assert scene.publisher.list_waiting(LogIndex(index + 1)) == ["e1"]
 
 
+def test_large_documents_come_in_parts_and_the_lease_last():
+    """Documents together are larger than a frame; a cut-off entry comes back.
+
+    One delta would break its link at each try. Its lease must not begin before it
+    has the last part, as until then it holds a document that was replaced.
+    """
+    scene = Scene()
+    services = ["raktar", "bolt", "posta"]
+    for number, service in enumerate(services):
+        text = write_document(service) + "#" * (MAX_DELTA - 1000)
+        command = make_submission(f"s{number}", 0, text)
+        scene.log.apply(msgspec.structs.replace(command, service=service))
+    subscriber = scene.subscribe("e1")
+    for number in range(1, 4):
+        scene.report(subscriber, scene.sent[-1].index, number)
+    parts = [[d.service for d in message.documents] for message in scene.sent]
+    assert parts == [["raktar"], ["bolt"], ["posta"], []]
+    assert [message.index for message in scene.sent] == [1, 2, 3, 3]
+    assert [message.lease for message in scene.sent] == [0.0, 0.0, LEASE, LEASE]
+
+
 def test_claims_move_no_holder():
     """Each claim would otherwise cost a message to and from every holder."""
     scene = Scene()
