Test that a load which is answered as done and isn't never answers a caller

Cause: with three engines so few loads happen that the check after a load was not met: with it taken out, test_calls_without_faults passed. Ruled out: more load on that test; one slot for four adapters swaps with every call. Before: guard not proved by a process.

--- a/tests/processes/striking.py
+++ b/tests/processes/striking.py
@@ -10,7 +10,7 @@
 from ibishead.standin.ledger import RecordKind
 from ibishead.standin.load import CallResult, generate_load
 
-__all__ = ["count_records", "run_under_load"]
+__all__ = ["ADAPTERS", "count_records", "run_under_load"]
 
 ADAPTERS = ("tisza@v2", "balaton@v1", "alfold@v1", "tisza@v1")
 
--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -6,10 +6,11 @@
 from tests.processes.fleet import CALLER_KEY, Fleet
 from tests.processes.programs import wait_until
 from tests.processes.promises import check_promises
+from tests.processes.striking import ADAPTERS
 
 from ibishead.standin.calls import Call, CallKind, Mix, Verdict, plan_calls
 from ibishead.standin.ledger import RecordKind
-from ibishead.standin.load import Caller, CallResult
+from ibishead.standin.load import Caller, CallResult, generate_load
 
 
 def plan_call(kind: CallKind, path: str = "/issue", tokens: int = 100_000) -> Call:
@@ -110,6 +111,23 @@
     assert fleet.count_executions(call.key) == 1
 
 
+async def test_false_loads_never_answer(start_fleet):
+    """One slot for four adapters, and every other load is answered as done and isn't.
+
+    The engine serves an adapter that isn't there by its base model, under the
+    adapter's name. A mender would get a plan that no adapter had a part in.
+    """
+    options = ("--ignores-unknown-adapter", "--false-load", "0.5")
+    fleet = await start_fleet(engines=1, slots=1, engine_options=options)
+    mix = Mix("mester", ADAPTERS, 40, rate=8.0, zipf=0.0, max_tokens=60)
+    caller = fleet.make_caller()
+    _, results = await generate_load(caller, mix, duration=60.0)
+    caller.close()
+    tally = check_promises(fleet, results)
+    tally.keep(Verdict.WHOLE, Verdict.NOT_RUN)
+    assert tally.ends[Verdict.WHOLE, ""], "nothing was answered"
+
+
 async def test_adapter_outlives_its_agent(start_fleet):
     """An agent dies during streams; its successor is asked for other adapters.
 
