Test the engine that restarts empty behind a frozen agent

Ruled out: a faster restart; a Python start takes longer than the agent's samples. Before: guard not proved by a process.

--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -128,6 +128,32 @@
     assert tally.ends[Verdict.WHOLE, ""], "nothing was answered"
 
 
+async def test_engine_restarts_behind_a_frozen_agent(start_fleet):
+    """An engine comes back empty while its agent is frozen with requests before it.
+
+    On waking the agent believes the adapter resident. Its first requests would be
+    served by the base model under the adapter's name.
+    """
+    fleet = await start_fleet(engines=1, entries=1)
+    caller = fleet.make_caller()
+    first, *others = plan_calls(
+        Mix("mester", ("tisza@v1",), 9, streams=0.5, max_tokens=20)
+    )
+    assert (await caller.call(first)).verdict is Verdict.WHOLE
+    engine, agent = fleet.engines[0].program, fleet.engines[0].agent
+    agent.freeze()
+    engine.kill()
+    engine.start()
+    await engine.read_port(f"{engine.name}.port")
+    asking = asyncio.gather(*map(caller.call, others))
+    # One turn of the loop for the connections, one for the requests on them
+    await asyncio.sleep(0.1)
+    agent.thaw()
+    results = await asking
+    caller.close()
+    check_promises(fleet, results).keep(Verdict.WHOLE, Verdict.NOT_RUN)
+
+
 async def test_adapter_outlives_its_agent(start_fleet):
     """An agent dies during streams; its successor is asked for other adapters.
 
