--- a/benchmarks/policy/report.py
+++ b/benchmarks/policy/report.py
@@ -26,10 +26,11 @@
 of `ibishead/decisions/` on a virtual clock, without sockets: {seeds} seeds of 400 s for
 each workload, the first 60 s left out. Two services with 9 and 4 engines, 8 slots and a
 batch of 8 each; 3,000 adapters by Zipf's law (exponent 1.3); a store that starts 4
-loads a second, a quarter of a second each while at most 8 are in flight; 3 entry hosts that
-see load reports late and don't talk. A step of an engine takes 20 ms, and 1 ms more for
-each request and for each further adapter in its batch. A caller that is refused or left
-unserved comes back once, and counts again. Figures are of the model, not of machines.
+loads a second, a quarter of a second each while at most 8 are in flight; 3 entry hosts
+that see load reports late and don't talk. A step of an engine takes 20 ms, and 1 ms
+more for each request and for each further adapter in its batch. A caller that is
+refused or left unserved comes back once, and counts again. Figures are of the model,
+not of machines.
 
 - *stall*: seconds that a request waits for its adapter at its agent, all requests that
   were let in. *delay*: seconds from arrival to the start of the run.
--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -26,12 +26,14 @@
 #: differences of batch and length stay below it.
 SLOW_FACTOR = 2.0
 #: Seconds for which a full batch is preferred or avoided, by the stall weight.
-PACKING_SECONDS = 0.5
+PACKING_SECONDS = 1.0
 #: Chance of having to load the evicted adapter again, for each of its aged uses.
 REUSE_CERTAIN = 0.25
 #: What loads count for at a stall weight of 0; with nothing, copies of hot adapters
 #: would keep the store overloaded for good.
-LEAST_LOAD_WEIGHT = 0.5
+LEAST_LOAD_WEIGHT = 0.2
+#: How much more they count for at a stall weight of 1.
+LOAD_WEIGHT_RANGE = 1.6
 #: Seconds of store time that one load takes from others: 4 loads a second.
 STORE_SECONDS = 0.25
 
@@ -162,13 +164,14 @@
         others = _choose_new_holders(query.adapter, usable, holders)
     # All that queue at the shortest of the holders gain by another holder.
     gainers = max(1, min((_held(view) - view.batch for view in holders), default=1))
-    # Ties are broken by chance, or all entry hosts would take the same idle target.
+    # Ties of holders are broken by chance, or all entry hosts would take the same
+    # one; ties of new holders by rank, so that they do take the same one.
     choices = [
         (_cost_of_holder(query, view, fleet), draw(), view, "resident")
         for view in holders
     ] + [
-        (_cost_of_load(query, view, fleet, gainers), draw(), view, "load")
-        for view in others
+        (_cost_of_load(query, view, fleet, gainers), float(rank), view, "load")
+        for rank, view in enumerate(others)
     ]
     _, _, best, reason = min(choices, key=lambda choice: choice[:2])
     return Placed(
@@ -191,10 +194,11 @@
     # are spent twice. All hosts rank alike, and the bound keeps a target that the
     # hash has dealt many hot adapters from taking more of them.
     held = {view.target for view in holders}
-    free = [view for view in usable if view.target not in held]
-    bound = LOAD_BOUND * sum(_load(view) for view in usable) / len(usable)
-    below = [view for view in free if _load(view) <= max(bound, 1.0)]
-    return rank_targets(adapter, below or free)[:HASH_CANDIDATES]
+    loads = [(_load(view), view) for view in usable]
+    bound = max(1.0, LOAD_BOUND * sum(load for load, _ in loads) / len(loads))
+    free = [(load, view) for load, view in loads if view.target not in held]
+    below = [view for load, view in free if load <= bound]
+    return rank_targets(adapter, below or [view for _, view in free])[:HASH_CANDIDATES]
 
 
 def _cost_of_holder(query: PlacementQuery, view: TargetView, fleet: _Fleet) -> float:
@@ -215,7 +219,7 @@
     wait = max(view.seconds_per_load, STORE_SECONDS * (1 + fleet.wishes))
     reloaded = min(1.0, REUSE_CERTAIN * view.coldest)
     harm = (wait + _cost_to_others(fleet)) * (1.0 + reloaded) / gainers
-    weight = LEAST_LOAD_WEIGHT + query.stall_weight
+    weight = LEAST_LOAD_WEIGHT + LOAD_WEIGHT_RANGE * query.stall_weight
     turn = _cost_of_turn(query, view, fleet)
     return delay + weight * (wait + harm) + turn
 
@@ -247,7 +251,9 @@
 
 def _wait(view: TargetView) -> float:
     over = _held(view) + 1 - view.batch
-    return max(0, over) * view.seconds_per_request / max(view.batch, 1)
+    if over <= 0:
+        return 0.0
+    return over * view.seconds_per_request / max(view.batch, 1)
 
 
 def _load(view: TargetView) -> float:
--- a/src/ibishead/decisions/retry.py
+++ b/src/ibishead/decisions/retry.py
@@ -43,7 +43,14 @@
 
 
 class RetryBudget:
-    """Lets retries be a fraction of first attempts, so that none amplify a failure."""
+    """Lets retries be a fraction of first attempts, so that none amplify a failure.
+
+    Load: a target, a failure domain or many loads fail at once. Harm: everything
+    that failed is sent again to the targets that are left, which then fail as well.
+
+    :param ratio: retries that each first attempt earns.
+    :param burst: retries that may be saved up, about one target's batch.
+    """
 
     def __init__(self, ratio: float = 0.1, burst: float = 10.0) -> None:
         self._ratio = ratio
@@ -67,6 +74,10 @@
 ) -> RetryElsewhere | GiveUp:
     """Decide what follows an attempt.
 
+    Load: attempts that failed or were refused by their target. Harm: a request that
+    may have run runs twice, or one that can't succeed circles until its deadline.
+    What is given up is answered at once, with the time to come back.
+
     :param retry_after: seconds to tell the caller when it is given up.
     """
     repeatable = end.outcome is Outcome.NOT_RUN or end.idempotent
--- a/src/ibishead/decisions/views.py
+++ b/src/ibishead/decisions/views.py
@@ -2,12 +2,12 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 import xxhash
 
-from ibishead.decisions.placement import TargetView
+from ibishead.decisions.placement import Placed, PlacementQuery, TargetView, place
 from ibishead.ids import FailureDomain, TargetId
 from ibishead.messages import LoadReport
 
@@ -17,11 +17,14 @@
 RING_POINTS = 32
 #: Targets that the ring proposes for an adapter. Above the placement's own number
 #: of candidates, so that some may be down, full or slow.
-NEIGHBOURS = 8
+NEIGHBOURS = 6
 #: Holders looked at for one adapter: a service's hottest may be on every target.
-MAX_HOLDERS = 8
+MAX_HOLDERS = 6
 #: Targets up to which all are looked at.
 SMALL_FLEET = 16
+#: Seconds for which an own dispatch counts when no report comes. An agent that is
+#: silent for longer isn't reachable; the count must not grow without end.
+MAX_UNREPORTED = 5.0
 #: Seconds by which a report may be older than its arrival.
 REPORT_LAG = 0.1
 
@@ -160,6 +163,8 @@
     def record_dispatch(self, target: TargetId, adapter: int, now: float) -> None:
         """Count an own dispatch until a report can include it."""
         known = self._known[target]
+        while known.recent and known.recent[0][0] <= now - MAX_UNREPORTED:
+            known.recent.popleft()
         known.recent.append((now, adapter))
         self._correct(known)
 
@@ -175,6 +180,16 @@
             return [known.view for known in self._known.values()]
         return [self._known[target].view for target in self._index.find(adapter)]
 
+    def place(self, query: PlacementQuery, draw: Callable[[], float]) -> Placed | None:
+        """Choose a target among the candidates, or among all when none can take it.
+
+        :param draw: returns a number from 0 up to 1, to break ties.
+        """
+        placed = place(query, self.candidates(query.adapter), draw)
+        if placed is None and len(self._known) > SMALL_FLEET:
+            return place(query, self.all(), draw)
+        return placed
+
     def all(self) -> list[TargetView]:
         """Return the views of all targets."""
         return [known.view for known in self._known.values()]
--- /dev/null
+++ b/tests/decisions/test_agent_decisions.py
@@ -0,0 +1,193 @@
+"""Eviction, loading and the order of runs: what an agent decides by itself."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.decisions.eviction import ReuseCounter, SlotView, choose_victim
+from ibishead.decisions.loading import (
+    LoadBackoff,
+    LoadPermits,
+    LoadWish,
+    choose_load,
+    choose_loads,
+)
+from ibishead.decisions.queueing import FairQueue, Waiting, choose_late, choose_next
+from ibishead.ids import RequestId, TeamId
+
+
+@pytest.mark.parametrize(
+    ("slots", "victim"),
+    [
+        ((), None),
+        ((SlotView(1, 1, 0.0),), None),
+        ((SlotView(1, 1, 0.0), SlotView(2, 0, 90.0, 50.0)), 2),
+        # The less frequent leaves, although it was used last.
+        ((SlotView(1, 0, 80.0, 9.0), SlotView(2, 0, 90.0, 1.0)), 2),
+        # A favourite of yesterday has been silent for too long.
+        ((SlotView(1, 0, -9000.0, 90.0), SlotView(2, 0, 90.0, 1.0)), 1),
+        # One that requests wait for stays as long as another can go.
+        ((SlotView(1, 0, 0.0, 0.1, waiting=1), SlotView(2, 0, 90.0, 9.0)), 2),
+    ],
+)
+def test_choose_victim(slots, victim):
+    chosen = choose_victim(slots, 100.0)
+    assert (chosen.digest if chosen else None) == victim
+
+
+slot_views = st.builds(
+    SlotView,
+    st.integers(1, 99),
+    st.integers(0, 3),
+    st.floats(-1e6, 100.0),
+    st.floats(0.0, 1e6),
+    st.integers(0, 9),
+)
+
+
+@given(st.lists(slot_views), st.booleans())
+def test_never_evicts_a_pinned_slot(slots, spare):
+    victim = choose_victim(slots, 100.0, spare_waiting=spare)
+    free = [slot for slot in slots if not slot.pins and not (spare and slot.waiting)]
+    if victim is None:
+        assert not free
+    else:
+        assert victim in free
+
+
+def test_reuse_ages():
+    counter = ReuseCounter(half_life=10.0)
+    for _ in range(4):
+        counter.observe_use(1, 0.0)
+    counter.observe_use(2, 20.0)
+    assert counter.read(1, 20.0) == pytest.approx(1.0)
+    assert counter.read(2, 20.0) == pytest.approx(1.0)
+    assert counter.read(3, 20.0) == 0.0
+
+
+def test_reuse_counter_stays_bounded():
+    counter = ReuseCounter()
+    for digest in range(10_000):
+        counter.observe_use(digest, float(digest))
+    assert len(counter._counts) <= 4096
+    assert counter.read(9_999, 10_000.0) > 0.9
+
+
+@pytest.mark.parametrize(
+    ("wishes", "chosen"),
+    [
+        ((), None),
+        ((LoadWish(1, 1, 1.0, 5), LoadWish(2, 4, 1.0, 5)), 2),
+        ((LoadWish(1, 1, 1.0, 9), LoadWish(2, 1, 1.0, 0)), 1),
+        # Age lifts the lone caller of the lowest class.
+        ((LoadWish(1, 1, 60.0, 0), LoadWish(2, 2, 1.0, 9)), 1),
+        # A failed load waits for its time.
+        ((LoadWish(1, 9, 9.0, 9, not_before=101.0), LoadWish(2, 1, 0.0, 0)), 2),
+        ((LoadWish(1, 9, 9.0, 9, not_before=101.0),), None),
+    ],
+)
+def test_choose_load(wishes, chosen):
+    found = choose_load(wishes, 100.0)
+    assert (found.digest if found else None) == chosen
+    assert [wish.digest for wish in choose_loads(wishes, 100.0, 1)] == (
+        [chosen] if chosen else []
+    )
+
+
+def test_failed_loads_back_off_and_move():
+    backoff = LoadBackoff()
+    assert not backoff.observe_failure(1, 10.0)
+    first = backoff.read(1) - 10.0
+    assert backoff.observe_failure(1, 20.0)
+    assert backoff.read(1) - 20.0 == 2 * first
+    assert backoff.read(2) == 0.0
+    backoff.observe_success(1)
+    assert backoff.read(1) == 0.0
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 2.0), st.booleans()), max_size=200))
+def test_permits_keep_rate_and_places(steps):
+    permits = LoadPermits()
+    now, running, taken = 0.0, 0, 0
+    for pause, release in steps:
+        now += pause
+        if release and running:
+            permits.release()
+            running -= 1
+        if permits.take(now):
+            running += 1
+            taken += 1
+        assert running <= 8
+        assert taken <= 8 + 4.0 * now + 1e-6
+
+
+def item(name: str, **fields) -> Waiting:
+    values = {
+        "attempt": 1,
+        "team": TeamId("a"),
+        "adapter": 1,
+        "priority": 5,
+        "arrived": 100.0,
+        "deadline": 200.0,
+        "ready": True,
+    }
+    return Waiting(RequestId(name), **(values | fields))
+
+
+@pytest.mark.parametrize(
+    ("waiting", "weight", "chosen"),
+    [
+        ((), 0.5, None),
+        ((item("a", ready=False),), 0.5, None),
+        ((item("a", priority=3), item("b", priority=6)), 0.5, "b"),
+        # Batch efficiency lets the adapter that runs go first, load stalls don't.
+        ((item("a", arrived=99.0), item("b", adapter=8)), 0.0, "b"),
+        ((item("a", arrived=99.0), item("b", adapter=8)), 1.0, "a"),
+        # Only for a bounded wait.
+        ((item("a", arrived=96.5), item("b", adapter=8, arrived=96.6)), 0.5, "a"),
+        # The team that has run less goes first within a class.
+        ((item("a", arrived=99.0), item("b", team=TeamId("b"))), 0.5, "b"),
+    ],
+)
+def test_choose_next(waiting, weight, chosen):
+    found = choose_next(
+        waiting, {8: 3}, 100.0, used={TeamId("a"): 40.0}, stall_weight=weight
+    )
+    assert (found.request if found else None) == chosen
+
+
+@given(
+    st.integers(0, 9),
+    st.floats(0.0, 1.0),
+    st.lists(st.integers(0, 9), min_size=200, max_size=200),
+)
+def test_no_request_starves(priority, weight, others):
+    """One request of any class waits while newer ones of any class keep coming.
+
+    Each second one arrives and one runs. Without ageing the lowest class would wait
+    for as long as higher ones come.
+    """
+    lone = item("lone", priority=priority, arrived=0.0, adapter=3)
+    queue = [lone]
+    fair = FairQueue()
+    for second, other in enumerate(others):
+        now = float(second)
+        queue.append(item(f"{second}", priority=other, arrived=now, adapter=8))
+        chosen = choose_next(
+            queue, {8: 7}, now, used=fair.read(now), stall_weight=weight
+        )
+        queue.remove(chosen)
+        fair.observe_run(chosen.team, now)
+    assert lone not in queue
+
+
+def test_late_requests_are_known_before_their_deadline():
+    late = choose_late([item("a", deadline=101.0), item("b")], 100.0, 2.0)
+    assert [entry.request for entry in late] == ["a"]
+
+
+def test_fair_queue_ages():
+    fair = FairQueue()
+    fair.observe_run(TeamId("a"), 0.0, cost=4.0)
+    assert fair.read(0.0) == {TeamId("a"): 4.0}
+    assert fair.read(60.0)[TeamId("a")] == pytest.approx(2.0)
