Notice silent connections to targets, wait for links that are being dialled

Cause: with all links of a host silent, requests were refused as no_target or for the spent retry budget although every target was well; a run over a silent connection to its engine held its caller until the caller's own patience ended; a planned stop of an entry raced with callers' kept connections. Ruled out: a shorter silence limit; heartbeats twice as often cost more than a node may spend at the planned size. Keepalive by the kernel; a middlebox answers for the dead. Conclusion: what no target has seen is retried freely; the engine is asked over a new connection whether it runs a request that has gone quiet.

--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -44,6 +44,10 @@
 
     :param arrived: monotonic seconds, as are all moments here.
     :param adapter: none for a plain service.
+    :param shown: frames owed when the target was last looked at.
+    :param quiet_since: when the run last brought a frame, or began.
+    :param absences: looks in a row at which the target showed nothing of the run.
+    :param silent: the run was given up because its connection has gone silent.
     :param sent: the request's bytes may have reached the target.
     :param requeued: how often the target turned out to be empty.
     """
@@ -59,6 +63,10 @@
     refusal: NotRun | None = None
     ready_at: float | None = None
     started: float = 0.0
+    shown: int = 0
+    quiet_since: float = 0.0
+    absences: int = 0
+    silent: bool = False
     ended: float = 0.0
     sent: bool = False
     requeued: int = 0
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -13,7 +13,7 @@
 from ibishead.agent.gate import Gate
 from ibishead.agent.loader import LoadAuthority, Loader
 from ibishead.agent.runner import RunEnd, run_attempt
-from ibishead.agent.slots import Pin, SlotState, SlotTable
+from ibishead.agent.slots import AdapterKey, Pin, SlotState, SlotTable
 from ibishead.agent.target import TargetClient, TargetRestarted
 from ibishead.agent.watcher import TargetWatcher
 from ibishead.clock import Clock
@@ -42,6 +42,14 @@
 
 REFUSED_RETRY_AFTER = 1.0
 
+#: Looks in a row at which an engine must not show a run. Engines report late, and
+#: a request may lie unread in their socket at the first.
+MAX_ABSENCES = 4
+
+#: Seconds without a piece of a stream that has begun. Tokens are to come every few
+#: hundredths of a second, so this is a target that has stopped.
+STREAM_SILENCE = 10.0
+
 
 @dataclass(frozen=True)
 class TargetShape:
@@ -88,6 +96,7 @@
             shape.is_engine,
             clock,
             self._note_change,
+            self._review_runs,
         )
         self._shape = shape
         self._client = client
@@ -275,7 +284,7 @@
 
     async def _run(self, attempt: Attempt, pin: Pin | None, now: float) -> None:
         ready_at = attempt.ready_at if attempt.ready_at is not None else now
-        attempt.started = now
+        attempt.started = attempt.quiet_since = now
         waited = (now - ready_at, ready_at - attempt.arrived)
         self._observe(attempt, Measure.WAIT, waited[0])
         self._observe(attempt, Measure.LOAD_STALL, waited[1])
@@ -292,7 +301,11 @@
             self._watcher.suspect()
             self._requeue(attempt, "the target restarted")
         except asyncio.CancelledError:
-            self._end(attempt, Outcome.UNKNOWN, ErrorCode.CANCELLED, "the caller left")
+            if attempt.silent:
+                await self._doubt(attempt, "the connection to the target went silent")
+            else:
+                reason = "the caller left"
+                self._end(attempt, Outcome.UNKNOWN, ErrorCode.CANCELLED, reason)
         except IbisheadError as error:
             ended = not attempt.sent
             await self._fail(attempt, error)
@@ -360,6 +373,16 @@
         self._shortest = min(self._shortest, took)
         self._seconds_per_request += SMOOTHING * (took - self._seconds_per_request)
 
+    def _review_runs(self, busy: frozenset[AdapterKey]) -> None:
+        now = self._clock.monotonic()
+        for attempt in self.attempts.list_in(AttemptState.RUNNING):
+            if attempt.sent and attempt.task is not None and not attempt.silent:
+                attempt.silent = _is_silent(attempt, busy, now)
+                if attempt.silent:
+                    attempt.task.cancel()
+                    # What was opened before may have gone silent as well
+                    self._client.close()
+
     def _shortest_run(self) -> float:
         # The shortest run seen, not the mean: a short request among long ones may
         # well end in time, and refusing it would cost its caller an answer.
@@ -389,5 +412,23 @@
         self._wake.set()
 
 
+def _is_silent(attempt: Attempt, busy: frozenset[AdapterKey], now: float) -> bool:
+    # Failure: something between agent and target loses track of an open connection.
+    # Nothing comes and nothing is closed, so the run would hold its slot and its
+    # caller until the deadline. The engine, asked over a new connection, shows that
+    # it runs nothing with the adapter; or a stream that had begun has stopped.
+    shown = attempt.buffer.next_sequence
+    if shown != attempt.shown or attempt.buffer.full:
+        attempt.shown = shown
+        attempt.quiet_since = now
+        attempt.absences = 0
+    elif attempt.adapter is None or attempt.adapter in busy:
+        attempt.absences = 0
+    else:
+        attempt.absences += 1
+    stopped = shown > 0 and now - attempt.quiet_since > STREAM_SILENCE
+    return stopped or attempt.absences >= MAX_ABSENCES
+
+
 def _find_digest(attempt: Attempt) -> int:
     return 0 if attempt.adapter is None else attempt.adapter.digest
--- a/src/ibishead/agent/target.py
+++ b/src/ibishead/agent/target.py
@@ -114,13 +114,20 @@
             self._give_back(actual, connection)
 
     async def sample(self) -> EngineSample:
-        """Ask what the engine runs.
+        """Ask what the engine runs, over a new connection.
+
+        A kept one may have gone silent, which says nothing of the engine.
 
         :raises LinkLost: it can't be reached or doesn't answer.
         """
-        async with self.borrow(None) as connection, _bound(PROBE_TIMEOUT):
-            answer = await connection.ask("GET", "/metrics")
-            return _parse_sample(await answer.read())
+        connection = await ClientConnection.open(self._endpoint, timeout=PROBE_TIMEOUT)
+        try:
+            sample = await self._ask_sample(connection)
+        except BaseException:
+            connection.close()
+            raise
+        self._give_back(sample.boot, connection)
+        return sample
 
     async def check_reachable(self) -> None:
         """Connect and hang up; a plain service needn't know any probe.
@@ -208,9 +215,12 @@
     async def _read_boot(self, connection: ClientConnection) -> BootId:
         if not self._has_boot:
             return BootId("")
+        return (await self._ask_sample(connection)).boot
+
+    async def _ask_sample(self, connection: ClientConnection) -> EngineSample:
         async with _bound(PROBE_TIMEOUT):
             answer = await connection.ask("GET", "/metrics")
-            return _parse_sample(await answer.read()).boot
+            return _parse_sample(await answer.read())
 
     def _take_idle(self, boot: BootId | None) -> tuple[BootId, ClientConnection | None]:
         while self._idle:
--- a/src/ibishead/agent/watcher.py
+++ b/src/ibishead/agent/watcher.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from ibishead.agent.loader import Loader
-from ibishead.agent.slots import SlotTable
+from ibishead.agent.slots import AdapterKey, SlotTable
 from ibishead.agent.target import TargetClient
 from ibishead.clock import Clock
 from ibishead.errors import LinkLost
@@ -26,6 +26,7 @@
 
     :param is_engine: it shows its boot and its adapters.
     :param changed: called when the target's health has changed.
+    :param review_runs: called at each look with the adapters that are at work.
     :ivar healthy: it answered the last look.
     """
 
@@ -37,6 +38,7 @@
         is_engine: bool,
         clock: Clock,
         changed: Callable[[], None],
+        review_runs: Callable[[frozenset[AdapterKey]], None],
     ) -> None:
         self.healthy = False
         self._client = client
@@ -45,6 +47,7 @@
         self._is_engine = is_engine
         self._clock = clock
         self._changed = changed
+        self._review_runs = review_runs
         self._seen = clock.monotonic()
 
     async def watch_for_ever(self) -> None:
@@ -80,6 +83,7 @@
             self._slots.begin_boot(sample.boot, resident, self._clock.monotonic())
             return
         self._slots.observe_running(sample.busy)
+        self._review_runs(sample.busy)
         if self._loader.doubtful:
             self._loader.doubtful = False
             resident = await self._client.list_adapters(sample.boot)
--- a/src/ibishead/decisions/retry.py
+++ b/src/ibishead/decisions/retry.py
@@ -15,6 +15,7 @@
     """How an attempt ended before any byte of it reached the caller.
 
     :param remaining: seconds left until the request's deadline.
+    :param unseen: the target never got it, so another attempt loads nothing twice.
     """
 
     outcome: Outcome
@@ -22,6 +23,7 @@
     idempotent: bool
     remaining: float
     delivered: bool = False
+    unseen: bool = False
 
 
 @dataclass(frozen=True)
@@ -85,6 +87,9 @@
         return GiveUp("may not run twice", retry_after)
     if end.attempt >= MAX_ATTEMPTS or end.remaining <= 0:
         return GiveUp("no attempt left before the deadline", retry_after)
-    if not budget.take():
+    # Load: a path between an entry host and its agents falls silent with all that was
+    # on it. Harm: spending the budget on these would refuse requests that no target
+    # has seen; they bring no more load than the first attempts would have.
+    if not end.unseen and not budget.take():
         return GiveUp("retry budget is spent", retry_after)
     return RetryElsewhere(end.outcome.value)
--- a/src/ibishead/entry/agents.py
+++ b/src/ibishead/entry/agents.py
@@ -202,6 +202,8 @@
         Control may have lost sight of an agent that this host still reaches.
         """
         self._retired = True
+        if self.idle and self._link is not None:
+            self._link.end()
 
     async def stop(self, reason: str) -> None:
         """End all attempts here and close the link."""
@@ -228,8 +230,12 @@
             try:
                 await self._connect()
                 since = self._clock.monotonic()
+                # New connections mostly work where an old one was lost: dial at once
+                continue
             except LinkLost as error:
                 logger.debug("agent lost", extra={"reason": error.message})
+            except Exception:
+                logger.exception("a link failed inside")
             patience = REDIAL_INTERVAL if self._retired else LOST_AFTER
             if self._clock.monotonic() - since > patience:
                 self._lose_all("the agent can't be reached")
--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -71,7 +71,7 @@
         avoid: frozenset[TargetId] = frozenset()
         ended = Ended(Outcome.NOT_RUN, ErrorCode.NO_TARGET, "never sent")
         for _ in range(MAX_GRANTS):
-            placed = self._dispatcher.choose(job, avoid)
+            placed = await self._dispatcher.choose_again(job, avoid)
             answer = await self._claim(job, key, placed)
             if answer is None and placed is None:
                 raise describe_no_target()
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -1,6 +1,7 @@
 """Attempts of one request: place, dispatch, follow, and try again where allowed."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -41,6 +42,13 @@
 #: back the newer one, so a second refusal of this kind is rare.
 MAX_REFRESHES = 3
 
+#: Refusals of attempts that never came into an agent's hands.
+_UNSEEN = (ErrorCode.NEVER_RECEIVED, ErrorCode.LINK_LOST)
+
+#: Seconds that a request waits for a target to be reached again. All links of a host
+#: may be lost at once while every target is well; dialling takes a round trip.
+REACH_PATIENCE = 1.0
+
 
 @dataclass
 class Job:
@@ -97,15 +105,34 @@
         """Return the agent of a target, or none."""
         return self._pool.find(target)
 
-    def choose(self, job: Job, avoid: frozenset[TargetId]) -> Placed | None:
-        """Return where the next attempt goes, or none when nothing can take it."""
+    async def choose(self, job: Job, avoid: frozenset[TargetId]) -> Placed | None:
+        """Return where the next attempt goes, or none when nothing can take it.
+
+        While targets are known but none is in reach, wait a moment for the links.
+        """
         placed = self._placer.place(job.resolved, avoid)
+        if placed is None and self._placer.expects_targets(job.resolved, avoid):
+            self._note(job, "place", "waits", "no target is in reach")
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REACH_PATIENCE):
+                    while placed is None:
+                        await self._placer.wait_for_change()
+                        placed = self._placer.place(job.resolved, avoid)
         if placed is None:
             self._note(job, "place", "none", "no target can take it")
         else:
             self._note(job, "place", placed.target, placed.reason)
         return placed
 
+    async def choose_again(
+        self, job: Job, avoid: frozenset[TargetId]
+    ) -> Placed | None:
+        """Return another target, or one that was tried when there is no other."""
+        placed = await self.choose(job, avoid)
+        if placed is None and avoid:
+            placed = await self.choose(job, frozenset())
+        return placed
+
     def admit(self, job: Job, placed: Placed | None) -> None:
         """Take the request in, by the load at the target chosen.
 
@@ -127,7 +154,7 @@
         self._budget.record_attempt()
         avoid: frozenset[TargetId] = frozenset()
         refreshes = 0
-        placed = self.choose(job, avoid)
+        placed = await self.choose(job, avoid)
         self.admit(job, placed)
         while True:
             agent = None if placed is None else self._pool.find(placed.target)
@@ -141,7 +168,7 @@
             if ended.refreshed and refreshes < MAX_REFRESHES:
                 refreshes += 1
                 self.refresh(job)
-                placed = self.choose(job, avoid)
+                placed = await self.choose(job, avoid)
                 continue
             verdict = self._decide(job, ended)
             self._note(job, "retry", type(verdict).__name__, verdict.reason)
@@ -149,7 +176,7 @@
                 case RetryElsewhere():
                     avoid |= {agent.record.target}
                     job.relay.reset()
-                    placed = self.choose(job, avoid) or self.choose(job, frozenset())
+                    placed = await self.choose_again(job, avoid)
                 case GiveUp(retry_after=retry_after):
                     raise describe_end(ended, retry_after, job.doubtful)
 
@@ -248,6 +275,7 @@
             request_class.idempotent,
             job.deadline - self._clock.monotonic(),
             job.relay.delivered,
+            unseen=ended.outcome is Outcome.NOT_RUN and ended.code in _UNSEEN,
         )
         retry_after = ended.retry_after or DEFAULT_RETRY_AFTER
         return decide_retry(end, self._budget, retry_after)
--- a/src/ibishead/entry/main.py
+++ b/src/ibishead/entry/main.py
@@ -37,6 +37,7 @@
     await wait_for_stop()
     logger.info("entry stops")
     host.pages.ready = False
+    callers.begin_stop()
     await asyncio.sleep(READY_NOTICE)
     await callers.stop()
     await host.stop()
--- a/src/ibishead/entry/placing.py
+++ b/src/ibishead/entry/placing.py
@@ -3,6 +3,7 @@
 The decisions are in `ibishead.decisions`; this stage keeps their inputs.
 """
 
+import asyncio
 import random
 from collections import Counter
 from datetime import timedelta
@@ -45,6 +46,7 @@
         self._views: dict[ServiceName, EntryView] = {}
         self._services: dict[TargetId, ServiceName] = {}
         self._open: dict[ServiceName, Counter[tuple[TeamId, int]]] = {}
+        self._changed = asyncio.Event()
 
     def add(self, record: TargetRecord) -> None:
         """Take in a target that control has announced, or announced again."""
@@ -67,6 +69,7 @@
         if view is not None:
             view.observe(report, self._clock.monotonic())
             view.set_reachable(report.target, report.healthy)
+            self._changed.set()
 
     def lose(self, target: TargetId) -> None:
         """Note that the link to a target's agent is down."""
@@ -80,6 +83,19 @@
         if view is not None:
             view.record_dispatch(target, adapter, self._clock.monotonic())
 
+    def expects_targets(self, resolved: Resolved, avoid: frozenset[TargetId]) -> bool:
+        """Whether control knows a target that might be reached again soon."""
+        view = self._views.get(resolved.call.service)
+        return view is not None and any(
+            not item.reachable and not item.draining and item.target not in avoid
+            for item in view.all()
+        )
+
+    async def wait_for_change(self) -> None:
+        """Return once an agent has reported."""
+        self._changed.clear()
+        await self._changed.wait()
+
     def begin(self, resolved: Resolved) -> None:
         """Count a request that was taken."""
         self._count(resolved, 1)
--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -189,6 +189,9 @@
                 logger.error(
                     "control state can't be used", extra={"reason": str(error)}
                 )
+            except Exception:
+                # A host that stops following for good would be cut off until restart
+                logger.exception("a control link failed inside")
             self._next_replica += 1
             await asyncio.sleep(REDIAL_INTERVAL)
 
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -216,6 +216,7 @@
         self._server: asyncio.Server | None = None
         self._connections: set[_ServerConnection] = set()
         self.stopping = False
+        self.closing = False
 
     async def start(self, endpoint: Endpoint) -> Endpoint:
         """Listen, and return the endpoint with the port that was taken."""
@@ -230,12 +231,20 @@
         """How many connections are open."""
         return len(self._connections)
 
+    def begin_stop(self) -> None:
+        """Ask callers, with each answer, to use no connection again.
+
+        A kept connection that is closed while its caller writes to it loses that
+        request; callers that have been asked open no such race.
+        """
+        self.closing = True
+
     async def stop(self, grace: float = 600.0) -> None:
         """Stop listening, let every answer in progress finish, close the rest.
 
         :param grace: seconds after which what still runs is cut.
         """
-        self.stopping = True
+        self.closing = self.stopping = True
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -310,7 +319,7 @@
             transport.abort()
 
     async def send(self, event: h11.Event) -> None:
-        if isinstance(event, h11.Response) and self._server.stopping:
+        if isinstance(event, h11.Response) and self._server.closing:
             headers = [*event.headers, (b"connection", b"close")]
             event = h11.Response(
                 status_code=event.status_code, headers=headers, reason=event.reason
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -22,11 +22,20 @@
 _T = TypeVar("_T")
 
 
+_reserved: list[socket.socket] = []
+
+
 def reserve_port() -> int:
-    """Return a port that the system has just found free."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
+    """Return a port that the system has found free, and keep it from others.
+
+    The socket stays bound but never listens; a program that binds it with
+    SO_REUSEADDR, as asyncio does, may listen there.
+    """
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind((LOOPBACK, 0))
+    _reserved.append(holder)
+    return int(holder.getsockname()[1])
 
 
 async def wait_until(what: str, condition: Callable[[], _T]) -> _T:
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -222,6 +222,7 @@
         *[("wait", 0.2)] * 3,
         ("fail_loads", 0, True),
         ("restart_target", 0),
+        ("wait", 4.0),
     ]
     assert list_outcomes(*steps) == [Outcome.UNKNOWN]
 
