--- a/benchmarks/policy/simulation.py
+++ b/benchmarks/policy/simulation.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from benchmarks.policy.clairvoyant import Clairvoyant
 from benchmarks.policy.model import BATCH, Calendar, Engine, Future, Store
-from benchmarks.policy.policies import Clairvoyant, Policy
+from benchmarks.policy.policies import Policy
 from benchmarks.policy.workloads import (
     DURATION,
     WARM_UP,
