Let all copies of a hot adapter serve, and cut the cost of a decision

candidates and find take a draw; EntryView.place passes it. Cause: in a fleet over 16 targets the index showed every request the same six holders, so that further copies of a hot adapter idled. Test seen red with the start fixed at the first holder.

--- a/benchmarks/policy/runs.py
+++ b/benchmarks/policy/runs.py
@@ -65,7 +65,7 @@
     ),
     "adapters rendezvous at 4 targets": _Alternative(placement, "HASH_CANDIDATES", 4),
     "a copy's harm to other loads is not counted": _Alternative(
-        placement, "_cost_to_others", lambda fleet: 0.0
+        placement, "_cost_to_others", lambda load, wishes: 0.0
     ),
     "silence doesn't age a count": _Alternative(eviction, "SILENT_USES", 1e9),
     "counts halve in 240 s, not 60 s": _Alternative(eviction, "HALF_LIFE", 240.0),
--- a/benchmarks/policy/test_cost.py
+++ b/benchmarks/policy/test_cost.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from ibishead.decisions.placement import PlacementQuery, place
+from ibishead.decisions.placement import PlacementQuery
 from ibishead.decisions.views import EntryView
 from ibishead.ids import FailureDomain, TargetId
 from ibishead.messages import LoadReport
@@ -43,7 +43,7 @@
     for number in range(DECISIONS):
         adapter = 1 if number % 5 == 0 else chance.randrange(1, ADAPTERS)
         begin = time.perf_counter()
-        placed = place(PlacementQuery(adapter), view.candidates(adapter), chance.random)
+        placed = view.place(PlacementQuery(adapter), chance.random)
         times.append(time.perf_counter() - begin)
         assert placed is not None
     times.sort()
--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -38,7 +38,7 @@
 STORE_SECONDS = 0.25
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class TargetView:
     """What an entry host knows of one target, late and corrected by itself.
 
@@ -77,7 +77,7 @@
     stalled: int = 0
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class PlacementQuery:
     """One request to place.
 
@@ -92,7 +92,7 @@
     avoid: frozenset[TargetId] = frozenset()
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Placed:
     """A target and the reason it was chosen, for `explain`.
 
@@ -148,11 +148,7 @@
     ]
     if not usable:
         return None
-    fleet = _Fleet(
-        min(view.seconds_per_request for view in usable),
-        sum(view.seconds_per_load for view in usable) / len(usable),
-        sum(view.wishes for view in usable),
-    )
+    fleet = _measure_fleet(usable)
     holders = usable
     others: list[TargetView] = []
     if query.adapter:
@@ -179,11 +175,18 @@
     )
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class _Fleet:
     fastest: float
-    seconds_per_load: float
     wishes: int
+    harm: float
+
+
+def _measure_fleet(usable: list[TargetView]) -> _Fleet:
+    fastest = min([view.seconds_per_request for view in usable])
+    wishes = sum([view.wishes for view in usable])
+    load = sum([view.seconds_per_load for view in usable]) / len(usable)
+    return _Fleet(fastest, wishes, _cost_to_others(load, wishes))
 
 
 def _choose_new_holders(
@@ -195,7 +198,7 @@
     # hash has dealt many hot adapters from taking more of them.
     held = {view.target for view in holders}
     loads = [(_load(view), view) for view in usable]
-    bound = max(1.0, LOAD_BOUND * sum(load for load, _ in loads) / len(loads))
+    bound = max(1.0, LOAD_BOUND * sum([load for load, _ in loads]) / len(loads))
     free = [(load, view) for load, view in loads if view.target not in held]
     below = [view for load, view in free if load <= bound]
     return rank_targets(adapter, below or [view for _, view in free])[:HASH_CANDIDATES]
@@ -218,18 +221,18 @@
     delay = view.seconds_per_request / 2 if blocked else 0.0
     wait = max(view.seconds_per_load, STORE_SECONDS * (1 + fleet.wishes))
     reloaded = min(1.0, REUSE_CERTAIN * view.coldest)
-    harm = (wait + _cost_to_others(fleet)) * (1.0 + reloaded) / gainers
+    harm = (wait + fleet.harm) * (1.0 + reloaded) / gainers
     weight = LEAST_LOAD_WEIGHT + LOAD_WEIGHT_RANGE * query.stall_weight
     turn = _cost_of_turn(query, view, fleet)
     return delay + weight * (wait + harm) + turn
 
 
-def _cost_to_others(fleet: _Fleet) -> float:
+def _cost_to_others(seconds_per_load: float, wishes: int) -> float:
     # One more load delays those that come before the store next idles: few while it
     # has time to spare, very many near its rate. For arrivals by chance and loads of
     # one length S that wait w on average, that delay is w * (1 + 2 * w / S) in sum.
-    queue = max(0.0, fleet.seconds_per_load - STORE_SECONDS)
-    queue = max(queue, STORE_SECONDS * fleet.wishes)
+    queue = max(0.0, seconds_per_load - STORE_SECONDS)
+    queue = max(queue, STORE_SECONDS * wishes)
     return STORE_SECONDS / 2 + queue * (1.0 + 2.0 * queue / STORE_SECONDS)
 
 
--- a/src/ibishead/decisions/views.py
+++ b/src/ibishead/decisions/views.py
@@ -17,7 +17,7 @@
 RING_POINTS = 32
 #: Targets that the ring proposes for an adapter. Above the placement's own number
 #: of candidates, so that some may be down, full or slow.
-NEIGHBOURS = 6
+NEIGHBOURS = 4
 #: Holders looked at for one adapter: a service's hottest may be on every target.
 MAX_HOLDERS = 6
 #: Targets up to which all are looked at.
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         self._ring: list[tuple[int, TargetId]] = []
         self._held: dict[TargetId, frozenset[int]] = {}
-        self._holders: dict[int, dict[TargetId, None]] = {}
+        self._holders: dict[int, list[TargetId]] = {}
 
     def __len__(self) -> int:
         return len(self._held)
@@ -69,38 +69,36 @@
         self._held[target] = digests
         for digest in before - digests:
             holders = self._holders[digest]
-            del holders[target]
+            holders.remove(target)
             if not holders:
                 del self._holders[digest]
         for digest in digests - before:
-            self._holders.setdefault(digest, {})[target] = None
+            self._holders.setdefault(digest, []).append(target)
 
-    def find(self, digest: int) -> list[TargetId]:
-        """Return holders and ring neighbours of an adapter, each once."""
+    def find(self, digest: int, draw: float = 0.0) -> list[TargetId]:
+        """Return holders and ring neighbours of an adapter, each once.
+
+        Load: an adapter so hot that it is on many targets. Harm: if the same few of
+        them were always proposed, the other copies would idle. Those proposed start
+        at a place drawn by chance.
+
+        :param draw: from 0 up to 1.
+        """
         if len(self._held) <= SMALL_FLEET:
             return list(self._held)
+        holders = self._holders.get(digest, [])
+        first = int(draw * len(holders))
         found: dict[TargetId, None] = {}
-        holders = self._holders.get(digest, {})
-        start = bisect_left(self._ring, (digest, ""))
-        if len(holders) <= MAX_HOLDERS:
-            found.update(holders)
-        else:
-            self._walk(start, found, MAX_HOLDERS, holders)
-        self._walk(start, found, len(found) + NEIGHBOURS, None)
+        for step in range(min(len(holders), MAX_HOLDERS)):
+            found[holders[(first + step) % len(holders)]] = None
+        self._add_neighbours(digest, found)
         return list(found)
 
-    def _walk(
-        self,
-        start: int,
-        found: dict[TargetId, None],
-        limit: int,
-        among: dict[TargetId, None] | None,
-    ) -> None:
-        size = len(self._ring)
+    def _add_neighbours(self, digest: int, found: dict[TargetId, None]) -> None:
+        size, limit = len(self._ring), len(found) + NEIGHBOURS
+        start = bisect_left(self._ring, (digest, ""))
         for step in range(min(size, limit * RING_POINTS)):
-            target = self._ring[(start + step) % size][1]
-            if among is None or target in among:
-                found[target] = None
+            found[self._ring[(start + step) % size][1]] = None
             if len(found) >= limit:
                 return
 
@@ -174,21 +172,24 @@
         if known is not None and known.view.reachable != reachable:
             known.view = replace(known.view, reachable=reachable)
 
-    def candidates(self, adapter: int) -> list[TargetView]:
-        """Return the views among which `place` chooses for this adapter."""
+    def candidates(self, adapter: int, draw: float = 0.0) -> list[TargetView]:
+        """Return the views among which `place` chooses for this adapter.
+
+        :param draw: from 0 up to 1, see `TargetIndex.find`.
+        """
         if not adapter:
             return [known.view for known in self._known.values()]
-        return [self._known[target].view for target in self._index.find(adapter)]
+        return [self._known[target].view for target in self._index.find(adapter, draw)]
 
     def place(self, query: PlacementQuery, draw: Callable[[], float]) -> Placed | None:
         """Choose a target among the candidates, or among all when none can take it.
 
         :param draw: returns a number from 0 up to 1, to break ties.
         """
-        placed = place(query, self.candidates(query.adapter), draw)
-        if placed is None and len(self._known) > SMALL_FLEET:
+        if len(self._known) <= SMALL_FLEET:
             return place(query, self.all(), draw)
-        return placed
+        placed = place(query, self.candidates(query.adapter, draw()), draw)
+        return placed or place(query, self.all(), draw)
 
     def all(self) -> list[TargetView]:
         """Return the views of all targets."""
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -166,6 +166,22 @@
     assert entry.place(PlacementQuery(7), lambda: 0.5) is not None
 
 
+def test_all_copies_of_a_hot_adapter_serve():
+    """An adapter is on twenty of forty targets.
+
+    If every request were shown the same few holders, those would queue while the
+    other copies idle.
+    """
+    entry = EntryView()
+    for number in range(40):
+        entry.add(TargetId(f"t{number}"), DOMAIN)
+        held = (7,) if number % 2 else ()
+        entry.observe(report(f"t{number}", resident=held), 0.0)
+    chance = random.Random(1)
+    chosen = {entry.place(PlacementQuery(7), chance.random).target for _ in range(500)}
+    assert chosen == {TargetId(f"t{number}") for number in range(1, 40, 2)}
+
+
 @given(
     st.lists(
         st.tuples(
