--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ibishead.control import configuration
-from ibishead.errors import ErrorCode, IbisheadError, Unavailable
+from ibishead.control.identity import replica_host
+from ibishead.errors import Conflict, ErrorCode, IbisheadError, Unavailable
 from ibishead.ids import HostId, ReplicaId
 
 if TYPE_CHECKING:
@@ -34,8 +35,11 @@
     fail too. A voter that still answers leaves last, so that the set never shrinks.
 
     :raises Unavailable: the host has no new replica, or it doesn't catch up.
+    :raises Conflict: the host's replica is a voter already, or another change of the
+        replica set is under way.
     """
-    fresh = _find_fresh(replica, host)
+    fresh = _find_fresh(replica, lost, host)
+    _check_size(replica, lost, fresh)
     await _take_in(replica, fresh)
     if lost == replica.name:
         await _promote(replica, fresh)
@@ -131,11 +135,17 @@
         await replica.change_configuration(configuration.remove(current, lost))
 
 
-def _find_fresh(replica: "LogReplica", host: HostId) -> ReplicaId:
+def _find_fresh(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
+    if host == replica_host(replica.name) and lost != replica.name:
+        # the new replica itself leads when a replaced leader has handed over to it
+        return replica.name
     known = replica.founding.known.get(host)
-    if known is None or not _is_heard(replica, host):
+    # Failure: a host is started anew with an empty folder, and the last that was
+    # heard from it is the lost replica's own introduction. Taken for the new one it
+    # would be removed as its own replacement, and the set would be one short.
+    if known is None or known.replica == lost or not _is_heard(replica, host):
         raise Unavailable(
-            f"no replica answers on host {host}",
+            f"no new replica answers on host {host}",
             "name a host of [peers] or [spares] and start ibishead-control there "
             "with an empty data folder",
             code=ErrorCode.NO_QUORUM,
@@ -143,6 +153,19 @@
     return known.replica
 
 
+def _check_size(replica: "LogReplica", lost: ReplicaId, fresh: ReplicaId) -> None:
+    """Refuse to remove a voter where no other takes its place.
+
+    An even set is one in the middle of a replacement, which may be asked for again.
+    """
+    voters = replica.core.configuration.voters
+    if fresh in voters and lost in voters and len(voters) % 2:
+        raise Conflict(
+            f"replica {fresh} counts already",
+            "name a host that runs a new replica or a spare",
+        )
+
+
 def _has_fresh(replica: "LogReplica", host: HostId) -> bool:
     known = replica.founding.known[host]
     is_voter = known.replica in replica.core.configuration.voters
--- a/src/ibishead/control/upkeep.py
+++ b/src/ibishead/control/upkeep.py
@@ -11,6 +11,7 @@
     Command,
     RetireTarget,
 )
+from ibishead.control.force import ForceTracker
 from ibishead.control.granting import PermitDesk
 from ibishead.control.liveness import OrphanWatch
 from ibishead.control.machine import Replica
@@ -50,6 +51,7 @@
         service: ControlService,
         desk: PermitDesk,
         relay: Relay,
+        force: ForceTracker,
         clock: Clock,
     ) -> None:
         self._announcement = announcement
@@ -58,6 +60,7 @@
         self._service = service
         self._desk = desk
         self._relay = relay
+        self._force = force
         self._clock = clock
         self._watch = OrphanWatch()
         self._counted_to = self._leased_at = clock.monotonic()
@@ -66,15 +69,23 @@
         """Do rounds until cancelled."""
         while True:
             try:
-                await self._do_round()
+                await self.do_round()
             except IbisheadError as error:
                 # Without a quorum nothing is due; the next round tries again
                 logger.debug("round not finished", extra={"reason": error.message})
+            except Exception:
+                # Rounds that end for good would leave dead targets in every view
+                logger.exception("round failed")
             await asyncio.sleep(ROUND_INTERVAL)
 
-    async def _do_round(self) -> None:
+    async def do_round(self) -> None:
+        """Do all that is due.
+
+        :raises Unavailable: there is no quorum for it.
+        """
         now = self._clock.monotonic()
         self._relay.review()
+        self._force.note_replicas()
         if self._replica.lease() > 0:
             self._leased_at = now
         elif now - self._leased_at > LEASE_GRACE:
@@ -85,6 +96,7 @@
             return
         await self._desk.review()
         await self._announce()
+        await self._service.attach_again()
         for command in self._list_due(now):
             await self._propose(command)
             logger.info("target is gone", extra={"target": command.target})
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -18,11 +18,16 @@
 from ibishead.standin.load import Caller
 from ibishead.web import ClientConnection
 
-__all__ = ["CALLER_KEY", "OPERATOR_KEY", "Fleet", "Hop", "Target", "render"]
+__all__ = ["CALLER_KEY", "OPERATOR_KEY", "Fleet", "Hop", "Target", "render_document"]
 
 CALLER_KEY = "loft-key"
 OPERATOR_KEY = "kata-key"
 ADMIN_KEY = "admin-key"
+
+#: Engines of the dangerous kind: an adapter that isn't there is served by the base
+#: model under its name, and some loads are answered as done and aren't.
+HARSH_ENGINE = ("--ignores-unknown-adapter", "--false-load", "0.1")
+
 DOMAINS = ("szeged-a", "szolnok-b", "kecskemet-c", "baja-d")
 
 
@@ -39,6 +44,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def render_document(template: str) -> str:
+    """Return a service document of the demo with the fleet's keys."""
+    keys = {"CALLER_KEY": digest(CALLER_KEY), "OPERATOR_KEY": digest(OPERATOR_KEY)}
+    return render(template, keys)
+
+
 @dataclass
 class Target:
     """A target and the agent beside it.
@@ -86,14 +97,14 @@
     :param relayed: paths that lead through a relay.
     """
 
-    controls: int = 1
+    controls: int = 3
     entries: int = 2
     engines: int = 3
     slots: int = 2
     batch: int = 8
     token_time: float = 0.005
     delay: float = 0.05
-    engine_options: tuple[str, ...] = ()
+    engine_options: tuple[str, ...] = HARSH_ENGINE
     relayed: frozenset[Hop] = frozenset()
 
 
@@ -173,8 +184,7 @@
         :param extra: appended to the document.
         """
         service = template.removesuffix(".ini")
-        keys = {"CALLER_KEY": digest(CALLER_KEY), "OPERATOR_KEY": digest(OPERATOR_KEY)}
-        text = render(template, keys) + extra
+        text = render_document(template) + extra
         target = f"/v1/documents/{service}?base={base}&submission={service}-{base}"
         for attempt in range(500):
             control = attempt % len(self.controls)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -137,6 +137,24 @@
     assert sent(restarted, VoteAnswer) == [VoteAnswer(Term(1), False)]
 
 
+@pytest.mark.parametrize(
+    ("last_index", "last_term", "granted"),
+    [(2, 2, True), (3, 2, True), (1, 3, True), (1, 2, False), (9, 1, False)],
+)
+@pytest.mark.parametrize("pre", [True, False])
+def test_vote_goes_to_a_log_that_lacks_nothing(
+    last_index: int, last_term: int, granted: bool, pre: bool
+) -> None:
+    """A replica that missed accepted changes asks for votes; it would undo them."""
+    core = make_core(Stored(Term(2), None, FOUNDING, (entry(1, 1), entry(2, 2))))
+    request = RequestVote(Term(4), LogIndex(last_index), Term(last_term), pre)
+    core.step(B, request)
+    outputs = core.take()
+    core.synced(max([0, *(o.token for o in outputs if isinstance(o, Write))]))
+    answers = [o.message for o in outputs + core.take() if isinstance(o, Send)]
+    assert [answer.granted for answer in answers] == [granted]
+
+
 def test_append_answer_waits_for_the_sync() -> None:
     """A follower acknowledges an entry and loses power before it is on the disk.
 
@@ -153,6 +171,23 @@
     assert [answer.index for answer in sent(core, AppendAnswer)] == [1]
 
 
+def test_late_entries_of_an_old_leader_change_nothing() -> None:
+    """An old leader's message was held up; meanwhile another's entry was accepted.
+
+    Taking the old entry would drop the acknowledged one, which may be committed.
+    """
+    core = make_core(Stored(Term(2), None, FOUNDING, (entry(1, 2, b"new"),)))
+    core.step(
+        B,
+        Append(
+            Term(1), LogIndex(0), Term(0), (entry(1, 1, b"old"),), LogIndex(0), 0, 1
+        ),
+    )
+    answer = sent(core, AppendAnswer)[0]
+    assert (answer.accepted, answer.term) == (False, 2)
+    assert core.log.slice(1, 1)[0].data == b"new"
+
+
 def test_leader_counts_its_own_entry_only_once_synced() -> None:
     """Of three, one follower answers quickly while the leader's disk is slow.
 
