Fail at once when a control process of a test has ended

Cause: with main.py broken by a merge, each process test waited 150 s.

Before: a wait for a program that had ended. After: its log is shown.

--- a/tests/control/test_replicas.py
+++ b/tests/control/test_replicas.py
@@ -117,6 +117,7 @@
 
     async def wait_ready(self, name: str) -> None:
         async for _ in poll(0.05):
+            assert self.programs[name].running, self.programs[name].log
             try:
                 connection = await ClientConnection.open(self.operators[name])
                 answer = await connection.ask("GET", "/readyz")
