Close a link that is greeted while its server stops (links.py)

Cause: two full runs of tests/control stood still in the teardown of the three servers, at a load average of 20. A peer that is greeted after the open links were closed kept its link, and the server's stop waited for it without end; a planned stop could hang like that.

Ruled out: nothing else was seen in a dump of tasks, as the third full run did not stand still; this cause is read from the code, not from that hang.

Before: two of three full runs cut off by hand. After: 12 tests of links and servers pass; the full run is not repeated yet.

--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -261,6 +261,7 @@
         self._pace = pace or Pace()
         self._tls = tls
         self._server: Server | None = None
+        self._stopping = False
         self.links: set[Link] = set()
 
     async def start(self, endpoint: Endpoint) -> Endpoint:
@@ -284,6 +285,7 @@
 
     async def stop(self) -> None:
         """Stop listening and close all links."""
+        self._stopping = True
         if self._server is not None:
             self._server.close(close_connections=False)
         for link in list(self.links):
@@ -299,6 +301,11 @@
             logger.warning("peer didn't greet", extra={"reason": str(error)})
             socket.transport.abort()
             return
+        # Failure: a peer that was greeted while the others were closed would keep its
+        # link, and the planned stop would wait for it without end.
+        if self._stopping:
+            await link.close()
+            return
         self.links.add(link)
         try:
             await self._handler(link)
