Admit once; let short queues be as long as two seconds drain

Cause: a protected request was weighed by admission at each grant; a queue of two rounds of 50 ms runs refused what would have been answered in a quarter of a second. An agent that had missed two reports still got new work until its link was given up. Ruled out: a longer queue for all; engines' two rounds are six seconds already. Conclusion: a bound by rounds needs a floor in seconds.

--- a/src/ibishead/decisions/admission.py
+++ b/src/ibishead/decisions/admission.py
@@ -13,6 +13,8 @@
 #: Rounds of runs that may wait. A longer queue raises no throughput, and what waits
 #: in it is placed by reports that are old by the time that it runs.
 MAX_ROUNDS = 2.0
+#: Seconds in which a queue of short requests may drain, however many rounds it has.
+SHORT_QUEUE = 2.0
 #: Part of the bounded queue from which a team is held to its share.
 CONTENTION = 0.5
 #: Priorities, 0 to 9; the lowest may fill this part of the queue, the highest all.
@@ -101,7 +103,11 @@
         return _refuse(
             query, ErrorCode.OVERLOADED, "too many adapters wait to load", backlog
         )
-    limit = max(1.0, MAX_ROUNDS * query.capacity * _part(query.priority))
+    # Load: a burst of short requests, such as what a silent path held back. Harm: two
+    # rounds of them drain in a tenth of a second, and a bound by rounds alone refuses
+    # what would have been answered at once.
+    room = max(MAX_ROUNDS * query.capacity, SHORT_QUEUE * drain)
+    limit = max(1.0, room * _part(query.priority))
     return _hold_to_queue(query, limit, drain) or Admitted(wait)
 
 
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -55,6 +55,7 @@
     """One request on its way.
 
     :param deadline: monotonic seconds.
+    :param admitted: it was taken in, and further attempts aren't refused for load.
     :param doubtful: an attempt may have run, whatever became of later ones.
     """
 
@@ -63,6 +64,7 @@
     trace: Trace
     deadline: float
     attempts: int = 0
+    admitted: bool = False
     doubtful: bool = False
 
 
@@ -124,9 +126,7 @@
             self._note(job, "place", placed.target, placed.reason)
         return placed
 
-    async def choose_again(
-        self, job: Job, avoid: frozenset[TargetId]
-    ) -> Placed | None:
+    async def choose_again(self, job: Job, avoid: frozenset[TargetId]) -> Placed | None:
         """Return another target, or one that was tried when there is no other."""
         placed = await self.choose(job, avoid)
         if placed is None and avoid:
@@ -134,15 +134,18 @@
         return placed
 
     def admit(self, job: Job, placed: Placed | None) -> None:
-        """Take the request in, by the load at the target chosen.
+        """Take the request in, by the load at the target chosen; once is enough.
 
         :raises IbisheadError: it is refused, and was not run.
         """
+        if job.admitted:
+            return
         try:
             admitted = self._placer.admit(job.resolved, placed)
         except IbisheadError as error:
             self._note(job, "admit", error.code.value, error.message)
             raise
+        job.admitted = True
         wait = f"expected wait {admitted.expected_wait:.3f} s"
         self._note(job, "admit", "admitted", wait)
 
--- a/src/ibishead/entry/placing.py
+++ b/src/ibishead/entry/placing.py
@@ -15,7 +15,6 @@
     PlacementQuery,
     TargetView,
     adapter_digest,
-    place,
 )
 from ibishead.decisions.views import EntryView
 from ibishead.entry.resolution import Resolved
@@ -30,6 +29,10 @@
 #: what several hosts see together, each late, so a strict part would waste capacity.
 TEAM_SLACK = 1.5
 
+#: Seconds without a report after which an agent gets no new work.
+SUSPECT_AFTER = 1.2
+SWEEP_INTERVAL = 0.25
+
 
 class Placer:
     """This host's views of all targets, by service.
@@ -47,6 +50,8 @@
         self._services: dict[TargetId, ServiceName] = {}
         self._open: dict[ServiceName, Counter[tuple[TeamId, int]]] = {}
         self._changed = asyncio.Event()
+        self._heard: dict[TargetId, float] = {}
+        self._swept = 0.0
 
     def add(self, record: TargetRecord) -> None:
         """Take in a target that control has announced, or announced again."""
@@ -60,6 +65,7 @@
     def remove(self, target: TargetId) -> None:
         """Forget a target; nothing more is placed on it."""
         service = self._services.pop(target, None)
+        self._heard.pop(target, None)
         if service is not None:
             self._views[service].remove(target)
 
@@ -67,7 +73,9 @@
         """Take in an agent's report; an unhealthy target is out of reach."""
         view = self._find_view(report.target)
         if view is not None:
-            view.observe(report, self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._heard[report.target] = now
+            view.observe(report, now)
             view.set_reachable(report.target, report.healthy)
             self._changed.set()
 
@@ -109,6 +117,7 @@
         view = self._views.get(resolved.call.service)
         if view is None:
             return None
+        self._suspect_quiet_agents()
         adapter = adapter_digest(resolved.call.adapter, resolved.version)
         query = PlacementQuery(
             adapter=adapter,
@@ -116,11 +125,7 @@
             failure_domain=self._failure_domain,
             avoid=avoid,
         )
-        placed = place(query, view.candidates(adapter), self._chance.random)
-        if placed is None:
-            # The few candidates of a large fleet may all be out of reach at once
-            placed = place(query, view.all(), self._chance.random)
-        return placed
+        return view.place(query, self._chance.random)
 
     def admit(self, resolved: Resolved, placed: Placed | None) -> Admitted:
         """Take a request, by the load that it meets at the target chosen.
@@ -165,6 +170,19 @@
             wishes=sum(item.wishes for item in up),
         )
 
+    def _suspect_quiet_agents(self) -> None:
+        # Load: a path to many agents falls silent at once. Harm: until each link is
+        # given up, all that comes is sent into it, and the queue that this host
+        # believes in fills up. Agents report twice a second, so one that has missed
+        # two reports gets nothing more until it is heard.
+        now = self._clock.monotonic()
+        if now - self._swept < SWEEP_INTERVAL:
+            return
+        self._swept = now
+        for target, heard in self._heard.items():
+            if now - heard > SUSPECT_AFTER:
+                self.lose(target)
+
     def _count(self, resolved: Resolved, change: int) -> None:
         counter = self._open.setdefault(resolved.call.service, Counter())
         name = (resolved.team, resolved.request_class.priority)
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -128,3 +128,19 @@
             end = AttemptEnd(Outcome.NOT_RUN, 1, True, 9.0)
             retries += isinstance(decide_retry(end, budget, 1.0), RetryElsewhere)
     assert retries <= 10 + 0.1 * len(fails)
+
+
+def test_burst_of_short_requests_is_not_refused():
+    """A path to a stock service was silent for two seconds and is back.
+
+    All that was held up comes at once: three rounds, which the service answers in
+    less than a quarter of a second. Refusing them would send their callers away.
+    """
+    query = AdmissionQuery(
+        priority=5,
+        deadline=10.0,
+        waiting=24,
+        capacity=8,
+        seconds_per_request=0.05,
+    )
+    assert isinstance(admit(query), Admitted)
