Prove that a link greeted during a stop is closed

A live peer greets after the stop has begun.

Ruled out: a peer that answers no heartbeat; it is given up after 2 s anyhow, so that such a test passed without the guard.

Before: without the guard the stop doesn't end in 5 s (seen red).

--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -3,12 +3,14 @@
 import asyncio
 
 import pytest
+from websockets.asyncio.client import connect
 
 from ibishead.clock import SystemClock
+from ibishead.codec import decode_batch, encode_batch
 from ibishead.errors import LinkLost
 from ibishead.ids import HostId
 from ibishead.links import Endpoint, Link, LinkServer, Pace, dial
-from ibishead.messages import Hello, ReportInForce, Role
+from ibishead.messages import Hello, Pong, ReportInForce, Role
 from ibishead.session import LinkAction, LinkMonitor
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
@@ -103,3 +105,28 @@
     assert monitor.tick(60.9) is LinkAction.PING
     assert monitor.tick(61.6) is LinkAction.PING
     assert monitor.tick(62.1) is LinkAction.GIVE_UP
+
+
+async def test_peer_that_is_greeted_during_a_stop_is_closed():
+    """A peer dials just before a planned stop and greets after it has begun.
+
+    Its link was opened after the others were closed. Kept, it would hold up the stop
+    for as long as the peer lives.
+    """
+    server = LinkServer(echo, lambda: AGENT, CLOCK)
+    endpoint = await server.start(LOOPBACK)
+    socket = await connect(f"ws://{endpoint}/", compression=None, proxy=None)
+    await socket.recv()
+    stop = asyncio.create_task(server.stop())
+    await asyncio.sleep(0)
+    await socket.send(encode_batch([ENTRY]))
+
+    async def live() -> None:
+        async for frame in socket:
+            pongs = [Pong(m.number) for m in decode_batch(frame)]
+            await socket.send(encode_batch(pongs))
+
+    peer = asyncio.create_task(live())
+    async with asyncio.timeout(5.0):
+        await stop
+    await peer
