End every program of a fleet that failed half started

Cause: engines were noted only when all had started, so when control could not start at 23:43 three engines of that fleet were left; they were ended by their process ids. Ruled out: a search by name. Before: 3 processes left. The half-started case itself has no test. Conclusion: clean-up goes by what was started, not by what was reached.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -123,18 +123,10 @@
     plains: list[Target] = field(default_factory=list)
     store: Program | None = None
     relays: list[Relay] = field(default_factory=list)
+    programs: list[Program] = field(default_factory=list)
     control_ports: list[int] = field(default_factory=list)
     entry_ports: list[int] = field(default_factory=list)
 
-    @property
-    def programs(self) -> list[Program]:
-        """Every program, callers first."""
-        targets = self.engines + self.plains
-        agents = [target.agent for target in targets]
-        others = [target.program for target in targets]
-        stores = [self.store] if self.store else []
-        return [*self.entries, *agents, *self.controls, *others, *stores]
-
     @property
     def entry_endpoints(self) -> tuple[Endpoint, ...]:
         """Where callers reach the entry hosts."""
@@ -364,13 +356,17 @@
             text = text.replace(f"{section}\n", first, 1)
         settings = self.write(f"{name}.ini", text)
         program = Program(name, f"ibishead.{kind}.main", [str(settings)], self.folder)
+        self.programs.append(program)
         program.start()
         return program
 
     def _make_standin(self, name: str, options: list[str]) -> Program:
         port_file = self.folder / f"{name}.port"
         arguments = [*options, "--port-file", str(port_file)]
-        return Program(name, "ibishead.standin.main", arguments, self.folder)
+        program = Program(name, "ibishead.standin.main", arguments, self.folder)
+        # Noted before it starts: a fleet that fails half started still ends it
+        self.programs.append(program)
+        return program
 
 
 async def _probe(caller: Caller, service: str) -> bool:
