Split the HTTP server, its client and headers

Cause: web.py had grown to 674 lines and held two jobs; agents import the client only. Ruled out: a folder for it; three modules of one job each are found by name. Conclusion: behaviour is as it was.

--- a/benchmarks/bench_publish.py
+++ b/benchmarks/bench_publish.py
@@ -24,7 +24,7 @@
 from ibishead.messages import Hello, Publish, ReportInForce, Role, Subscribe
 from ibishead.settings import ControlSettings, ListenSettings
 from ibishead.subscription import CONTROL_PACE, REPORT_INTERVAL
-from ibishead.web import ClientConnection
+from ibishead.webclient import ClientConnection
 
 SIZES = (10, 50, 200)
 ROUNDS = 20
--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -11,6 +11,7 @@
 from ibishead.agent.gate import AttemptKey
 from ibishead.agent.slots import AdapterKey
 from ibishead.errors import ErrorCode
+from ibishead.headers import Headers
 from ibishead.links import Link
 from ibishead.messages import (
     AnswerBody,
@@ -21,7 +22,6 @@
     Outcome,
 )
 from ibishead.session import Frame, FrameBuffer
-from ibishead.web import Headers
 
 __all__ = ["Attempt", "AttemptState", "AttemptTable"]
 
--- a/src/ibishead/agent/runner.py
+++ b/src/ibishead/agent/runner.py
@@ -13,8 +13,9 @@
 from ibishead.agent.slots import make_lora_name
 from ibishead.agent.target import TargetClient
 from ibishead.errors import ErrorCode, LinkLost
+from ibishead.headers import drop_hop_by_hop, find_header
 from ibishead.ids import BootId
-from ibishead.web import ClientAnswer, drop_hop_by_hop, find_header
+from ibishead.webclient import ClientAnswer
 
 __all__ = ["RunEnd", "run_attempt"]
 
--- a/src/ibishead/agent/target.py
+++ b/src/ibishead/agent/target.py
@@ -15,9 +15,10 @@
 
 from ibishead.agent.slots import AdapterKey, make_lora_name, parse_lora_name
 from ibishead.errors import ErrorCode, LinkLost, Unavailable
+from ibishead.headers import Headers
 from ibishead.ids import BootId, Incarnation
 from ibishead.links import Endpoint
-from ibishead.web import ClientAnswer, ClientConnection, Headers
+from ibishead.webclient import ClientAnswer, ClientConnection
 
 __all__ = ["EngineSample", "TargetClient", "TargetRestarted"]
 
--- a/src/ibishead/control/operators.py
+++ b/src/ibishead/control/operators.py
@@ -42,6 +42,7 @@
     NotFound,
     Unavailable,
 )
+from ibishead.headers import Headers, find_header
 from ibishead.ids import (
     HostId,
     IdempotencyKey,
@@ -56,7 +57,7 @@
 from ibishead.keys import read_bearer, require_key
 from ibishead.messages import DocumentRecord
 from ibishead.metrics import Metrics
-from ibishead.web import Exchange, Headers, WebRequest, find_header
+from ibishead.web import Exchange, WebRequest
 
 __all__ = ["OperatorApi"]
 
--- a/src/ibishead/entry/call.py
+++ b/src/ibishead/entry/call.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ibishead.errors import ErrorCode, IbisheadError, InvalidInput, NotFound
+from ibishead.headers import Headers, drop_hop_by_hop, find_header
 from ibishead.ids import (
     AdapterName,
     ClassName,
@@ -17,7 +18,7 @@
 )
 from ibishead.keys import read_bearer
 from ibishead.messages import TargetKind
-from ibishead.web import Headers, WebRequest, drop_hop_by_hop, find_header
+from ibishead.web import WebRequest
 
 __all__ = ["Call", "parse_call"]
 
--- a/src/ibishead/entry/pages.py
+++ b/src/ibishead/entry/pages.py
@@ -5,11 +5,12 @@
 from ibishead.entry.resolution import list_models
 from ibishead.entry.trace import Trace, TraceBook
 from ibishead.errors import ErrorCode, NotFound, Unavailable
+from ibishead.headers import Headers
 from ibishead.ids import RequestId
 from ibishead.keys import read_bearer
 from ibishead.metrics import Metrics
 from ibishead.subscription import Subscription
-from ibishead.web import Exchange, Headers
+from ibishead.web import Exchange
 
 __all__ = ["OperatorPages", "Pages"]
 
--- a/src/ibishead/entry/relay.py
+++ b/src/ibishead/entry/relay.py
@@ -7,9 +7,10 @@
 from ibishead.entry.resolution import Resolved
 from ibishead.entry.timing import AnswerTimer
 from ibishead.errors import IbisheadError
+from ibishead.headers import Headers
 from ibishead.messages import AnswerBody, AnswerEnd, AnswerHead, Outcome
 from ibishead.session import Frame
-from ibishead.web import Exchange, Headers, encode_error
+from ibishead.web import Exchange, encode_error
 
 __all__ = ["Relay", "make_headers"]
 
--- a/src/ibishead/keys.py
+++ b/src/ibishead/keys.py
@@ -7,7 +7,7 @@
 
 from ibishead.documents import Caller, ServiceDocument
 from ibishead.errors import Forbidden, Unauthorized
-from ibishead.web import Headers, find_header
+from ibishead.headers import Headers, find_header
 
 __all__ = ["find_caller", "hash_key", "read_bearer", "require_caller", "require_key"]
 
--- a/src/ibishead/metrics.py
+++ b/src/ibishead/metrics.py
@@ -12,9 +12,9 @@
 from aioprometheus.histogram import Histogram
 
 from ibishead.errors import ErrorCode
+from ibishead.headers import Headers
 from ibishead.ids import ClassName, TeamId
 from ibishead.messages import Outcome
-from ibishead.web import Headers
 
 __all__ = ["Measure", "Metrics"]
 
--- a/src/ibishead/operator/client.py
+++ b/src/ibishead/operator/client.py
@@ -23,8 +23,9 @@
     Unauthorized,
     Unavailable,
 )
+from ibishead.headers import Headers, find_header
 from ibishead.links import Endpoint
-from ibishead.web import ClientConnection, Headers, find_header
+from ibishead.webclient import ClientConnection
 
 __all__ = ["HttpClient", "decode_answer"]
 
--- a/src/ibishead/standin/calls.py
+++ b/src/ibishead/standin/calls.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ibishead.web import Headers, find_header
+from ibishead.headers import Headers, find_header
 
 __all__ = [
     "ERROR_EVENT",
--- a/src/ibishead/standin/engine_server.py
+++ b/src/ibishead/standin/engine_server.py
@@ -9,6 +9,7 @@
 
 from ibishead.clock import Clock
 from ibishead.errors import IbisheadError
+from ibishead.headers import find_header
 from ibishead.links import Endpoint
 from ibishead.standin import protocol
 from ibishead.standin.engine import (
@@ -22,7 +23,8 @@
 from ibishead.standin.events import CacheEvents
 from ibishead.standin.ledger import Ledger, RecordKind
 from ibishead.standin.process import respond_json, respond_text
-from ibishead.web import ClientConnection, Exchange, find_header
+from ibishead.web import Exchange
+from ibishead.webclient import ClientConnection
 
 __all__ = ["EngineServer", "Faults"]
 
--- a/src/ibishead/standin/load.py
+++ b/src/ibishead/standin/load.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ibishead.errors import IbisheadError
+from ibishead.headers import Headers, find_header
 from ibishead.links import Endpoint
 from ibishead.standin.calls import (
     ERROR_EVENT,
@@ -21,7 +22,7 @@
     plan_calls,
     split_events,
 )
-from ibishead.web import ClientAnswer, ClientConnection, Headers, find_header
+from ibishead.webclient import ClientAnswer, ClientConnection
 
 __all__ = ["CallResult", "Caller", "Histogram", "Summary", "generate_load"]
 
--- a/src/ibishead/standin/plain.py
+++ b/src/ibishead/standin/plain.py
@@ -4,9 +4,10 @@
 
 import msgspec
 
+from ibishead.headers import find_header
 from ibishead.standin.ledger import Ledger, RecordKind
 from ibishead.standin.process import respond_json, respond_text
-from ibishead.web import Exchange, WebRequest, find_header
+from ibishead.web import Exchange, WebRequest
 
 __all__ = ["Echo", "PlainService"]
 
--- a/tests/control/running.py
+++ b/tests/control/running.py
@@ -11,7 +11,7 @@
 from ibishead.messages import Hello, Role
 from ibishead.settings import ControlSettings, ListenSettings
 from ibishead.subscription import Subscription
-from ibishead.web import ClientConnection
+from ibishead.webclient import ClientConnection
 
 from .support import write_document
 
--- a/tests/control/test_operator_keys.py
+++ b/tests/control/test_operator_keys.py
@@ -10,7 +10,7 @@
 from ibishead.keys import hash_key
 from ibishead.links import Endpoint
 from ibishead.settings import ControlSettings, ListenSettings
-from ibishead.web import ClientConnection
+from ibishead.webclient import ClientConnection
 
 from .support import C1, make_submission, write_document
 
--- a/tests/control/test_replicas.py
+++ b/tests/control/test_replicas.py
@@ -15,7 +15,7 @@
 from ibishead.links import Endpoint
 from ibishead.messages import ClaimState, Hello, Outcome, Role
 from ibishead.subscription import Subscription
-from ibishead.web import ClientConnection
+from ibishead.webclient import ClientConnection
 
 from .running import CLOCK, poll, wait_for
 from .support import make_claim, make_registration, make_settlement, write_document
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -18,7 +18,7 @@
 from ibishead.session import SILENCE_LIMIT
 from ibishead.settings import ControlSettings, KeyPair, PeerTls
 from ibishead.tls import make_client_context, make_operator_context
-from ibishead.web import ClientConnection
+from ibishead.webclient import ClientConnection
 
 from .running import CLOCK, Running, follow, make_settings, poll, wait_for
 from .support import make_claim, make_registration, write_document
--- a/tests/entry/test_refusals.py
+++ b/tests/entry/test_refusals.py
@@ -16,7 +16,8 @@
 from ibishead.links import Endpoint
 from ibishead.messages import DocumentRecord
 from ibishead.metrics import Metrics
-from ibishead.web import ClientConnection, WebServer
+from ibishead.web import WebServer
+from ibishead.webclient import ClientConnection
 
 DOCUMENT = """
 [service]
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -16,7 +16,7 @@
 from ibishead.standin.calls import Mix, Verdict, plan_calls
 from ibishead.standin.ledger import Record, RecordKind, read_ledger_file
 from ibishead.standin.load import Caller
-from ibishead.web import ClientConnection
+from ibishead.webclient import ClientConnection
 
 __all__ = ["CALLER_KEY", "OPERATOR_KEY", "Fleet", "Hop", "Target", "render_document"]
 
--- a/tests/processes/promises.py
+++ b/tests/processes/promises.py
@@ -5,10 +5,10 @@
 
 from tests.processes.fleet import Fleet
 
+from ibishead.headers import find_header
 from ibishead.standin.calls import CallKind, Verdict
 from ibishead.standin.ledger import RecordKind
 from ibishead.standin.load import CallResult
-from ibishead.web import find_header
 
 __all__ = ["Tally", "check_promises"]
 
--- a/tests/proofs/targets.py
+++ b/tests/proofs/targets.py
@@ -9,8 +9,9 @@
 from ibishead.agent.slots import AdapterKey, make_lora_name
 from ibishead.agent.target import EngineSample, TargetRestarted
 from ibishead.errors import LinkLost, Unavailable
+from ibishead.headers import find_header
 from ibishead.ids import BootId
-from ibishead.web import ClientAnswer, find_header
+from ibishead.webclient import ClientAnswer
 
 __all__ = ["FakeEngine", "FakePlain", "Run"]
 
--- a/tests/proofs/world.py
+++ b/tests/proofs/world.py
@@ -28,11 +28,12 @@
 from ibishead.control.state import ControlState
 from ibishead.entry.host import EntryHost
 from ibishead.errors import IbisheadError
+from ibishead.headers import find_header
 from ibishead.ids import FailureDomain, HostId, ReplicaId, ServiceName, TargetId
 from ibishead.links import Endpoint
 from ibishead.messages import Hello, Outcome, Role, TargetKind
 from ibishead.settings import AgentSettings, EntrySettings, ListenSettings
-from ibishead.web import Exchange, WebRequest, find_header
+from ibishead.web import Exchange, WebRequest
 
 __all__ = ["Call", "World"]
 
--- a/tests/standin/test_servers.py
+++ b/tests/standin/test_servers.py
@@ -14,7 +14,8 @@
 from ibishead.standin.ledger import Ledger, RecordKind, read_ledger_file
 from ibishead.standin.plain import PlainService
 from ibishead.standin.store import Store, StoreOptions
-from ibishead.web import ClientConnection, WebServer
+from ibishead.web import WebServer
+from ibishead.webclient import ClientConnection
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
 CLOCK = SystemClock()
--- a/tests/test_tls_path.py
+++ b/tests/test_tls_path.py
@@ -27,7 +27,8 @@
 from ibishead.standin.ledger import Ledger
 from ibishead.standin.plain import PlainService
 from ibishead.tls import make_operator_context, make_server_context
-from ibishead.web import ClientConnection, WebServer
+from ibishead.web import WebServer
+from ibishead.webclient import ClientConnection
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
 CLOCK = SystemClock()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -7,7 +7,8 @@
 
 from ibishead.errors import Refused
 from ibishead.links import Endpoint
-from ibishead.web import ClientConnection, Exchange, Limits, WebServer
+from ibishead.web import Exchange, Limits, WebServer
+from ibishead.webclient import ClientConnection
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
 SMALL = Limits(
