Prove the check of the model's name, type the agent's frames

Cause: the check that an answer names its adapter had no red run; five type ignores hid plain ints where sequences are meant. Ruled out: trusting the engine's status alone. Before: not proved. After: 15 cases pass, 8 of them red without the check. Conclusion: listed in benchmarks/red_runs.py with the others.

--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -80,6 +80,13 @@
         "        if loaded:",
         (f"{SLOTS}::test_engine_that_restarted_voids_the_table",),
     ),
+    Guard(
+        "an answer names the adapter that was asked for",
+        "agent/runner.py",
+        "if answer.status == 200 and not _names_adapter(attempt, payload):",
+        "if False:",
+        ("tests/agent/test_runner.py::test_answer_of_another_model_is_held_back",),
+    ),
     Guard(
         "an attempt that was given up never runs",
         "agent/gate.py",
--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -12,6 +12,7 @@
 from ibishead.agent.slots import AdapterKey
 from ibishead.errors import ErrorCode
 from ibishead.headers import Headers
+from ibishead.ids import Sequence, TargetId
 from ibishead.links import Link
 from ibishead.messages import (
     AnswerBody,
@@ -83,7 +84,11 @@
         return self.arrived + self.dispatch.deadline
 
     def emit_head(
-        self, status: int, headers: Headers, target: str, waited: tuple[float, float]
+        self,
+        status: int,
+        headers: Headers,
+        target: TargetId,
+        waited: tuple[float, float],
     ) -> None:
         """Owe the first frame.
 
@@ -100,7 +105,7 @@
                 headers,
                 adapter,
                 version,
-                target,  # type: ignore[arg-type]
+                target,
                 queued,
                 stall,
             )
@@ -151,13 +156,13 @@
         for link in self.watchers:
             link.send(self.refusal)
 
-    def watch(self, link: Link, next_sequence: int) -> None:
+    def watch(self, link: Link, next_sequence: Sequence) -> None:
         """Send what is owed from a sequence on, and all that follows, to a link."""
         self.watchers.add(link)
         if self.refusal is not None:
             link.send(self.refusal)
             return
-        frames = self.buffer.list_from(next_sequence)  # type: ignore[arg-type]
+        frames = self.buffer.list_from(next_sequence)
         if frames is None:
             frames = [self._describe_forgotten(next_sequence)]
         for frame in frames:
@@ -170,7 +175,7 @@
             return True
         return self.buffer.ended and self._acknowledged >= self.buffer.next_sequence
 
-    def acknowledge(self, next_sequence: int) -> None:
+    def acknowledge(self, next_sequence: Sequence) -> None:
         """Forget frames that have arrived.
 
         A non-idempotent request's frames stay while they are few, for a caller who
@@ -178,7 +183,7 @@
         """
         self._acknowledged = max(self._acknowledged, next_sequence)
         if self.dispatch.idempotent or self.buffer.full:
-            self.buffer.acknowledge(next_sequence)  # type: ignore[arg-type]
+            self.buffer.acknowledge(next_sequence)
         if not self.buffer.full:
             self.room.set()
 
@@ -202,11 +207,11 @@
         for link in self.watchers:
             link.send(frame)
 
-    def _describe_forgotten(self, next_sequence: int) -> AnswerEnd:
+    def _describe_forgotten(self, next_sequence: Sequence) -> AnswerEnd:
         return AnswerEnd(
             self.dispatch.request,
             self.dispatch.attempt,
-            next_sequence,  # type: ignore[arg-type]
+            next_sequence,
             Outcome.UNKNOWN,
             ErrorCode.OUTCOME_UNKNOWN,
             "the answer was delivered before and is no longer kept",
--- a/src/ibishead/agent/reception.py
+++ b/src/ibishead/agent/reception.py
@@ -9,7 +9,7 @@
 from ibishead.agent.slots import AdapterKey
 from ibishead.clock import Clock
 from ibishead.errors import ErrorCode
-from ibishead.ids import Incarnation
+from ibishead.ids import Incarnation, Sequence
 from ibishead.links import Link
 from ibishead.messages import (
     Acknowledge,
@@ -106,7 +106,7 @@
                     AttemptKey(dispatch.request, dispatch.attempt)
                 )
                 if found is not None and link not in found.watchers:
-                    found.watch(link, 0)
+                    found.watch(link, Sequence(0))
             case Rejected() as rejected:
                 link.send(
                     NotRun(
--- a/src/ibishead/agent/registrar.py
+++ b/src/ibishead/agent/registrar.py
@@ -11,7 +11,7 @@
 from ibishead.agent.attempts import Attempt
 from ibishead.clock import Clock
 from ibishead.errors import Unavailable
-from ibishead.ids import Incarnation
+from ibishead.ids import Incarnation, Sequence
 from ibishead.messages import (
     AnswerBody,
     AnswerHead,
@@ -183,7 +183,7 @@
         dispatch.generation,
         outcome,
     )
-    frames = attempt.buffer.list_from(0) or []  # type: ignore[arg-type]
+    frames = attempt.buffer.list_from(Sequence(0)) or []
     body = b"".join(f.data for f in frames if isinstance(f, AnswerBody))
     if outcome is not Outcome.COMPLETED or len(body) > MAX_RECORDED_ANSWER:
         return resolution
--- a/src/ibishead/agent/runner.py
+++ b/src/ibishead/agent/runner.py
@@ -14,7 +14,7 @@
 from ibishead.agent.target import TargetClient
 from ibishead.errors import ErrorCode, LinkLost
 from ibishead.headers import drop_hop_by_hop, find_header
-from ibishead.ids import BootId
+from ibishead.ids import BootId, TargetId
 from ibishead.webclient import ClientAnswer
 
 __all__ = ["RunEnd", "run_attempt"]
@@ -47,7 +47,7 @@
     client: TargetClient,
     boot: BootId | None,
     waited: tuple[float, float],
-    target: str,
+    target: TargetId,
 ) -> RunEnd:
     """Give the request to the target and owe all of its answer but the end.
 
@@ -75,7 +75,10 @@
 
 
 async def _relay_plain(
-    attempt: Attempt, answer: ClientAnswer, waited: tuple[float, float], target: str
+    attempt: Attempt,
+    answer: ClientAnswer,
+    waited: tuple[float, float],
+    target: TargetId,
 ) -> RunEnd:
     attempt.emit_head(answer.status, drop_hop_by_hop(answer.headers), target, waited)
     await _relay_rest(attempt, answer.chunks)
@@ -83,7 +86,10 @@
 
 
 async def _relay_model(
-    attempt: Attempt, answer: ClientAnswer, waited: tuple[float, float], target: str
+    attempt: Attempt,
+    answer: ClientAnswer,
+    waited: tuple[float, float],
+    target: TargetId,
 ) -> RunEnd:
     kind = find_header(answer.headers, "content-type") or ""
     streamed = kind.startswith("text/event-stream")
--- /dev/null
+++ b/tests/agent/test_runner.py
@@ -0,0 +1,90 @@
+"""An answer reaches its caller only when it names the adapter that was asked for."""
+
+import contextlib
+
+import msgspec
+import pytest
+from tests.agent.test_gate import DISPATCH
+
+from ibishead.agent.attempts import Attempt
+from ibishead.agent.runner import RunEnd, run_attempt
+from ibishead.agent.slots import AdapterKey
+from ibishead.errors import LinkLost
+from ibishead.ids import BootId, TargetId
+from ibishead.messages import AnswerBody
+from ibishead.webclient import ClientAnswer
+
+JSON = "application/json"
+EVENTS = "text/event-stream"
+
+
+class OneAnswer:
+    """A target that gives the same answer to everything."""
+
+    def __init__(self, status: int, kind: str, *pieces: bytes) -> None:
+        self._status = status
+        self._kind = kind
+        self._pieces = pieces
+
+    @contextlib.asynccontextmanager
+    async def borrow(self, boot, fresh=False):
+        yield self
+
+    async def ask(self, method, path, headers=(), body=b""):
+        async def chunks():
+            for piece in self._pieces:
+                yield piece
+
+        return ClientAnswer(self._status, (("content-type", self._kind),), chunks())
+
+
+def name(model: str) -> bytes:
+    return msgspec.json.encode({"model": model, "text": "plan"})
+
+
+def event(model: str) -> bytes:
+    return b"data: " + name(model) + b"\n\n"
+
+
+async def run(target: OneAnswer) -> tuple[RunEnd, bytes]:
+    attempt = Attempt(DISPATCH, 0.0, AdapterKey(DISPATCH.adapter, DISPATCH.version))
+    waited = (0.0, 0.0)
+    end = await run_attempt(attempt, target, BootId("1"), waited, TargetId("t1"))
+    frames = attempt.buffer.list_from(0)
+    return end, b"".join(f.data for f in frames if isinstance(f, AnswerBody))
+
+
+@pytest.mark.parametrize(
+    ("status", "kind", "pieces", "expected"),
+    [
+        (200, JSON, [name("tisza@1")], RunEnd.COMPLETED),
+        (200, EVENTS, [event("tisza@1"), b"data: [DONE]\n\n"], RunEnd.COMPLETED),
+        (200, EVENTS, [event("tisza@1")[:9], event("tisza@1")[9:]], RunEnd.COMPLETED),
+        (400, JSON, [b'{"error": "bad"}'], RunEnd.COMPLETED),
+        (404, JSON, [b"{}"], RunEnd.ADAPTER_MISSING),
+        (500, JSON, [b"{}"], RunEnd.FAILED),
+    ],
+)
+async def test_run_ends(status, kind, pieces, expected):
+    end, body = await run(OneAnswer(status, kind, *pieces))
+    assert end is expected
+    assert body == (b"".join(pieces) if expected is RunEnd.COMPLETED else b"")
+
+
+@pytest.mark.parametrize("model", ["base", "tisza@2", "balaton@1", ""])
+@pytest.mark.parametrize("kind", [JSON, EVENTS])
+async def test_answer_of_another_model_is_held_back(kind, model):
+    """An engine lost an adapter and serves the base model, or another version.
+
+    Its status is 200 and the text reads well; only the model's name tells. Not a
+    byte of it may reach the mender who asked for that adapter.
+    """
+    piece = name(model) if kind == JSON else event(model)
+    end, body = await run(OneAnswer(200, kind, piece))
+    assert end is RunEnd.WRONG_MODEL
+    assert body == b""
+
+
+async def test_stream_that_begins_with_no_event_is_lost():
+    with pytest.raises(LinkLost):
+        await run(OneAnswer(200, EVENTS, b"data: half"))
