--- a/src/ibishead/agent/agent.py
+++ b/src/ibishead/agent/agent.py
@@ -51,7 +51,13 @@
             self._subscription, _announce(settings, endpoint), clock
         )
         is_engine = settings.kind is TargetKind.ENGINE
-        shape = TargetShape(settings.target, is_engine, settings.batch, settings.slots)
+        shape = TargetShape(
+            settings.target,
+            is_engine,
+            settings.batch,
+            settings.slots,
+            settings.failure_backoff.total_seconds(),
+        )
         self.scheduler = Scheduler(shape, client, self.registrar, clock, self.metrics)
         self._reception = Reception(
             self.scheduler, self.tell_gate, self.registrar.owned, clock
--- a/src/ibishead/agent/loader.py
+++ b/src/ibishead/agent/loader.py
@@ -66,6 +66,7 @@
         authority: LoadAuthority,
         clock: Clock,
         changed: Callable[[], None],
+        backoff: LoadBackoff,
     ) -> None:
         self.doubtful = False
         self.seconds_per_load = FIRST_GUESS
@@ -75,7 +76,7 @@
         self._clock = clock
         self._changed = changed
         self._reuse = ReuseCounter()
-        self._backoff = LoadBackoff()
+        self._backoff = backoff
         self._moved: set[AdapterKey] = set()
         self._loads: dict[AdapterKey, asyncio.Task[None]] = {}
         self._wishes = 0
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -17,6 +17,7 @@
 from ibishead.agent.target import TargetClient, TargetRestarted
 from ibishead.agent.watcher import TargetWatcher
 from ibishead.clock import Clock
+from ibishead.decisions.loading import FIRST_BACKOFF, LoadBackoff
 from ibishead.decisions.queueing import FairQueue, Waiting, choose_late, choose_next
 from ibishead.errors import ErrorCode, IbisheadError
 from ibishead.ids import BootId, TargetId
@@ -57,12 +58,14 @@
 
     :param is_engine: it holds adapters; otherwise it is a plain service.
     :param batch: requests that it runs at once.
+    :param failure_backoff: seconds before a load that failed once is tried again.
     """
 
     target: TargetId
     is_engine: bool
     batch: int
     slots: int
+    failure_backoff: float = FIRST_BACKOFF
 
 
 class Registrar(LoadAuthority, Protocol):
@@ -88,7 +91,14 @@
         self.draining = False
         self.changed = asyncio.Event()
         self._slots = SlotTable(shape.slots)
-        self._loader = Loader(self._slots, client, registrar, clock, self._note_change)
+        self._loader = Loader(
+            self._slots,
+            client,
+            registrar,
+            clock,
+            self._note_change,
+            LoadBackoff(shape.failure_backoff),
+        )
         self._watcher = TargetWatcher(
             client,
             self._slots,
--- a/src/ibishead/decisions/loading.py
+++ b/src/ibishead/decisions/loading.py
@@ -74,9 +74,12 @@
 
     Load: loads of which some fail. Harm: a load that can't succeed here takes the
     store's rate from loads that can.
+
+    :param first: seconds after a first failed load; each further one doubles them.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first: float = FIRST_BACKOFF) -> None:
+        self._first = first
         self._failures: dict[int, int] = {}
         self._not_before: dict[int, float] = {}
 
@@ -87,7 +90,7 @@
         """
         failures = self._failures.get(digest, 0) + 1
         self._failures[digest] = failures
-        pause = min(MAX_BACKOFF, FIRST_BACKOFF * 2 ** (failures - 1))
+        pause = min(MAX_BACKOFF, self._first * 2 ** (failures - 1))
         self._not_before[digest] = now + pause
         return failures >= FAILURES_TO_MOVE
 
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -351,8 +351,8 @@
     if doubtful or ended.outcome is Outcome.UNKNOWN:
         return OutcomeUnknown(
             f"the outcome isn't known: {ended.reason}",
-            "an idempotent request may be sent again; otherwise ask "
-            "GET /v1/requests/ID with the same Idempotency-Key",
+            "an idempotent request may be sent again; any other only with the same "
+            "Idempotency-Key, which never runs it twice",
             code=ended.code,
             retry_after=wait,
         )
