Remove a doubled check of keys, move the lone replica to the tests

Cause: control's main repeated the check that settings make; LoneReplica was used by tests only since control runs on the replicated log. Ruled out: keeping it for the demo, which starts three replicas. Before, after: 219 tests of control, settings, start-up and proofs pass. Conclusion: the program holds nothing that only tests need.

--- a/benchmarks/bench_publish.py
+++ b/benchmarks/bench_publish.py
@@ -13,9 +13,10 @@
 from dataclasses import asdict, dataclass
 from pathlib import Path
 
+from tests.control.lone import LoneReplica
+
 from ibishead.catalog import Catalog
 from ibishead.clock import SystemClock
-from ibishead.control.lone import LoneReplica
 from ibishead.control.server import ControlServer, Endpoints
 from ibishead.control.state import ControlState
 from ibishead.documents import parse_document
--- a/src/ibishead/control/main.py
+++ b/src/ibishead/control/main.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import logging
-from ipaddress import ip_address
-from pathlib import Path
 
 from ibishead.clock import Clock, SystemClock
 from ibishead.control.assembly import open_replica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
-from ibishead.errors import SettingsFault, StorageFault
+from ibishead.errors import StorageFault
 from ibishead.process import wait_for_stop
 from ibishead.settings import ControlSettings, load_control_settings
 from ibishead.startup import make_command
@@ -54,21 +52,9 @@
     return ControlServer(settings, replica.name, state, replica, clock)
 
 
-def _load(path: Path) -> ControlSettings:
-    settings = load_control_settings(path)
-    address = settings.operators.endpoint.address
-    # Without keys anybody who reaches the port could change every service
-    if not settings.admin_keys and not ip_address(address).is_loopback:
-        raise SettingsFault(
-            f"[operators] admin_keys_sha256 is empty, but {address} is no loopback",
-            "list the SHA-256 of the administrators' keys, or listen on 127.0.0.1",
-        )
-    return settings
-
-
 main = make_command(
     "control",
     "Keep documents, targets and claims on a replicated log.",
-    _load,
+    load_control_settings,
     run_control,
 )
--- a/src/ibishead/control/lone.py
+++ b/tests/control/lone.py
@@ -1,4 +1,4 @@
-"""A replica that is alone and keeps nothing on disk, for the demo and tests only."""
+"""A replica that is alone and keeps nothing on disk, for tests."""
 
 from ibishead.control.machine import ReplicaSet, StateMachine
 from ibishead.errors import Unavailable
--- a/tests/control/test_operator_keys.py
+++ b/tests/control/test_operator_keys.py
@@ -1,10 +1,10 @@
 """An operator's key reaches as far as its team's services and no further."""
 
 import pytest
+from tests.control.lone import LoneReplica
 
 from ibishead.clock import SystemClock
 from ibishead.control.commands import encode_command
-from ibishead.control.lone import LoneReplica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
 from ibishead.keys import hash_key
--- a/tests/control/test_server.py
+++ b/tests/control/test_server.py
@@ -5,9 +5,9 @@
 
 import pytest
 import trustme
+from tests.control.lone import LoneReplica
 
 from ibishead.control.liveness import REATTACH_GRACE
-from ibishead.control.lone import LoneReplica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
 from ibishead.control.upkeep import ROUND_INTERVAL
--- a/tests/proofs/world.py
+++ b/tests/proofs/world.py
@@ -8,6 +8,7 @@
 
 import h11
 import msgspec
+from tests.control.lone import LoneReplica
 from tests.proofs.network import FakeNetwork
 from tests.proofs.targets import TOKENS, FakeEngine, FakePlain, FakeTarget
 from tests.proofs.virtual import LoopClock
@@ -22,7 +23,6 @@
     encode_command,
 )
 from ibishead.control.granting import PermitDesk
-from ibishead.control.lone import LoneReplica
 from ibishead.control.publish import Publisher
 from ibishead.control.service import ControlService
 from ibishead.control.state import ControlState
--- a/tests/test_tls_path.py
+++ b/tests/test_tls_path.py
@@ -7,11 +7,11 @@
 import pytest
 import trustme
 from click.testing import CliRunner
+from tests.control.lone import LoneReplica
 
 from ibishead.agent.agent import Agent
 from ibishead.agent.target import TargetClient
 from ibishead.clock import SystemClock
-from ibishead.control.lone import LoneReplica
 from ibishead.control.server import ControlServer
 from ibishead.control.state import ControlState
 from ibishead.entry.host import EntryHost
