Take a claim when a change makes a request run-once

Ruled out: claiming in mid-way; the caller is told to send again, and is claimed then. Conclusion: each path checks what the newest document says of the request's duty.

--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -182,6 +182,13 @@
         "                    if False:\n",
         (f"{PROMISES}::test_request_that_waited_until_its_deadline",),
     ),
+    Guard(
+        "a request that becomes protected takes a claim",
+        "entry/dispatching.py",
+        "                if not job.resolved.request_class.idempotent:\n",
+        "                if False:\n",
+        (f"{PROMISES}::test_request_that_becomes_protected",),
+    ),
     Guard(
         "a protected request is claimed first",
         "entry/pipeline.py",
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -90,6 +90,15 @@
     refreshed: bool = False
 
 
+#: The newer document says that the request may run only once, which takes a claim
+#: from the start; attempts that go on without one could run it twice.
+_PROTECTED_NOW = Ended(
+    Outcome.NOT_RUN,
+    ErrorCode.STALE_REVISION,
+    "by a change of its document it may run only once from now on",
+)
+
+
 class Dispatcher:
     """Sends attempts to agents."""
 
@@ -174,6 +183,10 @@
             if ended.refreshed and refreshes < MAX_REFRESHES:
                 refreshes += 1
                 self.refresh(job)
+                if not job.resolved.request_class.idempotent:
+                    raise describe_end(
+                        _PROTECTED_NOW, DEFAULT_RETRY_AFTER, job.doubtful
+                    )
                 placed = await self.choose(job, avoid)
                 continue
             verdict = self._decide(job, ended)
--- a/src/ibishead/entry/pipeline.py
+++ b/src/ibishead/entry/pipeline.py
@@ -159,7 +159,8 @@
             job.trace.outcome = "caller left"
             raise
         except IbisheadError as error:
-            outcome = _classify(error)
+            # Whatever ends the request, an attempt of it may have run before
+            outcome = Outcome.UNKNOWN if job.doubtful else _classify(error)
             self._metrics.count_refusal(error.code)
             _log_refusal(job.trace, job.trace.steps[-1].stage, error)
             await job.relay.refuse(error, outcome)
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -356,3 +356,26 @@
         return versions, held.record.revision
 
     assert run_virtual(change) == (["2", "2"], 2)
+
+
+def test_request_that_becomes_protected_is_not_run_without_a_claim():
+    """A team makes its plans run-once while an entry host is cut off from control.
+
+    That host still takes a plan for one that may be repeated. The agent refuses its
+    revision and hands over the new document; the host must not go on without a claim.
+    """
+
+    async def call_late() -> tuple[World, Call]:
+        world = World()
+        await world.start()
+        world.network.cut(CONTROL_HOST, HostId("entry-0"))
+        world.submit("mester", protected=True)
+        await asyncio.sleep(1.0)
+        call = world.call_model(0, "tisza", "1", stream=False)
+        await world.settle()
+        await world.stop()
+        return world, call
+
+    world, call = run_virtual(call_late)
+    assert call.outcome is Outcome.NOT_RUN
+    assert not any(slot.fake.runs for slot in world.slots)
--- a/tests/proofs/world.py
+++ b/tests/proofs/world.py
@@ -169,12 +169,17 @@
             self.start_entry(number)
         await asyncio.sleep(3.0)
 
-    def submit(self, service: str, version: int = 1) -> None:
-        """Accept the next revision of a document."""
+    def submit(self, service: str, version: int = 1, protected: bool = False) -> None:
+        """Accept the next revision of a document.
+
+        :param protected: plans may run only once.
+        """
         lines = [
             f"{a} = {' '.join(str(v + 1) for v in range(version))}" for a in ADAPTERS
         ]
         text = ENGINE_TEXT + "\n".join(lines) if service == "mester" else PLAIN_TEXT
+        if protected:
+            text = text.replace("idempotent = yes", "idempotent = no")
         command = SubmitDocument(
             ServiceName(service),
             "halo",
