Set the time of unattended repair, prove it over real processes

Cause: the time after which a spare takes a lost voter's place was fixed in the code, and unattended repair was proved in the replica shell only; reserved ports of tests could be handed out twice. Ruled out: a shorter default; a restart needs no repair. Before: not proved.

--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -203,6 +203,33 @@
         "while False:",
         (f"{PROMISES}::test_leaving_target_gets_no_new_work_and_cuts_nothing",),
     ),
+    Guard(
+        "a leader without its quorum grants no permit",
+        "control/granting.py",
+        "return self._replica.is_leader() and self._replica.lease() > 0",
+        "return self._replica.is_leader()",
+        (
+            "tests/control/test_granting.py::"
+            "test_leader_that_lost_its_quorum_grants_nothing",
+        ),
+    ),
+    Guard(
+        "asks for permits reach the leader",
+        "control/granting.py",
+        "if stays or leader is None or not self._forward(leader, ask):",
+        "if True:",
+        ("tests/control/test_group.py::test_permit_comes_through_a_follower",),
+    ),
+    Guard(
+        "targets of a dead replica are retired",
+        "control/upkeep.py",
+        "return not leads or self._relay.reaches(member.replica)",
+        "return True",
+        (
+            "tests/control/test_group.py::"
+            "test_target_that_dies_with_its_replica_is_retired",
+        ),
+    ),
     Guard(
         "a frozen process doesn't blame its peer",
         "session.py",
--- a/src/ibishead/control/assembly.py
+++ b/src/ibishead/control/assembly.py
@@ -55,7 +55,7 @@
             clock,
             secrets.randbelow,
             lambda: secrets.token_hex(_NAME_BYTES),
-            pace,
+            pace or Pace(repair=settings.repair_after.total_seconds()),
             on_failure,
         )
     except StorageFault:
--- a/src/ibishead/settings.py
+++ b/src/ibishead/settings.py
@@ -64,6 +64,10 @@
 MIN_SECONDS = 0.05
 MAX_SECONDS = 3600.0
 
+#: Longer than a restart or a short partition, which need no repair; a second loss in
+#: that time still leaves a majority of five.
+REPAIR_AFTER = timedelta(minutes=5)
+
 #: Replica sets have 3 or 5, at most 7 voters; 1 is for trials.
 REPLICA_COUNTS = (1, 3, 5, 7)
 
@@ -128,6 +132,7 @@
     :param data: folder of the log and the snapshots, on a disk that lasts.
     :param peers: the voters at the very first start, this replica included.
     :param spares: further replicas that may be taken in later.
+    :param repair_after: silence after which a spare takes a voter's place unattended.
     :param admin_keys: SHA-256 of keys that may submit for any team.
     """
 
@@ -140,6 +145,7 @@
     peers: dict[ReplicaId, Endpoint]
     spares: dict[ReplicaId, Endpoint]
     admin_keys: tuple[str, ...] = ()
+    repair_after: timedelta = REPAIR_AFTER
     peer_tls: PeerTls | None = None
     http_tls: KeyPair | None = None
     log_level: LogLevel = LogLevel.INFO
@@ -282,6 +288,7 @@
         operators=reader.read_listen_of(operators),
         peers=_read_endpoints(reader.ini, "peers", required=True),
         spares=_read_endpoints(reader.ini, "spares", required=False),
+        repair_after=section.read("repair_after", parse_duration, REPAIR_AFTER),
         admin_keys=operators.read("admin_keys_sha256", parse_list(parse_digest), ()),
         peer_tls=peer_tls,
         http_tls=http_tls,
--- a/tests/control/test_replicas.py
+++ b/tests/control/test_replicas.py
@@ -28,6 +28,7 @@
 host = control-{name}
 failure_domain = szeged-a
 data = {name}.data
+repair_after = {repair_after}
 [links]
 address = 127.0.0.1
 port = {links}
@@ -36,6 +37,8 @@
 port = {operators}
 [peers]
 {peers}
+[spares]
+{spares}
 """
 
 #: Seconds for which a leader is frozen: longer than any lease.
@@ -51,27 +54,34 @@
 
 
 class Trio:
-    """Three replicas and where they listen."""
+    """Three replicas, perhaps with spares, and where they listen."""
 
-    def __init__(self, folder) -> None:
+    def __init__(
+        self, folder, spares: tuple[str, ...] = (), repair_after: str = "5 min"
+    ) -> None:
+        names = NAMES + spares
         self.folder = folder
-        self.links = {name: Endpoint(LOOPBACK, reserve_port()) for name in NAMES}
-        self.operators = {name: Endpoint(LOOPBACK, reserve_port()) for name in NAMES}
+        self.links = {name: Endpoint(LOOPBACK, reserve_port()) for name in names}
+        self.operators = {name: Endpoint(LOOPBACK, reserve_port()) for name in names}
         self.programs: dict[str, Program] = {}
-        peers = "\n".join(f"{name} = {where}" for name, where in self.links.items())
-        for name in NAMES:
+        for name in names:
             path = folder / f"{name}.ini"
             path.write_text(
                 SETTINGS.format(
                     name=name,
                     links=self.links[name].port,
                     operators=self.operators[name].port,
-                    peers=peers,
+                    repair_after=repair_after,
+                    peers=self._list_links(NAMES),
+                    spares=self._list_links(spares),
                 )
             )
             module = "ibishead.control.main"
             self.programs[name] = Program(name, module, [str(path)], folder)
 
+    def _list_links(self, names: tuple[str, ...]) -> str:
+        return "\n".join(f"{name} = {self.links[name]}" for name in names)
+
     async def ask(self, name: str, method: str, target: str, body=b"") -> Reply:
         try:
             connection = await ClientConnection.open(self.operators[name])
@@ -396,3 +406,33 @@
     assert await trio.read_history(lost) == accepted
     reply = await trio.insist("after", len(accepted))
     assert reply.value["revision"] == len(accepted) + 1
+
+
+async def test_lost_host_is_repaired_unattended_and_the_next_one_lost(tmp_path):
+    """A control host burns down at night, and a second one in the morning.
+
+    A spare has taken the first one's place by then, without anybody's doing, and
+    holds all that was accepted. Without it the second loss would end the quorum.
+    """
+    trio = Trio(tmp_path, spares=("c4",), repair_after="2 s")
+    try:
+        for program in trio.programs.values():
+            program.start()
+        accepted = [f"s{number}" for number in range(5)]
+        for number, submission in enumerate(accepted):
+            await trio.insist(submission, number)
+        leader = await trio.find_leader()
+        first, second = (name for name in NAMES if name != leader)
+        trio.programs[first].kill()
+        async for _ in poll(0.05):
+            status = await trio.ask(leader, "GET", "/v1/status")
+            voters = {v.partition(".")[0] for v in status.value.get("voters", ())}
+            if voters == {leader, second, "c4"}:
+                break
+        trio.programs[second].kill()
+        reply = await trio.insist("after", len(accepted))
+        assert reply.value["revision"] == len(accepted) + 1
+        assert await trio.read_history("c4") == [*accepted, "after"]
+    finally:
+        for program in trio.programs.values():
+            program.clean_up()
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -32,8 +32,9 @@
     SO_REUSEADDR, as asyncio does, may listen there.
     """
     holder = socket.socket()
-    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     holder.bind((LOOPBACK, 0))
+    # Only now, or the system could choose a port that another holder keeps
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     _reserved.append(holder)
     return int(holder.getsockname()[1])
 
