--- a/src/ibishead/clock.py
+++ b/src/ibishead/clock.py
@@ -7,7 +7,7 @@
 from datetime import UTC, datetime, timedelta
 from typing import Protocol
 
-__all__ = ["Clock", "ManualClock", "SystemClock"]
+__all__ = ["BootClock", "Clock", "ManualClock", "SystemClock"]
 
 
 class Clock(Protocol):
@@ -32,6 +32,18 @@
         return datetime.now(UTC)
 
 
+class BootClock(SystemClock):
+    """The machine's clocks, with the time for which it was suspended counted.
+
+    Failure: a machine is frozen for seconds and wakes again. The usual monotonic clock
+    hasn't moved, so leases and deadlines that are long over still seem to run.
+    """
+
+    def monotonic(self) -> float:
+        """Return the seconds since the machine's start, sleep included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class ManualClock:
     """A clock that moves only when told to."""
 
--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -44,6 +44,8 @@
     :param tick: seconds of one tick of the consensus.
     :param answer: seconds in which a proposal or a read is answered.
     :param repair: seconds of silence after which a voter counts as lost.
+    :param readmit: a voter whose host is back with an emptied disk is replaced at once
+        by that host's new replica, without an operator's word.
     :param snapshot_entries: applied entries between two snapshots.
     :param snapshot_bytes: bytes of applied commands between two snapshots.
     :param reserve: bytes that must stay free on the disk for changes to be taken.
@@ -53,6 +55,7 @@
     timing: Timing = Timing(heartbeat=2, election=20)
     answer: float = 5.0
     repair: float = 300.0
+    readmit: bool = False
     snapshot_entries: int = 1000
     snapshot_bytes: int = 32 * 1024 * 1024
     reserve: int = 64 * 1024 * 1024
--- a/src/ibishead/control/founding.py
+++ b/src/ibishead/control/founding.py
@@ -40,6 +40,13 @@
         host = replica_host(replica)
         self.known[host] = Acquaintance(replica, cluster, now)
 
+    def name_founders(self, hosts: Iterable[HostId]) -> None:
+        """Let these hosts found the cluster, the first of them as the one that does.
+
+        For hosts that learn of each other only once they run.
+        """
+        self._first_hosts = list(hosts)
+
     def found(self, own: Identity) -> Identity | None:
         """Return the identity with which to found a cluster, if that is due.
 
--- a/src/ibishead/control/peering.py
+++ b/src/ibishead/control/peering.py
@@ -1,6 +1,6 @@
 """Links from one replica to the others, each way its own.
 
-A replica dials every other host of its settings and only sends on these links; what
+A replica dials every other host that it knows and only sends on these links; what
 it receives comes over the links that the others have dialled to its link server.
 """
 
@@ -24,7 +24,7 @@
 )
 from ibishead.errors import ErrorCode, LinkLost
 from ibishead.ids import HostId, LogIndex, ReplicaId
-from ibishead.links import Endpoint, Link, dial
+from ibishead.links import Endpoint, Link, Pace, dial
 from ibishead.messages import Hello, PeerFrame
 
 __all__ = [
@@ -134,9 +134,10 @@
 
 
 class PeerLinks:
-    """Keeps a link to every other host of the settings.
+    """Keeps a link to every other host that it is told of.
 
     :param hosts: where each host's link server listens, this one's left out.
+    :param pace: heartbeats of the links; the links' own where left out.
     """
 
     def __init__(
@@ -145,13 +146,16 @@
         hello: Hello,
         clock: Clock,
         tls: ssl.SSLContext | None = None,
+        pace: Pace | None = None,
     ) -> None:
+        self._pace = pace
         self._hosts = dict(hosts)
         self._hello = hello
         self._clock = clock
         self._tls = tls
         self._links: dict[HostId, Link] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks: dict[HostId, asyncio.Task[None]] = {}
+        self._started = False
 
     @property
     def hosts(self) -> list[HostId]:
@@ -160,13 +164,29 @@
 
     def start(self) -> None:
         """Begin to dial."""
-        self._tasks = [asyncio.create_task(self._keep(host)) for host in self._hosts]
+        self._started = True
+        for host in self._hosts:
+            self._dial(host)
+
+    def add_host(self, host: HostId, endpoint: Endpoint) -> None:
+        """Dial a further host, or a known one at another address."""
+        if self._hosts.get(host) == endpoint:
+            return
+        self._hosts[host] = endpoint
+        if self._started:
+            self._dial(host)
 
     async def stop(self) -> None:
         """Close all links."""
-        for task in self._tasks:
+        tasks = list(self._tasks.values())
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _dial(self, host: HostId) -> None:
+        if (former := self._tasks.get(host)) is not None:
+            former.cancel()
+        self._tasks[host] = asyncio.create_task(self._keep(host))
 
     def reaches(self, host: HostId) -> bool:
         """Return whether a link to the host is up."""
@@ -205,7 +225,7 @@
         while True:
             try:
                 link = await dial(
-                    self._hosts[host], self._hello, self._clock, tls=self._tls
+                    self._hosts[host], self._hello, self._clock, self._pace, self._tls
                 )
             except LinkLost as error:
                 logger.debug("replica not reached", extra={"reason": error.message})
@@ -220,7 +240,9 @@
             async for _ in link.receive():
                 pass
         finally:
-            del self._links[host]
+            # a link to the host's next address may stand here already
+            if self._links.get(host) is link:
+                del self._links[host]
             link.end()
 
 
--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -23,8 +23,9 @@
 #: Seconds without an introduction after which a spare counts as gone.
 _HEARD_LIMIT = 5.0
 
-#: Seconds between two tries of an unattended repair.
-_REPAIR_INTERVAL = 2.0
+#: Seconds between two tries of an unattended repair; short, so that two voters lost in
+#: turn are both replaced before a third may go.
+_REPAIR_INTERVAL = 0.5
 
 
 async def replace(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
@@ -50,7 +51,8 @@
             code=ErrorCode.NOT_LEADER,
             retry_after=timedelta(seconds=replica.pace.election),
         )
-    if replica.core.silence(lost) >= replica.pace.timing.election:
+    superseded = replica_host(lost) == replica_host(fresh)
+    if superseded or replica.core.silence(lost) >= replica.pace.timing.election:
         await _take_out(replica, lost)
         await _promote(replica, fresh)
     else:
@@ -99,11 +101,17 @@
         core = replica.core
         limit = replica.pace.repair / replica.pace.tick
         lost = [(core.silence(voter), voter) for voter in core.configuration.voters]
-        lost = [found for found in lost if found[0] >= limit]
         hosts = [host for host in replica.founding.known if _has_fresh(replica, host)]
-        if not lost or not hosts:
+        for _, voter in lost:
+            # Failure: a voter's disk was emptied and its host is back under another
+            # identity. The old one can never answer again, so nothing is gained by
+            # waiting out a silence, in which a second loss would stop all changes.
+            if replica.pace.readmit and replica_host(voter) in hosts:
+                return voter, replica_host(voter)
+        silent = [found for found in lost if found[0] >= limit]
+        if not silent or not hosts:
             return None
-        return max(lost)[1], sorted(hosts)[0]
+        return max(silent)[1], sorted(hosts)[0]
 
 
 async def _take_in(replica: "LogReplica", fresh: ReplicaId) -> None:
@@ -114,6 +122,14 @@
     while fresh not in replica.core.configuration.voters:
         if replica.core.is_caught_up(fresh):
             return
+        # Failure: the new replica is gone again. Waiting for it would keep every other
+        # repair back for as long.
+        if fresh != replica.name and not _is_heard(replica, replica_host(fresh)):
+            raise Unavailable(
+                f"replica {fresh} is gone before it has caught up",
+                "check its host, or name another one",
+                code=ErrorCode.NO_QUORUM,
+            )
         if replica.clock.monotonic() >= limit or not replica.is_leader():
             raise Unavailable(
                 f"replica {fresh} has not caught up with the log",
--- /dev/null
+++ b/src/ibishead/decisions/choice.py
@@ -0,0 +1,179 @@
+"""Which target gets a request, by one figure: the delay that the caller would see.
+
+Load, adapter and health are weighed in seconds, so that a resident adapter on a busy
+engine and a load on an idle one compare.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from ibishead.ids import FailureDomain, TargetId
+from ibishead.routing.targets import WeightKey
+
+__all__ = [
+    "AdapterPlace",
+    "Candidate",
+    "Chosen",
+    "Need",
+    "choose_target",
+    "estimate_delay",
+]
+
+#: Seconds until an adapter that is on its way is there, on average half of a load.
+COMING_DELAY = 0.15
+
+#: Seconds to load an adapter at full speed of the store, with the order before it.
+LOAD_DELAY = 0.28
+
+#: Seconds more where another adapter has to leave first.
+EVICTION_DELAY = 0.05
+
+#: Seconds by which an adapter's next places in the order of its hash count for worse.
+#: Gateways that know nothing of each other's loads so choose the same engine.
+HASH_STEP = 0.03
+HASH_MOST = 0.12
+
+#: Seconds that each running request of a batch costs another one, in slower steps and
+#: in prompts read between them.
+BATCH_STEP = 0.012
+
+#: Seconds that a waiting request costs where a whole batch is in use.
+QUEUE_STEP = 0.06
+
+#: Prompt tokens that an engine reads in a second, as a first guess.
+PROMPT_RATE = 20_000.0
+
+#: Seconds that count for a target all of whose last answers were failures.
+FAILURE_DELAY = 3.0
+
+#: Seconds that count for a target that registries have lost sight of, and for one that
+#: couldn't be reached a moment ago.
+SILENT_DELAY = 0.5
+UNREACHED_DELAY = 5.0
+
+#: Seconds by which another failure domain is farther away.
+DOMAIN_DELAY = 0.003
+
+
+@dataclass(frozen=True)
+class AdapterPlace:
+    """Where an adapter stands on one engine.
+
+    :param resident: in place, at a version that the request may begin on.
+    :param coming: on its way there.
+    :param full: another one would have to leave.
+    :param manageable: somebody can order the engine to load it.
+    """
+
+    resident: bool = False
+    coming: bool = False
+    full: bool = False
+    manageable: bool = True
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """What is known of one target.
+
+    :param busy: requests there, by its last word and by own sends since.
+    :param slots: requests that it runs at once.
+    :param prompt_backlog: prompt tokens sent to it that it may not have read yet.
+    :param pace: seconds of a request at this target against the service's mean.
+    :param failures: share of failures among its last answers, recent ones for more.
+    """
+
+    target: TargetId
+    domain: FailureDomain
+    busy: int
+    slots: int
+    prompt_backlog: int = 0
+    pace: float = 1.0
+    failures: float = 0.0
+    silent: bool = False
+    unreached: bool = False
+    adapter: AdapterPlace = AdapterPlace(resident=True)
+
+
+@dataclass(frozen=True)
+class Need:
+    """What a request asks of a target.
+
+    :param run_time: seconds that a request takes on a target of ordinary pace.
+    """
+
+    domain: FailureDomain
+    weights: WeightKey | None = None
+    run_time: float = 0.0
+    avoid: frozenset[TargetId] = frozenset()
+
+
+@dataclass(frozen=True)
+class Chosen:
+    """A target, and the seconds until its answer begins."""
+
+    candidate: Candidate
+    delay: float
+
+
+def choose_target(
+    need: Need, candidates: Sequence[Candidate], draw: Callable[[], float]
+) -> Chosen | None:
+    """Return the target with the least expected delay, or none where there is none.
+
+    Load: gateways that see the same reports at the same time. Harm: all choose the
+    target that was idle a moment ago, and it gets a queue while others idle. So
+    differences below a batch step are broken by chance.
+    """
+    ranks = _rank(need.weights, candidates)
+    best: Chosen | None = None
+    for candidate in candidates:
+        if candidate.target in need.avoid:
+            continue
+        adapter = candidate.adapter
+        if not (adapter.resident or adapter.coming or adapter.manageable):
+            continue
+        delay = estimate_delay(need, candidate, ranks.get(candidate.target, 0))
+        delay += BATCH_STEP * draw()
+        if best is None or delay < best.delay:
+            best = Chosen(candidate, delay)
+    return best
+
+
+def estimate_delay(need: Need, candidate: Candidate, rank: int = 0) -> float:
+    """Return the seconds that a caller would wait for the first of an answer.
+
+    :param rank: the target's place in the order of the adapter's hash.
+    """
+    delay = candidate.pace * need.run_time * (candidate.busy / max(1, candidate.slots))
+    delay += candidate.prompt_backlog / PROMPT_RATE
+    delay += BATCH_STEP * candidate.busy / max(1, candidate.slots) * 10
+    waiting = candidate.busy + 1 - candidate.slots
+    if waiting > 0:
+        delay += max(QUEUE_STEP, need.run_time / candidate.slots) * waiting
+    delay += FAILURE_DELAY * candidate.failures**2
+    delay += SILENT_DELAY * candidate.silent + UNREACHED_DELAY * candidate.unreached
+    delay += DOMAIN_DELAY * (candidate.domain != need.domain)
+    return delay + _estimate_adapter(candidate.adapter, rank)
+
+
+def _estimate_adapter(adapter: AdapterPlace, rank: int) -> float:
+    if adapter.resident:
+        return 0.0
+    if adapter.coming:
+        return COMING_DELAY
+    eviction = EVICTION_DELAY * adapter.full
+    return LOAD_DELAY + eviction + min(HASH_MOST, HASH_STEP * rank)
+
+
+def _rank(
+    weights: WeightKey | None, candidates: Sequence[Candidate]
+) -> dict[TargetId, int]:
+    if weights is None:
+        return {}
+    name = f"{weights.model}/{weights.adapter}/"
+    order = sorted(
+        candidates, key=lambda c: xxhash.xxh32_intdigest((name + c.target).encode())
+    )
+    return {candidate.target: rank for rank, candidate in enumerate(order)}
--- /dev/null
+++ b/src/ibishead/decisions/residents.py
@@ -0,0 +1,212 @@
+"""Which weights an engine is ordered to load or to drop next.
+
+Load: thousands of adapters for a few slots an engine, asked for by several gateways
+at once. Harm: an order beyond the slots ends the engine, and one that drops what is in
+use stalls it. So every adapter on its way holds a slot, and only idle ones leave.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import TypeAlias
+
+import xxhash
+
+from ibishead.decisions.eviction import ReuseCounter, SlotView, choose_victim
+from ibishead.routing.messages import AdapterFloor
+from ibishead.routing.routes import EngineSpec
+from ibishead.routing.targets import AdapterRef, Holding, WeightKey
+
+__all__ = ["EngineWeights", "Idle", "Load", "Unload", "Wish", "choose_order", "digest"]
+
+#: Adapters on their way to one engine at once. The engine takes 4; loads share the
+#: store with all other engines, and 8 in all run at full speed.
+MAX_COMING = 3
+
+#: Seconds since its last use after which an adapter may leave. A request that was sent
+#: to it a moment ago may not have begun.
+SETTLED_AFTER = 0.4
+
+#: Seconds over which engines spread the replacement of an adapter by its new version,
+#: so that some copy serves at any time. With a load it ends before the time from which
+#: no request may begin on the old one.
+REPLACE_FIRST = 0.2
+REPLACE_SPREAD = 2.0
+
+
+@dataclass(frozen=True)
+class Wish:
+    """An adapter that requests wait for.
+
+    :param since: monotonic seconds at which the first of them asked.
+    :param waiting: how many wait.
+    """
+
+    key: WeightKey
+    version: int
+    since: float
+    waiting: int = 1
+
+
+@dataclass(frozen=True)
+class EngineWeights:
+    """What an engine holds and has on its way, by the best knowledge at hand.
+
+    :param coming: adapters on their way, orders of unknown end included.
+    :param leaving: adapters whose unloading waits for their runs.
+    """
+
+    holdings: tuple[Holding, ...] = ()
+    coming: frozenset[WeightKey] = frozenset()
+    leaving: frozenset[WeightKey] = frozenset()
+    used: Mapping[WeightKey, float] = field(default_factory=dict)
+
+    def adapters(self) -> dict[WeightKey, int]:
+        """Return all adapters in slots, with their versions."""
+        return {
+            WeightKey(holding.model, ref.name): ref.version
+            for holding in self.holdings
+            for ref in holding.adapters
+        }
+
+
+@dataclass(frozen=True)
+class Load:
+    """Order the engine to load a model or an adapter.
+
+    :param version: 0 for the newest.
+    """
+
+    key: WeightKey
+    version: int = 0
+
+
+@dataclass(frozen=True)
+class Unload:
+    """Order the engine to drop an adapter."""
+
+    key: WeightKey
+
+
+@dataclass(frozen=True)
+class Idle:
+    """Nothing is to be ordered now."""
+
+    reason: str
+
+
+Order: TypeAlias = Load | Unload | Idle
+
+
+def digest(key: WeightKey) -> int:
+    """Return the number under which uses of an adapter are counted."""
+    return xxhash.xxh32_intdigest(f"{key.model}/{key.adapter}".encode()) or 1
+
+
+def choose_order(
+    spec: EngineSpec,
+    weights: EngineWeights,
+    wishes: Sequence[Wish],
+    floors: Mapping[WeightKey, AdapterFloor],
+    floor_heard: Mapping[WeightKey, float],
+    reuse: ReuseCounter,
+    now: float,
+    place: float,
+) -> Order:
+    """Return the next order for one engine.
+
+    :param place: this engine's place, from 0 up to 1, in the spread of replacements.
+    :param now: monotonic seconds.
+    """
+    if (missing := _find_missing_model(spec, weights)) is not None:
+        return Load(missing)
+    if len(weights.coming) >= MAX_COMING:
+        return Idle("enough on the way")
+    held = weights.adapters()
+    wish = _choose_wish(weights, held, wishes)
+    if wish is None:
+        return _replace_old(weights, held, floors, floor_heard, now, place)
+    if wish.key in held:
+        return Load(wish.key, wish.version)
+    if len(held.keys() | weights.coming) < spec.adapter_slots:
+        return Load(wish.key, wish.version)
+    return _make_room(weights, held, wishes, reuse, now)
+
+
+def _find_missing_model(spec: EngineSpec, weights: EngineWeights) -> WeightKey | None:
+    # an engine that has restarted holds nothing; without a model it serves nobody
+    if weights.holdings or any(not key.adapter for key in weights.coming):
+        return None
+    fitting = [m for m in spec.models if m.megabytes <= spec.megabytes]
+    if not fitting:
+        return None
+    return WeightKey(fitting[0].name)
+
+
+def _choose_wish(
+    weights: EngineWeights, held: Mapping[WeightKey, int], wishes: Sequence[Wish]
+) -> Wish | None:
+    models = {holding.model for holding in weights.holdings}
+    open_wishes = [
+        wish
+        for wish in wishes
+        if wish.key.model in models
+        and wish.key not in weights.coming
+        and wish.key not in weights.leaving
+        and held.get(wish.key, -1) < max(wish.version, 1)
+    ]
+    # Who waits longest loses most; many who wait for one load count for more
+    return min(open_wishes, key=lambda w: w.since - 0.05 * w.waiting, default=None)
+
+
+def _make_room(
+    weights: EngineWeights,
+    held: Mapping[WeightKey, int],
+    wishes: Sequence[Wish],
+    reuse: ReuseCounter,
+    now: float,
+) -> Order:
+    waiting = {wish.key: wish.waiting for wish in wishes}
+    keys = {digest(key): key for key in held if key not in weights.leaving}
+    slots = [
+        SlotView(
+            number,
+            pins=int(now - weights.used.get(key, 0.0) < SETTLED_AFTER),
+            last_used=weights.used.get(key, 0.0),
+            reuse=reuse.read(number, now),
+            waiting=waiting.get(key, 0),
+        )
+        for number, key in keys.items()
+    ]
+    victim = choose_victim(slots, now, spare_waiting=True)
+    if victim is None:
+        return Idle("all adapters are in use")
+    return Unload(keys[victim.digest])
+
+
+def _replace_old(
+    weights: EngineWeights,
+    held: Mapping[WeightKey, int],
+    floors: Mapping[WeightKey, AdapterFloor],
+    floor_heard: Mapping[WeightKey, float],
+    now: float,
+    place: float,
+) -> Order:
+    wait = REPLACE_FIRST + REPLACE_SPREAD * place
+    for key, version in held.items():
+        floor = floors.get(key)
+        if floor is None or version >= floor.version:
+            continue
+        if key in weights.coming or key in weights.leaving:
+            continue
+        if now - floor_heard.get(key, now) >= wait:
+            return Load(key, floor.version)
+    return Idle("nothing is asked for")
+
+
+def list_refs(holdings: tuple[Holding, ...]) -> dict[WeightKey, AdapterRef]:
+    """Return the adapters of all holdings by their keys."""
+    return {
+        WeightKey(holding.model, ref.name): ref
+        for holding in holdings
+        for ref in holding.adapters
+    }
--- /dev/null
+++ b/src/ibishead/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: takes callers' requests, chooses targets, relays whole answers."""
--- /dev/null
+++ b/src/ibishead/gateway/book.py
@@ -0,0 +1,206 @@
+"""What a gateway knows of each target: reports, own sends, and how answers went."""
+
+from dataclasses import dataclass, field
+
+from ibishead.decisions.choice import AdapterPlace, Candidate
+from ibishead.gateway.calls import TargetLoadTold
+from ibishead.ids import TargetId
+from ibishead.routing.messages import EngineReport
+from ibishead.routing.targets import Registration, WeightKey
+
+__all__ = ["TargetBook", "TargetNotes"]
+
+#: Seconds for which a told load counts; other gateways' sends change it all the time.
+TOLD_KEPT = 0.6
+
+#: Seconds for which a steward's report counts. It repeats itself four times a second.
+REPORT_KEPT = 2.0
+
+#: Weight of the newest answer in the share of failures and in the mean duration.
+FAILURE_WEIGHT = 0.2
+PACE_WEIGHT = 0.1
+
+#: Seconds for which a target that refused a connection is passed over.
+UNREACHED_KEPT = 1.5
+
+#: Seconds after which a share of failures counts half: a target that nobody sends to
+#: gets no answers that could prove it well again.
+FAILURE_HALF_LIFE = 4.0
+
+#: Seconds without a word of a target at any registry until it counts as silent. Three
+#: of its statements are lost by then.
+SILENT_AFTER = 4.5
+
+
+@dataclass
+class TargetNotes:
+    """Notes on one life of a target.
+
+    :param sent: requests of this gateway that are there now.
+    :param prompts: prompt tokens of those that have not answered yet.
+    """
+
+    born: int
+    sent: int = 0
+    prompts: int = 0
+    sent_since_told: int = 0
+    told: int = 0
+    told_at: float = -TOLD_KEPT
+    failures: float = 0.0
+    failed_at: float = 0.0
+    unreached_until: float = 0.0
+    mean_time: float = 0.0
+    report: EngineReport | None = None
+    reported_at: float = -REPORT_KEPT
+    lacking: set[WeightKey] = field(default_factory=set)
+
+
+class TargetBook:
+    """Notes on all targets of this gateway."""
+
+    def __init__(self) -> None:
+        self._notes: dict[TargetId, TargetNotes] = {}
+        self._mean: dict[str, float] = {}
+
+    def notes(self, target: Registration) -> TargetNotes:
+        """Return the notes on a target's present life."""
+        found = self._notes.get(target.target)
+        if found is None or found.born != target.born:
+            found = TargetNotes(target.born)
+            self._notes[target.target] = found
+        return found
+
+    def find(self, target: TargetId) -> TargetNotes | None:
+        """Return the notes on a target that is known."""
+        return self._notes.get(target)
+
+    def take_report(self, report: EngineReport, now: float) -> None:
+        """Take in what a steward has read from its engine."""
+        notes = self._notes.get(report.target)
+        if notes is None or notes.born != report.born:
+            notes = TargetNotes(report.born)
+            self._notes[report.target] = notes
+        if notes.report is None or notes.report.holdings != report.holdings:
+            notes.lacking.clear()
+        notes.report, notes.reported_at = report, now
+        notes.told = report.running + report.queued
+        notes.told_at = now
+        notes.sent_since_told = 0
+
+    def begin(self, notes: TargetNotes, prompt_tokens: int) -> None:
+        """Count a request that is sent."""
+        notes.sent += 1
+        notes.sent_since_told += 1
+        notes.prompts += prompt_tokens
+
+    def begin_answer(self, notes: TargetNotes, prompt_tokens: int) -> None:
+        """Note that the answer has begun, so the prompt has been read."""
+        notes.prompts -= prompt_tokens
+
+    def end(self, notes: TargetNotes) -> None:
+        """Count a request as over."""
+        notes.sent -= 1
+
+    def note_told(self, notes: TargetNotes, told: TargetLoadTold, now: float) -> None:
+        """Take in the load that an answer told."""
+        notes.told = told.running + told.waiting
+        notes.told_at = now
+        notes.sent_since_told = 0
+
+    def note_outcome(self, notes: TargetNotes, failed: bool, now: float) -> None:
+        """Count an answer as good or as a failure."""
+        current = self._failures(notes, now)
+        notes.failures = current + FAILURE_WEIGHT * (float(failed) - current)
+        notes.failed_at = now
+
+    def note_time(self, service: str, notes: TargetNotes, seconds: float) -> None:
+        """Count how long a whole request took."""
+        notes.mean_time = _blend(notes.mean_time, seconds)
+        self._mean[service] = _blend(self._mean.get(service, 0.0), seconds)
+
+    def note_unreached(self, notes: TargetNotes, now: float) -> None:
+        """Pass a target over for a while, as nobody answers there."""
+        notes.unreached_until = now + UNREACHED_KEPT
+
+    def mean_time(self, service: str) -> float:
+        """Return the mean seconds of a request of a service."""
+        return self._mean.get(service, 0.0)
+
+    def describe(
+        self,
+        target: Registration,
+        heard: float,
+        now: float,
+        weights: WeightKey | None,
+        least_version: int,
+        adapter_slots: int,
+    ) -> Candidate:
+        """Return what the choice among targets has to know of one.
+
+        :param heard: when any registry last heard of it.
+        :param least_version: of the adapter, that the request may begin on.
+        """
+        notes = self.notes(target)
+        busy = notes.sent
+        if now - notes.told_at < TOLD_KEPT:
+            busy = max(busy, notes.told + notes.sent_since_told)
+        mean = self._mean.get(target.service, 0.0)
+        pace = notes.mean_time / mean if mean > 0 and notes.mean_time > 0 else 1.0
+        return Candidate(
+            target.target,
+            target.domain,
+            busy,
+            max(1, target.slots),
+            max(0, notes.prompts),
+            min(4.0, max(0.25, pace)),
+            self._failures(notes, now),
+            silent=now - heard > SILENT_AFTER,
+            unreached=now < notes.unreached_until,
+            adapter=self._place(
+                target, notes, now, weights, least_version, adapter_slots
+            ),
+        )
+
+    def forget(self, targets: list[TargetId]) -> None:
+        """Drop the notes on targets that are gone."""
+        for target in targets:
+            self._notes.pop(target, None)
+
+    def _failures(self, notes: TargetNotes, now: float) -> float:
+        return notes.failures * 0.5 ** ((now - notes.failed_at) / FAILURE_HALF_LIFE)
+
+    def _place(
+        self,
+        target: Registration,
+        notes: TargetNotes,
+        now: float,
+        weights: WeightKey | None,
+        least_version: int,
+        adapter_slots: int,
+    ) -> AdapterPlace:
+        if weights is None:
+            return AdapterPlace(resident=True)
+        report = notes.report
+        fresh = report is not None and now - notes.reported_at < REPORT_KEPT
+        holdings = report.holdings if report is not None else target.holdings
+        resident = False
+        held = 0
+        for holding in holdings:
+            held += len(holding.adapters)
+            if holding.model == weights.model:
+                resident = any(
+                    ref.name == weights.adapter and ref.version >= least_version
+                    for ref in holding.adapters
+                )
+        coming = report is not None and any(key == weights for key, _ in report.coming)
+        held += len(report.coming) if report is not None else 0
+        return AdapterPlace(
+            resident=resident and weights not in notes.lacking,
+            coming=coming and fresh,
+            full=held >= adapter_slots,
+            manageable=fresh,
+        )
+
+
+def _blend(mean: float, seconds: float) -> float:
+    return seconds if mean <= 0 else mean + PACE_WEIGHT * (seconds - mean)
--- /dev/null
+++ b/src/ibishead/gateway/pipeline.py
@@ -0,0 +1,354 @@
+"""The way of one request: read, resolve, choose, send, relay.
+
+A request that may run only once is sent again only after proof that it didn't run. What
+is known when it ends decides what the caller is told.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ibishead.clock import Clock
+from ibishead.decisions.choice import Chosen, Need, choose_target
+from ibishead.decisions.retry import RetryBudget
+from ibishead.errors import (
+    ErrorCode,
+    IbisheadError,
+    NotFound,
+    OutcomeUnknown,
+    Refused,
+    Unavailable,
+)
+from ibishead.gateway.book import TargetBook
+from ibishead.gateway.calls import Call, CallerDialect, TargetDialect
+from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.sending import (
+    Answered,
+    Broken,
+    CallerLeftError,
+    NotRun,
+    Outcome,
+    Progress,
+    Sender,
+)
+from ibishead.gateway.stewards import StewardLinks
+from ibishead.ids import FailureDomain, ServiceName, TargetId
+from ibishead.routing.feed import RegistryFeed
+from ibishead.routing.messages import MemberKind
+from ibishead.routing.routes import Route, find_route, pick_service
+from ibishead.routing.targets import Registration
+from ibishead.web import Exchange
+
+__all__ = ["BudgetShare", "Pipeline"]
+
+logger = logging.getLogger(__name__)
+
+#: Sends of one request that targets may refuse; a further one would meet the same load.
+MAX_REFUSALS = 3
+
+#: Most seconds that a request waits for its adapter at one engine.
+ADAPTER_WAIT = 2.5
+
+#: Seconds for which an engine may still serve the old version of an adapter after a new
+#: one was named. Engines replace it within this time, one after the other.
+OLD_VERSION_KEPT = 3.0
+
+#: Seconds after which callers may come back, when nobody can say better.
+RETRY_WAIT = 0.5
+
+
+@dataclass(frozen=True)
+class BudgetShare:
+    """What all gateways together may send again to one service.
+
+    :param ratio: of the requests for it.
+    :param slack: beyond that, in any window.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+
+
+@dataclass
+class _Request:
+    """One request on its way."""
+
+    call: Call
+    route: Route
+    service: ServiceName
+    deadline: float
+    started: float
+    progress: Progress
+    avoid: set[TargetId] = field(default_factory=set)
+    refusals: int = 0
+    last: str = ""
+
+
+class Pipeline:
+    """Serves requests with what the feed, the book and the stewards know."""
+
+    def __init__(
+        self,
+        domain: FailureDomain,
+        feed: RegistryFeed,
+        book: TargetBook,
+        pool: ConnectionPool,
+        stewards: StewardLinks,
+        callers: CallerDialect,
+        targets: TargetDialect,
+        clock: Clock,
+        share: BudgetShare,
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        self._domain = domain
+        self._feed = feed
+        self._book = book
+        self._stewards = stewards
+        self._callers = callers
+        self._sender = Sender(book, pool, targets, clock)
+        self._clock = clock
+        self._share = share
+        self._draw = draw
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+
+    async def serve(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        started = self._clock.monotonic()
+        request: _Request | None = None
+        try:
+            call = self._callers.read_call(exchange.request)
+            request = self._resolve(call, exchange, started)
+            await self._run(request, exchange)
+            self._log(request, "answered")
+        except CallerLeftError:
+            self._log(request, "caller_left")
+        except IbisheadError as error:
+            self._log(request, error.code.value, error)
+            if exchange.started:
+                exchange.abort()
+                return
+            status, headers, body = self._callers.show_error(error, exchange.request)
+            await exchange.respond(status, headers, body)
+
+    def _resolve(self, call: Call, exchange: Exchange, started: float) -> _Request:
+        routes = self._feed.routes
+        if routes is None:
+            raise Unavailable(
+                "no routes are known here yet",
+                "come back in a moment",
+                code=ErrorCode.NO_QUORUM,
+                retry_after=timedelta(seconds=RETRY_WAIT),
+            )
+        route = find_route(routes, call.hostname, call.path)
+        if route is None:
+            raise NotFound(
+                f"no route leads from {call.hostname} {call.path}",
+                "check the host name and the path against the routes in force",
+            )
+        patience = route.timeout if call.patience is None else call.patience
+        deadline = started + min(patience, route.timeout)
+        service = pick_service(route, self._draw())
+        self._budget(service).record_attempt()
+        return _Request(
+            call,
+            route,
+            service,
+            deadline,
+            started,
+            Progress(exchange, call.resume_after),
+        )
+
+    async def _run(self, request: _Request, exchange: Exchange) -> None:
+        work = asyncio.create_task(self._answer(request))
+        gone = asyncio.create_task(exchange.gone.wait())
+        wait = max(0.0, request.deadline - self._clock.monotonic())
+        try:
+            await asyncio.wait(
+                (work, gone), timeout=wait, return_when=asyncio.FIRST_COMPLETED
+            )
+            if work.done():
+                work.result()
+                return
+            if gone.done():
+                raise CallerLeftError
+            raise _describe_timeout(request)
+        finally:
+            gone.cancel()
+            if not work.done():
+                # what still runs at a target ends with its connection
+                work.cancel()
+            await asyncio.gather(work, gone, return_exceptions=True)
+
+    async def _answer(self, request: _Request) -> None:
+        while True:
+            target, version = await self._choose(request)
+            outcome = await self._sender.send(
+                request.call,
+                request.route,
+                target,
+                request.progress,
+                request.deadline,
+                version,
+            )
+            match outcome:
+                case Answered():
+                    return
+                case NotRun() | Broken():
+                    self._weigh(request, target, outcome)
+
+    def _weigh(self, request: _Request, target: Registration, outcome: Outcome) -> None:
+        """Return where another send may follow, and raise what the caller is told."""
+        request.avoid.add(target.target)
+        progress, route = request.progress, request.route
+        match outcome:
+            case NotRun(reason, arrived):
+                request.last = reason
+                request.refusals += 1
+                spent = arrived and not self._budget(request.service).take()
+                if request.refusals < MAX_REFUSALS and not spent:
+                    return
+                if progress.sends == 0:
+                    raise self._describe_refusal(reason)
+                raise OutcomeUnknown(
+                    f"an earlier send may have run, and then: {reason}",
+                    "check before you send it again",
+                )
+            case Broken(reason):
+                request.last = reason
+                again = route.repeatable and progress.sends < route.attempts
+                if again and self._budget(request.service).take():
+                    return
+                raise OutcomeUnknown(
+                    f"the target's answer was lost: {reason}",
+                    "check before you send it again",
+                    code=ErrorCode.TARGET_FAILED,
+                )
+
+    async def _choose(self, request: _Request) -> tuple[Registration, int | None]:
+        """Return a target that has the adapter, and the version to insist on."""
+        key = request.call.weights
+        while True:
+            now = self._clock.monotonic()
+            chosen = self._pick(request, now)
+            target = self._feed.view.get(chosen.candidate.target)
+            if target is None:
+                raise self._describe_refusal("the target has just left")
+            if key is None:
+                return target, None
+            floor = self._feed.floors.get(key)
+            version = floor.version if floor is not None else None
+            if chosen.candidate.adapter.resident:
+                self._stewards.touch(target.address, key)
+                heard = self._feed.floor_heard.get(key, now - OLD_VERSION_KEPT)
+                insist = now - heard >= OLD_VERSION_KEPT
+                return target, version if insist else None
+            wait = min(ADAPTER_WAIT, request.deadline - now)
+            if await self._stewards.ask(target.address, key, version or 0, wait):
+                return target, version
+            request.avoid.add(target.target)
+            request.last = "the adapter wasn't loaded in time"
+
+    def _pick(self, request: _Request, now: float) -> Chosen:
+        routes = self._feed.routes
+        spec = routes.service(request.service) if routes is not None else None
+        slots = spec.engine.adapter_slots if spec is not None and spec.engine else 0
+        key = request.call.weights
+        least = self._least_version(request, now)
+        candidates = [
+            self._book.describe(
+                target,
+                self._feed.view.heard(target.target) if self._feed.links else now,
+                now,
+                key,
+                least,
+                slots,
+            )
+            for target in self._feed.view.list_service(request.service)
+        ]
+        need = Need(
+            self._domain,
+            key,
+            self._book.mean_time(request.service),
+            frozenset(request.avoid),
+        )
+        chosen = choose_target(need, candidates, self._draw)
+        if chosen is None:
+            raise self._describe_refusal(request.last or "no target is known")
+        return chosen
+
+    def _least_version(self, request: _Request, now: float) -> int:
+        key = request.call.weights
+        floor = self._feed.floors.get(key) if key is not None else None
+        if key is None or floor is None:
+            return 0
+        if now - self._feed.floor_heard[key] < OLD_VERSION_KEPT:
+            return 0
+        return floor.version
+
+    def _budget(self, service: ServiceName) -> RetryBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            gateways = max(1, len(self._feed.list_members(MemberKind.GATEWAY)))
+            burst = max(1.0, self._share.slack / gateways)
+            found = RetryBudget(self._share.ratio, burst)
+            self._budgets[service] = found
+        return found
+
+    def _describe_refusal(self, reason: str) -> IbisheadError:
+        return Refused(
+            f"not run: {reason}",
+            "come back after the time that is named",
+            retry_after=timedelta(seconds=RETRY_WAIT * (0.5 + self._draw())),
+        )
+
+    def _log(
+        self,
+        request: _Request | None,
+        outcome: str,
+        error: IbisheadError | None = None,
+    ) -> None:
+        if request is None:
+            logger.info(
+                "request refused",
+                extra={"outcome": outcome, "reason": error.message if error else ""},
+            )
+            return
+        progress = request.progress
+        logger.info(
+            "request ended",
+            extra={
+                "request": request.call.request,
+                "route": request.route.name,
+                "service": request.service,
+                "adapter": request.call.adapter,
+                "target": progress.target,
+                "sends": progress.sends,
+                "refusals": request.refusals,
+                "events_after": progress.last_event,
+                "seconds": round(self._clock.monotonic() - request.started, 4),
+                "first": round(progress.first - request.started, 4)
+                if progress.first
+                else None,
+                "outcome": outcome,
+                "reason": error.message if error else request.last,
+            },
+        )
+
+
+def _describe_timeout(request: _Request) -> IbisheadError:
+    if request.progress.sends == 0 and not request.progress.sending:
+        return Refused(
+            f"not run in time: {request.last or 'no target was free'}",
+            "come back later, or wait longer",
+            retry_after=timedelta(seconds=RETRY_WAIT),
+        )
+    error = OutcomeUnknown(
+        "the target didn't answer in time",
+        "check before you send it again",
+        code=ErrorCode.DEADLINE_EXCEEDED,
+    )
+    error.status = 504
+    return error
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -27,6 +27,22 @@
     TeamId,
     Version,
 )
+from ibishead.routing.messages import (
+    AdapterAnswer,
+    AskAdapter,
+    AskFence,
+    AskRoutes,
+    EngineReport,
+    FenceAnswer,
+    Floors,
+    Members,
+    RouteNotice,
+    RoutesAnswer,
+    SignsOfLife,
+    Statements,
+    SubscribeFeed,
+    TouchAdapters,
+)
 
 __all__ = [
     "Acknowledge",
@@ -558,4 +574,18 @@
     | AskHolders
     | Holders
     | PeerFrame
+    | SubscribeFeed
+    | Members
+    | Statements
+    | SignsOfLife
+    | RouteNotice
+    | AskRoutes
+    | RoutesAnswer
+    | Floors
+    | AskFence
+    | FenceAnswer
+    | AskAdapter
+    | AdapterAnswer
+    | TouchAdapters
+    | EngineReport
 )
--- /dev/null
+++ b/src/ibishead/platform/programs.py
@@ -0,0 +1,143 @@
+"""The programs as the platform starts them, each with its settings file's path."""
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import click
+
+from ibishead.clock import BootClock
+from ibishead.errors import SettingsFault, StorageFault
+from ibishead.gateway.server import Gateway
+from ibishead.ids import HostId
+from ibishead.links import Endpoint
+from ibishead.logs import set_up_logging
+from ibishead.platform.callers import PlatformCallers
+from ibishead.platform.doors import make_door
+from ibishead.platform.engines import PlatformEngine
+from ibishead.platform.settings import PlatformSettings, load_platform_settings
+from ibishead.platform.targets import PlatformTargets
+from ibishead.process import EXIT_SETTINGS, run_program, wait_for_stop
+from ibishead.registry.server import Registry
+from ibishead.routing.feed import RegistryFeed
+from ibishead.settingsfile import LogLevel
+from ibishead.steward.server import StewardServer
+
+__all__ = ["main"]
+
+logger = logging.getLogger(__name__)
+
+#: Names the settings file.
+SETTINGS_VARIABLE = "IBISHEAD_SETTINGS"
+
+#: Seconds between two looks at the settings file, which may change without a signal.
+RELOAD_INTERVAL = 1.0
+
+
+async def run_gateway(settings: PlatformSettings, path: Path) -> None:
+    """Serve callers until a planned stop."""
+    gateway = Gateway(
+        settings.gateway(), BootClock(), PlatformCallers(), PlatformTargets()
+    )
+    await _run("gateway", gateway.start, gateway.stop, gateway.feed, path)
+
+
+async def run_steward(settings: PlatformSettings, path: Path) -> None:
+    """Give orders to this host's engine until a planned stop."""
+    own = settings.steward()
+    host, _, port = own.engine.rpartition(":")
+    engine = PlatformEngine(Endpoint(host, int(port)))
+    server = StewardServer(own, BootClock(), engine)
+    await _run("steward", server.start, server.stop, server.feed, path)
+
+
+async def run_registry(settings: PlatformSettings, path: Path) -> None:
+    """Take part in the registry until a planned stop, or until the disk fails.
+
+    :raises StorageFault: the data folder is damaged, or its disk has failed.
+    """
+    failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def note_failure(fault: StorageFault) -> None:
+        if not failure.done():
+            failure.set_exception(fault)
+
+    registry = Registry(settings.registry(), BootClock(), make_door, note_failure)
+    await _run("registry", registry.start, registry.stop, registry.feed, path, failure)
+
+
+async def _run(
+    program: str,
+    start: Callable[[], Awaitable[None]],
+    stop: Callable[[], Awaitable[None]],
+    feed: RegistryFeed,
+    path: Path,
+    failure: asyncio.Future[None] | None = None,
+) -> None:
+    changed = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    ending = asyncio.create_task(wait_for_stop())
+    await start()
+    logger.info("started", extra={"program_name": program})
+    reloading = asyncio.create_task(_reload(feed, path, changed))
+    await asyncio.wait(
+        (ending, failure) if failure is not None else (ending,),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    logger.info("stops", extra={"program_name": program})
+    reloading.cancel()
+    await stop()
+    logger.info("stopped", extra={"program_name": program})
+    if failure is not None and failure.done():
+        failure.result()
+
+
+async def _reload(feed: RegistryFeed, path: Path, changed: asyncio.Event) -> None:
+    seeds = frozenset[Endpoint]()
+    while True:
+        try:
+            found = load_platform_settings(path).registries()
+        except SettingsFault as fault:
+            logger.warning("settings not read", extra={"reason": fault.message})
+        else:
+            if frozenset(found) != seeds:
+                logger.info("settings read", extra={"seeds": len(found)})
+                seeds = frozenset(found)
+                feed.reseed(found)
+        changed.clear()
+        try:
+            await asyncio.wait_for(changed.wait(), RELOAD_INTERVAL)
+        except TimeoutError:
+            continue
+
+
+_PROGRAMS: dict[str, Callable[[PlatformSettings, Path], Coroutine[Any, Any, None]]] = {
+    "gateway": run_gateway,
+    "registry": run_registry,
+    "steward": run_steward,
+}
+
+
+@click.command()
+@click.argument("program", type=click.Choice(sorted(_PROGRAMS)))
+@click.option("--check-settings", is_flag=True, help="Check the file and exit.")
+def main(program: str, check_settings: bool) -> None:
+    """Run one program of ibishead on the platform."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_platform_settings(path)
+        getattr(settings, program)()
+    except SettingsFault as fault:
+        click.echo(f"error: {fault.message}\nremedy: {fault.remedy}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    if check_settings:
+        click.echo(f"{path} is valid")
+        return
+    set_up_logging(LogLevel.INFO, program, HostId(settings.node_name), sys.stdout)
+    run_program(lambda: _PROGRAMS[program](settings, path))
--- /dev/null
+++ b/src/ibishead/registry/__init__.py
@@ -0,0 +1,1 @@
+"""The registry: hears targets, keeps routes and adapter versions on a replicated log."""
--- /dev/null
+++ b/src/ibishead/registry/server.py
@@ -0,0 +1,247 @@
+"""One registry: its replica, its subscribers, and the door for targets and operators."""
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from ibishead.clock import Clock
+from ibishead.control.driver import Pace
+from ibishead.control.folder import DataFolder
+from ibishead.control.identity import load_identity, replica_host
+from ibishead.control.peering import PeerLinks
+from ibishead.control.raftstate import Timing
+from ibishead.control.replica import LogReplica
+from ibishead.errors import StorageFault
+from ibishead.ids import FailureDomain, HostId, ReplicaId
+from ibishead.links import Endpoint, Link, LinkServer
+from ibishead.messages import Hello, PeerFrame, Role
+from ibishead.registry.founders import (
+    LONGEST_WAIT,
+    SETTLE_TIME,
+    choose_founders,
+    count_voters,
+)
+from ibishead.registry.publisher import FeedPublisher
+from ibishead.registry.service import RegistryService
+from ibishead.registry.state import RouteState
+from ibishead.routing.feed import FEED_PACE, RegistryFeed
+from ibishead.routing.messages import MemberKind, MemberRecord
+from ibishead.web import Exchange, Limits, WebServer
+
+__all__ = ["Registry", "RegistrySettings"]
+
+logger = logging.getLogger(__name__)
+
+#: Largest route set that is taken, in bytes; some thousand routes are a tenth of it.
+MAX_DOCUMENT = 8 * 1024 * 1024
+
+#: Bytes of randomness in the name of a new replica or cluster.
+_NAME_BYTES = 6
+
+#: Bytes that stay free on a small disk, so that a snapshot always finds room.
+DISK_RESERVE = 6 * 1024 * 1024
+
+#: Bytes of commands between two snapshots: the log stays a small part of the disk.
+SNAPSHOT_BYTES = 4 * 1024 * 1024
+
+#: Seconds between two looks at who might found the log.
+FOUND_INTERVAL = 0.2
+
+#: Seconds in which exchanges under way end at a planned stop.
+STOP_GRACE = 3.0
+
+
+@dataclass(frozen=True)
+class RegistrySettings:
+    """Settings of a registry.
+
+    :param http: where targets and operators call.
+    :param links: where other programs link.
+    :param seeds: HTTP endpoints of the first registries.
+    :param seed_port: port of a registry's link server, the same on all hosts.
+    :param data: folder on a disk that lasts, or none.
+    :param first_start: the whole system starts for the first time.
+    :param losses: hosts with a disk that may be lost together.
+    :param repair_after: seconds of silence after which a voter is replaced.
+    """
+
+    host: HostId
+    failure_domain: FailureDomain
+    http: Endpoint
+    links: Endpoint
+    seeds: tuple[Endpoint, ...]
+    seed_port: int
+    data: Path | None
+    first_start: bool
+    losses: int
+    repair_after: float
+
+
+class Registry:
+    """Runs one registry.
+
+    :param make_door: turns the service into the handler of its HTTP server.
+    :param on_failure: called when the disk has failed and nothing can go on.
+    :raises StorageFault: the data folder is damaged or in use.
+    """
+
+    def __init__(
+        self,
+        settings: RegistrySettings,
+        clock: Clock,
+        make_door: Callable[[RegistryService], Callable[[Exchange], Awaitable[None]]],
+        on_failure: Callable[[StorageFault], None],
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self.state = RouteState()
+        self.replica: LogReplica | None = None
+        self._peers = PeerLinks(
+            {}, Hello(Role.CONTROL, settings.host), clock, pace=FEED_PACE
+        )
+        name = ReplicaId("")
+        if settings.data is not None:
+            self.replica = self._open_replica(settings.data, on_failure)
+            name = self.replica.name
+        member = MemberRecord(
+            settings.host,
+            MemberKind.REGISTRY,
+            settings.links.address,
+            settings.links.port,
+            settings.failure_domain,
+            str(settings.http),
+            name,
+        )
+        self.feed = RegistryFeed(
+            member,
+            tuple(Endpoint(s.address, settings.seed_port) for s in settings.seeds),
+            clock,
+            on_statements=lambda news: self._publisher.tell_others(news),
+            on_members=self._note_members,
+        )
+        self._publisher = FeedPublisher(
+            self.state, self.feed, lambda holder: self.service.take_fence(holder)
+        )
+        self.service = RegistryService(
+            self.state, self.replica, self.feed, self._publisher, clock
+        )
+        self.state.on_change = self._publisher.tell_state
+        self._links = LinkServer(
+            self._serve_link,
+            lambda: Hello(Role.CONTROL, settings.host),
+            clock,
+            FEED_PACE,
+        )
+        self._web = WebServer(
+            make_door(self.service), Limits(body_bytes=MAX_DOCUMENT, idle_seconds=20.0)
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Listen, and begin to take part."""
+        await self._links.start(self._settings.links)
+        if self.replica is not None:
+            await self.replica.start()
+        self.feed.start()
+        await self._web.start(self._settings.http)
+        self._tasks.append(asyncio.create_task(self._publisher.run()))
+        if self.replica is not None and self._settings.first_start:
+            self._tasks.append(asyncio.create_task(self._found()))
+
+    async def stop(self) -> None:
+        """Hand over, finish what is under way, close everything."""
+        self._web.begin_stop()
+        if self.replica is not None:
+            try:
+                await self.replica.transfer()
+            except Exception as error:
+                logger.warning("leadership kept", extra={"reason": str(error)})
+        await self._web.stop(STOP_GRACE)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.feed.stop()
+        if self.replica is not None:
+            await self.replica.stop()
+        await self._links.stop()
+
+    def _open_replica(
+        self, data: Path, on_failure: Callable[[StorageFault], None]
+    ) -> LogReplica:
+        folder = DataFolder(data)
+
+        def draw_name() -> str:
+            return secrets.token_hex(_NAME_BYTES)
+
+        pace = Pace(
+            tick=0.05,
+            timing=Timing(heartbeat=2, election=16),
+            answer=0.8,
+            repair=self._settings.repair_after,
+            readmit=True,
+            snapshot_bytes=SNAPSHOT_BYTES,
+            reserve=DISK_RESERVE,
+        )
+        try:
+            identity = load_identity(folder, self._settings.host, draw_name)
+            logger.info(
+                "replica opened",
+                extra={"replica": identity.replica, "cluster": identity.cluster},
+            )
+            return LogReplica(
+                self._settings.host,
+                (),
+                self.state,
+                folder,
+                self._peers,
+                self._clock,
+                secrets.randbelow,
+                draw_name,
+                pace,
+                on_failure,
+            )
+        except StorageFault:
+            folder.close()
+            raise
+
+    def _note_members(self) -> None:
+        for member in self.feed.list_members(MemberKind.REGISTRY):
+            if member.replica and member.host != self._settings.host:
+                self._peers.add_host(
+                    replica_host(member.replica), Endpoint(member.address, member.port)
+                )
+        self._publisher.tell_members()
+
+    async def _serve_link(self, link: Link) -> None:
+        try:
+            async for message in link.receive():
+                if isinstance(message, PeerFrame):
+                    if self.replica is not None:
+                        self.replica.take_frame(message)
+                elif not self._publisher.take(link, message):
+                    logger.warning(
+                        "unexpected message",
+                        extra={"peer": link.peer.host, "kind": type(message).__name__},
+                    )
+        finally:
+            self._publisher.drop(link)
+
+    async def _found(self) -> None:
+        # All hosts start together, but each hears of the others in its own time
+        assert self.replica is not None
+        wanted = count_voters(self._settings.losses)
+        seeds = [str(seed) for seed in self._settings.seeds]
+        started = self._clock.monotonic()
+        while True:
+            await asyncio.sleep(FOUND_INTERVAL)
+            waited = self._clock.monotonic() - started
+            members = self.feed.list_members(MemberKind.REGISTRY)
+            founders = choose_founders(self._settings.host, seeds, members, wanted)
+            enough = len(founders) >= wanted or waited >= LONGEST_WAIT
+            if founders and enough and waited >= SETTLE_TIME:
+                logger.info("founding", extra={"founders": ",".join(founders)})
+                self.replica.founding.name_founders(founders)
+                return
--- /dev/null
+++ b/src/ibishead/routing/messages.py
@@ -0,0 +1,179 @@
+"""Messages between gateways, stewards and the registry.
+
+They travel as those of `ibishead.messages` do: CBOR arrays, tag first.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from ibishead.ids import FailureDomain, HostId, ReplicaId, TargetId
+from ibishead.routing.targets import AdapterRef, Holding, Registration, WeightKey
+
+__all__ = [
+    "AdapterAnswer",
+    "AdapterFloor",
+    "AskAdapter",
+    "AskFence",
+    "AskRoutes",
+    "EngineReport",
+    "FenceAnswer",
+    "Floors",
+    "MemberKind",
+    "MemberRecord",
+    "Members",
+    "RouteNotice",
+    "RoutesAnswer",
+    "SignsOfLife",
+    "Statements",
+    "SubscribeFeed",
+    "TouchAdapters",
+]
+
+
+class _Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages: immutable, compared by value."""
+
+
+class MemberKind(Enum):
+    """Which program a member of the system is."""
+
+    GATEWAY = "gateway"
+    STEWARD = "steward"
+    REGISTRY = "registry"
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A program of the system, as it describes itself.
+
+    :param address: IP number where its link server listens.
+    :param port: 0 where it has none.
+    :param operators: ``ADDRESS:PORT`` of a registry's own HTTP server.
+    :param replica: identity of the log replica on its disk, empty without a disk.
+    :param target: ``ADDRESS:PORT`` of the engine beside a steward.
+    """
+
+    host: HostId
+    kind: MemberKind
+    address: str
+    port: int
+    domain: FailureDomain
+    operators: str = ""
+    replica: ReplicaId = ReplicaId("")
+    target: str = ""
+
+
+class SubscribeFeed(_Message, frozen=True):
+    """First message to a registry: who subscribes, and what it knows already.
+
+    :param floors: index of the last floor of an adapter version that it has.
+    """
+
+    member: MemberRecord
+    floors: int = 0
+
+
+class Members(_Message, frozen=True):
+    """Programs that the registry knows of."""
+
+    members: tuple[MemberRecord, ...]
+
+
+class Statements(_Message, frozen=True):
+    """Statements of targets that changed something."""
+
+    registrations: tuple[Registration, ...]
+
+
+class SignsOfLife(_Message, frozen=True):
+    """Targets that repeated their last statement: name, start and sequence."""
+
+    targets: tuple[tuple[TargetId, int, int], ...]
+
+
+class RouteNotice(_Message, frozen=True):
+    """The version of the route set in force at the sender."""
+
+    version: int
+
+
+class AskRoutes(_Message, frozen=True):
+    """Asks for the route set in force."""
+
+
+class RoutesAnswer(_Message, frozen=True):
+    """A whole route set, as msgpack of `ibishead.routing.routes.RouteSet`."""
+
+    version: int
+    encoded: bytes
+
+
+class AdapterFloor(msgspec.Struct, frozen=True, array_like=True):
+    """The oldest version of an adapter that a request may begin on."""
+
+    key: WeightKey
+    version: int
+    index: int
+
+
+class Floors(_Message, frozen=True):
+    """Floors that were raised, up to a position of the log."""
+
+    floors: tuple[AdapterFloor, ...]
+    index: int
+
+
+class AskFence(_Message, frozen=True):
+    """Asks for a fencing number above all that were given before."""
+
+    number: int
+
+
+class FenceAnswer(_Message, frozen=True):
+    """A fencing number; 0 where none could be had."""
+
+    number: int
+    fence: int
+
+
+class AskAdapter(_Message, frozen=True):
+    """Asks a steward to have an adapter in place at a version or newer.
+
+    :param wait: seconds that the request can still wait for it.
+    """
+
+    number: int
+    key: WeightKey
+    version: int
+    wait: float
+
+
+class AdapterAnswer(_Message, frozen=True):
+    """Whether the adapter that was asked for is in place."""
+
+    number: int
+    ready: bool
+
+
+class TouchAdapters(_Message, frozen=True):
+    """Adapters that the sender has just sent requests for."""
+
+    keys: tuple[WeightKey, ...]
+
+
+class EngineReport(_Message, frozen=True):
+    """What the steward read from its engine.
+
+    :param born: start of the engine's life, milliseconds since 1970.
+    :param coming: adapters on their way to the engine.
+    :param cache_used: tokens in use that can't yield.
+    """
+
+    target: TargetId
+    born: int
+    holdings: tuple[Holding, ...]
+    coming: tuple[tuple[WeightKey, AdapterRef], ...] = ()
+    running: int = 0
+    queued: int = 0
+    cache_used: int = 0
+    cache_total: int = 0
--- /dev/null
+++ b/src/ibishead/steward/server.py
@@ -0,0 +1,83 @@
+"""One steward: its listener for gateways, and its feed."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ibishead.clock import Clock
+from ibishead.ids import FailureDomain, HostId, ServiceName
+from ibishead.links import Endpoint, Link, LinkServer
+from ibishead.messages import Hello, Message, Role
+from ibishead.routing.feed import FEED_PACE, RegistryFeed
+from ibishead.routing.messages import MemberKind, MemberRecord
+from ibishead.steward.engine import Engine
+from ibishead.steward.steward import Steward
+
+__all__ = ["StewardServer", "StewardSettings"]
+
+
+@dataclass(frozen=True)
+class StewardSettings:
+    """Settings of a steward.
+
+    :param links: where gateways link.
+    :param registries: link endpoints of the first registries.
+    :param engine: ``ADDRESS:PORT`` of the engine on this host.
+    :param service: that the engine belongs to.
+    """
+
+    host: HostId
+    failure_domain: FailureDomain
+    links: Endpoint
+    registries: tuple[Endpoint, ...]
+    engine: str
+    service: ServiceName
+
+
+class StewardServer:
+    """Runs one steward."""
+
+    def __init__(self, settings: StewardSettings, clock: Clock, engine: Engine) -> None:
+        self._settings = settings
+        member = MemberRecord(
+            settings.host,
+            MemberKind.STEWARD,
+            settings.links.address,
+            settings.links.port,
+            settings.failure_domain,
+            target=settings.engine,
+        )
+        self.feed = RegistryFeed(
+            member, settings.registries, clock, on_message=self._take
+        )
+        self._steward = Steward(
+            settings.host,
+            settings.service,
+            settings.engine,
+            engine,
+            self.feed,
+            clock,
+        )
+        self._links = LinkServer(
+            self._steward.serve_link,
+            lambda: Hello(Role.AGENT, settings.host),
+            clock,
+            FEED_PACE,
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen, and begin to give orders."""
+        await self._links.start(self._settings.links)
+        self.feed.start()
+        self._task = asyncio.create_task(self._steward.run())
+
+    async def stop(self) -> None:
+        """Give no further order, and close all links."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self.feed.stop()
+        await self._links.stop()
+
+    def _take(self, link: Link, message: Message) -> None:
+        self._steward.take_from_registry(link, message)
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -24,6 +24,7 @@
 )
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
+from ibishead.sockets import watch_socket
 
 __all__ = [
     "Exchange",
@@ -159,6 +160,7 @@
 
     :param handler: answers each exchange; what it raises becomes an answer if none
         has been started, and a cut connection otherwise.
+    :param watch: let the system notice callers whose path has gone silent.
     """
 
     def __init__(
@@ -166,7 +168,9 @@
         handler: Callable[[Exchange], Awaitable[None]],
         limits: Limits | None = None,
         tls: ssl.SSLContext | None = None,
+        watch: bool = False,
     ) -> None:
+        self._watch = watch
         self.handler = handler
         self.limits = limits or Limits()
         self._tls = tls
@@ -217,6 +221,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = _ServerConnection(self, reader, writer)
+        if self._watch:
+            watch_socket(writer.transport)
         if len(self._connections) >= self.limits.connections:
             connection.abort()
             return
@@ -333,11 +339,13 @@
     async def _read_head(self) -> h11.Request | None:
         wait = self._limits.idle_seconds
         while True:
+            _check_line_ends(self._state.trailing_data[0])
             event = self._state.next_event()
             match event:
                 case h11.Request():
                     _check_version(event)
                     _check_head_size(event, self._limits)
+                    _check_framing(event)
                     return event
                 case h11.ConnectionClosed():
                     return None
@@ -453,6 +461,23 @@
         raise error
 
 
+def _check_framing(head: h11.Request) -> None:
+    # Failure: a length and chunks together. Another server before or behind this one
+    # may go by the other of the two, and takes a part of the body for a request.
+    names = {name for name, _ in head.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        raise InvalidInput("a length and chunks together", "send one of the two")
+
+
+def _check_line_ends(data: bytes) -> None:
+    # Failure: a bare line feed ends a line for h11 but not for stricter servers, so
+    # that the two see different headers, or one sees a second request.
+    end = data.find(b"\r\n\r\n")
+    head = data if end < 0 else data[:end]
+    if head.count(b"\n") != head.count(b"\r\n"):
+        raise InvalidInput("a bare line feed in the headers", "end lines by CR LF")
+
+
 def _describe_lost_caller() -> LinkLost:
     return LinkLost("the caller left", "send the request again")
 
