--- a/src/ibishead/decisions/retry.py
+++ b/src/ibishead/decisions/retry.py
@@ -4,7 +4,14 @@
 
 from ibishead.messages import Outcome
 
-__all__ = ["AttemptEnd", "GiveUp", "RetryBudget", "RetryElsewhere", "decide_retry"]
+__all__ = [
+    "AttemptEnd",
+    "BudgetShare",
+    "GiveUp",
+    "RetryBudget",
+    "RetryElsewhere",
+    "decide_retry",
+]
 
 #: Attempts of one request, the first included; more only spread an overload.
 MAX_ATTEMPTS = 3
@@ -44,6 +51,18 @@
     retry_after: float
 
 
+@dataclass(frozen=True)
+class BudgetShare:
+    """What all gateways together may send again to one service.
+
+    :param ratio: of the requests for it.
+    :param slack: beyond that, in any window.
+    """
+
+    ratio: float = 0.2
+    slack: float = 50.0
+
+
 class RetryBudget:
     """Lets retries be a fraction of first attempts, so that none amplify a failure.
 
--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -148,7 +148,7 @@
         self._lose("dropped")
 
     def _encode(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
-        framing = ()
+        framing: Headers = ()
         if body or method not in ("GET", "HEAD", "DELETE"):
             framing = (("content-length", str(len(body))),)
         try:
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -13,7 +13,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.choice import Chosen, Need, choose_target
-from ibishead.decisions.retry import RetryBudget
+from ibishead.decisions.retry import BudgetShare, RetryBudget
 from ibishead.errors import (
     ErrorCode,
     IbisheadError,
@@ -42,7 +42,7 @@
 from ibishead.routing.targets import Registration
 from ibishead.web import Exchange
 
-__all__ = ["BudgetShare", "Pipeline"]
+__all__ = ["Pipeline"]
 
 logger = logging.getLogger(__name__)
 
@@ -60,18 +60,6 @@
 RETRY_WAIT = 0.5
 
 
-@dataclass(frozen=True)
-class BudgetShare:
-    """What all gateways together may send again to one service.
-
-    :param ratio: of the requests for it.
-    :param slack: beyond that, in any window.
-    """
-
-    ratio: float = 0.2
-    slack: float = 50.0
-
-
 @dataclass
 class _Request:
     """One request on its way."""
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -3,23 +3,21 @@
 import asyncio
 import contextlib
 import logging
-from dataclasses import dataclass
 
 from ibishead.clock import Clock
 from ibishead.gateway.book import TargetBook
 from ibishead.gateway.calls import CallerDialect, TargetDialect
-from ibishead.gateway.pipeline import BudgetShare, Pipeline
+from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.settings import GatewaySettings
 from ibishead.gateway.stewards import StewardLinks
-from ibishead.ids import FailureDomain, HostId
-from ibishead.links import Endpoint
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, MemberRecord
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import Registration, TargetState
 from ibishead.web import Exchange, Limits, WebServer
 
-__all__ = ["Gateway", "GatewaySettings"]
+__all__ = ["Gateway"]
 
 logger = logging.getLogger(__name__)
 
@@ -37,27 +35,6 @@
 SWEEP_INTERVAL = 0.5
 
 
-@dataclass(frozen=True)
-class GatewaySettings:
-    """Settings of a gateway.
-
-    :param callers: where callers' connections arrive.
-    :param readiness: where the balancer asks whether to send more.
-    :param registries: link endpoints of the first registries.
-    :param grace: seconds from the order to stop until the process is killed.
-    :param retries: what all gateways together may send again.
-    """
-
-    host: HostId
-    failure_domain: FailureDomain
-    callers: Endpoint
-    readiness: Endpoint
-    registries: tuple[Endpoint, ...]
-    grace: float
-    retries: BudgetShare
-    connections: int = 3000
-
-
 class Gateway:
     """Serves callers until it is stopped."""
 
@@ -103,9 +80,7 @@
         self._running = 0
         self._quiet_since = clock.monotonic()
         self._stopping = False
-        self._web = WebServer(
-            self._serve, Limits(connections=settings.connections), watch=True
-        )
+        self._web = WebServer(self._serve, Limits(connections=settings.connections))
         self._door = WebServer(self._answer_readiness, Limits(connections=64))
         self._sweeper: asyncio.Task[None] | None = None
 
--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -39,7 +39,7 @@
 
 
 #: Ticks of the monitor in one heartbeat interval.
-TICKS_PER_INTERVAL = 4
+TICKS_PER_INTERVAL = 2
 
 
 #: Failure: a peer closes its side while bytes wait to be sent, and then takes them.
@@ -66,10 +66,15 @@
 
 @dataclass(frozen=True)
 class Pace:
-    """Seconds between heartbeats, and of silence until a link is given up."""
+    """Seconds between heartbeats, and of silence until a link is given up.
+
+    :param mutual: both ends keep this pace, so that each hears the other's heartbeats
+        and none of them needs an answer; that halves the messages of a quiet link.
+    """
 
     interval: float = HEARTBEAT_INTERVAL
     silence: float = SILENCE_LIMIT
+    mutual: bool = False
 
 
 class Link:
@@ -90,6 +95,7 @@
         self.received_bytes = 0
         self._socket = socket
         self._clock = clock
+        self._pace = pace
         self._monitor = LinkMonitor(clock.monotonic(), pace.interval, pace.silence)
         self._outbox: list[Message] = []
         self._backlog = asyncio.Event()
@@ -115,6 +121,8 @@
             return
         self._outbox.append(message)
         self._backlog.set()
+        if self._pace.mutual:
+            self._monitor.note_sent(self._clock.monotonic())
 
     async def receive(self) -> AsyncIterator[Message]:
         """Yield the peer's messages until the link is over."""
@@ -126,7 +134,8 @@
                 for message in decode_batch(frame):
                     self._monitor.hear(self._clock.monotonic())
                     if isinstance(message, Ping):
-                        self.send(Pong(message.number))
+                        if not self._pace.mutual:
+                            self.send(Pong(message.number))
                     elif not isinstance(message, Pong):
                         yield message
         except WebSocketException:
@@ -169,8 +178,12 @@
             self._abort()
 
     async def _watch_silence(self) -> None:
+        step = self._monitor.interval / TICKS_PER_INTERVAL
+        loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(self._monitor.interval / TICKS_PER_INTERVAL)
+            # All links of a process wake at the same moments: a host with dozens of
+            # quiet links then has one wake-up a step instead of one for each link.
+            await asyncio.sleep(step - loop.time() % step)
             match self._monitor.tick(self._clock.monotonic()):
                 case LinkAction.GIVE_UP:
                     logger.warning("peer is silent", extra={"peer": self.peer.host})
--- a/src/ibishead/platform/programs.py
+++ b/src/ibishead/platform/programs.py
@@ -1,4 +1,8 @@
-"""The programs as the platform starts them, each with its settings file's path."""
+"""The programs as the platform starts them, each with its settings file's path.
+
+Each imports only what it runs: a start costs a host's processor by the module, and all
+programs of a fleet that is started anew start at once.
+"""
 
 import asyncio
 import logging
@@ -13,20 +17,13 @@
 
 from ibishead.clock import BootClock
 from ibishead.errors import SettingsFault, StorageFault
-from ibishead.gateway.server import Gateway
 from ibishead.ids import HostId
 from ibishead.links import Endpoint
 from ibishead.logs import set_up_logging
-from ibishead.platform.callers import PlatformCallers
-from ibishead.platform.doors import make_door
-from ibishead.platform.engines import PlatformEngine
 from ibishead.platform.settings import PlatformSettings, load_platform_settings
-from ibishead.platform.targets import PlatformTargets
 from ibishead.process import EXIT_SETTINGS, run_program, wait_for_stop
-from ibishead.registry.server import Registry
 from ibishead.routing.feed import RegistryFeed
 from ibishead.settingsfile import LogLevel
-from ibishead.steward.server import StewardServer
 
 __all__ = ["main"]
 
@@ -41,6 +38,10 @@
 
 async def run_gateway(settings: PlatformSettings, path: Path) -> None:
     """Serve callers until a planned stop."""
+    from ibishead.gateway.server import Gateway
+    from ibishead.platform.callers import PlatformCallers
+    from ibishead.platform.targets import PlatformTargets
+
     gateway = Gateway(
         settings.gateway(), BootClock(), PlatformCallers(), PlatformTargets()
     )
@@ -49,6 +50,9 @@
 
 async def run_steward(settings: PlatformSettings, path: Path) -> None:
     """Give orders to this host's engine until a planned stop."""
+    from ibishead.platform.engines import PlatformEngine
+    from ibishead.steward.server import StewardServer
+
     own = settings.steward()
     host, _, port = own.engine.rpartition(":")
     engine = PlatformEngine(Endpoint(host, int(port)))
@@ -61,6 +65,9 @@
 
     :raises StorageFault: the data folder is damaged, or its disk has failed.
     """
+    from ibishead.platform.doors import make_door
+    from ibishead.registry.server import Registry
+
     failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def note_failure(fault: StorageFault) -> None:
--- a/src/ibishead/platform/settings.py
+++ b/src/ibishead/platform/settings.py
@@ -7,14 +7,14 @@
 
 import msgspec
 
+from ibishead.decisions.retry import BudgetShare
 from ibishead.errors import SettingsFault
-from ibishead.gateway.pipeline import BudgetShare
-from ibishead.gateway.server import GatewaySettings
+from ibishead.gateway.settings import GatewaySettings
 from ibishead.ids import FailureDomain, HostId, ServiceName
 from ibishead.links import Endpoint
-from ibishead.registry.server import RegistrySettings
+from ibishead.registry.settings import RegistrySettings
 from ibishead.settingsfile import MAX_PORT
-from ibishead.steward.server import StewardSettings
+from ibishead.steward.settings import StewardSettings
 
 __all__ = ["PlatformSettings", "load_platform_settings"]
 
--- a/src/ibishead/registry/__init__.py
+++ b/src/ibishead/registry/__init__.py
@@ -1,1 +1,1 @@
-"""The registry: hears targets, keeps routes and adapter versions on a replicated log."""
+"""The registry: hears targets, keeps routes and versions on a replicated log."""
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -1,10 +1,9 @@
-"""One registry: its replica, its subscribers, and the door for targets and operators."""
+"""One registry: its replica, its subscribers, and its HTTP door."""
 
 import asyncio
 import logging
 import secrets
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from pathlib import Path
 
 from ibishead.clock import Clock
@@ -15,7 +14,7 @@
 from ibishead.control.raftstate import Timing
 from ibishead.control.replica import LogReplica
 from ibishead.errors import StorageFault
-from ibishead.ids import FailureDomain, HostId, ReplicaId
+from ibishead.ids import ReplicaId
 from ibishead.links import Endpoint, Link, LinkServer
 from ibishead.messages import Hello, PeerFrame, Role
 from ibishead.registry.founders import (
@@ -26,12 +25,13 @@
 )
 from ibishead.registry.publisher import FeedPublisher
 from ibishead.registry.service import RegistryService
+from ibishead.registry.settings import RegistrySettings
 from ibishead.registry.state import RouteState
 from ibishead.routing.feed import FEED_PACE, RegistryFeed
 from ibishead.routing.messages import MemberKind, MemberRecord
 from ibishead.web import Exchange, Limits, WebServer
 
-__all__ = ["Registry", "RegistrySettings"]
+__all__ = ["Registry"]
 
 logger = logging.getLogger(__name__)
 
@@ -54,32 +54,6 @@
 STOP_GRACE = 3.0
 
 
-@dataclass(frozen=True)
-class RegistrySettings:
-    """Settings of a registry.
-
-    :param http: where targets and operators call.
-    :param links: where other programs link.
-    :param seeds: HTTP endpoints of the first registries.
-    :param seed_port: port of a registry's link server, the same on all hosts.
-    :param data: folder on a disk that lasts, or none.
-    :param first_start: the whole system starts for the first time.
-    :param losses: hosts with a disk that may be lost together.
-    :param repair_after: seconds of silence after which a voter is replaced.
-    """
-
-    host: HostId
-    failure_domain: FailureDomain
-    http: Endpoint
-    links: Endpoint
-    seeds: tuple[Endpoint, ...]
-    seed_port: int
-    data: Path | None
-    first_start: bool
-    losses: int
-    repair_after: float
-
-
 class Registry:
     """Runs one registry.
 
@@ -177,8 +151,8 @@
             return secrets.token_hex(_NAME_BYTES)
 
         pace = Pace(
-            tick=0.05,
-            timing=Timing(heartbeat=2, election=16),
+            tick=0.1,
+            timing=Timing(heartbeat=2, election=9),
             answer=0.8,
             repair=self._settings.repair_after,
             readmit=True,
--- a/src/ibishead/routing/__init__.py
+++ b/src/ibishead/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Routes, targets and adapter versions: what gateways, stewards and the registry share."""
+"""Routes, targets and adapter versions: what all programs share."""
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -36,8 +36,8 @@
 logger = logging.getLogger(__name__)
 
 #: Heartbeats of a link to a registry. A link that has gone silent must be replaced
-#: well within the 2 s in which a change has to be in force.
-FEED_PACE = Pace(interval=0.4, silence=1.4)
+#: soon: what is in force elsewhere isn't known over it.
+FEED_PACE = Pace(interval=0.9, silence=2.4, mutual=True)
 
 #: Seconds between two tries to reach a registry, at first and at most.
 REDIAL_FIRST = 0.1
@@ -47,7 +47,7 @@
 FORGET_AFTER = 120.0
 
 #: Seconds until a route set that was asked for is asked for elsewhere.
-ROUTES_WAIT = 0.4
+ROUTES_WAIT = 0.5
 
 #: Seconds of silence after which a target that never left is forgotten.
 SILENCE_KEPT = 45.0
--- a/src/ibishead/routing/targets.py
+++ b/src/ibishead/routing/targets.py
@@ -115,10 +115,10 @@
             if statement.age == known.age:
                 self._heard[statement.target] = now
             return False
-        if known is not None and known.born == statement.born and _has_left(known):
+        same_life = known is not None and known.born == statement.born
+        if same_life and _has_left(known) and not _has_left(statement):
             # a life that has said farewell never becomes ready again
-            if not _has_left(statement):
-                return False
+            return False
         self._known[statement.target] = statement
         self._heard[statement.target] = now
         return True
@@ -189,5 +189,5 @@
     return frozenset(holding.model for holding in holdings)
 
 
-def _has_left(statement: Registration) -> bool:
-    return statement.state is not TargetState.READY
+def _has_left(statement: Registration | None) -> bool:
+    return statement is not None and statement.state is not TargetState.READY
--- a/src/ibishead/session.py
+++ b/src/ibishead/session.py
@@ -66,6 +66,13 @@
         """Note that a message came from the peer's own loop."""
         self._heard = now
 
+    def note_sent(self, now: float) -> None:
+        """Note that a message has left, which the peer hears as a heartbeat.
+
+        For links whose both ends go by the same interval and ask for no answers.
+        """
+        self._pinged = now
+
     def tick(self, now: float) -> LinkAction:
         """Return what to do; to be called a few times in each interval.
 
--- a/src/ibishead/sockets.py
+++ b/src/ibishead/sockets.py
@@ -10,8 +10,8 @@
 USER_TIMEOUT = 1800
 
 #: Seconds of quiet until the path is probed, between two probes, and lost probes until
-#: the connection is over: a path that goes silent during a long run is known in 3 s.
-PROBE_IDLE = 1
+#: the connection is over: a path that goes silent during a long run is known in 4 s.
+PROBE_IDLE = 2
 PROBE_INTERVAL = 1
 PROBE_COUNT = 2
 
--- a/src/ibishead/steward/server.py
+++ b/src/ibishead/steward/server.py
@@ -1,36 +1,17 @@
 """One steward: its listener for gateways, and its feed."""
 
 import asyncio
-from dataclasses import dataclass
 
 from ibishead.clock import Clock
-from ibishead.ids import FailureDomain, HostId, ServiceName
-from ibishead.links import Endpoint, Link, LinkServer
+from ibishead.links import Link, LinkServer
 from ibishead.messages import Hello, Message, Role
 from ibishead.routing.feed import FEED_PACE, RegistryFeed
 from ibishead.routing.messages import MemberKind, MemberRecord
 from ibishead.steward.engine import Engine
+from ibishead.steward.settings import StewardSettings
 from ibishead.steward.steward import Steward
 
-__all__ = ["StewardServer", "StewardSettings"]
-
-
-@dataclass(frozen=True)
-class StewardSettings:
-    """Settings of a steward.
-
-    :param links: where gateways link.
-    :param registries: link endpoints of the first registries.
-    :param engine: ``ADDRESS:PORT`` of the engine on this host.
-    :param service: that the engine belongs to.
-    """
-
-    host: HostId
-    failure_domain: FailureDomain
-    links: Endpoint
-    registries: tuple[Endpoint, ...]
-    engine: str
-    service: ServiceName
+__all__ = ["StewardServer"]
 
 
 class StewardServer:
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -45,7 +45,7 @@
 CALM_INTERVAL = 0.25
 
 #: Seconds between two reports to gateways when only the load has changed.
-REPORT_INTERVAL = 0.25
+REPORT_INTERVAL = 0.5
 
 #: Seconds until a fencing number is asked for again.
 FENCE_WAIT = 0.5
@@ -215,9 +215,11 @@
             model_ready = not key.adapter and any(
                 h.model == key.model for h in state.holdings
             )
-            if key not in coming and (key in held or model_ready or now - since > 1.0):
-                if key.adapter or model_ready or not state.busy:
-                    del self._ordered[key]
+            # an order that shows nowhere after a second has come to nothing
+            over = key in held or model_ready or now - since > 1.0
+            under_way = key in coming or (not key.adapter and state.busy)
+            if over and not under_way:
+                del self._ordered[key]
         for key in list(self._leaving):
             if key not in held:
                 del self._leaving[key]
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -24,7 +24,6 @@
 )
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
-from ibishead.sockets import watch_socket
 
 __all__ = [
     "Exchange",
@@ -160,7 +159,6 @@
 
     :param handler: answers each exchange; what it raises becomes an answer if none
         has been started, and a cut connection otherwise.
-    :param watch: let the system notice callers whose path has gone silent.
     """
 
     def __init__(
@@ -168,9 +166,7 @@
         handler: Callable[[Exchange], Awaitable[None]],
         limits: Limits | None = None,
         tls: ssl.SSLContext | None = None,
-        watch: bool = False,
     ) -> None:
-        self._watch = watch
         self.handler = handler
         self.limits = limits or Limits()
         self._tls = tls
@@ -221,8 +217,6 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = _ServerConnection(self, reader, writer)
-        if self._watch:
-            watch_socket(writer.transport)
         if len(self._connections) >= self.limits.connections:
             connection.abort()
             return
