Let an adapter leave its engine only when no request uses it

Cause: an engine that is ordered to drop an adapter in use waits for its runs and takes no other order for seconds; loads behind it came late. Gateways now tell stewards when a request begins and ends.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -27,8 +27,11 @@
 #: Seconds to load an adapter at full speed of the store, with the order before it.
 LOAD_DELAY = 0.28
 
-#: Seconds more where another adapter has to leave first.
-EVICTION_DELAY = 0.05
+#: Seconds for each adapter that is loaded before.
+TURN_DELAY = 0.2
+
+#: Seconds until a slot is free where all hold adapters in use, for each who waits.
+SLOT_DELAY = 0.5
 
 #: Seconds by which an adapter's next places in the order of its hash count for worse.
 #: Gateways that know nothing of each other's loads so choose the same engine.
@@ -63,13 +66,15 @@
 
     :param resident: in place, at a version that the request may begin on.
     :param coming: on its way there.
-    :param full: another one would have to leave.
+    :param room: slots that are empty or hold what nobody uses.
+    :param wishes: adapters that wait for their turn to be loaded there.
     :param manageable: somebody can order the engine to load it.
     """
 
     resident: bool = False
     coming: bool = False
-    full: bool = False
+    room: int = 1
+    wishes: int = 0
     manageable: bool = True
 
 
@@ -163,8 +168,9 @@
         return 0.0
     if adapter.coming:
         return COMING_DELAY
-    eviction = EVICTION_DELAY * adapter.full
-    return LOAD_DELAY + eviction + min(HASH_MOST, HASH_STEP * rank)
+    turns = TURN_DELAY * adapter.wishes
+    slots = SLOT_DELAY * max(0, adapter.wishes + 1 - adapter.room)
+    return LOAD_DELAY + turns + slots + min(HASH_MOST, HASH_STEP * rank)
 
 
 def _rank(
--- a/src/ibishead/decisions/residents.py
+++ b/src/ibishead/decisions/residents.py
@@ -23,8 +23,8 @@
 MAX_COMING = 3
 
 #: Seconds since its last use after which an adapter may leave. A request that was sent
-#: to it a moment ago may not have begun.
-SETTLED_AFTER = 0.4
+#: to it a moment ago by a gateway that has just been linked may not be known yet.
+SETTLED_AFTER = 0.05
 
 #: Seconds over which engines spread the replacement of an adapter by its new version,
 #: so that some copy serves at any time. With a load it ends before the time from which
@@ -53,12 +53,16 @@
 
     :param coming: adapters on their way, orders of unknown end included.
     :param leaving: adapters whose unloading waits for their runs.
+    :param used: when each adapter was last used, monotonic seconds.
+    :param pinned: adapters that requests use now. An engine that is ordered to drop one
+        waits for its runs, and takes no other order for as long.
     """
 
     holdings: tuple[Holding, ...] = ()
     coming: frozenset[WeightKey] = frozenset()
     leaving: frozenset[WeightKey] = frozenset()
     used: Mapping[WeightKey, float] = field(default_factory=dict)
+    pinned: frozenset[WeightKey] = frozenset()
 
     def adapters(self) -> dict[WeightKey, int]:
         """Return all adapters in slots, with their versions."""
@@ -170,7 +174,10 @@
     slots = [
         SlotView(
             number,
-            pins=int(now - weights.used.get(key, 0.0) < SETTLED_AFTER),
+            pins=int(
+                key in weights.pinned
+                or now - weights.used.get(key, 0.0) < SETTLED_AFTER
+            ),
             last_used=weights.used.get(key, 0.0),
             reuse=reuse.read(number, now),
             waiting=waiting.get(key, 0),
@@ -196,7 +203,7 @@
         floor = floors.get(key)
         if floor is None or version >= floor.version:
             continue
-        if key in weights.coming or key in weights.leaving:
+        if key in weights.coming or key in weights.leaving or key in weights.pinned:
             continue
         if now - floor_heard.get(key, now) >= wait:
             return Load(key, floor.version)
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -52,6 +52,7 @@
     mean_time: float = 0.0
     report: EngineReport | None = None
     reported_at: float = -REPORT_KEPT
+    wished: int = 0
     lacking: set[WeightKey] = field(default_factory=set)
 
 
@@ -83,6 +84,7 @@
         if notes.report is None or notes.report.holdings != report.holdings:
             notes.lacking.clear()
         notes.report, notes.reported_at = report, now
+        notes.wished = 0
         notes.told = report.running + report.queued
         notes.told_at = now
         notes.sent_since_told = 0
@@ -107,6 +109,10 @@
         notes.told_at = now
         notes.sent_since_told = 0
 
+    def note_wish(self, notes: TargetNotes) -> None:
+        """Count an adapter that was asked for since the last report."""
+        notes.wished += 1
+
     def note_outcome(self, notes: TargetNotes, failed: bool, now: float) -> None:
         """Count an answer as good or as a failure."""
         current = self._failures(notes, now)
@@ -133,7 +139,6 @@
         now: float,
         weights: WeightKey | None,
         least_version: int,
-        adapter_slots: int,
     ) -> Candidate:
         """Return what the choice among targets has to know of one.
 
@@ -156,9 +161,7 @@
             self._failures(notes, now),
             silent=now - heard > SILENT_AFTER,
             unreached=now < notes.unreached_until,
-            adapter=self._place(
-                target, notes, now, weights, least_version, adapter_slots
-            ),
+            adapter=self._place(target, notes, now, weights, least_version),
         )
 
     def forget(self, targets: list[TargetId]) -> None:
@@ -176,7 +179,6 @@
         now: float,
         weights: WeightKey | None,
         least_version: int,
-        adapter_slots: int,
     ) -> AdapterPlace:
         if weights is None:
             return AdapterPlace(resident=True)
@@ -184,20 +186,18 @@
         fresh = report is not None and now - notes.reported_at < REPORT_KEPT
         holdings = report.holdings if report is not None else target.holdings
         resident = False
-        held = 0
         for holding in holdings:
-            held += len(holding.adapters)
             if holding.model == weights.model:
                 resident = any(
                     ref.name == weights.adapter and ref.version >= least_version
                     for ref in holding.adapters
                 )
         coming = report is not None and any(key == weights for key, _ in report.coming)
-        held += len(report.coming) if report is not None else 0
         return AdapterPlace(
             resident=resident and weights not in notes.lacking,
             coming=coming and fresh,
-            full=held >= adapter_slots,
+            room=report.free_slots if report is not None else 1,
+            wishes=report.wishes + notes.wished if report is not None else 0,
             manageable=fresh,
         )
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -171,16 +171,21 @@
             await asyncio.gather(work, gone, return_exceptions=True)
 
     async def _answer(self, request: _Request) -> None:
+        key = request.call.weights
         while True:
             target, version = await self._choose(request)
-            outcome = await self._sender.send(
-                request.call,
-                request.route,
-                target,
-                request.progress,
-                request.deadline,
-                version,
-            )
+            try:
+                outcome = await self._sender.send(
+                    request.call,
+                    request.route,
+                    target,
+                    request.progress,
+                    request.deadline,
+                    version,
+                )
+            finally:
+                if key is not None:
+                    self._stewards.end_use(target.address, key)
             match outcome:
                 case Answered():
                     return
@@ -229,20 +234,19 @@
             floor = self._feed.floors.get(key)
             version = floor.version if floor is not None else None
             if chosen.candidate.adapter.resident:
-                self._stewards.touch(target.address, key)
+                self._stewards.begin_use(target.address, key)
                 heard = self._feed.floor_heard.get(key, now - OLD_VERSION_KEPT)
                 insist = now - heard >= OLD_VERSION_KEPT
                 return target, version if insist else None
             wait = min(ADAPTER_WAIT, request.deadline - now)
+            if not chosen.candidate.adapter.coming:
+                self._book.note_wish(self._book.notes(target))
             if await self._stewards.ask(target.address, key, version or 0, wait):
                 return target, version
             request.avoid.add(target.target)
             request.last = "the adapter wasn't loaded in time"
 
     def _pick(self, request: _Request, now: float) -> Chosen:
-        routes = self._feed.routes
-        spec = routes.service(request.service) if routes is not None else None
-        slots = spec.engine.adapter_slots if spec is not None and spec.engine else 0
         key = request.call.weights
         least = self._least_version(request, now)
         candidates = [
@@ -252,7 +256,6 @@
                 now,
                 key,
                 least,
-                slots,
             )
             for target in self._feed.view.list_service(request.service)
         ]
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -14,9 +14,10 @@
 from ibishead.routing.messages import (
     AdapterAnswer,
     AskAdapter,
+    BeginUse,
+    EndUse,
     EngineReport,
     MemberRecord,
-    TouchAdapters,
 )
 from ibishead.routing.targets import WeightKey
 
@@ -46,6 +47,7 @@
         self._keepers: dict[Endpoint, asyncio.Task[None]] = {}
         self._numbers = itertools.count(1)
         self._asked: dict[int, asyncio.Future[bool]] = {}
+        self._given_up: dict[int, tuple[str, WeightKey]] = {}
 
     def meet(self, member: MemberRecord) -> None:
         """Dial a steward, if it isn't linked already."""
@@ -84,13 +86,21 @@
         finally:
             closed.cancel()
             self._asked.pop(number, None)
+            if not future.done():
+                self._given_up[number] = (address, key)
         return future.done() and future.result()
 
-    def touch(self, address: str, key: WeightKey) -> None:
-        """Tell a steward that an adapter has just been used."""
+    def begin_use(self, address: str, key: WeightKey) -> None:
+        """Tell a steward that a request for an adapter in place is sent."""
         link = self._links.get(address)
         if link is not None:
-            link.send(TouchAdapters((key,)))
+            link.send(BeginUse(key))
+
+    def end_use(self, address: str, key: WeightKey) -> None:
+        """Tell a steward that such a request is over."""
+        link = self._links.get(address)
+        if link is not None:
+            link.send(EndUse(key))
 
     async def stop(self) -> None:
         """Close all links."""
@@ -137,8 +147,12 @@
                 self._on_report(message)
             case AdapterAnswer(number, ready):
                 future = self._asked.get(number)
+                left = self._given_up.pop(number, None)
                 if future is not None and not future.done():
                     future.set_result(ready)
+                elif ready and left is not None:
+                    # nobody waits any more, but the steward counts it as in use
+                    self.end_use(*left)
             case _:
                 logger.warning(
                     "unexpected message", extra={"kind": type(message).__name__}
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -32,6 +32,8 @@
     AskAdapter,
     AskFence,
     AskRoutes,
+    BeginUse,
+    EndUse,
     EngineReport,
     FenceAnswer,
     Floors,
@@ -41,7 +43,6 @@
     SignsOfLife,
     Statements,
     SubscribeFeed,
-    TouchAdapters,
 )
 
 __all__ = [
@@ -586,6 +587,7 @@
     | FenceAnswer
     | AskAdapter
     | AdapterAnswer
-    | TouchAdapters
+    | BeginUse
+    | EndUse
     | EngineReport
 )
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -14,6 +14,8 @@
     "AdapterAnswer",
     "AdapterFloor",
     "AskAdapter",
+    "BeginUse",
+    "EndUse",
     "AskFence",
     "AskRoutes",
     "EngineReport",
@@ -27,7 +29,6 @@
     "SignsOfLife",
     "Statements",
     "SubscribeFeed",
-    "TouchAdapters",
 ]
 
 
@@ -149,16 +150,22 @@
 
 
 class AdapterAnswer(_Message, frozen=True):
-    """Whether the adapter that was asked for is in place."""
+    """Whether the adapter that was asked for is in place; if so, it is in use now."""
 
     number: int
     ready: bool
 
 
-class TouchAdapters(_Message, frozen=True):
-    """Adapters that the sender has just sent requests for."""
+class BeginUse(_Message, frozen=True):
+    """A request for an adapter in place is being sent to the engine."""
 
-    keys: tuple[WeightKey, ...]
+    key: WeightKey
+
+
+class EndUse(_Message, frozen=True):
+    """A request that `BeginUse` or a ready `AdapterAnswer` began is over."""
+
+    key: WeightKey
 
 
 class EngineReport(_Message, frozen=True):
@@ -167,6 +174,8 @@
     :param born: start of the engine's life, milliseconds since 1970.
     :param coming: adapters on their way to the engine.
     :param cache_used: tokens in use that can't yield.
+    :param free_slots: adapter slots that are empty or hold what nobody uses.
+    :param wishes: adapters that are waited for and not on their way yet.
     """
 
     target: TargetId
@@ -177,3 +186,5 @@
     queued: int = 0
     cache_used: int = 0
     cache_total: int = 0
+    free_slots: int = 0
+    wishes: int = 0
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import logging
+from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import xxhash
@@ -27,12 +29,13 @@
     AdapterAnswer,
     AskAdapter,
     AskFence,
+    BeginUse,
+    EndUse,
     EngineReport,
     FenceAnswer,
-    TouchAdapters,
 )
 from ibishead.routing.routes import EngineSpec
-from ibishead.routing.targets import AdapterRef, Registration, WeightKey
+from ibishead.routing.targets import AdapterRef, Holding, Registration, WeightKey
 from ibishead.steward.engine import Engine, EngineState, OrderEnd, WeightOrder
 
 __all__ = ["Steward"]
@@ -53,6 +56,9 @@
 #: Seconds for which an order without an answer may still be carried out.
 UNKNOWN_TIME = 13.0
 
+#: Seconds for which adapters count as in use whose gateway is no longer linked.
+LOST_PIN_TIME = 3.0
+
 #: Seconds for which an engine that failed an order gets no other.
 FAILED_WAIT = 0.3
 
@@ -94,6 +100,8 @@
         self._feed = feed
         self._clock = clock
         self._links: set[Link] = set()
+        self._pins: dict[Link, Counter[WeightKey]] = {}
+        self._lost_pins: dict[WeightKey, float] = {}
         self._demands: dict[WeightKey, _Demand] = {}
         self._used: dict[WeightKey, float] = {}
         self._reuse = ReuseCounter()
@@ -124,6 +132,11 @@
                 self._take(link, message)
         finally:
             self._links.discard(link)
+            # The gateway's requests may still run: it may have lost no more than this
+            # link. What runs on after that time only delays the order that drops it.
+            until = self._clock.monotonic() + LOST_PIN_TIME
+            for key in self._pins.pop(link, ()):
+                self._lost_pins[key] = until
 
     def take_from_registry(self, _: Link, message: Message) -> None:
         """Take what a registry has sent to this program alone."""
@@ -144,9 +157,11 @@
         match message:
             case AskAdapter(number, key, version, wait):
                 self._want(key, version, _Waiter(link, number, now + wait), now)
-            case TouchAdapters(keys):
-                for key in keys:
-                    self._note_use(key, now)
+            case BeginUse(key):
+                self._note_use(key, now)
+                self._pin(link, key)
+            case EndUse(key):
+                self._unpin(link, key, now)
             case _:
                 logger.warning(
                     "unexpected message", extra={"kind": type(message).__name__}
@@ -155,13 +170,38 @@
     def _want(self, key: WeightKey, version: int, waiter: _Waiter, now: float) -> None:
         self._note_use(key, now)
         if self._is_resident(key, version):
-            waiter.link.send(AdapterAnswer(waiter.number, True))
+            self._grant(key, waiter)
             return
         demand = self._demands.setdefault(key, _Demand(version, now))
         demand.version = max(demand.version, version)
         demand.waiters.append(waiter)
         self._wake.set()
 
+    def _grant(self, key: WeightKey, waiter: _Waiter) -> None:
+        self._pin(waiter.link, key)
+        waiter.link.send(AdapterAnswer(waiter.number, True))
+
+    def _pin(self, link: Link, key: WeightKey) -> None:
+        if link in self._links:
+            pins = self._pins.setdefault(link, Counter())
+            pins[key] += 1
+
+    def _unpin(self, link: Link, key: WeightKey, now: float) -> None:
+        pins = self._pins.get(link)
+        if pins is None or not pins[key]:
+            return
+        pins[key] -= 1
+        if not pins[key]:
+            del pins[key]
+            self._used[key] = now
+            if self._demands:
+                self._wake.set()
+
+    def _list_pinned(self) -> frozenset[WeightKey]:
+        now = self._clock.monotonic()
+        lost = {key for key, until in self._lost_pins.items() if until > now}
+        return frozenset(lost.union(*self._pins.values()))
+
     def _note_use(self, key: WeightKey, now: float) -> None:
         self._used[key] = now
         self._reuse.observe_use(digest(key), now)
@@ -232,7 +272,7 @@
         for key, demand in list(self._demands.items()):
             if self._is_resident(key, demand.version):
                 for waiter in demand.waiters:
-                    waiter.link.send(AdapterAnswer(waiter.number, True))
+                    self._grant(key, waiter)
                 del self._demands[key]
 
     def _drop_late(self, now: float) -> None:
@@ -284,6 +324,7 @@
             ),
             frozenset(self._leaving),
             self._used,
+            self._list_pinned(),
         )
         if state.busy:
             return False
@@ -396,6 +437,20 @@
 
     # Reports -----------------------------------------------------------------
 
+    def _count_free(
+        self, holdings: tuple[Holding, ...], coming: Mapping[WeightKey, AdapterRef]
+    ) -> int:
+        spec = self._find_spec()
+        if spec is None:
+            return 0
+        pinned = self._list_pinned()
+        used = sum(
+            WeightKey(h.model, ref.name) in pinned
+            for h in holdings
+            for ref in h.adapters
+        )
+        return max(0, spec.adapter_slots - used - len(coming) - len(self._leaving))
+
     def _report(self, now: float) -> None:
         state, target = self._state, self._feed.view.find_address(self._address)
         if state is None or target is None:
@@ -425,6 +480,8 @@
             state.queued,
             state.cache_used,
             state.cache_total,
+            self._count_free(holdings, coming),
+            sum(key not in coming for key in self._demands),
         )
         before = self._reported
         same = before is not None and (
