--- /dev/null
+++ b/tests/decisions/test_residents.py
@@ -0,0 +1,121 @@
+"""Which order an engine gets next."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.decisions.eviction import ReuseCounter
+from ibishead.decisions.residents import (
+    EngineWeights,
+    Idle,
+    Load,
+    Unload,
+    Wish,
+    choose_order,
+)
+from ibishead.ids import ModelName
+from ibishead.routing.messages import AdapterFloor
+from ibishead.routing.routes import EngineSpec, ModelSpec
+from ibishead.routing.targets import AdapterRef, Holding, WeightKey
+
+MODEL = ModelName("m")
+SPEC = EngineSpec(8, 1000, 100.0, 3, (ModelSpec(MODEL, 90.0, 5.0, 1.0),))
+
+
+def key(name: str) -> WeightKey:
+    return WeightKey(MODEL, name)
+
+
+def hold(*names: str, version: int = 1) -> tuple[Holding, ...]:
+    return (Holding(MODEL, 1, tuple(AdapterRef(n, version) for n in names)),)
+
+
+def choose(weights, wishes=(), floors=None, heard=None, now=100.0, place=0.0):
+    return choose_order(
+        SPEC, weights, wishes, floors or {}, heard or {}, ReuseCounter(), now, place
+    )
+
+
+@pytest.mark.parametrize(
+    ("weights", "wishes", "expected"),
+    [
+        (EngineWeights(), (), Load(key(""))),
+        (EngineWeights(coming=frozenset({key("")})), (), Idle),
+        (EngineWeights(hold()), (), Idle),
+        (EngineWeights(hold("a")), (Wish(key("b"), 0, 1.0),), Load(key("b"))),
+        (EngineWeights(hold("a")), (Wish(key("a"), 2, 1.0),), Load(key("a"), 2)),
+        (EngineWeights(hold("a", "b", "c")), (Wish(key("d"), 0, 1.0),), Unload),
+        (
+            EngineWeights(hold("a", "b"), coming=frozenset({key("c")})),
+            (Wish(key("d"), 0, 1.0),),
+            Unload,
+        ),
+        (
+            EngineWeights(hold("a"), coming=frozenset({key("b")})),
+            (Wish(key("b"), 0, 1.0),),
+            Idle,
+        ),
+    ],
+)
+def test_the_next_order(weights, wishes, expected):
+    order = choose(weights, wishes)
+    assert order == expected if not isinstance(expected, type) else True
+    if isinstance(expected, type):
+        assert isinstance(order, expected)
+
+
+def test_an_adapter_in_use_never_leaves():
+    """All requests of an engine wait for seconds behind one adapter's change.
+
+    The adapter that is ordered to leave still serves a long answer; the engine waits
+    for it and takes no other order meanwhile.
+    """
+    pinned = frozenset({key("a"), key("b"), key("c")})
+    weights = EngineWeights(hold("a", "b", "c"), pinned=pinned)
+    assert isinstance(choose(weights, (Wish(key("d"), 0, 1.0),)), Idle)
+    weights = EngineWeights(hold("a", "b", "c"), pinned=pinned - {key("b")})
+    assert choose(weights, (Wish(key("d"), 0, 1.0),)) == Unload(key("b"))
+
+
+@pytest.mark.parametrize(
+    ("since", "place", "pinned", "expected"),
+    [
+        (0.1, 0.0, False, Idle),
+        (0.3, 0.0, False, Load),
+        (0.3, 0.9, False, Idle),
+        (2.3, 0.9, False, Load),
+        (2.3, 0.0, True, Idle),
+    ],
+)
+def test_engines_replace_an_old_version_one_after_the_other(
+    since, place, pinned, expected
+):
+    floors = {key("a"): AdapterFloor(key("a"), 2, 1)}
+    pins = frozenset({key("a")} if pinned else ())
+    weights = EngineWeights(hold("a"), pinned=pins)
+    order = choose(weights, (), floors, {key("a"): 100.0 - since}, place=place)
+    assert isinstance(order, expected)
+
+
+@given(
+    held=st.sets(st.sampled_from("abcdefg"), max_size=3),
+    coming=st.sets(st.sampled_from("hij"), max_size=2),
+    pinned=st.sets(st.sampled_from("abcdefg")),
+    wished=st.sets(st.sampled_from("abcdefghijkl"), max_size=5),
+)
+def test_no_order_exceeds_the_slots_or_drops_what_is_in_use(
+    held, coming, pinned, wished
+):
+    held = set(sorted(held)[: 3 - len(coming)])
+    weights = EngineWeights(
+        hold(*sorted(held)),
+        frozenset(key(name) for name in coming),
+        pinned=frozenset(key(name) for name in pinned),
+    )
+    order = choose(weights, [Wish(key(name), 0, 1.0) for name in sorted(wished)])
+    match order:
+        case Load(loaded):
+            assert len({key(n) for n in held | coming} | {loaded}) <= 3
+        case Unload(dropped):
+            assert dropped.adapter in held - pinned
+            assert dropped.adapter not in wished
--- /dev/null
+++ b/tests/gateway/test_connection.py
@@ -0,0 +1,125 @@
+"""A connection to targets that answer wrongly, late, twice or not at all."""
+
+import asyncio
+
+import pytest
+
+from ibishead.errors import LinkLost
+from ibishead.gateway.connection import TargetConnection
+from ibishead.links import Endpoint
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\nok"
+SHORT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"
+
+
+class RawTarget:
+    """Answers each request with the next of some bytes."""
+
+    def __init__(self, *answers: bytes, then: str = "keep") -> None:
+        self._answers = list(answers)
+        self._then = then
+        self.accepted = 0
+
+    async def __aenter__(self) -> Endpoint:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return Endpoint("127.0.0.1", self._server.sockets[0].getsockname()[1])
+
+    async def __aexit__(self, *_) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.accepted += 1
+        for answer in self._answers:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+        if self._then == "close":
+            writer.close()
+        elif self._then == "reset":
+            writer.transport.abort()
+        else:
+            await reader.read()
+
+
+async def exchange(connection: TargetConnection) -> tuple[int, bytes]:
+    status, _ = await connection.ask("GET", "/", (("host", "x"),), b"")
+    body = b""
+    while (piece := await connection.read()) is not None:
+        body += piece
+    return status, body
+
+
+@pytest.mark.parametrize(
+    ("answer", "then", "body", "reusable"),
+    [
+        (WHOLE, "keep", b"ok", True),
+        (WHOLE + b"extra", "keep", b"ok", False),
+        (WHOLE + WHOLE, "keep", b"ok", False),
+        (UNFRAMED, "close", b"ok", False),
+    ],
+)
+async def test_whole_answers_and_what_follows_them(answer, then, body, reusable):
+    async with RawTarget(answer, then=then) as endpoint:
+        connection = await TargetConnection.open(endpoint, 1.0)
+        assert await exchange(connection) == (200, body)
+        assert connection.closed is not reusable
+
+
+@pytest.mark.parametrize(
+    ("answer", "then"),
+    [
+        (SHORT, "close"),
+        (SHORT, "reset"),
+        (b"junk that is no answer\r\n\r\n", "keep"),
+        (b"", "close"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab", "close"),
+    ],
+)
+async def test_an_answer_that_is_not_whole_never_looks_whole(answer, then):
+    async with RawTarget(answer, then=then) as endpoint:
+        connection = await TargetConnection.open(endpoint, 1.0)
+        with pytest.raises(LinkLost):
+            await exchange(connection)
+        assert connection.closed
+
+
+async def test_an_unframed_answer_that_is_reset_is_not_whole():
+    async with RawTarget(UNFRAMED, then="wait") as endpoint:
+        connection = await TargetConnection.open(endpoint, 1.0)
+        await connection.ask("GET", "/", (("host", "x"),), b"")
+        assert await connection.read() == b"ok"
+        connection.connection_lost(ConnectionResetError())
+        with pytest.raises(LinkLost):
+            await connection.read()
+
+
+async def test_bytes_that_nobody_asked_for_end_a_kept_connection():
+    """A caller gets the answer to somebody else's request.
+
+    A target sends a second answer late, while its connection lies unused. The next
+    request on that connection would take it for its own.
+    """
+    async with RawTarget(WHOLE, then="keep") as endpoint:
+        connection = await TargetConnection.open(endpoint, 1.0)
+        await exchange(connection)
+        assert not connection.closed
+        connection.data_received(WHOLE)
+        assert connection.closed
+        with pytest.raises(LinkLost):
+            await exchange(connection)
+
+
+async def test_a_kept_connection_serves_again():
+    target = RawTarget(WHOLE, WHOLE)
+    async with target as endpoint:
+        connection = await TargetConnection.open(endpoint, 1.0)
+        assert await exchange(connection) == (200, b"ok")
+        assert await exchange(connection) == (200, b"ok")
+        assert target.accepted == 1
+
+
+async def test_nobody_there_is_told_before_anything_is_sent():
+    async with RawTarget() as endpoint:
+        pass
+    with pytest.raises(LinkLost):
+        await TargetConnection.open(endpoint, 0.5)
--- /dev/null
+++ b/tests/onplatform/standin.py
@@ -0,0 +1,368 @@
+"""A stand-in of the platform on loopback: targets, an operator and callers.
+
+Written from the platform's published protocol. Every host is an address of its own in
+127.0.0.0/8, so that ports are the same on all hosts.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import random
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tests.processes.programs import Program
+
+from ibishead.errors import LinkLost
+from ibishead.gateway.connection import TargetConnection
+from ibishead.headers import find_header
+from ibishead.links import Endpoint
+from ibishead.web import Exchange, WebServer
+from ibishead.webclient import ClientConnection
+
+FRONT, READY, CONTROL, FIRST_PORT = 18149, 18141, 18144, 17380
+ENGINE_PORT, PLAIN_PORT = 18080, 18081
+MODEL = "m0"
+SLOTS = 4
+
+_STARTED = 20.0
+_networks = itertools.count(os.getpid() % 200)
+
+
+@dataclass
+class Ledger:
+    """What targets have run: request id to the names of those that ran it."""
+
+    runs: dict[str, list[str]] = field(default_factory=dict)
+
+    def note(self, request: str, target: str) -> None:
+        self.runs.setdefault(request, []).append(target)
+
+
+class Target:
+    """One target: a plain service, or a model engine with adapter slots."""
+
+    def __init__(self, world: "World", address: str, service: str, engine: bool):
+        self.world = world
+        self.endpoint = Endpoint(address, ENGINE_PORT if engine else PLAIN_PORT)
+        self.service = service
+        self.engine = engine
+        self.born = int(time.time() * 1000)
+        self.name = f"i-{address}-{self.born}"
+        self.state = "ready"
+        self.adapters: dict[str, int] = {}
+        self.pending: dict[str, int] = {}
+        self.fences: list[tuple[str, int]] = []
+        self.orders = 0
+        self.sequence = 0
+        self.work = 0.02
+        self.events = 6
+        self.event_pause = 0.02
+        self.refusing = False
+        self.losing = False
+        self.most_held = 0
+        self._server = WebServer(self._serve)
+        self._beater: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        await self._server.start(self.endpoint)
+        self._beater = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        if self._beater is not None:
+            self._beater.cancel()
+        await self._server.stop(0.0)
+
+    def describe(self) -> dict:
+        models = []
+        if self.engine:
+            names = [f"{name}@{version}" for name, version in self.adapters.items()]
+            models = [{"name": MODEL, "version": 1, "adapters": names}]
+        return {
+            "backend": self.service,
+            "address": str(self.endpoint),
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_ms": 0,
+            "models": models,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+
+    async def announce(self) -> bool:
+        self.sequence += 1
+        path = f"/api/instances/{self.name}/heartbeat"
+        for registry in random.sample(self.world.registries, 3):
+            with contextlib.suppress(LinkLost, TimeoutError):
+                async with asyncio.timeout(1.0):
+                    status, _ = await self.world.call(
+                        registry, "POST", path, json.dumps(self.describe()).encode()
+                    )
+                if status == 200:
+                    return True
+        return False
+
+    async def _beat(self) -> None:
+        while True:
+            await self.announce()
+            await asyncio.sleep(0.3)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        request = exchange.request
+        match request.method, request.path:
+            case "GET", "/api/report":
+                await self._report(exchange)
+            case "POST", "/api/order":
+                await self._take_order(exchange)
+            case _:
+                await self._run(exchange)
+
+    async def _report(self, exchange: Exchange) -> None:
+        body = {
+            "models": self.describe()["models"],
+            "busy": False,
+            "seq": self.orders,
+            "queued": 0,
+            "running": 0,
+            "born": self.born,
+            "pending": [f"{MODEL}/{n}@{v}" for n, v in self.pending.items()],
+        }
+        await exchange.respond(200, (), json.dumps(body).encode())
+
+    async def _take_order(self, exchange: Exchange) -> None:
+        headers = exchange.request.headers
+        order = json.loads(exchange.request.body)
+        self.fences.append((order["holder"], order["fence"]))
+        if find_header(headers, "expect-instance") != self.name:
+            await exchange.respond(421, ())
+            return
+        if order["expected"] != self.orders:
+            await exchange.respond(409, ())
+            return
+        if order["fence"] < max(fence for _, fence in self.fences):
+            await exchange.respond(412, ())
+            return
+        self.orders += 1
+        name = order["adapter"]
+        if order["op"] == "unload":
+            self.adapters.pop(name, None)
+            await exchange.respond(200, ())
+            return
+        version = order.get("version") or self.world.newest.get(name, 1)
+        self.pending[name] = version
+        self.most_held = max(self.most_held, len(self.adapters | self.pending))
+        asyncio.get_running_loop().call_later(0.05, self._finish_load, name)
+        await exchange.respond(202, ())
+
+    def _finish_load(self, name: str) -> None:
+        self.adapters[name] = self.pending.pop(name)
+
+    async def _run(self, exchange: Exchange) -> None:
+        headers = exchange.request.headers
+        request = find_header(headers, "request-id") or ""
+        refusal = (("not-executed", "1"),)
+        expected = find_header(headers, "expect-instance")
+        if expected is not None and expected != self.name:
+            await exchange.respond(421, refusal)
+            return
+        if self.refusing:
+            await exchange.respond(503, refusal)
+            return
+        adapter = (find_header(headers, "model") or "").partition("/")[2]
+        if adapter and adapter not in self.adapters:
+            await exchange.respond(421, refusal)
+            return
+        self.world.ledger.note(request, self.name)
+        if self.losing:
+            exchange.abort()
+            return
+        stamp = f"{self.name}.{adapter}@{self.adapters.get(adapter, 0)}"
+        own = (("request-id", request), ("response-stamp", stamp))
+        if not self.engine:
+            await asyncio.sleep(self.work)
+            body = b"done " + request.encode() + b" " + exchange.request.body
+            await exchange.respond(200, own, body)
+            return
+        first = int(find_header(headers, "last-event-id") or 0) + 1
+        kind = (("content-type", "text/event-stream"),)
+        await exchange.start(200, own + kind)
+        for number in range(first, self.events + 1):
+            await asyncio.sleep(self.event_pause)
+            await exchange.send(b"id: %d\ndata: t%d\n\n" % (number, number))
+        await exchange.finish()
+
+
+class World:
+    """Four registries, two gateways, two engines with stewards, two plain targets."""
+
+    def __init__(self, folder: Path) -> None:
+        net = next(_networks)
+        self.folder = folder
+        self._prefix = f"127.{50 + net % 200}.{random.randrange(1, 250)}"
+        self.ledger = Ledger()
+        self.newest: dict[str, int] = {}
+        self.edges = [f"{self._prefix}.{n}" for n in (1, 2, 3, 4)]
+        self.sides = [f"{self._prefix}.{n}" for n in (11, 12)]
+        self.registries = [Endpoint(a, CONTROL) for a in self.edges]
+        self.gateways = [Endpoint(a, FRONT) for a in self.edges[:2]]
+        self.programs: dict[tuple[str, str], Program] = {}
+        self.engines = [Target(self, a, "plans", True) for a in self.sides]
+        self.plain = [
+            Target(self, f"{self._prefix}.{n}", "stock", False) for n in (21, 22)
+        ]
+        self._numbers = itertools.count(1)
+
+    async def __aenter__(self) -> "World":
+        for address in self.edges:
+            self.make_program("registry", address, first=True)
+        for address in self.edges[:2]:
+            self.make_program("gateway", address)
+        for address in self.sides:
+            self.make_program("steward", address)
+        for program in self.programs.values():
+            program.start()
+        for target in self.engines + self.plain:
+            await target.start()
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        for program in self.programs.values():
+            program.clean_up()
+        for target in self.engines + self.plain:
+            await target.stop()
+
+    def make_program(self, kind: str, address: str, first: bool = False) -> Program:
+        host = f"{'side' if kind == 'steward' else 'edge'}-{address.rpartition('.')[2]}"
+        data = self.folder / f"data-{host}"
+        settings = {
+            "node_name": host,
+            "ip": address,
+            "zone": "z1",
+            "seeds": [str(e) for e in self.registries[:3]],
+            "port_range": [FIRST_PORT, FIRST_PORT + 15],
+            "listen": {
+                "front": f"{address}:{FRONT}",
+                "readiness_addr": f"{address}:{READY}",
+                "control": f"{address}:{CONTROL}",
+            },
+            "bootstrap": first,
+            "data_dir": str(data) if kind == "registry" else None,
+            "app": f"{address}:{ENGINE_PORT}",
+            "backend": "plans",
+            "bounds": {"catch_up_s": 4, "grace_s": 8},
+        }
+        path = self.folder / f"{kind}-{host}.json"
+        path.write_text(json.dumps(settings))
+        program = Program(
+            f"{kind}-{host}",
+            "ibishead.platform.programs",
+            [kind],
+            self.folder,
+            {"IBISHEAD_SETTINGS": str(path)},
+        )
+        self.programs[kind, address] = program
+        return program
+
+    def make_config(self, version: int, **changes) -> dict:
+        def route(name: str, kind: str, service: str, **more) -> dict:
+            return {
+                "name": name,
+                "hostname": "nets.example",
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "timeout_ms": 5000,
+                "target_latency_ms": 800,
+                "priority": 1,
+                "backend": service,
+                "max_attempts": 1,
+                **more,
+            }
+
+        config = {
+            "version": version,
+            "routes": [
+                route("plan", "streaming", "plans"),
+                route("advice", "streaming", "plans", max_attempts=2, resumable=True),
+                route("issue", "non_idempotent", "stock"),
+                route("look", "idempotent", "stock", max_attempts=2),
+            ],
+            "services": [
+                {
+                    "name": "plans",
+                    "health_path": "/healthz",
+                    "max_conns": 100,
+                    "engine": {
+                        "slots": 8,
+                        "kv_capacity": 1000,
+                        "weights_mb": 100.0,
+                        "adapter_slots": SLOTS,
+                        "models": [{"name": MODEL, "weights_mb": 90.0}],
+                    },
+                },
+                {"name": "stock", "health_path": "/healthz", "max_conns": 100},
+            ],
+            "limits": {},
+        }
+        return {**config, **changes}
+
+    async def call(
+        self, endpoint: Endpoint, method: str, path: str, body: bytes = b"", headers=()
+    ) -> tuple[int, bytes]:
+        connection = await ClientConnection.open(endpoint)
+        try:
+            answer = await connection.ask(method, path, headers, body)
+            return answer.status, await answer.read()
+        finally:
+            connection.close()
+
+    async def operate(self, path: str, body: dict) -> int:
+        """Send an operator's call to any registry until it is answered clearly."""
+        async with asyncio.timeout(_STARTED):
+            while True:
+                registry = random.choice(self.registries)
+                with contextlib.suppress(LinkLost, TimeoutError):
+                    async with asyncio.timeout(1.0):
+                        status, _ = await self.call(
+                            registry, "POST", path, json.dumps(body).encode()
+                        )
+                    if status < 500:
+                        return status
+                await asyncio.sleep(0.1)
+
+    async def ask(
+        self, route: str, gateway: Endpoint | None = None, model: str = "", **headers
+    ) -> tuple[int, bytes, str]:
+        """Send one request of a caller; returns status, body and its id."""
+        request = f"r{next(self._numbers)}"
+        sent = [("request-id", request), ("deadline-ms", "4000")]
+        if model:
+            sent += [("model", model), ("token-counts", "10,10")]
+        sent += [(k.replace("_", "-"), v) for k, v in headers.items()]
+        connection = await TargetConnection.open(gateway or self.gateways[0], 2.0)
+        try:
+            status, _ = await connection.ask(
+                "POST", f"/{route}/x", (("host", "nets.example"), *sent), b"body"
+            )
+            body = b""
+            while (piece := await connection.read()) is not None:
+                body += piece
+            return status, body, request
+        finally:
+            connection.close()
+
+    async def wait_ready(self) -> None:
+        """Return once both gateways serve all routes."""
+        assert await self.operate("/api/config/put", self.make_config(1)) == 200
+        async with asyncio.timeout(_STARTED):
+            for gateway in self.gateways:
+                for route, model in (("look", ""), ("plan", f"{MODEL}/warm")):
+                    while True:
+                        with contextlib.suppress(LinkLost):
+                            if (await self.ask(route, gateway, model))[0] == 200:
+                                break
+                        await asyncio.sleep(0.1)
--- a/tests/processes/programs.py
+++ b/tests/processes/programs.py
@@ -55,12 +55,19 @@
     """One program of the system, which may be started again after it has ended.
 
     :param module: that holds its `main`.
+    :param environment: variables that it gets beside those of the tests.
     :param folder: where its log and port files go.
     """
 
     def __init__(
-        self, name: str, module: str, arguments: list[str], folder: Path
+        self,
+        name: str,
+        module: str,
+        arguments: list[str],
+        folder: Path,
+        environment: dict[str, str] | None = None,
     ) -> None:
+        self._environment = environment or {}
         self.name = name
         self.folder = folder
         self._command = [
@@ -99,7 +106,9 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env=os.environ | {"PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"},
+                env=os.environ
+                | {"PYTHONPATH": f"{ROOT / 'src'}{os.pathsep}{ROOT}"}
+                | self._environment,
             )
 
     async def read_port(self, file: str) -> int:
