--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -70,6 +70,41 @@
         self._running = False
         self._next = 0.0
 
+    def find_spare(self) -> ReplicaId | None:
+        """Return a new replica that holds no copy of the log yet, if one is at hand.
+
+        As a learner it can take a lost voter's place at once, and answers reads and
+        passes on commands meanwhile.
+        """
+        replica = self._replica
+        if self._running or not replica.pace.readmit:
+            return None
+        current = replica.core.configuration
+        for host in sorted(replica.founding.known):
+            found = replica.founding.known[host].replica
+            if _has_fresh(replica, host) and found not in current.learners:
+                return found
+        return None
+
+    async def take_spare(self, spare: ReplicaId) -> None:
+        """Make a spare a learner, in place of former replicas of its host."""
+        self._running = True
+        try:
+            current = self._replica.core.configuration
+            for former in current.learners:
+                if replica_host(former) == replica_host(spare):
+                    await _take_out(self._replica, former)
+            current = self._replica.core.configuration
+            await self._replica.change_configuration(
+                configuration.add_learner(current, spare)
+            )
+            logger.info("spare %s follows the log", spare)
+        except IbisheadError as error:
+            logger.info("spare not taken in", extra={"reason": str(error)})
+        finally:
+            self._running = False
+            self._next = self._replica.clock.monotonic() + _REPAIR_INTERVAL
+
     def is_due(self) -> bool:
         """Return whether a voter is lost, a new replica is there and none is under way.
 
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -379,8 +379,12 @@
             self._introduce()
             self._join(self.founding.found(self._identity))
         self._answers.fail_unless(lambda replica: self._reaches(replica))
-        if self.is_leader() and self._repair.is_due():
+        if not self.is_leader():
+            return
+        if self._repair.is_due():
             self._spawn(self._repair.run())
+        elif (spare := self._repair.find_spare()) is not None:
+            self._spawn(self._repair.take_spare(spare))
 
     def _reaches(self, replica: ReplicaId) -> bool:
         return self._links.reaches(replica_host(replica))
--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -30,6 +30,11 @@
 #: Seconds for each adapter that is loaded before.
 TURN_DELAY = 0.2
 
+#: Seconds until an old version has been replaced where it is in use. Longer than a
+#: load, so that a new version is loaded beside the old one and no caller waits for
+#: others' answers to end.
+OUTDATED_DELAY = 1.0
+
 #: Seconds until a slot is free where all hold adapters in use, for each who waits.
 SLOT_DELAY = 0.5
 
@@ -66,6 +71,8 @@
 
     :param resident: in place, at a version that the request may begin on.
     :param coming: on its way there.
+    :param outdated: in place at a version that the request may not begin on. Its
+        replacement waits for the requests that use it.
     :param room: slots that are empty or hold what nobody uses.
     :param wishes: adapters that wait for their turn to be loaded there.
     :param manageable: somebody can order the engine to load it.
@@ -73,6 +80,7 @@
 
     resident: bool = False
     coming: bool = False
+    outdated: bool = False
     room: int = 1
     wishes: int = 0
     manageable: bool = True
@@ -170,7 +178,8 @@
         return COMING_DELAY
     turns = TURN_DELAY * adapter.wishes
     slots = SLOT_DELAY * max(0, adapter.wishes + 1 - adapter.room)
-    return LOAD_DELAY + turns + slots + min(HASH_MOST, HASH_STEP * rank)
+    old = OUTDATED_DELAY * adapter.outdated
+    return LOAD_DELAY + old + turns + slots + min(HASH_MOST, HASH_STEP * rank)
 
 
 def _rank(
--- a/src/ibishead/decisions/residents.py
+++ b/src/ibishead/decisions/residents.py
@@ -157,6 +157,8 @@
         and wish.key not in weights.coming
         and wish.key not in weights.leaving
         and held.get(wish.key, -1) < max(wish.version, 1)
+        # a replacement waits for its runs, and no other order is taken meanwhile
+        and not (wish.key in held and wish.key in weights.pinned)
     ]
     # Who waits longest loses most; many who wait for one load count for more
     return min(open_wishes, key=lambda w: w.since - 0.05 * w.waiting, default=None)
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -185,17 +185,18 @@
         report = notes.report
         fresh = report is not None and now - notes.reported_at < REPORT_KEPT
         holdings = report.holdings if report is not None else target.holdings
-        resident = False
+        version = None
         for holding in holdings:
             if holding.model == weights.model:
-                resident = any(
-                    ref.name == weights.adapter and ref.version >= least_version
-                    for ref in holding.adapters
-                )
+                for ref in holding.adapters:
+                    if ref.name == weights.adapter:
+                        version = ref.version
+        resident = version is not None and version >= least_version
         coming = report is not None and any(key == weights for key, _ in report.coming)
         return AdapterPlace(
             resident=resident and weights not in notes.lacking,
             coming=coming and fresh,
+            outdated=version is not None and not resident,
             room=report.free_slots if report is not None else 1,
             wishes=report.wishes + notes.wished if report is not None else 0,
             manageable=fresh,
--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -67,13 +67,11 @@
 
     :param remaining: seconds left until the answer is of no use.
     :param rank: urgency, 0 first.
-    :param version: the adapter's version that the target must have, if any is named.
     """
 
     target: TargetId
     remaining: float
     rank: int
-    version: int | None = None
     resume_after: str | None = None
 
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -52,10 +52,6 @@
 #: Most seconds that a request waits for its adapter at one engine.
 ADAPTER_WAIT = 2.5
 
-#: Seconds for which an engine may still serve the old version of an adapter after a new
-#: one was named. Engines replace it within this time, one after the other.
-OLD_VERSION_KEPT = 3.0
-
 #: Seconds after which callers may come back, when nobody can say better.
 RETRY_WAIT = 0.5
 
@@ -173,7 +169,7 @@
     async def _answer(self, request: _Request) -> None:
         key = request.call.weights
         while True:
-            target, version = await self._choose(request)
+            target = await self._choose(request)
             try:
                 outcome = await self._sender.send(
                     request.call,
@@ -181,7 +177,6 @@
                     target,
                     request.progress,
                     request.deadline,
-                    version,
                 )
             finally:
                 if key is not None:
@@ -220,8 +215,8 @@
                     code=ErrorCode.TARGET_FAILED,
                 )
 
-    async def _choose(self, request: _Request) -> tuple[Registration, int | None]:
-        """Return a target that has the adapter, and the version to insist on."""
+    async def _choose(self, request: _Request) -> Registration:
+        """Return a target that has the adapter that is asked for."""
         key = request.call.weights
         while True:
             now = self._clock.monotonic()
@@ -230,25 +225,22 @@
             if target is None:
                 raise self._describe_refusal("the target has just left")
             if key is None:
-                return target, None
-            floor = self._feed.floors.get(key)
-            version = floor.version if floor is not None else None
+                return target
             if chosen.candidate.adapter.resident:
                 self._stewards.begin_use(target.address, key)
-                heard = self._feed.floor_heard.get(key, now - OLD_VERSION_KEPT)
-                insist = now - heard >= OLD_VERSION_KEPT
-                return target, version if insist else None
+                return target
             wait = min(ADAPTER_WAIT, request.deadline - now)
             if not chosen.candidate.adapter.coming:
                 self._book.note_wish(self._book.notes(target))
-            if await self._stewards.ask(target.address, key, version or 0, wait):
-                return target, version
+            least = self._least_version(request)
+            if await self._stewards.ask(target.address, key, least, wait):
+                return target
             request.avoid.add(target.target)
             request.last = "the adapter wasn't loaded in time"
 
     def _pick(self, request: _Request, now: float) -> Chosen:
         key = request.call.weights
-        least = self._least_version(request, now)
+        least = self._least_version(request)
         candidates = [
             self._book.describe(
                 target,
@@ -270,14 +262,10 @@
             raise self._describe_refusal(request.last or "no target is known")
         return chosen
 
-    def _least_version(self, request: _Request, now: float) -> int:
+    def _least_version(self, request: _Request) -> int:
         key = request.call.weights
         floor = self._feed.floors.get(key) if key is not None else None
-        if key is None or floor is None:
-            return 0
-        if now - self._feed.floor_heard[key] < OLD_VERSION_KEPT:
-            return 0
-        return floor.version
+        return 0 if floor is None else floor.version
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         found = self._budgets.get(service)
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -103,11 +103,9 @@
         target: Registration,
         progress: Progress,
         deadline: float,
-        version: int | None,
     ) -> Outcome:
         """Send a call to a target, and relay its answer if it is one.
 
-        :param version: of the adapter, that the target must have.
         :raises CallerLeftError: nobody waits any more.
         """
         notes = self._book.notes(target)
@@ -122,7 +120,7 @@
         exchange = _SendState(call, route, target, connection, notes)
         started = self._clock.monotonic()
         try:
-            outcome = await self._exchange(exchange, progress, deadline, version)
+            outcome = await self._exchange(exchange, progress, deadline)
         except LinkLost as error:
             outcome = Broken(error.message)
         finally:
@@ -146,14 +144,12 @@
         state: "_SendState",
         progress: Progress,
         deadline: float,
-        version: int | None,
     ) -> Outcome:
         call, route = state.call, state.route
         sending = Sending(
             state.target.target,
             deadline - self._clock.monotonic(),
             route.rank,
-            version,
             progress.last_event,
         )
         headers = self._dialect.make_headers(call, sending)
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -24,8 +24,6 @@
         if call.model:
             rank = min(max(sending.rank, _RANKS[0]), _RANKS[-1])
             own.append(("request-priority", str(rank)))
-        if sending.version is not None:
-            own.append(("expect-version", str(sending.version)))
         if sending.resume_after is not None:
             own.append(("last-event-id", sending.resume_after))
         return (*own, *call.headers)
