--- /dev/null
+++ b/tests/onplatform/test_bodies.py
@@ -0,0 +1,209 @@
+"""What arrives at the doors: well-formed, malformed and hostile."""
+
+import contextlib
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.errors import InvalidInput
+from ibishead.platform.bodies import (
+    decode_farewell,
+    decode_heartbeat,
+    decode_report,
+    decode_routes,
+    decode_version,
+)
+from ibishead.platform.callers import PlatformCallers
+from ibishead.platform.targets import PlatformTargets
+from ibishead.routing.routes import Repeatability
+from ibishead.routing.targets import TargetState
+from ibishead.web import WebRequest
+
+HEARTBEAT = {
+    "backend": "plans",
+    "address": "10.0.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "cold_ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": ["a1@3", "a2"]}],
+    "seq": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "name": "r",
+    "hostname": "Nets.Example",
+    "path_prefix": "/p/",
+    "kind": "streaming",
+    "timeout_ms": 15000,
+    "target_latency_ms": 800,
+    "priority": 1,
+    "traffic_split": [
+        {"backend": "plans", "weight": 9},
+        {"backend": "stock", "weight": 1},
+    ],
+    "max_attempts": 2,
+    "resumable": True,
+    "target_gap_ms": 300,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "plans", "health_path": "/h", "max_conns": 3}],
+    "limits": {"max_header_bytes": 100, "idle_timeout_ms": 500},
+    "unknown": {"later": True},
+}
+JUNK = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.floats(),
+    st.text(max_size=5),
+    st.lists(st.integers(), max_size=2),
+)
+
+
+def test_a_heartbeat_is_read_whole():
+    found = decode_heartbeat("i-1", json.dumps(HEARTBEAT).encode())
+    assert (found.target, found.service, found.sequence) == ("i-1", "plans", 4)
+    assert found.state is TargetState.READY
+    assert [(r.name, r.version) for r in found.holdings[0].adapters] == [
+        ("a1", 3),
+        ("a2", 1),
+    ]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "dancing"},
+        {"slots": 0},
+        {"slots": "48"},
+        {"seq": -1},
+        {"seq": None},
+        {"address": "nowhere"},
+        {"address": "10.0.0.9:99999"},
+        {"backend": ""},
+        {"born": 1.5},
+        {"models": [{"name": "m", "adapters": ["a@x"]}]},
+    ],
+)
+def test_a_malformed_heartbeat_names_no_target(change):
+    with pytest.raises(InvalidInput):
+        decode_heartbeat("i-1", json.dumps({**HEARTBEAT, **change}).encode())
+
+
+@pytest.mark.parametrize(
+    "missing", ["backend", "address", "zone", "slots", "state", "seq"]
+)
+def test_a_heartbeat_without_a_field_names_no_target(missing):
+    body = {k: v for k, v in HEARTBEAT.items() if k != missing}
+    with pytest.raises(InvalidInput):
+        decode_heartbeat("i-1", json.dumps(body).encode())
+
+
+def test_a_route_set_is_read_whole():
+    found = decode_routes(json.dumps(CONFIG).encode())
+    route = found.routes[0]
+    assert (found.version, route.hostname, route.timeout) == (7, "nets.example", 15.0)
+    assert route.kind is Repeatability.STREAM
+    assert [(s.service, s.weight) for s in route.shares] == [("plans", 9), ("stock", 1)]
+    assert (found.limits.header_bytes, found.limits.idle_time) == (100, 0.5)
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_are_nothing_are_refused(data):
+    for decode in (decode_routes, decode_report, decode_version, decode_farewell):
+        try:
+            decode(data)
+        except InvalidInput:
+            continue
+    with contextlib.suppress(InvalidInput):
+        decode_heartbeat("i", data)
+
+
+@given(st.sampled_from(sorted(HEARTBEAT)), JUNK)
+def test_a_field_of_another_kind_never_ends_the_program(field, value):
+    body = {**HEARTBEAT, field: value}
+    data = json.dumps(body).encode()
+    with contextlib.suppress(InvalidInput):
+        decode_heartbeat("i-1", data)
+
+
+@given(st.sampled_from(sorted(ROUTE)), JUNK)
+def test_a_route_with_junk_is_refused_or_read(field, value):
+    body = {**CONFIG, "routes": [{**ROUTE, field: value}]}
+    with contextlib.suppress(InvalidInput):
+        decode_routes(json.dumps(body).encode())
+
+
+def make_request(**headers: str) -> WebRequest:
+    named = tuple((k.replace("_", "-"), v) for k, v in headers.items())
+    return WebRequest("POST", "/p/x", "q=1", named, b"body")
+
+
+def test_what_only_the_system_sets_is_taken_from_callers():
+    """A caller reserves memory, or reads another's, by a header of the system."""
+    request = make_request(
+        host="Nets.Example:80",
+        request_id="r1",
+        hold="h",
+        pin_ms="9",
+        kv_backup="x",
+        kv_from="y",
+        kv_fetch="z",
+        expect_instance="i",
+        expect_version="2",
+        request_priority="0",
+        connection="x-own",
+        x_own="1",
+        x_kept="2",
+        model="m/a3",
+        token_counts="10,20",
+        prompt_prefix="ab:3,cd:4",
+        deadline_ms="1500",
+    )
+    call = PlatformCallers().read_call(request)
+    assert {name for name, _ in call.headers} == {
+        "x-kept",
+        "model",
+        "token-counts",
+        "prompt-prefix",
+    }
+    assert (call.hostname, call.target) == ("nets.example", "/p/x?q=1")
+    assert (call.model, call.adapter, call.patience) == ("m", "a3", 1.5)
+    assert [(p.name, p.tokens) for p in call.parts] == [("ab", 3), ("cd", 4)]
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {},
+        {"request_id": "r", "deadline_ms": "soon"},
+        {"request_id": "r", "deadline_ms": "-1"},
+        {"request_id": "r", "token_counts": "1"},
+        {"request_id": "r", "prompt_prefix": "ab"},
+    ],
+)
+def test_a_call_that_cannot_be_understood_is_refused(headers):
+    with pytest.raises(InvalidInput):
+        PlatformCallers().read_call(make_request(**headers))
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "genuine"),
+    [
+        (200, {"request-id": "r1", "response-stamp": "s"}, False, True),
+        (200, {"request-id": "r1"}, False, False),
+        (200, {"request-id": "r2", "response-stamp": "s"}, False, False),
+        (503, {"not-executed": "1"}, True, False),
+        (503, {"request-id": "r1", "response-stamp": "s"}, False, True),
+        (421, {"instance-id": "other"}, True, False),
+    ],
+)
+def test_what_an_answer_proves(status, headers, not_run, genuine):
+    call = PlatformCallers().read_call(make_request(request_id="r1"))
+    head = PlatformTargets().read_head(call, status, tuple(headers.items()))
+    assert (head.not_run, head.genuine) == (not_run, genuine)
