--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -54,8 +54,8 @@
 ADAPTER_FACTOR = 1.5
 ADAPTER_LEAST = 0.8
 
-#: Seconds until a request that no engine has begun is refused, as a multiple of what the
-#: route aims at. Callers of streams leave after some four times that without a first
+#: Seconds until a request that no engine has begun is refused, as a multiple of what
+#: its route aims at. Callers of streams leave after some four times that without an
 #: event; a refusal before lets them try once more, elsewhere.
 REFUSE_FACTOR = 2.5
 
