Take only what ends in time while a gateway leaves

Callers tell the most tokens of an answer; with the measured pace of answers the gateway refuses at once, as not run, what would not end.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -13,6 +13,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.choice import Chosen, Need, choose_target
+from ibishead.decisions.leaving import ELSEWHERE_WAIT, AnswerPace, fits_grace
 from ibishead.decisions.retry import BudgetShare, RetryBudget
 from ibishead.errors import (
     ErrorCode,
@@ -104,6 +105,12 @@
         self._share = share
         self._draw = draw
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._pace = AnswerPace()
+        self._ends_at: float | None = None
+
+    def leave(self, ends_at: float) -> None:
+        """Take only what will have been answered by then, in monotonic seconds."""
+        self._ends_at = ends_at
 
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -114,6 +121,9 @@
             request = self._resolve(call, exchange, started)
             await self._run(request, exchange)
             self._log(request, "answered")
+            if request.progress.first:
+                took = self._clock.monotonic() - request.progress.first
+                self._pace.note(took, call.answer_tokens)
         except CallerLeftError:
             self._log(request, "caller_left")
         except IbisheadError as error:
@@ -125,6 +135,16 @@
             await exchange.respond(status, headers, body)
 
     def _resolve(self, call: Call, exchange: Exchange, started: float) -> _Request:
+        expected = self._pace.expect(call.answer_tokens)
+        if self._ends_at is not None and not fits_grace(
+            expected, self._ends_at - started
+        ):
+            raise Unavailable(
+                "not run: this host is about to stop",
+                "send it again over a new connection",
+                code=ErrorCode.DRAINING,
+                retry_after=ELSEWHERE_WAIT,
+            )
         routes = self._feed.routes
         if routes is None:
             raise Unavailable(
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -3,10 +3,8 @@
 import asyncio
 import contextlib
 import logging
-from datetime import timedelta
 
 from ibishead.clock import Clock
-from ibishead.errors import ErrorCode, Unavailable
 from ibishead.gateway.book import TargetBook
 from ibishead.gateway.calls import CallerDialect, TargetDialect
 from ibishead.gateway.pipeline import Pipeline
@@ -27,18 +25,11 @@
 #: balancer asks once a second and lets go after two answers of no.
 LEAVE_TIME = 2.3
 
-#: Seconds from the order to stop after which a request is refused. Long answers that
-#: begin later would be cut at the end of the grace; a refusal sends callers on at once.
-REFUSE_AFTER = 2.6
-
-#: Seconds after which callers that were refused may come back; other hosts serve them.
-ELSEWHERE_WAIT = timedelta(seconds=0.05)
-
 #: Seconds without a request after which a stopping gateway ends.
 QUIET_TIME = 0.4
 
 #: Seconds before the end of its grace at which a stopping gateway cuts what still runs.
-CUT_MARGIN = 0.5
+CUT_MARGIN = 0.3
 
 #: Seconds between two sweeps of kept connections.
 SWEEP_INTERVAL = 0.5
@@ -88,7 +79,7 @@
         )
         self._running = 0
         self._quiet_since = clock.monotonic()
-        self._left_at = 0.0
+        self._stopping = False
         self._web = WebServer(self._serve, Limits(connections=settings.connections))
         self._door = WebServer(self._answer_readiness, Limits(connections=64))
         self._sweeper: asyncio.Task[None] | None = None
@@ -104,7 +95,8 @@
         """Leave the balancer's rotation, finish every request, then end."""
         began = self._clock.monotonic()
         last = began + self._settings.grace - CUT_MARGIN
-        self._left_at = began
+        self._stopping = True
+        self._pipeline.leave(last)
         self._web.begin_stop()
         logger.info("gateway leaves", extra={"running": self._running})
         while (now := self._clock.monotonic()) < last:
@@ -123,16 +115,6 @@
         self._pool.close()
 
     async def _serve(self, exchange: Exchange) -> None:
-        if self._left_at and self._clock.monotonic() - self._left_at > REFUSE_AFTER:
-            error = Unavailable(
-                "not run: this host is about to stop",
-                "send it again over a new connection",
-                code=ErrorCode.DRAINING,
-                retry_after=ELSEWHERE_WAIT,
-            )
-            status, headers, body = self._callers.show_error(error, exchange.request)
-            await exchange.respond(status, headers, body)
-            return
         self._running += 1
         try:
             await self._pipeline.serve(exchange)
@@ -144,7 +126,7 @@
         if not self._callers.is_ready_question(exchange.request):
             await exchange.respond(404, ())
             return
-        ready = not self._left_at and self.feed.routes is not None
+        ready = not self._stopping and self.feed.routes is not None
         await exchange.respond(200 if ready else 503, ())
 
     def _take_routes(self, routes: RouteSet) -> None:
--- /dev/null
+++ b/tests/decisions/test_leaving.py
@@ -0,0 +1,26 @@
+"""Which requests a host still takes while it leaves."""
+
+import pytest
+
+from ibishead.decisions.leaving import AnswerPace, fits_grace
+
+
+@pytest.mark.parametrize(
+    ("expected", "remaining", "taken"),
+    [(0.0, 7.7, True), (4.0, 7.7, True), (5.0, 7.7, False), (0.0, 1.5, False)],
+)
+def test_only_what_ends_in_time_is_taken(expected, remaining, taken):
+    assert fits_grace(expected, remaining) is taken
+
+
+def test_a_long_answer_that_begins_late_is_not_taken():
+    """A mender's plan breaks off in the middle while a host is updated.
+
+    It was asked for 1.2 s after the order to stop, and ran 6.3 s of the 6.5 s that its
+    161 events needed. The caller may not repeat it.
+    """
+    pace = AnswerPace()
+    for _ in range(200):
+        pace.note(9.1, 483)
+    assert not fits_grace(pace.expect(483), 6.5)
+    assert fits_grace(pace.expect(120), 6.5)
