--- /dev/null
+++ b/tests/gateway/test_pipeline.py
@@ -0,0 +1,286 @@
+"""The way of a request through a gateway, with targets that fail in every way."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from ibishead.clock import SystemClock
+from ibishead.decisions.retry import BudgetShare
+from ibishead.errors import LinkLost
+from ibishead.gateway.book import TargetBook
+from ibishead.gateway.connection import TargetConnection
+from ibishead.gateway.pipeline import Pipeline
+from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.stewards import StewardLinks
+from ibishead.headers import find_header
+from ibishead.ids import FailureDomain, HostId, ServiceName, TargetId
+from ibishead.links import Endpoint
+from ibishead.platform.callers import PlatformCallers
+from ibishead.platform.targets import PlatformTargets
+from ibishead.routing.feed import RegistryFeed
+from ibishead.routing.messages import MemberKind, MemberRecord
+from ibishead.routing.routes import Repeatability, Route, RouteSet, ServiceSpec, Share
+from ibishead.routing.targets import Registration, TargetState
+from ibishead.web import Exchange, WebServer
+
+LOOPBACK = Endpoint("127.0.0.1", 0)
+HOME = FailureDomain("a")
+Behaviour = Callable[[Exchange, str], Awaitable[None]]
+
+
+async def answer_well(exchange: Exchange, request: str) -> None:
+    await exchange.respond(200, _own(request), b"done")
+
+
+async def refuse(exchange: Exchange, request: str) -> None:
+    await exchange.respond(503, (("not-executed", "1"),))
+
+
+async def fail(exchange: Exchange, request: str) -> None:
+    await exchange.respond(500, _own(request), b"broken")
+
+
+async def reset(exchange: Exchange, request: str) -> None:
+    exchange._connection._writer.transport.abort()
+
+
+async def answer_another(exchange: Exchange, request: str) -> None:
+    await exchange.respond(200, _own("other"), b"done")
+
+
+async def answer_without_mark(exchange: Exchange, request: str) -> None:
+    await exchange.respond(200, (("request-id", request),), b"done")
+
+
+async def answer_encoded(exchange: Exchange, request: str) -> None:
+    await exchange.respond(200, (*_own(request), ("content-encoding", "x")), b"done")
+
+
+async def be_silent(exchange: Exchange, request: str) -> None:
+    await exchange.gone.wait()
+
+
+async def stream_well(exchange: Exchange, request: str) -> None:
+    await _stream(exchange, request, 4)
+
+
+async def stream_half(exchange: Exchange, request: str) -> None:
+    await _stream(exchange, request, 2, b"id: 3\nda")
+    exchange._connection._writer.transport.abort()
+
+
+async def stream_then_stall(exchange: Exchange, request: str) -> None:
+    await _stream(exchange, request, 2, b"id: 3\nda")
+    await exchange.gone.wait()
+
+
+async def _stream(
+    exchange: Exchange, request: str, last: int, rest: bytes | None = None
+) -> None:
+    first = int(find_header(exchange.request.headers, "last-event-id") or 0) + 1
+    await exchange.start(200, _own(request))
+    for number in range(first, last + 1):
+        await exchange.send(b"id: %d\ndata: x\n\n" % number)
+    if rest is None:
+        await exchange.finish()
+    else:
+        await exchange.send(rest)
+        await asyncio.sleep(0.05)
+
+
+def _own(request: str):
+    return (("request-id", request), ("response-stamp", "s"))
+
+
+WHOLE_STREAM = b"".join(b"id: %d\ndata: x\n\n" % n for n in range(1, 5))
+
+
+class Setting:
+    """A gateway's pipeline before targets that behave as they are told, in turn."""
+
+    def __init__(self, kind: Repeatability, *behaviours: Behaviour, **route) -> None:
+        self._behaviours = list(behaviours)
+        self.arrivals: list[str] = []
+        member = MemberRecord(HostId("g"), MemberKind.GATEWAY, "", 0, HOME)
+        clock = SystemClock()
+        feed = RegistryFeed(member, (), clock)
+        fields = {
+            "name": "r",
+            "hostname": "nets.example",
+            "prefix": "/p/",
+            "kind": kind,
+            "timeout": 1.0,
+            "objective": 0.2,
+            "shares": (Share(ServiceName("s"), 1.0),),
+            "gap_objective": 0.1,
+        }
+        services = (ServiceSpec(ServiceName("s"), "/h", 9),)
+        feed.routes = RouteSet(1, (Route(**{**fields, **route}),), services)
+        self.feed = feed
+        self.pool = ConnectionPool(clock)
+        self.pipeline = Pipeline(
+            HOME,
+            feed,
+            TargetBook(),
+            self.pool,
+            StewardLinks(HostId("g"), clock, lambda report: None),
+            PlatformCallers(),
+            PlatformTargets(),
+            clock,
+            BudgetShare(0.0, 3.0),
+            lambda: 0.0,
+        )
+        self._web = WebServer(self.pipeline.serve)
+        self._targets: list[WebServer] = []
+
+    async def __aenter__(self) -> "Setting":
+        for number in range(max(1, len(self._behaviours))):
+            server = WebServer(self._behave)
+            endpoint = await server.start(LOOPBACK)
+            self._targets.append(server)
+            self.feed.view.merge(
+                Registration(
+                    TargetId(f"t{number}"),
+                    ServiceName("s"),
+                    str(endpoint),
+                    HOME,
+                    4,
+                    TargetState.READY,
+                    1,
+                    1,
+                ),
+                0.0,
+            )
+        self.endpoint = await self._web.start(LOOPBACK)
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        self.pool.close()
+        for server in (self._web, *self._targets):
+            await server.stop(0.0)
+
+    async def _behave(self, exchange: Exchange) -> None:
+        request = find_header(exchange.request.headers, "request-id") or ""
+        self.arrivals.append(request)
+        behaviour = self._behaviours[len(self.arrivals) - 1]
+        await behaviour(exchange, request)
+
+    async def ask(self, path: str = "/p/x", **headers) -> tuple[int, bytes]:
+        sent = {"host": "nets.example", "request-id": "r1", "deadline-ms": "900"}
+        connection = await TargetConnection.open(self.endpoint, 1.0)
+        try:
+            status, _ = await connection.ask(
+                "POST", path, tuple({**sent, **headers}.items()), b"body"
+            )
+            body = b""
+            while (piece := await connection.read()) is not None:
+                body += piece
+            return status, body
+        finally:
+            connection.close()
+
+
+ONCE, SAFE, STREAM = Repeatability.ONCE, Repeatability.IDEMPOTENT, Repeatability.STREAM
+
+
+@pytest.mark.parametrize(
+    ("kind", "behaviours", "attempts", "status", "arrivals"),
+    [
+        (ONCE, (answer_well,), 1, 200, 1),
+        (ONCE, (refuse, answer_well), 1, 200, 2),
+        (ONCE, (refuse, refuse, refuse), 1, 429, 3),
+        (ONCE, (reset, answer_well), 3, 502, 1),
+        (ONCE, (fail, answer_well), 3, 500, 1),
+        (ONCE, (answer_another, answer_well), 3, 502, 1),
+        (ONCE, (answer_without_mark, answer_well), 3, 502, 1),
+        (ONCE, (answer_encoded, answer_well), 3, 502, 1),
+        (ONCE, (be_silent, answer_well), 3, 504, 1),
+        (ONCE, (refuse, reset, answer_well), 3, 502, 2),
+        (SAFE, (reset, answer_well), 2, 200, 2),
+        (SAFE, (reset, answer_well), 1, 502, 1),
+        (SAFE, (fail, answer_well), 2, 200, 2),
+        (SAFE, (fail, fail), 2, 500, 2),
+        (SAFE, (answer_another, answer_well), 2, 200, 2),
+        (SAFE, (reset, refuse, refuse, refuse), 2, 502, 4),
+        (STREAM, (reset, stream_well), 1, 502, 1),
+    ],
+)
+async def test_what_a_caller_hears(kind, behaviours, attempts, status, arrivals):
+    """An order is committed twice, or said not to have run although it had.
+
+    What may run once goes on only after a refusal; whatever may have run is never told
+    as not run, also when a later target refuses.
+    """
+    async with Setting(kind, *behaviours, attempts=attempts) as setting:
+        assert (await setting.ask())[0] == status
+        assert len(setting.arrivals) == arrivals
+
+
+@pytest.mark.parametrize("breaking", [stream_half, stream_then_stall])
+async def test_a_resumable_stream_goes_on_elsewhere_without_a_seam(breaking):
+    """A plan shows an event in half and then again, or stops in the middle.
+
+    The first target breaks off, or falls silent, in the middle of event 3.
+    """
+    changes = {"resumable": True, "attempts": 2, "timeout": 9.0}
+    async with Setting(STREAM, breaking, stream_well, **changes) as setting:
+        answer = await setting.ask(**{"deadline-ms": "8000"})
+        assert answer == (200, WHOLE_STREAM)
+
+
+async def test_a_stream_that_may_not_be_repeated_never_looks_whole():
+    async with Setting(STREAM, stream_half, stream_well, attempts=2) as setting:
+        with pytest.raises(LinkLost):
+            await setting.ask()
+        assert len(setting.arrivals) == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/other/x", {}, 404),
+        ("/p/x", {"host": "other.example"}, 404),
+        ("/p/x", {"deadline-ms": "soon"}, 400),
+    ],
+)
+async def test_what_leads_nowhere_is_told_and_not_sent(path, headers, status):
+    async with Setting(SAFE, answer_well) as setting:
+        assert (await setting.ask(path, **headers))[0] == status
+        assert setting.arrivals == []
+
+
+async def test_without_routes_nothing_is_denied():
+    """Callers are told for good that a service doesn't exist, by a host that has just
+    been started and knows no routes yet.
+    """
+    async with Setting(SAFE, answer_well) as setting:
+        setting.feed.routes = None
+        assert (await setting.ask())[0] == 503
+
+
+async def test_a_caller_that_leaves_takes_its_request_along():
+    async with Setting(SAFE, be_silent, timeout=20.0) as setting:
+        connection = await TargetConnection.open(setting.endpoint, 1.0)
+        asking = asyncio.create_task(
+            connection.ask(
+                "POST", "/p/x", (("host", "nets.example"), ("request-id", "r")), b""
+            )
+        )
+        while not setting.arrivals:
+            await asyncio.sleep(0.01)
+        assert setting._targets[0].connection_count == 1
+        asking.cancel()
+        connection.close()
+        async with asyncio.timeout(0.5):
+            while setting._targets[0].connection_count:
+                await asyncio.sleep(0.01)
+
+
+async def test_the_budget_of_second_sends_is_kept():
+    """Targets that fail get three times the requests, and fail all the more."""
+    behaviours = [reset, reset] * 10
+    async with Setting(SAFE, *behaviours, attempts=2) as setting:
+        for _ in range(10):
+            assert (await setting.ask())[0] == 502
+        assert len(setting.arrivals) == 10 + 3
