--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -13,9 +13,6 @@
 #: Seconds for which a told load counts; other gateways' sends change it all the time.
 TOLD_KEPT = 0.6
 
-#: Seconds for which a steward's report counts. It repeats itself four times a second.
-REPORT_KEPT = 2.0
-
 #: Weight of the newest answer in the share of failures and in the mean duration.
 FAILURE_WEIGHT = 0.2
 PACE_WEIGHT = 0.1
@@ -51,7 +48,6 @@
     unreached_until: float = 0.0
     mean_time: float = 0.0
     report: EngineReport | None = None
-    reported_at: float = -REPORT_KEPT
     wished: int = 0
     lacking: set[WeightKey] = field(default_factory=set)
 
@@ -83,7 +79,7 @@
             self._notes[report.target] = notes
         if notes.report is None or notes.report.holdings != report.holdings:
             notes.lacking.clear()
-        notes.report, notes.reported_at = report, now
+        notes.report = report
         notes.wished = 0
         notes.told = report.running + report.queued
         notes.told_at = now
@@ -139,11 +135,13 @@
         now: float,
         weights: WeightKey | None,
         least_version: int,
+        manageable: bool,
     ) -> Candidate:
         """Return what the choice among targets has to know of one.
 
         :param heard: when any registry last heard of it.
         :param least_version: of the adapter, that the request may begin on.
+        :param manageable: the target's steward is linked.
         """
         notes = self.notes(target)
         busy = notes.sent
@@ -176,14 +174,13 @@
         self,
         target: Registration,
         notes: TargetNotes,
-        now: float,
         weights: WeightKey | None,
         least_version: int,
+        manageable: bool,
     ) -> AdapterPlace:
         if weights is None:
             return AdapterPlace(resident=True)
         report = notes.report
-        fresh = report is not None and now - notes.reported_at < REPORT_KEPT
         holdings = report.holdings if report is not None else target.holdings
         version = None
         for holding in holdings:
@@ -195,11 +192,11 @@
         coming = report is not None and any(key == weights for key, _ in report.coming)
         return AdapterPlace(
             resident=resident and weights not in notes.lacking,
-            coming=coming and fresh,
+            coming=coming and manageable,
             outdated=version is not None and not resident,
             room=report.free_slots if report is not None else 1,
             wishes=report.wishes + notes.wished if report is not None else 0,
-            manageable=fresh,
+            manageable=manageable,
         )
 
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -279,6 +279,7 @@
                 now,
                 key,
                 least,
+                self._stewards.reaches(target.address),
             )
             for target in self._feed.view.list_service(request.service)
         ]
--- /dev/null
+++ b/tests/gateway/test_book.py
@@ -0,0 +1,101 @@
+"""What a gateway believes of a target, as reports age and answers come."""
+
+import pytest
+
+from ibishead.gateway.book import TargetBook
+from ibishead.gateway.calls import TargetLoadTold
+from ibishead.ids import FailureDomain, ModelName, ServiceName, TargetId
+from ibishead.routing.messages import EngineReport
+from ibishead.routing.targets import (
+    AdapterRef,
+    Holding,
+    Registration,
+    TargetState,
+    WeightKey,
+)
+
+MODEL = ModelName("m")
+KEY = WeightKey(MODEL, "a1")
+TARGET = Registration(
+    TargetId("t"),
+    ServiceName("s"),
+    "10.0.0.1:80",
+    FailureDomain("a"),
+    8,
+    TargetState.READY,
+    1,
+    1,
+)
+
+
+def make_report(version: int = 1, born: int = 1, **changes) -> EngineReport:
+    holdings = (Holding(MODEL, 1, (AdapterRef("a1", version),)),)
+    return EngineReport(TargetId("t"), born, holdings, free_slots=2, **changes)
+
+
+def describe(book: TargetBook, now: float, key=KEY, least: int = 0, linked=True):
+    return book.describe(TARGET, now, now, key, least, linked)
+
+
+@pytest.mark.parametrize("age", [0.1, 5.0, 600.0])
+def test_a_report_that_has_nothing_new_to_tell_still_counts(age):
+    """The first callers after a quiet time are refused, as if no engine was there.
+
+    Nothing had changed at the engines for minutes, so their stewards had told nothing.
+    """
+    book = TargetBook()
+    book.take_report(make_report(), 0.0)
+    assert describe(book, age).adapter.resident
+    assert describe(book, age, WeightKey(MODEL, "b")).adapter.manageable
+
+
+@pytest.mark.parametrize(
+    ("held", "least", "resident", "outdated"),
+    [
+        (1, 0, True, False),
+        (1, 2, False, True),
+        (2, 2, True, False),
+        (3, 2, True, False),
+    ],
+)
+def test_an_old_version_counts_as_absent(held, least, resident, outdated):
+    book = TargetBook()
+    book.take_report(make_report(held), 0.0)
+    place = describe(book, 0.1, least=least).adapter
+    assert (place.resident, place.outdated) == (resident, outdated)
+
+
+def test_an_engine_without_its_steward_serves_what_it_holds():
+    book = TargetBook()
+    book.take_report(make_report(), 0.0)
+    assert describe(book, 1.0, linked=False).adapter.resident
+    other = describe(book, 1.0, WeightKey(MODEL, "b"), linked=False).adapter
+    assert not other.manageable
+
+
+def test_a_new_life_starts_without_the_notes_of_the_last():
+    book = TargetBook()
+    book.take_report(make_report(born=1), 0.0)
+    book.take_report(EngineReport(TargetId("t"), 2, ()), 1.0)
+    notes = book.find(TargetId("t"))
+    assert notes is not None
+    assert (notes.born, notes.report.holdings) == (2, ())
+
+
+def test_told_load_counts_with_own_sends_since_and_ages():
+    book = TargetBook()
+    notes = book.notes(TARGET)
+    book.note_told(notes, TargetLoadTold(5, 1, 8), 10.0)
+    book.begin(notes, 0)
+    assert describe(book, 10.1).busy == 7
+    assert describe(book, 12.0).busy == 1
+
+
+def test_failures_weigh_less_with_time():
+    book = TargetBook()
+    notes = book.notes(TARGET)
+    for _ in range(10):
+        book.note_outcome(notes, True, 0.0)
+    before, after = describe(book, 0.0).failures, describe(book, 8.0).failures
+    assert before > 0.8
+    assert after == pytest.approx(before / 4)
