--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -159,7 +159,7 @@
             self._failures(notes, now),
             silent=now - heard > SILENT_AFTER,
             unreached=now < notes.unreached_until,
-            adapter=self._place(target, notes, now, weights, least_version),
+            adapter=self._place(target, notes, weights, least_version, manageable),
         )
 
     def forget(self, targets: list[TargetId]) -> None:
