Finish a replacement that was interrupted: too few voters are made up by a learner

The promotion now waits for the entry, and any leader makes up missing voters. Test red without the guard (stands still), green with it.

--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -46,6 +46,7 @@
     :param repair: seconds of silence after which a voter counts as lost.
     :param readmit: a voter whose host is back with an emptied disk is replaced at once
         by that host's new replica, without an operator's word.
+    :param voters: voters that unattended repair keeps up, 0 to leave the number alone.
     :param snapshot_entries: applied entries between two snapshots.
     :param snapshot_bytes: bytes of applied commands between two snapshots.
     :param reserve: bytes that must stay free on the disk for changes to be taken.
@@ -56,6 +57,7 @@
     answer: float = 5.0
     repair: float = 300.0
     readmit: bool = False
+    voters: int = 0
     snapshot_entries: int = 1000
     snapshot_bytes: int = 32 * 1024 * 1024
     reserve: int = 64 * 1024 * 1024
--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/repair.py
@@ -20,6 +20,10 @@
 #: Seconds in which a new replica must have caught up.
 REPLACE_LIMIT = 120.0
 
+#: Seconds for which the promotion of a replica that has held the whole log waits for
+#: the entry in between.
+_PROMOTE_LIMIT = 2.0
+
 #: Seconds without an introduction after which a spare counts as gone.
 _HEARD_LIMIT = 5.0
 
@@ -115,6 +119,42 @@
         now = self._replica.clock.monotonic()
         return not self._running and now >= self._next and self._plan() is not None
 
+    def find_missing(self) -> ReplicaId | None:
+        """Return a learner to promote where voters are too few.
+
+        Failure: a replacement removes the lost voter and is then interrupted, by a
+        change of leader or a learner that lags. Nothing is silent any more, so no
+        repair is due, and the next loss ends the quorum for good.
+        """
+        replica = self._replica
+        current = replica.core.configuration
+        if self._running or len(current.voters) >= replica.pace.voters:
+            return None
+        if replica.clock.monotonic() < self._next:
+            return None
+        for learner in current.learners:
+            known = replica.founding.known.get(replica_host(learner))
+            heard = known is not None and known.replica == learner
+            if (
+                heard
+                and _is_heard(replica, replica_host(learner))
+                and replica.core.is_caught_up(learner)
+            ):
+                return learner
+        return None
+
+    async def promote(self, learner: ReplicaId) -> None:
+        """Make a learner a voter."""
+        self._running = True
+        try:
+            await _promote(self._replica, learner)
+            logger.info("learner %s votes", learner)
+        except IbisheadError as error:
+            logger.warning("learner doesn't vote yet", extra={"reason": str(error)})
+        finally:
+            self._running = False
+            self._next = self._replica.clock.monotonic() + _REPAIR_INTERVAL
+
     async def run(self) -> None:
         """Replace the voter that has been silent longest."""
         plan = self._plan()
@@ -175,9 +215,14 @@
 
 
 async def _promote(replica: "LogReplica", fresh: ReplicaId) -> None:
+    if fresh in replica.core.configuration.voters:
+        return
+    # the change before it may not have reached the new replica yet
+    limit = replica.clock.monotonic() + _PROMOTE_LIMIT
+    while not replica.core.is_caught_up(fresh) and replica.clock.monotonic() < limit:
+        await asyncio.sleep(replica.pace.tick)
     current = replica.core.configuration
-    if fresh not in current.voters:
-        await replica.change_configuration(configuration.promote(current, fresh))
+    await replica.change_configuration(configuration.promote(current, fresh))
 
 
 async def _take_out(replica: "LogReplica", lost: ReplicaId) -> None:
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -383,6 +383,8 @@
             return
         if self._repair.is_due():
             self._spawn(self._repair.run())
+        elif (learner := self._repair.find_missing()) is not None:
+            self._spawn(self._repair.promote(learner))
         elif (spare := self._repair.find_spare()) is not None:
             self._spawn(self._repair.take_spare(spare))
 
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -156,6 +156,7 @@
             answer=0.8,
             repair=self._settings.repair_after,
             readmit=True,
+            voters=count_voters(self._settings.losses),
             snapshot_bytes=SNAPSHOT_BYTES,
             reserve=DISK_RESERVE,
         )
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -11,8 +11,9 @@
 from tests.fake_files import FakeFiles
 
 from ibishead.clock import SystemClock
+from ibishead.control import configuration
 from ibishead.control.folder import DataFolder
-from ibishead.control.identity import Identity
+from ibishead.control.identity import Identity, replica_host
 from ibishead.control.peering import Forward, FrameReader, PeerLinks
 from ibishead.control.replica import LogReplica
 from ibishead.errors import Conflict, ErrorCode, StorageFault, Unavailable
@@ -240,6 +241,37 @@
     assert second.machine.commands == ["before", "after"]
 
 
+@pytest.mark.parametrize("taken", ["follower", "none"])
+async def test_interrupted_replacement_is_finished(taken: str) -> None:
+    """Nothing can be changed any more, for good, after a single loss.
+
+    A voter that was cut off for seconds was taken out to be replaced, and the
+    replacement ended there. Everything looked well until one of the two voters that
+    were left was lost.
+    """
+    names = [HostId(f"c{number}") for number in (1, 2, 3, 4)]
+    pace = replace(PACE, readmit=True, voters=3)
+    cluster = Cluster(names, tuple(names[:3]), pace)
+    for name in names:
+        await cluster.start(name)
+    leader = await cluster.find_leader()
+    replica = cluster.hosts[leader].replica
+    await wait_until(lambda: len(replica.replicas().learners) == 1)
+    if taken == "follower":
+        lost = next(v for v in replica.replicas().voters if v != replica.name)
+        await replica.change_configuration(
+            configuration.remove(replica.core.configuration, lost)
+        )
+    await wait_until(lambda: len(replica.replicas().voters) == 3)
+    other = next(
+        replica_host(v) for v in replica.replicas().voters if v != replica.name
+    )
+    await cluster.kill(other)
+    async with asyncio.timeout(5.0):
+        await cluster.hosts[await cluster.find_leader()].replica.propose(b"after")
+    await cluster.stop()
+
+
 async def test_full_disk_refuses_and_serves_again(cluster: Cluster) -> None:
     leader = cluster.hosts[await cluster.find_leader()]
     leader.files.full = True
