Let the last answer of a connection out before it is closed

After the last answer of a connection the server cut what the system hadn't taken yet; long answers on small windows lost their end. It now waits until all is taken, within the write limit. Test red before.

--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -223,6 +223,7 @@
         self._connections.add(connection)
         try:
             await connection.run()
+            await connection.flush()
         except (ConnectionError, LinkLost, TimeoutError):
             pass
         except h11.ProtocolError as error:
@@ -268,6 +269,18 @@
         if self._idle and not self._state.trailing_data[0]:
             self._writer.close()
 
+    async def flush(self) -> None:
+        """Return once the caller's system has taken the last answer.
+
+        Failure: the last answer of a connection is long, or its link slow. Closing the
+        connection while a part of it still waits here would cut that part off, and the
+        caller has half an answer.
+        """
+        transport = self._writer.transport
+        transport.set_write_buffer_limits(high=0)
+        async with asyncio.timeout(self._limits.write_seconds):
+            await self._writer.drain()
+
     def abort(self) -> None:
         transport = self._writer.transport
         if transport.get_write_buffer_size() == 0:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import pytest
 
@@ -162,3 +163,32 @@
     got = await asking
     assert await got.read() == b"whole"
     await stopping
+
+
+async def test_a_long_last_answer_reaches_a_slow_reader_whole():
+    """An operator reads the routes back and gets half of them.
+
+    The connection is to be closed after the answer, and the reader is slower than the
+    server: a part of the answer still waits in the server when it closes.
+    """
+    body = b"x" * 60_000
+
+    async def answer(exchange):
+        sock = exchange._connection._writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await exchange.respond(200, (), body)
+
+    server = WebServer(answer)
+    endpoint = await server.start(Endpoint("127.0.0.1", 0))
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(sock, (endpoint.address, endpoint.port))
+    reader, writer = await asyncio.open_connection(sock=sock, limit=2048)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    await asyncio.sleep(0.3)
+    received = await reader.read()
+    assert received.endswith(body)
+    writer.close()
+    await server.stop(0.0)
