Go by the slowest pace of answers while a gateway leaves

The mean pace counted answers that end long before their last allowed token. Test red with the mean.

--- a/src/ibishead/decisions/leaving.py
+++ b/src/ibishead/decisions/leaving.py
@@ -22,13 +22,18 @@
 #: Seconds after which callers that were refused may come back; other hosts serve them.
 ELSEWHERE_WAIT = timedelta(seconds=0.05)
 
-#: Weight of the newest answer, and seconds of one token before any was seen.
-PACE_WEIGHT = 0.05
+#: Seconds of one token before any answer was seen, and the share by which the slowest
+#: pace fades with each further answer.
 FIRST_PACE = 0.02
+PACE_FADE = 0.01
 
 
 class AnswerPace:
-    """The seconds that answers take for each token that they may have."""
+    """The most seconds that answers take for each token that they may have.
+
+    Failure: most answers end long before their last allowed token. By their mean, one
+    that uses all of them seems to take half its time, and is cut.
+    """
 
     def __init__(self) -> None:
         self._pace = FIRST_PACE
@@ -39,7 +44,7 @@
         :param tokens: most tokens that it could have had.
         """
         if tokens > 0:
-            self._pace += PACE_WEIGHT * (seconds / tokens - self._pace)
+            self._pace = max(seconds / tokens, self._pace * (1 - PACE_FADE))
 
     def expect(self, tokens: int) -> float:
         """Return the seconds that an answer of that many tokens takes."""
--- a/tests/decisions/test_leaving.py
+++ b/tests/decisions/test_leaving.py
@@ -13,6 +13,17 @@
     assert fits_grace(expected, remaining) is taken
 
 
+def test_answers_that_end_early_do_not_hide_the_pace():
+    """An answer that uses all its tokens is cut, though short ones made it seem quick.
+
+    Nine answers of ten end at a third of their allowed tokens.
+    """
+    pace = AnswerPace()
+    for number in range(200):
+        pace.note(7.0 if number % 10 == 0 else 2.3, 500)
+    assert not fits_grace(pace.expect(500), 5.65)
+
+
 def test_a_long_answer_that_begins_late_is_not_taken():
     """A mender's plan breaks off in the middle while a host is updated.
 
