--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -257,6 +257,10 @@
     leader = await cluster.find_leader()
     replica = cluster.hosts[leader].replica
     await wait_until(lambda: len(replica.replicas().learners) == 1)
+    # one change at a time: the learner's own must be committed before the next
+    await wait_until(
+        lambda: replica.core.applied >= replica.core.log.configuration_index
+    )
     if taken == "follower":
         lost = next(v for v in replica.replicas().voters if v != replica.name)
         await replica.change_configuration(
