Send an adapter's requests back to the engine that held it

An engine that was a moment less busy than the holder fetched a copy of its own, and gateways had forgotten who still has a copy at hand, which is ten times as fast.

Change: gateways remember what each engine has had in its present life, and a copy from the store counts 0.2 s more where another engine has the adapter.

Of the test's play: 1.30 copies an adapter before, 1.04 after.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -24,8 +24,15 @@
 #: Seconds until an adapter that is on its way is there, on average half of a load.
 COMING_DELAY = 0.15
 
-#: Seconds to load an adapter at full speed of the store, with the order before it.
+#: Seconds to load an adapter at full speed of the store, with the order before it, and
+#: where the engine has held it before and still has a copy at hand.
 LOAD_DELAY = 0.28
+RELOAD_DELAY = 0.05
+
+#: Seconds that count for one more copy from the store of an adapter that another engine
+#: has. All loads share the store: at a rate that it can just bear, each waits a second.
+#: Without it an adapter was brought to 1.9 engines on a heavy day.
+COPY_DELAY = 0.2
 
 #: Seconds for each adapter that is loaded before.
 TURN_DELAY = 0.2
@@ -71,6 +78,7 @@
 
     :param resident: in place, at a version that the request may begin on.
     :param coming: on its way there.
+    :param recent: held there before, at a version that the request may begin on.
     :param outdated: in place at a version that the request may not begin on. Its
         replacement waits for the requests that use it.
     :param room: slots that are empty or hold what nobody uses.
@@ -80,11 +88,27 @@
 
     resident: bool = False
     coming: bool = False
+    recent: bool = False
     outdated: bool = False
     room: int = 1
     wishes: int = 0
     manageable: bool = True
 
+    def describe(self) -> str:
+        """Return in a word where the adapter stands."""
+        if self.resident:
+            return "resident"
+        if self.coming:
+            return "coming"
+        if self.recent:
+            return "recent"
+        return "outdated" if self.outdated else "absent"
+
+    @property
+    def held(self) -> bool:
+        """Whether the engine needs no copy from the store."""
+        return self.resident or self.coming or self.recent
+
 
 @dataclass(frozen=True)
 class Candidate:
@@ -142,15 +166,15 @@
     differences below a batch step are broken by chance.
     """
     ranks = _rank(need.weights, candidates)
+    usable = [c for c in candidates if c.target not in need.avoid]
+    copy = any(c.adapter.held for c in usable)
     best: Chosen | None = None
-    for candidate in candidates:
-        if candidate.target in need.avoid:
-            continue
+    for candidate in usable:
         adapter = candidate.adapter
         if not (adapter.resident or adapter.coming or adapter.manageable):
             continue
         delay = estimate_delay(need, candidate, ranks.get(candidate.target, 0))
-        delay += BATCH_STEP * draw()
+        delay += BATCH_STEP * draw() + COPY_DELAY * (copy and not adapter.held)
         if best is None or delay < best.delay:
             best = Chosen(candidate, delay)
     return best
@@ -181,6 +205,8 @@
     turns = TURN_DELAY * adapter.wishes
     slots = SLOT_DELAY * max(0, adapter.wishes + 1 - adapter.room)
     old = OUTDATED_DELAY * adapter.outdated
+    if adapter.recent:
+        return RELOAD_DELAY + old + turns + slots
     return LOAD_DELAY + old + turns + slots + min(HASH_MOST, HASH_STEP * rank)
 
 
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -35,6 +35,7 @@
 
     :param sent: requests of this gateway that are there now.
     :param prompts: prompt tokens of those that have not answered yet.
+    :param held: the newest version of each adapter that it has had in this life.
     :param prompt_wait: seconds that a new prompt had to wait for its turn there, when
         its steward last told; it falls with time.
     """
@@ -50,6 +51,7 @@
     unreached_until: float = 0.0
     mean_time: float = 0.0
     report: EngineReport | None = None
+    held: dict[WeightKey, int] = field(default_factory=dict)
     wished: int = 0
     prompt_wait: float = 0.0
     prompt_wait_at: float = 0.0
@@ -83,6 +85,9 @@
             self._notes[report.target] = notes
         if notes.report is None or notes.report.holdings != report.holdings:
             notes.lacking.clear()
+            for holding in report.holdings:
+                for ref in holding.adapters:
+                    notes.held[WeightKey(holding.model, ref.name)] = ref.version
         notes.report = report
         notes.wished = 0
         notes.told = report.running + report.queued
@@ -204,6 +209,7 @@
         return AdapterPlace(
             resident=resident and weights not in notes.lacking,
             coming=coming and manageable,
+            recent=notes.held.get(weights, -1) >= least_version,
             outdated=version is not None and not resident,
             room=report.free_slots if report is not None else 1,
             wishes=report.wishes + notes.wished if report is not None else 0,
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -78,6 +78,7 @@
     refusals: int = 0
     last: str = ""
     turn_wait: float = 0.0
+    placed: str = ""
 
 
 class Pipeline:
@@ -253,6 +254,7 @@
                 raise self._describe_refusal("the target has just left")
             if request.call.engine_key is None:
                 return target
+            request.placed = chosen.candidate.adapter.describe()
             match await self._wait_turn(request, target, chosen):
                 case TurnEnd.GIVEN:
                     return target
@@ -372,6 +374,7 @@
                 "refusals": request.refusals,
                 "events_after": progress.last_event,
                 "seconds": round(self._clock.monotonic() - request.started, 4),
+                "placed": request.placed,
                 "turn_wait": round(request.turn_wait, 4),
                 "pause": round(progress.pause, 4),
                 "first": round(progress.first - request.started, 4)
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -79,3 +79,63 @@
 def test_what_is_to_be_avoided_is_not_chosen():
     need = Need(HERE, avoid=frozenset({TargetId("a")}))
     assert choose(make("a"), make("b", 7), need=need) == "b"
+
+
+@pytest.mark.parametrize(
+    ("places", "expected"),
+    [
+        ({"a": AdapterPlace(), "b": AdapterPlace(recent=True)}, "b"),
+        ({"a": AdapterPlace(), "b": AdapterPlace(recent=True, room=2, wishes=1)}, "b"),
+        ({"a": AdapterPlace(), "b": AdapterPlace(recent=True, room=0, wishes=1)}, "a"),
+        ({"a": AdapterPlace(resident=True), "b": AdapterPlace(recent=True)}, "a"),
+    ],
+)
+def test_an_engine_that_held_the_adapter_before_comes_next(places, expected):
+    candidates = [make(name, adapter=place) for name, place in places.items()]
+    assert choose(*candidates, need=Need(HERE, KEY)) == expected
+
+
+@pytest.mark.parametrize(("waits", "expected"), [(0.3, "a"), (0.6, "b")])
+def test_a_further_copy_is_made_only_where_the_wait_is_long(waits, expected):
+    """Every engine fetches every adapter, and all wait for the store."""
+    holder = make("a", prompt_wait=waits, adapter=AdapterPlace(resident=True))
+    other = make("b", adapter=AdapterPlace())
+    assert choose(holder, other, need=Need(HERE, KEY)) == expected
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_thousands_of_adapters_are_fetched_little_more_than_once(seed):
+    """The store is asked for all it can give, and callers wait a second for a load.
+
+    Few adapters have most requests, and slots are few. Each engine that is a moment
+    less busy than the one that has the adapter fetches a copy of its own: 1.3 copies of
+    each adapter, where 1.04 do.
+    """
+    rng = random.Random(seed)
+    names, weights = range(3000), [(n + 1) ** -1.2 for n in range(3000)]
+    slots: dict[str, list[str]] = {f"e{n}": [] for n in range(9)}
+    held: dict[str, set[str]] = {name: set() for name in slots}
+    busy = dict.fromkeys(slots, 0.0)
+    asked = set()
+    for adapter in map(str, rng.choices(names, weights, k=3000)):
+        busy = {name: max(0.0, count - 0.115) for name, count in busy.items()}
+        candidates = [
+            make(
+                name,
+                round(busy[name]),
+                slots=48,
+                prompt_wait=max(0.0, 0.1 * busy[name] - 0.15),
+                adapter=AdapterPlace(
+                    resident=adapter in slots[name], recent=adapter in held[name]
+                ),
+            )
+            for name in slots
+        ]
+        need = Need(HERE, WeightKey(ModelName("m"), adapter), 2.0)
+        target = choose(*candidates, need=need, draw=rng.random)
+        busy[target] += 1
+        slots[target] = [*(a for a in slots[target] if a != adapter), adapter][-19:]
+        held[target].add(adapter)
+        asked.add(adapter)
+    fetched = sum(len(found) for found in held.values())
+    assert fetched < 1.1 * len(asked)
