Never say 'not run' after a send that broke, and begin its patience anew

Cause: a request that may be repeated, whose first send broke, was refused as not run when no second target was left. A stream to be resumed was refused at once for its age as soon as it needed a turn.

Change: such a refusal says that an earlier send may have run; the time that a request may look for a target begins anew with each send that broke.

Ruled out: requests that may run once (they were told rightly, by the test's table).

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -66,13 +66,17 @@
 
 @dataclass
 class _Request:
-    """One request on its way."""
+    """One request on its way.
+
+    :ivar since: when it began to look for a target, again after each send that broke.
+    """
 
     call: Call
     route: Route
     service: ServiceName
     deadline: float
     started: float
+    since: float
     progress: Progress
     avoid: set[TargetId] = field(default_factory=set)
     refusals: int = 0
@@ -171,6 +175,7 @@
             service,
             deadline,
             started,
+            started,
             Progress(exchange, call.resume_after),
         )
 
@@ -228,16 +233,12 @@
                 spent = arrived and not self._budget(request.service).take()
                 if request.refusals < MAX_REFUSALS and not spent:
                     return
-                if progress.sends == 0:
-                    raise self._describe_refusal(reason)
-                raise OutcomeUnknown(
-                    f"an earlier send may have run, and then: {reason}",
-                    "check before you send it again",
-                )
+                raise self._refuse(request, reason)
             case Broken(reason):
                 request.last = reason
                 again = route.repeatable and progress.sends < route.attempts
                 if again and self._budget(request.service).take():
+                    request.since = self._clock.monotonic()
                     return
                 raise OutcomeUnknown(
                     f"the target's answer was lost: {reason}",
@@ -251,7 +252,7 @@
             chosen = self._pick(request, self._clock.monotonic())
             target = self._feed.view.get(chosen.candidate.target)
             if target is None:
-                raise self._describe_refusal("the target has just left")
+                raise self._refuse(request, "the target has just left")
             if request.call.engine_key is None:
                 return target
             request.placed = chosen.candidate.adapter.describe()
@@ -276,7 +277,7 @@
         if self._stewards.reaches(target.address):
             wait = self._find_patience(request, now)
             if wait <= 0:
-                raise self._describe_refusal(request.last or "no engine was free")
+                raise self._refuse(request, request.last or "no engine was free")
             if not (adapter.resident or adapter.coming):
                 self._book.note_wish(self._book.notes(target))
             end = await self._stewards.ask_turn(
@@ -285,7 +286,7 @@
                 self._least_version(request),
                 wait=wait,
                 tokens=call.prompt_tokens,
-                due=request.started + request.route.objective - now,
+                due=request.since + request.route.objective - now,
             )
             request.turn_wait += self._clock.monotonic() - now
         if end is TurnEnd.MUTE and adapter.resident:
@@ -298,7 +299,7 @@
     def _find_patience(self, request: _Request, now: float) -> float:
         """Return the seconds that a request may wait at one engine."""
         objective = request.route.objective
-        last = min(request.deadline, request.started + REFUSE_FACTOR * objective)
+        last = min(request.deadline, request.since + REFUSE_FACTOR * objective)
         if objective <= 0:
             last = request.deadline
         return min(max(TURN_LEAST, TURN_FACTOR * objective), last - now)
@@ -325,7 +326,7 @@
         )
         chosen = choose_target(need, candidates, self._draw)
         if chosen is None:
-            raise self._describe_refusal(request.last or "no target is known")
+            raise self._refuse(request, request.last or "no target is known")
         return chosen
 
     def _least_version(self, request: _Request) -> int:
@@ -342,7 +343,12 @@
             self._budgets[service] = found
         return found
 
-    def _describe_refusal(self, reason: str) -> IbisheadError:
+    def _refuse(self, request: _Request, reason: str) -> IbisheadError:
+        if request.progress.sends:
+            return OutcomeUnknown(
+                f"an earlier send may have run, and then: {reason}",
+                "check before you send it again",
+            )
         return Refused(
             f"not run: {reason}",
             "come back after the time that is named",
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -199,6 +199,8 @@
         (ONCE, (refuse, reset, answer_well), 3, 502, 2),
         (SAFE, (reset, answer_well), 2, 200, 2),
         (SAFE, (reset, answer_well), 1, 502, 1),
+        # nobody is left to send it to again
+        (SAFE, (reset,), 2, 502, 1),
         (SAFE, (fail, answer_well), 2, 200, 2),
         (SAFE, (fail, fail), 2, 500, 2),
         (SAFE, (answer_another, answer_well), 2, 200, 2),
