Keep what is known of orders over a lost answer

The guard that gives the same order again never came to act.

Change: what is known of orders is a module of its own (steward/ledger.py); only a new life of the engine, or the loss of it, begins it anew.

Ruled out: an engine beyond its slots by this fault alone; each order expects the count of those before, so that only one of two is carried out.

--- a/src/ibishead/steward/server.py
+++ b/src/ibishead/steward/server.py
@@ -28,7 +28,11 @@
             target=settings.engine,
         )
         self.feed = RegistryFeed(
-            member, settings.registries, clock, on_message=self._take
+            member,
+            settings.registries,
+            clock,
+            on_routes=lambda routes: self._steward.take_routes(routes),
+            on_message=self._take,
         )
         self._steward = Steward(
             settings.host,
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -3,14 +3,12 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import xxhash
 
 from ibishead.clock import Clock
 from ibishead.decisions.residents import (
-    EngineWeights,
     Idle,
     Load,
     Unload,
@@ -32,9 +30,10 @@
     PromptDelay,
     TurnNoted,
 )
-from ibishead.routing.routes import EngineSpec, find_gap_objective
-from ibishead.routing.targets import AdapterRef, Holding, Registration, WeightKey
-from ibishead.steward.engine import Engine, EngineState, OrderEnd, WeightOrder
+from ibishead.routing.routes import EngineSpec, RouteSet, find_gap_objective
+from ibishead.routing.targets import Holding, Registration, WeightKey
+from ibishead.steward.engine import Engine, OrderEnd, WeightOrder
+from ibishead.steward.ledger import OrderLedger
 from ibishead.steward.turns import TurnQueue, Waiter
 from ibishead.steward.uses import AdapterUses
 
@@ -53,9 +52,6 @@
 #: Seconds until a fencing number is asked for again.
 FENCE_WAIT = 0.5
 
-#: Seconds for which an order without an answer may still be carried out.
-UNKNOWN_TIME = 13.0
-
 
 @dataclass
 class _Demand:
@@ -89,14 +85,8 @@
         self._links: set[Link] = set()
         self._uses = AdapterUses()
         self._turns = TurnQueue(clock, self._tell_delay, self._drop_waiter)
-        self._routes_seen = 0
         self._demands: dict[WeightKey, _Demand] = {}
-        self._state: EngineState | None = None
-        self._target: Registration | None = None
-        self._sequence = 0
-        self._ordered: dict[WeightKey, float] = {}
-        self._leaving: dict[WeightKey, float] = {}
-        self._unknown: dict[WeightKey, float] = {}
+        self._ledger = OrderLedger()
         self._fence = 0
         self._fence_asked = 0.0
         self._fence_number = 0
@@ -104,8 +94,6 @@
         self._reported: EngineReport | None = None
         self._reported_at = 0.0
         self._pause_until = 0.0
-        self._unanswered: Load | Unload | None = None
-        self._read_due = False
         self._place = xxhash.xxh32_intdigest(host.encode()) / 2**32
 
     # Gateways ----------------------------------------------------------------
@@ -138,6 +126,11 @@
                     "unexpected message", extra={"kind": type(message).__name__}
                 )
 
+    def take_routes(self, routes: RouteSet) -> None:
+        """Take in the route set that is in force now."""
+        self._turns.window.gap = find_gap_objective(routes, self._service)
+        self._wake.set()
+
     def _take(self, link: Link, message: Message) -> None:
         now = self._clock.monotonic()
         match message:
@@ -161,7 +154,7 @@
     def _want(self, waiter: Waiter, version: int, now: float) -> None:
         key = waiter.key
         self._uses.note(key, now)
-        if self._is_resident(key, version):
+        if self._ledger.holds(key, version):
             self._queue(waiter)
             return
         demand = self._demands.setdefault(key, _Demand(version, now))
@@ -201,10 +194,8 @@
         read_at = 0.0
         while True:
             now = self._clock.monotonic()
-            self._follow_routes()
             self._drop_late(now)
-            if self._read_due or now - read_at >= self._interval():
-                self._read_due = False
+            if self._ledger.doubtful or now - read_at >= self._interval():
                 await self._read()
                 read_at = self._clock.monotonic()
             if await self._order_next():
@@ -215,59 +206,23 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), wait)
 
-    def _follow_routes(self) -> None:
-        routes = self._feed.routes
-        if routes is not None and routes.version != self._routes_seen:
-            self._routes_seen = routes.version
-            self._turns.window.gap = find_gap_objective(routes, self._service)
-
     def _interval(self) -> float:
-        busy = self._ordered or self._leaving
-        return BUSY_INTERVAL if busy else CALM_INTERVAL
+        return BUSY_INTERVAL if self._ledger.under_way else CALM_INTERVAL
 
     async def _read(self) -> None:
         try:
             state = await self._engine.read_state()
         except LinkLost as error:
-            if self._state is not None:
+            if self._ledger.lose():
                 logger.warning("engine not reached", extra={"reason": error.message})
-            self._state = None
             return
-        if self._state is None or self._state.born != state.born:
+        if self._ledger.take(state, self._clock.monotonic()):
             logger.info("engine found", extra={"born": state.born})
-            self._ordered.clear()
-            self._leaving.clear()
-            self._unknown.clear()
-            self._unanswered = None
-        self._state = state
-        self._sequence = state.sequence
-        held = {
-            WeightKey(h.model, ref.name): ref.version
-            for h in state.holdings
-            for ref in h.adapters
-        }
-        coming = {key for key, _ in state.coming}
-        now = self._clock.monotonic()
-        for key, since in list(self._ordered.items()):
-            model_ready = not key.adapter and any(
-                h.model == key.model for h in state.holdings
-            )
-            # an order that shows nowhere after a second has come to nothing
-            over = key in held or model_ready or now - since > 1.0
-            under_way = key in coming or (not key.adapter and state.busy)
-            if over and not under_way:
-                del self._ordered[key]
-        for key in list(self._leaving):
-            if key not in held:
-                del self._leaving[key]
-        for key, since in list(self._unknown.items()):
-            if now - since > UNKNOWN_TIME or key in held:
-                del self._unknown[key]
         self._answer_waiters()
 
     def _answer_waiters(self) -> None:
         for key, demand in list(self._demands.items()):
-            if self._is_resident(key, demand.version):
+            if self._ledger.holds(key, demand.version):
                 del self._demands[key]
                 for waiter in demand.waiters:
                     self._queue(waiter)
@@ -281,57 +236,39 @@
             if not demand.waiters:
                 del self._demands[key]
 
-    def _is_resident(self, key: WeightKey, version: int) -> bool:
-        if self._state is None or key in self._leaving or key in self._ordered:
-            return False
-        if any(known == key for known, _ in self._state.coming):
-            return False
-        for holding in self._state.holdings:
-            if holding.model == key.model:
-                if not key.adapter:
-                    return True
-                for ref in holding.adapters:
-                    if ref.name == key.adapter:
-                        return ref.version >= version
-        return False
-
     async def _order_next(self) -> bool:
         """Give the next order that is due, and return whether one was given."""
         now = self._clock.monotonic()
-        state, spec = self._state, self._find_spec()
-        if state is None or spec is None or now < self._pause_until:
-            return False
-        self._target = self._feed.view.find_address(self._address)
-        target = self._target
-        if target is None or (state.born and target.born != state.born):
-            return False
         if not self._fence:
             self._ask_fence(now)
             return False
-        wishes = [
-            Wish(key, demand.version, demand.since, len(demand.waiters))
-            for key, demand in self._demands.items()
-        ]
-        weights = EngineWeights(
-            state.holdings,
-            frozenset(
-                {key for key, _ in state.coming}
-                | set(self._ordered)
-                | set(self._unknown)
-            ),
-            frozenset(self._leaving),
-            self._uses.last,
-            self._uses.list_running(now),
-        )
-        if state.busy:
+        order = self._choose_order(now)
+        if order is None:
             return False
+        end = await self._engine.order(order)
+        self._note_end(order, end)
+        return end in (OrderEnd.STARTED, OrderEnd.HOLDS)
+
+    def _choose_order(self, now: float) -> WeightOrder | None:
+        state, spec = self._ledger.state, self._find_spec()
+        if state is None or spec is None or state.busy or now < self._pause_until:
+            return None
+        target = self._feed.view.find_address(self._address)
+        if target is None or (state.born and target.born != state.born):
+            return None
         # Failure: an order's answer is lost, and the engine may still carry it out,
         # seconds later. The same order again is harmless: whichever comes second
         # expects a count of orders that has gone on. Another one in its place could
         # make the two together exceed the slots.
-        choice = self._unanswered or choose_order(
+        if (again := self._ledger.unanswered) is not None:
+            return self._make_order(again.load, again.key, again.version, target)
+        wishes = [
+            Wish(key, demand.version, demand.since, len(demand.waiters))
+            for key, demand in self._demands.items()
+        ]
+        choice = choose_order(
             spec,
-            weights,
+            self._ledger.weigh(self._uses.last, self._uses.list_running(now)),
             wishes,
             self._feed.floors,
             self._feed.floor_heard,
@@ -341,24 +278,26 @@
         )
         match choice:
             case Idle():
-                return False
+                return None
             case Load(key, version):
-                order = self._make_order(True, key, version, target)
+                return self._make_order(True, key, version, target)
             case Unload(key):
-                order = self._make_order(False, key, 0, target)
-        end = await self._engine.order(order)
-        self._unanswered = choice if end is OrderEnd.UNKNOWN else None
-        self._note_end(order, end, state)
-        return end in (OrderEnd.STARTED, OrderEnd.HOLDS)
+                return self._make_order(False, key, 0, target)
 
     def _make_order(
         self, load: bool, key: WeightKey, version: int, target: Registration
     ) -> WeightOrder:
         return WeightOrder(
-            load, key, version, self._sequence, self._host, self._fence, target.target
+            load,
+            key,
+            version,
+            self._ledger.sequence,
+            self._host,
+            self._fence,
+            target.target,
         )
 
-    def _note_end(self, order: WeightOrder, end: OrderEnd, state: EngineState) -> None:
+    def _note_end(self, order: WeightOrder, end: OrderEnd) -> None:
         now = self._clock.monotonic()
         logger.info(
             "order given",
@@ -373,63 +312,23 @@
                 "outcome": end.value,
             },
         )
+        self._ledger.note_end(order, end, now)
         match end:
-            case OrderEnd.STARTED:
-                self._sequence += 1
-                # an order whose answer was lost expects an older sequence by now
-                self._unknown.clear()
-                (self._ordered if order.load else self._leaving)[order.key] = now
-            case OrderEnd.HOLDS:
-                self._note_done(order, state)
             case OrderEnd.FENCED:
                 self._fence = 0
-            case OrderEnd.UNKNOWN:
-                if order.load:
-                    self._unknown[order.key] = now
             case OrderEnd.BUSY | OrderEnd.IMPOSSIBLE | OrderEnd.OTHER_LIFE:
                 self._pause_until = now + BUSY_INTERVAL
-        if end not in (OrderEnd.STARTED, OrderEnd.HOLDS):
-            # what the engine has done is read anew before the next order
-            self._state, self._read_due = None, True
-
-    def _note_done(self, order: WeightOrder, state: EngineState) -> None:
-        # The answer doesn't tell whether the count of orders went on; the next report
-        # does, and until it comes an order may be refused once.
-        if not order.load:
-            self._sequence += 1
-            holdings = tuple(
-                type(h)(
-                    h.model,
-                    h.version,
-                    tuple(
-                        ref
-                        for ref in h.adapters
-                        if WeightKey(h.model, ref.name) != order.key
-                    ),
-                )
-                for h in state.holdings
-            )
-            self._state = EngineState(
-                state.born,
-                self._sequence,
-                state.busy,
-                holdings,
-                state.coming,
-                state.running,
-                state.queued,
-                state.cache_used,
-                state.cache_total,
-            )
 
     def _ask_fence(self, now: float) -> None:
         if now - self._fence_asked < FENCE_WAIT:
             return
+        links = [link for link in self._feed.links.values() if not link.closed]
+        if not links:
+            return
         self._fence_asked = now
         self._fence_number += 1
-        links = [link for link in self._feed.links.values() if not link.closed]
-        if links:
-            # another registry each time: one may be cut off from the quorum
-            links[self._fence_number % len(links)].send(AskFence(self._fence_number))
+        # another registry each time: one may be cut off from the quorum
+        links[self._fence_number % len(links)].send(AskFence(self._fence_number))
 
     def _find_spec(self) -> EngineSpec | None:
         routes = self._feed.routes
@@ -438,40 +337,24 @@
 
     # Reports -----------------------------------------------------------------
 
-    def _count_free(
-        self, holdings: tuple[Holding, ...], coming: Mapping[WeightKey, AdapterRef]
-    ) -> int:
+    def _count_free(self, holdings: tuple[Holding, ...], coming: int) -> int:
         spec = self._find_spec()
         if spec is None:
             return 0
-        pinned = self._uses.list_running(self._clock.monotonic())
+        running = self._uses.list_running(self._clock.monotonic())
         used = sum(
-            WeightKey(h.model, ref.name) in pinned
-            for h in holdings
-            for ref in h.adapters
+            WeightKey(holding.model, ref.name) in running
+            for holding in holdings
+            for ref in holding.adapters
         )
-        return max(0, spec.adapter_slots - used - len(coming) - len(self._leaving))
+        leaving = self._ledger.count_leaving()
+        return max(0, spec.adapter_slots - used - coming - leaving)
 
     def _report(self, now: float) -> None:
-        state, target = self._state, self._feed.view.find_address(self._address)
+        state, target = self._ledger.state, self._feed.view.find_address(self._address)
         if state is None or target is None:
             return
-        coming = dict(state.coming)
-        for key in self._ordered:
-            if key.adapter and key not in coming:
-                demand = self._demands.get(key)
-                coming[key] = AdapterRef(key.adapter, demand.version if demand else 0)
-        hidden = set(self._leaving) | set(coming)
-        holdings = tuple(
-            type(h)(
-                h.model,
-                h.version,
-                tuple(
-                    r for r in h.adapters if WeightKey(h.model, r.name) not in hidden
-                ),
-            )
-            for h in state.holdings
-        )
+        coming, holdings = self._ledger.list_coming(), self._ledger.list_holdings()
         report = EngineReport(
             target.target,
             state.born or target.born,
@@ -481,7 +364,7 @@
             state.queued,
             state.cache_used,
             state.cache_total,
-            self._count_free(holdings, coming),
+            self._count_free(holdings, len(coming)),
             sum(key not in coming for key in self._demands),
         )
         before = self._reported
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -210,6 +210,38 @@
     assert {(order.holder, order.target) for order in engine.orders} == {("side", "t")}
 
 
+async def test_an_order_whose_answer_was_lost_is_given_again_before_any_other():
+    """An engine gets one adapter more than it has slots for, and ends itself.
+
+    The answer to an order is lost while its caller gives up. Another order in its place
+    would leave both to be carried out.
+    """
+
+    class SilentEngine(FakeEngine):
+        def __init__(self) -> None:
+            super().__init__()
+            self.given_up = asyncio.Event()
+
+        async def order(self, order: WeightOrder) -> OrderEnd:
+            if not self.orders:
+                self.orders.append(order)
+                await self.given_up.wait()
+                return OrderEnd.UNKNOWN
+            return await super().order(order)
+
+    engine = SilentEngine()
+    async with Setting(engine) as setting:
+        first = asyncio.create_task(setting.want(1, "a", wait=0.3))
+        while not engine.orders:
+            await asyncio.sleep(0.01)
+        second = asyncio.create_task(setting.want(2, "b"))
+        await asyncio.sleep(0.4)
+        engine.given_up.set()
+        assert await second
+        assert not await first
+    assert [order.key.adapter for order in engine.orders] == ["a", "a", "b"]
+
+
 async def test_an_engine_that_is_gone_gets_no_orders_and_callers_are_told():
     class GoneEngine(FakeEngine):
         async def read_state(self) -> EngineState:
