Send requests past engines that can't serve, and refuse at once what none can

Cause: an engine that is down, or has just started and holds no model, has nothing to do and looked like the best place.

Change: a steward that can't reach its engine, tried twice, refuses all who wait and tells that it holds nothing; a target without the model counts 4 s more; a request whose best target can't take it in time is refused at once, with a time to come back that follows the wait expected and is spread.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -19,6 +19,7 @@
     "Need",
     "choose_target",
     "estimate_delay",
+    "estimate_wait",
 ]
 
 #: Seconds until an adapter that is on its way is there, on average half of a load.
@@ -37,6 +38,10 @@
 #: Seconds for each adapter that is loaded before.
 TURN_DELAY = 0.2
 
+#: Seconds until a model is in place where an engine holds none: it has just started, or
+#: can't be reached. Between a load from its own disk and one from the store.
+MODEL_DELAY = 4.0
+
 #: Seconds until an old version has been replaced where it is in use. Longer than a
 #: load, so that a new version is loaded beside the old one and no caller waits for
 #: others' answers to end.
@@ -83,6 +88,7 @@
         replacement waits for the requests that use it.
     :param room: slots that are empty or hold what nobody uses.
     :param wishes: adapters that wait for their turn to be loaded there.
+    :param serving: the engine holds the model itself.
     :param manageable: somebody can order the engine to load it.
     """
 
@@ -92,10 +98,13 @@
     outdated: bool = False
     room: int = 1
     wishes: int = 0
+    serving: bool = True
     manageable: bool = True
 
     def describe(self) -> str:
         """Return in a word where the adapter stands."""
+        if not self.serving:
+            return "no model"
         if self.resident:
             return "resident"
         if self.coming:
@@ -150,10 +159,15 @@
 
 @dataclass(frozen=True)
 class Chosen:
-    """A target, and the seconds until its answer begins."""
+    """A target.
+
+    :param delay: the figure by which it was chosen.
+    :param wait: the part of it, in seconds, until the request can be sent.
+    """
 
     candidate: Candidate
     delay: float
+    wait: float = 0.0
 
 
 def choose_target(
@@ -176,7 +190,7 @@
         delay = estimate_delay(need, candidate, ranks.get(candidate.target, 0))
         delay += BATCH_STEP * draw() + COPY_DELAY * (copy and not adapter.held)
         if best is None or delay < best.delay:
-            best = Chosen(candidate, delay)
+            best = Chosen(candidate, delay, estimate_wait(candidate))
     return best
 
 
@@ -197,7 +211,18 @@
     return delay + _estimate_adapter(candidate.adapter, rank)
 
 
+def estimate_wait(candidate: Candidate) -> float:
+    """Return the seconds until a request could be sent to a target, at least.
+
+    Only what is known well counts, as requests are refused for it. How long a load or
+    a slot takes is a guess that only helps to compare targets.
+    """
+    return candidate.prompt_wait + MODEL_DELAY * (not candidate.adapter.serving)
+
+
 def _estimate_adapter(adapter: AdapterPlace, rank: int) -> float:
+    if not adapter.serving:
+        return MODEL_DELAY
     if adapter.resident:
         return 0.0
     if adapter.coming:
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -198,13 +198,16 @@
             return AdapterPlace(resident=True)
         report = notes.report
         holdings = report.holdings if report is not None else target.holdings
-        version = None
+        version, serving = None, False
         for holding in holdings:
             if holding.model == weights.model:
+                serving = True
                 for ref in holding.adapters:
                     if ref.name == weights.adapter:
                         version = ref.version
         resident = version is not None and version >= least_version
+        if not weights.adapter:
+            resident = serving
         coming = report is not None and any(key == weights for key, _ in report.coming)
         return AdapterPlace(
             resident=resident and weights not in notes.lacking,
@@ -213,6 +216,7 @@
             outdated=version is not None and not resident,
             room=report.free_slots if report is not None else 1,
             wishes=report.wishes + notes.wished if report is not None else 0,
+            serving=serving,
             manageable=manageable,
         )
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -60,8 +60,10 @@
 #: event; a refusal before lets them try once more, elsewhere.
 REFUSE_FACTOR = 2.5
 
-#: Seconds after which callers may come back, when nobody can say better.
+#: Seconds after which callers may come back, at least, and the share of the wait that
+#: is expected; half of that is added or taken off by chance.
 RETRY_WAIT = 0.5
+EXPECTED_SHARE = 0.7
 
 
 @dataclass
@@ -83,6 +85,7 @@
     last: str = ""
     turn_wait: float = 0.0
     placed: str = ""
+    expected: float = 0.0
 
 
 class Pipeline:
@@ -278,6 +281,8 @@
             wait = self._find_patience(request, now)
             if wait <= 0:
                 raise self._refuse(request, request.last or "no engine was free")
+            if chosen.wait > self._find_rest(request, now):
+                raise self._refuse(request, "no engine can take it in time")
             if not (adapter.resident or adapter.coming):
                 self._book.note_wish(self._book.notes(target))
             end = await self._stewards.ask_turn(
@@ -298,14 +303,18 @@
 
     def _find_patience(self, request: _Request, now: float) -> float:
         """Return the seconds that a request may wait at one engine."""
-        objective = request.route.objective
-        last = min(request.deadline, request.since + REFUSE_FACTOR * objective)
-        if objective <= 0:
+        most = max(TURN_LEAST, TURN_FACTOR * request.route.objective)
+        return min(most, self._find_rest(request, now))
+
+    def _find_rest(self, request: _Request, now: float) -> float:
+        """Return the seconds until a request is refused if it can't be sent."""
+        last = request.since + REFUSE_FACTOR * request.route.objective
+        if request.route.objective <= 0:
             last = request.deadline
-        return min(max(TURN_LEAST, TURN_FACTOR * objective), last - now)
+        return min(request.deadline, last) - now
 
     def _pick(self, request: _Request, now: float) -> Chosen:
-        key = request.call.weights
+        key = request.call.engine_key
         least = self._least_version(request)
         candidates = [
             self._book.describe(
@@ -327,6 +336,7 @@
         chosen = choose_target(need, candidates, self._draw)
         if chosen is None:
             raise self._refuse(request, request.last or "no target is known")
+        request.expected = chosen.wait
         return chosen
 
     def _least_version(self, request: _Request) -> int:
@@ -349,10 +359,13 @@
                 f"an earlier send may have run, and then: {reason}",
                 "check before you send it again",
             )
+        # Load: all callers of an outage are refused within moments. Harm: told the same
+        # time they come back together, and most are refused again.
+        wait = max(RETRY_WAIT, EXPECTED_SHARE * request.expected)
         return Refused(
             f"not run: {reason}",
             "come back after the time that is named",
-            retry_after=timedelta(seconds=RETRY_WAIT * (0.5 + self._draw())),
+            retry_after=timedelta(seconds=wait * (0.5 + self._draw())),
         )
 
     def _log(
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -5,6 +5,7 @@
 import logging
 from dataclasses import dataclass, field
 
+import msgspec
 import xxhash
 
 from ibishead.clock import Clock
@@ -32,7 +33,7 @@
 )
 from ibishead.routing.routes import EngineSpec, RouteSet, find_gap_objective
 from ibishead.routing.targets import Holding, Registration, WeightKey
-from ibishead.steward.engine import Engine, OrderEnd, WeightOrder
+from ibishead.steward.engine import Engine, EngineState, OrderEnd, WeightOrder
 from ibishead.steward.ledger import OrderLedger
 from ibishead.steward.turns import TurnQueue, Waiter
 from ibishead.steward.uses import AdapterUses
@@ -87,6 +88,7 @@
         self._turns = TurnQueue(clock, self._tell_delay, self._drop_waiter)
         self._demands: dict[WeightKey, _Demand] = {}
         self._ledger = OrderLedger()
+        self._lost = False
         self._fence = 0
         self._fence_asked = 0.0
         self._fence_number = 0
@@ -154,6 +156,9 @@
     def _want(self, waiter: Waiter, version: int, now: float) -> None:
         key = waiter.key
         self._uses.note(key, now)
+        if self._lost:
+            waiter.answer(False)
+            return
         if self._ledger.holds(key, version):
             self._queue(waiter)
             return
@@ -211,15 +216,45 @@
 
     async def _read(self) -> None:
         try:
-            state = await self._engine.read_state()
+            state = await self._read_twice()
         except LinkLost as error:
-            if self._ledger.lose():
+            if not self._lost:
                 logger.warning("engine not reached", extra={"reason": error.message})
+            self._lose_engine()
             return
+        self._lost = False
         if self._ledger.take(state, self._clock.monotonic()):
             logger.info("engine found", extra={"born": state.born})
         self._answer_waiters()
 
+    async def _read_twice(self) -> EngineState:
+        try:
+            return await self._engine.read_state()
+        except LinkLost:
+            # a connection may be reset while its engine is well
+            return await self._engine.read_state()
+
+    def _lose_engine(self) -> None:
+        """Send everybody elsewhere, at once.
+
+        Failure: an engine that is down has nothing to do, so it looks like the best
+        place, and requests wait there until another engine is too late as well.
+        """
+        self._lost = True
+        self._ledger.lose()
+        for demand in self._demands.values():
+            for waiter in demand.waiters:
+                waiter.answer(False)
+        self._demands.clear()
+        self._turns.refuse_all()
+        if self._reported is not None and self._reported.holdings:
+            self._tell(msgspec.structs.replace(self._reported, holdings=(), coming=()))
+
+    def _tell(self, report: EngineReport) -> None:
+        self._reported, self._reported_at = report, self._clock.monotonic()
+        for link in self._links:
+            link.send(report)
+
     def _answer_waiters(self) -> None:
         for key, demand in list(self._demands.items()):
             if self._ledger.holds(key, demand.version):
@@ -374,6 +409,4 @@
         )
         if report == before or (same and now - self._reported_at < REPORT_INTERVAL):
             return
-        self._reported, self._reported_at = report, now
-        for link in self._links:
-            link.send(report)
+        self._tell(report)
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -81,6 +81,13 @@
         """Forget the requests of a gateway whose link is over."""
         self._waiting = {t: w for t, w in self._waiting.items() if w.link is not link}
 
+    def refuse_all(self) -> None:
+        """Tell all who wait that they get no turn here."""
+        for waiter in self._waiting.values():
+            waiter.answer(False)
+            self._drop(waiter)
+        self._waiting.clear()
+
     async def run(self) -> None:
         """Give turns until cancelled."""
         while True:
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -47,6 +47,8 @@
         ({"a": AdapterPlace(room=0, wishes=3), "b": AdapterPlace(room=2)}, "b"),
         ({"a": AdapterPlace(manageable=False), "b": AdapterPlace(wishes=5)}, "b"),
         ({"a": AdapterPlace(manageable=False)}, None),
+        ({"a": AdapterPlace(serving=False), "b": AdapterPlace(wishes=5)}, "b"),
+        ({"a": AdapterPlace(serving=False)}, "a"),
     ],
 )
 def test_adapter_and_slots_are_weighed_with_load(places, expected):
--- a/tests/gateway/test_book.py
+++ b/tests/gateway/test_book.py
@@ -1,11 +1,12 @@
 """What a gateway believes of a target, as reports age and answers come."""
 
+import msgspec
 import pytest
 
 from ibishead.gateway.book import TargetBook
 from ibishead.gateway.calls import TargetLoadTold
 from ibishead.ids import FailureDomain, ModelName, ServiceName, TargetId
-from ibishead.routing.messages import EngineReport
+from ibishead.routing.messages import EngineReport, PromptDelay
 from ibishead.routing.targets import (
     AdapterRef,
     Holding,
@@ -99,3 +100,41 @@
     before, after = describe(book, 0.0).failures, describe(book, 8.0).failures
     assert before > 0.8
     assert after == pytest.approx(before / 4)
+
+
+@pytest.mark.parametrize("key", [KEY, WeightKey(MODEL)])
+@pytest.mark.parametrize(("holdings", "serving"), [((), False), (None, True)])
+def test_an_engine_without_the_model_is_no_place_for_its_adapters(
+    key, holdings, serving
+):
+    """Requests wait at engines that have just started, as these are idle.
+
+    An engine is back after a crash and holds nothing. Its steward has told so.
+    """
+    book, report = TargetBook(), make_report()
+    book.take_report(
+        report if holdings is None else msgspec.structs.replace(report, holdings=()),
+        0.0,
+    )
+    place = describe(book, 0.1, key).adapter
+    assert place.serving is serving
+    assert place.resident is serving
+
+
+def test_the_wait_for_turns_fades_as_time_passes():
+    book = TargetBook()
+    book.take_report(make_report(), 0.0)
+    book.take_delay(PromptDelay(TargetId("t"), 0.5), 1.0)
+    waits = [describe(book, now).prompt_wait for now in (1.0, 1.3, 2.0)]
+    assert waits == pytest.approx([0.5, 0.2, 0.0])
+
+
+def test_adapters_that_an_engine_had_are_remembered_for_its_present_life():
+    book = TargetBook()
+    book.take_report(make_report(), 0.0)
+    empty = (Holding(MODEL, 1),)
+    book.take_report(EngineReport(TargetId("t"), 1, empty), 1.0)
+    assert describe(book, 1.0).adapter.recent
+    assert not describe(book, 1.0, least=2).adapter.recent
+    book.take_report(EngineReport(TargetId("t"), 2, empty), 2.0)
+    assert not describe(book, 2.0).adapter.recent
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -14,6 +14,7 @@
     AskFence,
     AskTurn,
     EndUse,
+    EngineReport,
     FenceAnswer,
     MemberKind,
     MemberRecord,
@@ -242,12 +243,41 @@
     assert [order.key.adapter for order in engine.orders] == ["a", "a", "b"]
 
 
-async def test_an_engine_that_is_gone_gets_no_orders_and_callers_are_told():
-    class GoneEngine(FakeEngine):
-        async def read_state(self) -> EngineState:
+class MortalEngine(FakeEngine):
+    """Can be gone."""
+
+    gone = False
+
+    async def read_state(self) -> EngineState:
+        if self.gone:
             raise LinkLost("gone", "start it")
+        return await super().read_state()
+
 
-    engine = GoneEngine()
+async def test_an_engine_that_is_gone_gets_no_orders_and_callers_are_told():
+    engine = MortalEngine()
+    engine.gone = True
     async with Setting(engine) as setting:
         assert not await setting.want(1, "a", wait=0.3)
     assert engine.orders == []
+
+
+async def test_who_waits_at_an_engine_that_goes_is_sent_elsewhere_at_once():
+    """Callers wait a second and more at an engine that is down, and then elsewhere.
+
+    Its slots are all in use as it goes, and it looks idle ever after: its steward tells
+    that it holds nothing.
+    """
+    engine = MortalEngine()
+    async with Setting(engine) as setting:
+        for number in range(SLOTS):
+            assert await setting.want(number + 1, f"a{number}")
+        waiting = asyncio.create_task(setting.want(9, "b", wait=30.0))
+        await asyncio.sleep(0.3)
+        engine.gone = True
+        async with asyncio.timeout(2.0):
+            assert not await waiting
+            assert not await setting.want(10, "c", wait=30.0)
+        reports = [m for m in setting.gateway.sent if isinstance(m, EngineReport)]
+        assert reports[0].holdings
+        assert not reports[-1].holdings
