Load first what callers can still get in time

Change: wishes go by the due time of the next caller that can still be in time.

Trial, dropped: fewer loads at once at an engine while its loads take long, so that the store serves some sooner.

--- a/src/ibishead/decisions/residents.py
+++ b/src/ibishead/decisions/residents.py
@@ -16,12 +16,25 @@
 from ibishead.routing.routes import EngineSpec
 from ibishead.routing.targets import Holding, WeightKey
 
-__all__ = ["EngineWeights", "Idle", "Load", "Unload", "Wish", "choose_order", "digest"]
-
-#: Adapters on their way to one engine at once. The engine takes 4; loads share the
-#: store with all other engines, and 8 in all run at full speed.
+__all__ = [
+    "EngineWeights",
+    "Idle",
+    "Load",
+    "Unload",
+    "Wish",
+    "choose_order",
+    "digest",
+]
+
+#: Adapters on their way to one engine at once, at most. The engine takes 4; loads share
+#: the store with all other engines, and 8 in all run at full speed.
 MAX_COMING = 3
 
+#: Seconds in which the store brings an adapter, and seconds by which each further
+#: request that waits for it makes it more urgent.
+LOAD_TIME = 0.25
+WAITING_WEIGHT = 0.05
+
 #: Seconds since its last use after which an adapter may leave. A request that was sent
 #: to it a moment ago by a gateway that has just been linked may not be known yet.
 SETTLED_AFTER = 0.05
@@ -39,12 +52,15 @@
 
     :param since: monotonic seconds at which the first of them asked.
     :param waiting: how many wait.
+    :param due: monotonic seconds at which the answer to one of them should begin, the
+        next that can still be in time.
     """
 
     key: WeightKey
     version: int
     since: float
     waiting: int = 1
+    due: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -126,7 +142,7 @@
     if len(weights.coming) >= MAX_COMING:
         return Idle("enough on the way")
     held = weights.adapters()
-    wish = _choose_wish(weights, held, wishes)
+    wish = _choose_wish(weights, held, wishes, now)
     if wish is None:
         return _replace_old(weights, held, floors, floor_heard, now, place)
     if wish.key in held:
@@ -147,7 +163,10 @@
 
 
 def _choose_wish(
-    weights: EngineWeights, held: Mapping[WeightKey, int], wishes: Sequence[Wish]
+    weights: EngineWeights,
+    held: Mapping[WeightKey, int],
+    wishes: Sequence[Wish],
+    now: float,
 ) -> Wish | None:
     models = {holding.model for holding in weights.holdings}
     open_wishes = [
@@ -161,8 +180,14 @@
         # a replacement waits for its runs, and no other order is taken meanwhile
         and not (wish.key in held and wish.key in weights.pinned)
     ]
-    # Who waits longest loses most; many who wait for one load count for more
-    return min(open_wishes, key=lambda w: w.since - 0.05 * w.waiting, default=None)
+    # Load: more adapters are asked for than the store brings in time. Harm: in the
+    # order of asking each comes when its callers are late already. So those go first
+    # whose callers can still be in time; many who wait for one load count for more.
+    return min(
+        open_wishes,
+        key=lambda w: (w.due < now + LOAD_TIME, w.due - WAITING_WEIGHT * w.waiting),
+        default=None,
+    )
 
 
 def _make_room(
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -10,6 +10,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.residents import (
+    LOAD_TIME,
     Idle,
     Load,
     Unload,
@@ -60,6 +61,11 @@
     since: float
     waiters: list[Waiter] = field(default_factory=list)
 
+    def wish(self, key: WeightKey, now: float) -> Wish:
+        dues = [waiter.due for waiter in self.waiters]
+        due = min((d for d in dues if d >= now + LOAD_TIME), default=max(dues))
+        return Wish(key, self.version, self.since, len(dues), due)
+
 
 class Steward:
     """Gives orders to the engine at one address.
@@ -297,14 +303,10 @@
         # make the two together exceed the slots.
         if (again := self._ledger.unanswered) is not None:
             return self._make_order(again.load, again.key, again.version, target)
-        wishes = [
-            Wish(key, demand.version, demand.since, len(demand.waiters))
-            for key, demand in self._demands.items()
-        ]
         choice = choose_order(
             spec,
             self._ledger.weigh(self._uses.last, self._uses.list_running(now)),
-            wishes,
+            [demand.wish(key, now) for key, demand in self._demands.items()],
             self._feed.floors,
             self._feed.floor_heard,
             self._uses.reuse,
--- a/tests/decisions/test_residents.py
+++ b/tests/decisions/test_residents.py
@@ -64,6 +64,21 @@
         assert isinstance(order, expected)
 
 
+@pytest.mark.parametrize(
+    ("wishes", "expected"),
+    [
+        ([Wish(key("a"), 0, 1.0, 1, 100.9), Wish(key("b"), 0, 2.0, 1, 100.5)], "b"),
+        # whose callers are late already waits for those that can be in time
+        ([Wish(key("a"), 0, 1.0, 9, 100.1), Wish(key("b"), 0, 2.0, 1, 100.9)], "b"),
+        ([Wish(key("a"), 0, 1.0, 1, 99.0), Wish(key("b"), 0, 2.0, 1, 98.0)], "b"),
+        ([Wish(key("a"), 0, 1.0, 9, 100.6), Wish(key("b"), 0, 2.0, 1, 100.5)], "a"),
+    ],
+)
+def test_loads_that_help_callers_in_time_go_first(wishes, expected):
+    """After an outage every caller is late, as each load is for one who was first."""
+    assert choose(EngineWeights(hold()), wishes) == Load(key(expected))
+
+
 def test_an_adapter_in_use_never_leaves():
     """All requests of an engine wait for seconds behind one adapter's change.
 
