Fetch an adapter where it is waited for already

Change: stewards tell which adapters are waited for, and gateways count their own asks by adapter.

Ruled out: holding requests until a model is back. The store binds for the next seconds, so that others would be late for them.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -35,8 +35,11 @@
 #: Without it an adapter was brought to 1.9 engines on a heavy day.
 COPY_DELAY = 0.2
 
-#: Seconds for each adapter that is loaded before.
+#: Seconds for each adapter that is loaded before, and the share of them that comes
+#: before one that is waited for already. Without it eight engines fetched one adapter
+#: after a loss of power, each for the gateway that thought it the least busy.
 TURN_DELAY = 0.2
+WISHED_SHARE = 0.5
 
 #: Seconds until a model is in place where an engine holds none: it has just started, or
 #: can't be reached. Between a load from its own disk and one from the store.
@@ -83,6 +86,7 @@
 
     :param resident: in place, at a version that the request may begin on.
     :param coming: on its way there.
+    :param wished: others wait for it there, and it isn't on its way yet.
     :param recent: held there before, at a version that the request may begin on.
     :param outdated: in place at a version that the request may not begin on. Its
         replacement waits for the requests that use it.
@@ -94,6 +98,7 @@
 
     resident: bool = False
     coming: bool = False
+    wished: bool = False
     recent: bool = False
     outdated: bool = False
     room: int = 1
@@ -109,6 +114,8 @@
             return "resident"
         if self.coming:
             return "coming"
+        if self.wished:
+            return "wished"
         if self.recent:
             return "recent"
         return "outdated" if self.outdated else "absent"
@@ -116,7 +123,7 @@
     @property
     def held(self) -> bool:
         """Whether the engine needs no copy from the store."""
-        return self.resident or self.coming or self.recent
+        return self.resident or self.coming or self.wished or self.recent
 
 
 @dataclass(frozen=True)
@@ -230,6 +237,9 @@
     turns = TURN_DELAY * adapter.wishes
     slots = SLOT_DELAY * max(0, adapter.wishes + 1 - adapter.room)
     old = OUTDATED_DELAY * adapter.outdated
+    if adapter.wished:
+        fetch = RELOAD_DELAY if adapter.recent else LOAD_DELAY
+        return fetch + old + WISHED_SHARE * turns + SLOT_DELAY * (not adapter.room)
     if adapter.recent:
         return RELOAD_DELAY + old + turns + slots
     return LOAD_DELAY + old + turns + slots + min(HASH_MOST, HASH_STEP * rank)
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -1,5 +1,6 @@
 """What a gateway knows of each target: reports, own sends, and how answers went."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ibishead.decisions.choice import AdapterPlace, Candidate
@@ -36,6 +37,7 @@
     :param sent: requests of this gateway that are there now.
     :param prompts: prompt tokens of those that have not answered yet.
     :param held: the newest version of each adapter that it has had in this life.
+    :param asked: adapters that requests of this gateway wait for there.
     :param prompt_wait: seconds that a new prompt had to wait for its turn there, when
         its steward last told; it falls with time.
     """
@@ -52,7 +54,7 @@
     mean_time: float = 0.0
     report: EngineReport | None = None
     held: dict[WeightKey, int] = field(default_factory=dict)
-    wished: int = 0
+    asked: Counter[WeightKey] = field(default_factory=Counter)
     prompt_wait: float = 0.0
     prompt_wait_at: float = 0.0
     lacking: set[WeightKey] = field(default_factory=set)
@@ -89,7 +91,6 @@
                 for ref in holding.adapters:
                     notes.held[WeightKey(holding.model, ref.name)] = ref.version
         notes.report = report
-        notes.wished = 0
         notes.told = report.running + report.queued
         notes.told_at = now
         notes.sent_since_told = 0
@@ -120,9 +121,15 @@
         notes.told_at = now
         notes.sent_since_told = 0
 
-    def note_wish(self, notes: TargetNotes) -> None:
-        """Count an adapter that was asked for since the last report."""
-        notes.wished += 1
+    def begin_ask(self, notes: TargetNotes, key: WeightKey) -> None:
+        """Count a request that waits for an adapter there."""
+        notes.asked[key] += 1
+
+    def end_ask(self, notes: TargetNotes, key: WeightKey) -> None:
+        """Count such a wait as over."""
+        notes.asked[key] -= 1
+        if not notes.asked[key]:
+            del notes.asked[key]
 
     def note_outcome(self, notes: TargetNotes, failed: bool, now: float) -> None:
         """Count an answer as good or as a failure."""
@@ -208,6 +215,10 @@
         resident = version is not None and version >= least_version
         if not weights.adapter:
             resident = serving
+        wished = set(notes.asked)
+        if report is not None:
+            wished.update(report.wished)
+            wished.difference_update(key for key, _ in report.coming)
         coming = report is not None and any(key == weights for key, _ in report.coming)
         return AdapterPlace(
             resident=resident and weights not in notes.lacking,
@@ -215,7 +226,8 @@
             recent=notes.held.get(weights, -1) >= least_version,
             outdated=version is not None and not resident,
             room=report.free_slots if report is not None else 1,
-            wishes=report.wishes + notes.wished if report is not None else 0,
+            wished=weights in wished,
+            wishes=len(wished),
             serving=serving,
             manageable=manageable,
         )
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -283,16 +283,21 @@
                 raise self._refuse(request, request.last or "no engine was free")
             if chosen.wait > self._find_rest(request, now):
                 raise self._refuse(request, "no engine can take it in time")
-            if not (adapter.resident or adapter.coming):
-                self._book.note_wish(self._book.notes(target))
-            end = await self._stewards.ask_turn(
-                target.address,
-                key,
-                self._least_version(request),
-                wait=wait,
-                tokens=call.prompt_tokens,
-                due=request.since + request.route.objective - now,
-            )
+            notes = self._book.notes(target)
+            if not adapter.resident:
+                self._book.begin_ask(notes, key)
+            try:
+                end = await self._stewards.ask_turn(
+                    target.address,
+                    key,
+                    self._least_version(request),
+                    wait=wait,
+                    tokens=call.prompt_tokens,
+                    due=request.since + request.route.objective - now,
+                )
+            finally:
+                if not adapter.resident:
+                    self._book.end_ask(notes, key)
             request.turn_wait += self._clock.monotonic() - now
         if end is TurnEnd.MUTE and adapter.resident:
             # Failure: a steward's host stands still, and its engine is well. What the
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -203,7 +203,7 @@
     :param coming: adapters on their way to the engine.
     :param cache_used: tokens in use that can't yield.
     :param free_slots: adapter slots that are empty or hold what nobody uses.
-    :param wishes: adapters that are waited for and not on their way yet.
+    :param wished: adapters that are waited for and not on their way yet.
     """
 
     target: TargetId
@@ -215,4 +215,4 @@
     cache_used: int = 0
     cache_total: int = 0
     free_slots: int = 0
-    wishes: int = 0
+    wished: tuple[WeightKey, ...] = ()
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -402,12 +402,13 @@
             state.cache_used,
             state.cache_total,
             self._count_free(holdings, len(coming)),
-            sum(key not in coming for key in self._demands),
+            tuple(key for key in self._demands if key not in coming),
         )
         before = self._reported
         same = before is not None and (
-            (before.target, before.born, before.holdings, before.coming)
-            == (report.target, report.born, report.holdings, report.coming)
+            (before.target, before.born, before.holdings)
+            == (report.target, report.born, report.holdings)
+            and (before.coming, before.wished) == (report.coming, report.wished)
         )
         if report == before or (same and now - self._reported_at < REPORT_INTERVAL):
             return
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -90,6 +90,8 @@
         ({"a": AdapterPlace(), "b": AdapterPlace(recent=True, room=2, wishes=1)}, "b"),
         ({"a": AdapterPlace(), "b": AdapterPlace(recent=True, room=0, wishes=1)}, "a"),
         ({"a": AdapterPlace(resident=True), "b": AdapterPlace(recent=True)}, "a"),
+        ({"a": AdapterPlace(wished=True, wishes=3), "b": AdapterPlace(wishes=1)}, "a"),
+        ({"a": AdapterPlace(wished=True), "b": AdapterPlace(coming=True)}, "b"),
     ],
 )
 def test_an_engine_that_held_the_adapter_before_comes_next(places, expected):
--- a/tests/gateway/test_book.py
+++ b/tests/gateway/test_book.py
@@ -138,3 +138,20 @@
     assert not describe(book, 1.0, least=2).adapter.recent
     book.take_report(EngineReport(TargetId("t"), 2, empty), 2.0)
     assert not describe(book, 2.0).adapter.recent
+
+
+def test_an_adapter_that_is_waited_for_is_not_asked_for_elsewhere():
+    """Eight engines fetch one adapter, each for another gateway.
+
+    All adapters are asked for at once after an outage, and none is on its way yet.
+    """
+    book, other = TargetBook(), WeightKey(MODEL, "b")
+    book.take_report(make_report(wished=(other,)), 0.0)
+    assert describe(book, 0.1, other).adapter.wished
+    mine = WeightKey(MODEL, "c")
+    notes = book.notes(TARGET)
+    book.begin_ask(notes, mine)
+    place = describe(book, 0.1, mine).adapter
+    assert (place.wished, place.wishes) == (True, 2)
+    book.end_ask(notes, mine)
+    assert not describe(book, 0.1, mine).adapter.wished
