Metrics on an address of each program, and logs that never wait

Cause: on-call engineers have logs and metrics only, and the platform's programs had no metrics. A reader of the logs that stands still held the program; a refusal before a route was found bore no id; nothing bounded the lines.

Change: counters, histograms and gauges on the address that the deploy file names; lines go to a non-blocking descriptor with a bound of 512 KiB that wait; routine lines are bounded to 100 a second, what was left out or lost is counted in a later line.

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -125,6 +125,9 @@
         :raises InvalidInput: it can't be understood.
         """
 
+    def find_id(self, request: WebRequest) -> RequestId | None:
+        """Return the caller's name for a request, if it can be read."""
+
     def show_error(
         self, error: IbisheadError, request: WebRequest
     ) -> tuple[int, Headers, bytes]:
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -36,7 +36,10 @@
     Sender,
 )
 from ibishead.gateway.stewards import StewardLinks, TurnEnd
-from ibishead.ids import FailureDomain, ServiceName, TargetId
+from ibishead.ids import ClassName, FailureDomain, ServiceName, TargetId, TeamId
+from ibishead.logsink import mark_routine
+from ibishead.messages import Outcome as RequestEnd
+from ibishead.metrics import Measure, Metrics
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind
 from ibishead.routing.routes import Route, find_route, pick_service
@@ -102,6 +105,7 @@
         targets: TargetDialect,
         clock: Clock,
         share: BudgetShare,
+        metrics: Metrics,
         draw: Callable[[], float] = random.random,
     ) -> None:
         self._domain = domain
@@ -112,6 +116,7 @@
         self._sender = Sender(book, pool, targets, clock)
         self._clock = clock
         self._share = share
+        self._metrics = metrics
         self._draw = draw
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._pace = AnswerPace()
@@ -134,9 +139,14 @@
                 took = self._clock.monotonic() - request.progress.first
                 self._pace.note(took, call.answer_tokens)
         except CallerLeftError:
-            self._log(request, "caller_left")
+            if request is not None:
+                self._log(request, "caller_left")
         except IbisheadError as error:
-            self._log(request, error.code.value, error)
+            self._metrics.count_refusal(error.code)
+            if request is None:
+                self._log_early(exchange, error)
+            else:
+                self._log(request, error.code.value, error)
             if exchange.started:
                 exchange.abort()
                 return
@@ -375,20 +385,17 @@
 
     def _log(
         self,
-        request: _Request | None,
+        request: _Request,
         outcome: str,
         error: IbisheadError | None = None,
     ) -> None:
-        if request is None:
-            logger.info(
-                "request refused",
-                extra={"outcome": outcome, "reason": error.message if error else ""},
-            )
-            return
         progress = request.progress
+        self._measure(request, error)
+        calm = error is None and not request.refusals and not progress.sends
         logger.info(
             "request ended",
-            extra={
+            extra=(mark_routine() if calm else {})
+            | {
                 "request": request.call.request,
                 "route": request.route.name,
                 "service": request.service,
@@ -409,6 +416,36 @@
             },
         )
 
+    def _log_early(self, exchange: Exchange, error: IbisheadError) -> None:
+        logger.info(
+            "request refused",
+            extra={
+                "request": self._callers.find_id(exchange.request),
+                "outcome": error.code.value,
+                "reason": error.message,
+                "routes": self._feed.version,
+            },
+        )
+
+    def _measure(self, request: _Request, error: IbisheadError | None) -> None:
+        # platforms name no class of a request; its route tells the same
+        team, group = TeamId(request.service), ClassName(request.route.name)
+        progress = request.progress
+        self._metrics.observe(Measure.WAIT, team, group, request.turn_wait)
+        if progress.first:
+            first = progress.first - request.started
+            self._metrics.observe(Measure.FIRST_TOKEN, team, group, first)
+        if progress.pause:
+            self._metrics.observe(Measure.BETWEEN_TOKENS, team, group, progress.pause)
+        match error:
+            case None:
+                end = RequestEnd.COMPLETED
+            case Refused() | Unavailable() | NotFound():
+                end = RequestEnd.NOT_RUN
+            case _:
+                end = RequestEnd.UNKNOWN
+        self._metrics.count_request(team, group, end)
+
 
 def _describe_timeout(request: _Request) -> IbisheadError:
     if request.progress.sends == 0 and not request.progress.sending:
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -11,6 +11,7 @@
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.settings import GatewaySettings
 from ibishead.gateway.stewards import StewardLinks
+from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, MemberRecord
 from ibishead.routing.routes import RouteSet
@@ -67,6 +68,7 @@
             on_statements=self._take_statements,
             on_members=self._meet_stewards,
         )
+        self.metrics = Metrics("gateway")
         self._pipeline = Pipeline(
             settings.failure_domain,
             self.feed,
@@ -77,6 +79,7 @@
             targets,
             clock,
             settings.retries,
+            self.metrics,
         )
         self._running = 0
         self._quiet_since = clock.monotonic()
@@ -92,6 +95,16 @@
         await self._web.start(self._settings.callers)
         self._sweeper = asyncio.create_task(self._sweep())
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return present values by name."""
+        return {
+            "running": self._running,
+            "routes_version": self.feed.version,
+            "registries_linked": len(self.feed.links),
+            "targets_known": sum(1 for _ in self.feed.view),
+            "connections_opened": self._pool.opened,
+        }
+
     async def stop(self) -> None:
         """Leave the balancer's rotation, finish every request, then end."""
         began = self._clock.monotonic()
--- a/src/ibishead/logs.py
+++ b/src/ibishead/logs.py
@@ -85,13 +85,18 @@
 
 
 def set_up_logging(
-    level: LogLevel, program: str, host: HostId, stream: TextIO | None = None
+    level: LogLevel,
+    program: str,
+    host: HostId,
+    stream: TextIO | None = None,
+    handler: logging.Handler | None = None,
 ) -> None:
     """Send all logs of the process to one stream, and drop earlier handlers.
 
     :param stream: standard error by default.
+    :param handler: writes the lines, in place of one that waits for the stream.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter({"program": program, "host": host}))
     handler.addFilter(RedactingFilter())
     root = logging.getLogger()
--- a/src/ibishead/platform/callers.py
+++ b/src/ibishead/platform/callers.py
@@ -58,6 +58,11 @@
             find_header(headers, "last-event-id"),
         )
 
+    def find_id(self, request: WebRequest) -> RequestId | None:
+        """Return the caller's name for a request, if it has one."""
+        found = find_header(request.headers, "request-id")
+        return RequestId(found) if found is not None else None
+
     def show_error(
         self, error: IbisheadError, request: WebRequest
     ) -> tuple[int, Headers, bytes]:
--- a/src/ibishead/platform/programs.py
+++ b/src/ibishead/platform/programs.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,9 @@
 from ibishead.ids import HostId
 from ibishead.links import Endpoint
 from ibishead.logs import set_up_logging
+from ibishead.logsink import LineBudget, PatientHandler
+from ibishead.metrics import Metrics
+from ibishead.metricsserver import MetricsServer
 from ibishead.platform.settings import PlatformSettings, load_platform_settings
 from ibishead.process import EXIT_SETTINGS, run_program, wait_for_stop
 from ibishead.routing.feed import RegistryFeed
@@ -36,7 +40,9 @@
 RELOAD_INTERVAL = 1.0
 
 
-async def run_gateway(settings: PlatformSettings, path: Path) -> None:
+async def run_gateway(
+    settings: PlatformSettings, path: Path, metrics_port: int | None = None
+) -> None:
     """Serve callers until a planned stop."""
     from ibishead.gateway.server import Gateway
     from ibishead.platform.callers import PlatformCallers
@@ -45,10 +51,14 @@
     gateway = Gateway(
         settings.gateway(), BootClock(), PlatformCallers(), PlatformTargets()
     )
-    await _run("gateway", gateway.start, gateway.stop, gateway.feed, path)
+    page = MetricsServer(gateway.metrics, gateway.list_gauges)
+    async with _show_metrics(page, settings, metrics_port):
+        await _run("gateway", gateway.start, gateway.stop, gateway.feed, path)
 
 
-async def run_steward(settings: PlatformSettings, path: Path) -> None:
+async def run_steward(
+    settings: PlatformSettings, path: Path, metrics_port: int | None = None
+) -> None:
     """Give orders to this host's engine until a planned stop."""
     from ibishead.platform.engines import PlatformEngine
     from ibishead.steward.server import StewardServer
@@ -57,10 +67,14 @@
     host, _, port = own.engine.rpartition(":")
     engine = PlatformEngine(Endpoint(host, int(port)))
     server = StewardServer(own, BootClock(), engine)
-    await _run("steward", server.start, server.stop, server.feed, path)
+    page = MetricsServer(Metrics("steward"), server.list_gauges)
+    async with _show_metrics(page, settings, metrics_port):
+        await _run("steward", server.start, server.stop, server.feed, path)
 
 
-async def run_registry(settings: PlatformSettings, path: Path) -> None:
+async def run_registry(
+    settings: PlatformSettings, path: Path, metrics_port: int | None = None
+) -> None:
     """Take part in the registry until a planned stop, or until the disk fails.
 
     :raises StorageFault: the data folder is damaged, or its disk has failed.
@@ -75,7 +89,29 @@
             failure.set_exception(fault)
 
     registry = Registry(settings.registry(), BootClock(), make_door, note_failure)
-    await _run("registry", registry.start, registry.stop, registry.feed, path, failure)
+    page = MetricsServer(Metrics("registry"), registry.list_gauges)
+    async with _show_metrics(page, settings, metrics_port):
+        await _run(
+            "registry", registry.start, registry.stop, registry.feed, path, failure
+        )
+
+
+@contextlib.asynccontextmanager
+async def _show_metrics(
+    page: MetricsServer, settings: PlatformSettings, port: int | None
+) -> AsyncIterator[None]:
+    if port is None:
+        yield
+        return
+    try:
+        await page.start(Endpoint(settings.ip, port))
+    except OSError as error:
+        # callers are served without metrics too
+        logger.warning("no metrics", extra={"port": port, "reason": str(error)})
+    try:
+        yield
+    finally:
+        await page.stop()
 
 
 async def _run(
@@ -124,7 +160,9 @@
             continue
 
 
-_PROGRAMS: dict[str, Callable[[PlatformSettings, Path], Coroutine[Any, Any, None]]] = {
+_Run = Callable[[PlatformSettings, Path, int | None], Coroutine[Any, Any, None]]
+
+_PROGRAMS: dict[str, _Run] = {
     "gateway": run_gateway,
     "registry": run_registry,
     "steward": run_steward,
@@ -134,7 +172,8 @@
 @click.command()
 @click.argument("program", type=click.Choice(sorted(_PROGRAMS)))
 @click.option("--check-settings", is_flag=True, help="Check the file and exit.")
-def main(program: str, check_settings: bool) -> None:
+@click.option("--metrics-port", type=int, help="Port of the metrics; none without it.")
+def main(program: str, check_settings: bool, metrics_port: int | None) -> None:
     """Run one program of ibishead on the platform."""
     path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
@@ -146,5 +185,7 @@
     if check_settings:
         click.echo(f"{path} is valid")
         return
-    set_up_logging(LogLevel.INFO, program, HostId(settings.node_name), sys.stdout)
-    run_program(lambda: _PROGRAMS[program](settings, path))
+    handler = PatientHandler(sys.stdout.fileno())
+    handler.addFilter(LineBudget(BootClock()))
+    set_up_logging(LogLevel.INFO, program, HostId(settings.node_name), handler=handler)
+    run_program(lambda: _PROGRAMS[program](settings, path, metrics_port))
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -130,6 +130,22 @@
         if self.replica is not None and self._settings.first_start:
             self._tasks.append(asyncio.create_task(self._found()))
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return present values by name."""
+        gauges: dict[str, float] = {
+            "routes_version": self.state.version,
+            "subscribers": self._publisher.count,
+            "targets_known": sum(1 for _ in self.feed.view),
+        }
+        if self.replica is not None:
+            core = self.replica.core
+            gauges |= {
+                "term": core.term,
+                "commit": core.commit,
+                "leads": core.leader == self.replica.name,
+            }
+        return gauges
+
     async def stop(self) -> None:
         """Hand over, finish what is under way, close everything."""
         self._web.begin_stop()
--- a/src/ibishead/steward/server.py
+++ b/src/ibishead/steward/server.py
@@ -56,6 +56,14 @@
         self.feed.start()
         self._task = asyncio.create_task(self._steward.run())
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return present values by name."""
+        return {
+            "registries_linked": len(self.feed.links),
+            "routes_version": self.feed.version,
+            **self._steward.list_gauges(),
+        }
+
     async def stop(self) -> None:
         """Give no further order, and close all links."""
         if self._task is not None:
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -134,6 +134,17 @@
                     "unexpected message", extra={"kind": type(message).__name__}
                 )
 
+    def list_gauges(self) -> dict[str, float]:
+        """Return present values by name."""
+        return {
+            "fence": self._fence,
+            "gateways_linked": len(self._links),
+            "adapters_wished": len(self._demands),
+            "adapters_coming": len(self._ledger.list_coming()),
+            "prompts_waiting": self._turns.count,
+            "prompt_limit": self._turns.window.limit,
+        }
+
     def take_routes(self, routes: RouteSet) -> None:
         """Take in the route set that is in force now."""
         self._turns.window.gap = find_gap_objective(routes, self._service)
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -63,6 +63,11 @@
         self._told = 0.0
         self._told_at = 0.0
 
+    @property
+    def count(self) -> int:
+        """How many requests wait for their turn."""
+        return len(self._waiting)
+
     def add(self, waiter: Waiter) -> None:
         """Take in a request whose adapter is in place."""
         self._count += 1
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -16,6 +16,7 @@
 from ibishead.headers import find_header
 from ibishead.ids import FailureDomain, HostId, ServiceName, TargetId
 from ibishead.links import Endpoint
+from ibishead.metrics import Metrics
 from ibishead.platform.callers import PlatformCallers
 from ibishead.platform.targets import PlatformTargets
 from ibishead.routing.feed import RegistryFeed
@@ -129,6 +130,7 @@
             PlatformTargets(),
             clock,
             BudgetShare(0.0, 3.0),
+            Metrics("gateway"),
             lambda: 0.0,
         )
         self._web = WebServer(self.pipeline.serve)
--- /dev/null
+++ b/tests/test_logsink.py
@@ -0,0 +1,100 @@
+"""Logs whose reader stands still, and more lines than anybody reads."""
+
+import json
+import logging
+import os
+from datetime import UTC, datetime
+
+import pytest
+
+from ibishead.logs import JsonFormatter
+from ibishead.logsink import (
+    MAX_WAITING,
+    ROUTINE_BURST,
+    ROUTINE_RATE,
+    LineBudget,
+    PatientHandler,
+    mark_routine,
+)
+
+
+class FakeClock:
+    """Stands still until it is moved."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+
+    def monotonic(self) -> float:
+        return self.seconds
+
+    def now(self) -> datetime:
+        return datetime.fromtimestamp(self.seconds, UTC)
+
+
+def make_record(**extra) -> logging.LogRecord:
+    record = logging.makeLogRecord({"msg": "request ended", "level": logging.INFO})
+    vars(record).update(extra)
+    return record
+
+
+@pytest.fixture
+def pipe():
+    """Return both ends of a pipe and a handler that writes into it."""
+    reader, writer = os.pipe()
+    handler = PatientHandler(writer)
+    handler.setFormatter(JsonFormatter({}))
+    yield reader, handler
+    handler.close()
+    os.close(reader)
+    os.close(writer)
+
+
+def read_lines(reader: int) -> list[dict]:
+    os.set_blocking(reader, False)
+    data = b""
+    try:
+        while piece := os.read(reader, 65536):
+            data += piece
+    except BlockingIOError:
+        pass
+    return [json.loads(line) for line in data.splitlines()]
+
+
+def test_a_reader_that_stands_still_costs_lines_and_no_time(pipe):
+    """All callers wait, as the collector of the logs hangs and the pipe is full.
+
+    Lines wait up to a bound; then whole ones are lost, and the first that gets through
+    says how many. None is torn.
+    """
+    reader, handler = pipe
+    size = len(handler.format(make_record(number=100000))) + 1
+    count = (2 * MAX_WAITING + 65536) // size
+    for number in range(count):
+        handler.emit(make_record(number=number))
+    seen = []
+    for number in range(count, count + 40):
+        seen += read_lines(reader)
+        handler.emit(make_record(number=number))
+    seen += read_lines(reader)
+    numbers = [line["number"] for line in seen]
+    assert numbers == sorted(numbers)
+    assert numbers[-1] == count + 39
+    lost = sum(line.get("lines_lost", 0) for line in seen)
+    assert lost > 0
+    assert lost + len(seen) == count + 40
+
+
+@pytest.mark.parametrize("routine", [True, False])
+def test_only_routine_lines_are_left_out_and_they_are_counted(routine):
+    clock = FakeClock()
+    budget = LineBudget(clock)
+    extra = mark_routine() if routine else {}
+    count = int(2 * ROUTINE_BURST)
+    passed = sum(budget.filter(make_record(**extra)) for _ in range(count))
+    assert passed == (ROUTINE_BURST if routine else count)
+    clock.seconds = 1.0
+    record = make_record(**extra)
+    assert budget.filter(record)
+    assert getattr(record, "left_out", 0) == count - passed
+    more = sum(budget.filter(make_record(**extra)) for _ in range(count))
+    assert more == (ROUTINE_RATE - 1 if routine else count)
