Use kept connections in turn, until a second before their targets close them

The last used was used first, so that all beyond the usual number ran out.

Change: the one that was idle longest is used first, and all until 1 s before the target's own limit.

--- a/src/ibishead/gateway/pool.py
+++ b/src/ibishead/gateway/pool.py
@@ -10,16 +10,21 @@
 
 logger = logging.getLogger(__name__)
 
-#: Share of the target's own idle time for which a kept connection is used again; the
-#: rest covers the way there, so that no request crosses the target's close.
-IDLE_SHARE = 0.7
+#: Seconds before the end of the target's own idle time from which a kept connection
+#: isn't used any more, at most half of that time. They cover the way there and a target
+#: that counts from a little earlier, so that no request crosses the target's close.
+IDLE_MARGIN = 1.0
 
 #: Seconds for which a connection is kept where the target doesn't say.
 IDLE_DEFAULT = 4.0
 
 
 class ConnectionPool:
-    """Idle connections by address, the last used first."""
+    """Idle connections by address, the one that has been idle longest first.
+
+    So all stay in use. With the last one first, those beyond the usual number ran out,
+    and were opened anew at the next clump of requests.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -34,7 +39,7 @@
         now = self._clock.monotonic()
         kept = self._idle.get(address, [])
         while kept:
-            connection = kept.pop()
+            connection = kept.pop(0)
             if _is_usable(connection, now):
                 return connection
             connection.close()
@@ -80,5 +85,5 @@
     if connection.closed:
         return False
     told = connection.idle_time
-    limit = IDLE_DEFAULT if told is None else IDLE_SHARE * told
+    limit = IDLE_DEFAULT if told is None else max(told - IDLE_MARGIN, told / 2)
     return now - connection.used < limit
