Split a request's records from the pipeline, and drop notes on targets that are gone

Cause: the pipeline held the way of a request, its log line and its counts (463 lines); notes on targets were never dropped, and hold all adapters that each has had; a caller that left was counted as served.

--- a/src/ibishead/decisions/residents.py
+++ b/src/ibishead/decisions/residents.py
@@ -50,7 +50,6 @@
 class Wish:
     """An adapter that requests wait for.
 
-    :param since: monotonic seconds at which the first of them asked.
     :param waiting: how many wait.
     :param due: monotonic seconds at which the answer to one of them should begin, the
         next that can still be in time.
@@ -58,7 +57,6 @@
 
     key: WeightKey
     version: int
-    since: float
     waiting: int = 1
     due: float = 0.0
 
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -1,6 +1,7 @@
 """What a gateway knows of each target: reports, own sends, and how answers went."""
 
 from collections import Counter
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from ibishead.decisions.choice import AdapterPlace, Candidate
@@ -75,10 +76,6 @@
             self._notes[target.target] = found
         return found
 
-    def find(self, target: TargetId) -> TargetNotes | None:
-        """Return the notes on a target that is known."""
-        return self._notes.get(target)
-
     def take_report(self, report: EngineReport, now: float) -> None:
         """Take in what a steward has read from its engine."""
         notes = self._notes.get(report.target)
@@ -185,10 +182,14 @@
             adapter=self._place(target, notes, weights, least_version, manageable),
         )
 
-    def forget(self, targets: list[TargetId]) -> None:
-        """Drop the notes on targets that are gone."""
-        for target in targets:
-            self._notes.pop(target, None)
+    def keep(self, known: Collection[TargetId]) -> None:
+        """Drop the notes on all other targets.
+
+        Failure: targets come and go all day, each with the adapters that it has had,
+        and a gateway grows until it is ended for its memory.
+        """
+        for target in self._notes.keys() - known:
+            del self._notes[target]
 
     def _failures(self, notes: TargetNotes, now: float) -> float:
         return notes.failures * 0.5 ** ((now - notes.failed_at) / FAILURE_HALF_LIFE)
--- a/src/ibishead/gateway/events.py
+++ b/src/ibishead/gateway/events.py
@@ -37,10 +37,6 @@
         rest, self._rest = self._rest, b""
         return rest
 
-    def drop_rest(self) -> None:
-        """Forget the part of an event, because its stream was broken off."""
-        self._rest = b""
-
     def _note_last(self, whole: bytes) -> None:
         at = whole.rfind(b"\n" + _ID)
         start = at + 1 if at >= 0 else (0 if whole.startswith(_ID) else -1)
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -8,7 +8,6 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from datetime import timedelta
 
 from ibishead.clock import Clock
@@ -23,6 +22,12 @@
     Refused,
     Unavailable,
 )
+from ibishead.gateway.accounts import (
+    ANSWERED,
+    CALLER_LEFT,
+    RequestAccounts,
+    RequestState,
+)
 from ibishead.gateway.book import TargetBook
 from ibishead.gateway.calls import Call, CallerDialect, TargetDialect
 from ibishead.gateway.pool import ConnectionPool
@@ -36,13 +41,11 @@
     Sender,
 )
 from ibishead.gateway.stewards import StewardLinks, TurnEnd
-from ibishead.ids import ClassName, FailureDomain, ServiceName, TargetId, TeamId
-from ibishead.logsink import mark_routine
-from ibishead.messages import Outcome as RequestEnd
-from ibishead.metrics import Measure, Metrics
+from ibishead.ids import FailureDomain, ServiceName
+from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind
-from ibishead.routing.routes import Route, find_route, pick_service
+from ibishead.routing.routes import find_route, pick_service
 from ibishead.routing.targets import Registration
 from ibishead.web import Exchange
 
@@ -69,28 +72,6 @@
 EXPECTED_SHARE = 0.7
 
 
-@dataclass
-class _Request:
-    """One request on its way.
-
-    :ivar since: when it began to look for a target, again after each send that broke.
-    """
-
-    call: Call
-    route: Route
-    service: ServiceName
-    deadline: float
-    started: float
-    since: float
-    progress: Progress
-    avoid: set[TargetId] = field(default_factory=set)
-    refusals: int = 0
-    last: str = ""
-    turn_wait: float = 0.0
-    placed: str = ""
-    expected: float = 0.0
-
-
 class Pipeline:
     """Serves requests with what the feed, the book and the stewards know."""
 
@@ -116,7 +97,7 @@
         self._sender = Sender(book, pool, targets, clock)
         self._clock = clock
         self._share = share
-        self._metrics = metrics
+        self._accounts = RequestAccounts(callers, feed, metrics, clock)
         self._draw = draw
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._pace = AnswerPace()
@@ -129,31 +110,30 @@
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
         started = self._clock.monotonic()
-        request: _Request | None = None
+        request: RequestState | None = None
         try:
             call = self._callers.read_call(exchange.request)
             request = self._resolve(call, exchange, started)
             await self._run(request, exchange)
-            self._log(request, "answered")
+            self._accounts.note_end(request, ANSWERED)
             if request.progress.first:
                 took = self._clock.monotonic() - request.progress.first
                 self._pace.note(took, call.answer_tokens)
         except CallerLeftError:
             if request is not None:
-                self._log(request, "caller_left")
+                self._accounts.note_end(request, CALLER_LEFT)
         except IbisheadError as error:
-            self._metrics.count_refusal(error.code)
             if request is None:
-                self._log_early(exchange, error)
+                self._accounts.note_refusal(exchange.request, error)
             else:
-                self._log(request, error.code.value, error)
+                self._accounts.note_end(request, error.code.value, error)
             if exchange.started:
                 exchange.abort()
                 return
             status, headers, body = self._callers.show_error(error, exchange.request)
             await exchange.respond(status, headers, body)
 
-    def _resolve(self, call: Call, exchange: Exchange, started: float) -> _Request:
+    def _resolve(self, call: Call, exchange: Exchange, started: float) -> RequestState:
         expected = self._pace.expect(call.answer_tokens)
         if self._ends_at is not None and not fits_grace(
             expected, self._ends_at - started
@@ -182,7 +162,7 @@
         deadline = started + min(patience, route.timeout)
         service = pick_service(route, self._draw())
         self._budget(service).record_attempt()
-        return _Request(
+        return RequestState(
             call,
             route,
             service,
@@ -192,7 +172,7 @@
             Progress(exchange, call.resume_after),
         )
 
-    async def _run(self, request: _Request, exchange: Exchange) -> None:
+    async def _run(self, request: RequestState, exchange: Exchange) -> None:
         work = asyncio.create_task(self._answer(request))
         gone = asyncio.create_task(exchange.gone.wait())
         wait = max(0.0, request.deadline - self._clock.monotonic())
@@ -213,7 +193,7 @@
                 work.cancel()
             await asyncio.gather(work, gone, return_exceptions=True)
 
-    async def _answer(self, request: _Request) -> None:
+    async def _answer(self, request: RequestState) -> None:
         key = request.call.engine_key
         while True:
             target = await self._choose(request)
@@ -235,7 +215,9 @@
                 case NotRun() | Broken():
                     self._weigh(request, target, outcome)
 
-    def _weigh(self, request: _Request, target: Registration, outcome: Outcome) -> None:
+    def _weigh(
+        self, request: RequestState, target: Registration, outcome: Outcome
+    ) -> None:
         """Return where another send may follow, and raise what the caller is told."""
         request.avoid.add(target.target)
         progress, route = request.progress, request.route
@@ -259,7 +241,7 @@
                     code=ErrorCode.TARGET_FAILED,
                 )
 
-    async def _choose(self, request: _Request) -> Registration:
+    async def _choose(self, request: RequestState) -> Registration:
         """Return a target that the request may be sent to now."""
         while True:
             chosen = self._pick(request, self._clock.monotonic())
@@ -279,7 +261,7 @@
             request.avoid.add(target.target)
 
     async def _wait_turn(
-        self, request: _Request, target: Registration, chosen: Chosen
+        self, request: RequestState, target: Registration, chosen: Chosen
     ) -> TurnEnd:
         """Wait for the adapter, and for the prompt's turn."""
         call, adapter = request.call, chosen.candidate.adapter
@@ -316,19 +298,19 @@
             return TurnEnd.GIVEN
         return end
 
-    def _find_patience(self, request: _Request, now: float) -> float:
+    def _find_patience(self, request: RequestState, now: float) -> float:
         """Return the seconds that a request may wait at one engine."""
         most = max(TURN_LEAST, TURN_FACTOR * request.route.objective)
         return min(most, self._find_rest(request, now))
 
-    def _find_rest(self, request: _Request, now: float) -> float:
+    def _find_rest(self, request: RequestState, now: float) -> float:
         """Return the seconds until a request is refused if it can't be sent."""
         last = request.since + REFUSE_FACTOR * request.route.objective
         if request.route.objective <= 0:
             last = request.deadline
         return min(request.deadline, last) - now
 
-    def _pick(self, request: _Request, now: float) -> Chosen:
+    def _pick(self, request: RequestState, now: float) -> Chosen:
         key = request.call.engine_key
         least = self._least_version(request)
         candidates = [
@@ -354,7 +336,7 @@
         request.expected = chosen.wait
         return chosen
 
-    def _least_version(self, request: _Request) -> int:
+    def _least_version(self, request: RequestState) -> int:
         key = request.call.weights
         floor = self._feed.floors.get(key) if key is not None else None
         return 0 if floor is None else floor.version
@@ -368,7 +350,7 @@
             self._budgets[service] = found
         return found
 
-    def _refuse(self, request: _Request, reason: str) -> IbisheadError:
+    def _refuse(self, request: RequestState, reason: str) -> IbisheadError:
         if request.progress.sends:
             return OutcomeUnknown(
                 f"an earlier send may have run, and then: {reason}",
@@ -383,71 +365,8 @@
             retry_after=timedelta(seconds=wait * (0.5 + self._draw())),
         )
 
-    def _log(
-        self,
-        request: _Request,
-        outcome: str,
-        error: IbisheadError | None = None,
-    ) -> None:
-        progress = request.progress
-        self._measure(request, error)
-        calm = error is None and not request.refusals and not progress.sends
-        logger.info(
-            "request ended",
-            extra=(mark_routine() if calm else {})
-            | {
-                "request": request.call.request,
-                "route": request.route.name,
-                "service": request.service,
-                "adapter": request.call.adapter,
-                "target": progress.target,
-                "sends": progress.sends,
-                "refusals": request.refusals,
-                "events_after": progress.last_event,
-                "seconds": round(self._clock.monotonic() - request.started, 4),
-                "placed": request.placed,
-                "turn_wait": round(request.turn_wait, 4),
-                "pause": round(progress.pause, 4),
-                "first": round(progress.first - request.started, 4)
-                if progress.first
-                else None,
-                "outcome": outcome,
-                "reason": error.message if error else request.last,
-            },
-        )
-
-    def _log_early(self, exchange: Exchange, error: IbisheadError) -> None:
-        logger.info(
-            "request refused",
-            extra={
-                "request": self._callers.find_id(exchange.request),
-                "outcome": error.code.value,
-                "reason": error.message,
-                "routes": self._feed.version,
-            },
-        )
-
-    def _measure(self, request: _Request, error: IbisheadError | None) -> None:
-        # platforms name no class of a request; its route tells the same
-        team, group = TeamId(request.service), ClassName(request.route.name)
-        progress = request.progress
-        self._metrics.observe(Measure.WAIT, team, group, request.turn_wait)
-        if progress.first:
-            first = progress.first - request.started
-            self._metrics.observe(Measure.FIRST_TOKEN, team, group, first)
-        if progress.pause:
-            self._metrics.observe(Measure.BETWEEN_TOKENS, team, group, progress.pause)
-        match error:
-            case None:
-                end = RequestEnd.COMPLETED
-            case Refused() | Unavailable() | NotFound():
-                end = RequestEnd.NOT_RUN
-            case _:
-                end = RequestEnd.UNKNOWN
-        self._metrics.count_request(team, group, end)
-
 
-def _describe_timeout(request: _Request) -> IbisheadError:
+def _describe_timeout(request: RequestState) -> IbisheadError:
     if request.progress.sends == 0 and not request.progress.sending:
         return Refused(
             f"not run in time: {request.last or 'no target was free'}",
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -178,3 +178,4 @@
             while True:
                 await asyncio.sleep(SWEEP_INTERVAL)
                 self._pool.sweep()
+                self._book.keep({found.target for found in self.feed.view})
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -58,13 +58,12 @@
 @dataclass
 class _Demand:
     version: int
-    since: float
     waiters: list[Waiter] = field(default_factory=list)
 
     def wish(self, key: WeightKey, now: float) -> Wish:
         dues = [waiter.due for waiter in self.waiters]
         due = min((d for d in dues if d >= now + LOAD_TIME), default=max(dues))
-        return Wish(key, self.version, self.since, len(dues), due)
+        return Wish(key, self.version, len(dues), due)
 
 
 class Steward:
@@ -179,7 +178,7 @@
         if self._ledger.holds(key, version):
             self._queue(waiter)
             return
-        demand = self._demands.setdefault(key, _Demand(version, now))
+        demand = self._demands.setdefault(key, _Demand(version))
         demand.version = max(demand.version, version)
         demand.waiters.append(waiter)
         waiter.link.send(TurnNoted(waiter.number))
--- a/tests/decisions/test_residents.py
+++ b/tests/decisions/test_residents.py
@@ -42,17 +42,17 @@
         (EngineWeights(), (), Load(key(""))),
         (EngineWeights(coming=frozenset({key("")})), (), Idle),
         (EngineWeights(hold()), (), Idle),
-        (EngineWeights(hold("a")), (Wish(key("b"), 0, 1.0),), Load(key("b"))),
-        (EngineWeights(hold("a")), (Wish(key("a"), 2, 1.0),), Load(key("a"), 2)),
-        (EngineWeights(hold("a", "b", "c")), (Wish(key("d"), 0, 1.0),), Unload),
+        (EngineWeights(hold("a")), (Wish(key("b"), 0),), Load(key("b"))),
+        (EngineWeights(hold("a")), (Wish(key("a"), 2),), Load(key("a"), 2)),
+        (EngineWeights(hold("a", "b", "c")), (Wish(key("d"), 0),), Unload),
         (
             EngineWeights(hold("a", "b"), coming=frozenset({key("c")})),
-            (Wish(key("d"), 0, 1.0),),
+            (Wish(key("d"), 0),),
             Unload,
         ),
         (
             EngineWeights(hold("a"), coming=frozenset({key("b")})),
-            (Wish(key("b"), 0, 1.0),),
+            (Wish(key("b"), 0),),
             Idle,
         ),
     ],
@@ -67,11 +67,11 @@
 @pytest.mark.parametrize(
     ("wishes", "expected"),
     [
-        ([Wish(key("a"), 0, 1.0, 1, 100.9), Wish(key("b"), 0, 2.0, 1, 100.5)], "b"),
+        ([Wish(key("a"), 0, 1, 100.9), Wish(key("b"), 0, 1, 100.5)], "b"),
         # whose callers are late already waits for those that can be in time
-        ([Wish(key("a"), 0, 1.0, 9, 100.1), Wish(key("b"), 0, 2.0, 1, 100.9)], "b"),
-        ([Wish(key("a"), 0, 1.0, 1, 99.0), Wish(key("b"), 0, 2.0, 1, 98.0)], "b"),
-        ([Wish(key("a"), 0, 1.0, 9, 100.6), Wish(key("b"), 0, 2.0, 1, 100.5)], "a"),
+        ([Wish(key("a"), 0, 9, 100.1), Wish(key("b"), 0, 1, 100.9)], "b"),
+        ([Wish(key("a"), 0, 1, 99.0), Wish(key("b"), 0, 1, 98.0)], "b"),
+        ([Wish(key("a"), 0, 9, 100.6), Wish(key("b"), 0, 1, 100.5)], "a"),
     ],
 )
 def test_loads_that_help_callers_in_time_go_first(wishes, expected):
@@ -87,9 +87,9 @@
     """
     pinned = frozenset({key("a"), key("b"), key("c")})
     weights = EngineWeights(hold("a", "b", "c"), pinned=pinned)
-    assert isinstance(choose(weights, (Wish(key("d"), 0, 1.0),)), Idle)
+    assert isinstance(choose(weights, (Wish(key("d"), 0),)), Idle)
     weights = EngineWeights(hold("a", "b", "c"), pinned=pinned - {key("b")})
-    assert choose(weights, (Wish(key("d"), 0, 1.0),)) == Unload(key("b"))
+    assert choose(weights, (Wish(key("d"), 0),)) == Unload(key("b"))
 
 
 @pytest.mark.parametrize(
@@ -127,7 +127,7 @@
         frozenset(key(name) for name in coming),
         pinned=frozenset(key(name) for name in pinned),
     )
-    order = choose(weights, [Wish(key(name), 0, 1.0) for name in sorted(wished)])
+    order = choose(weights, [Wish(key(name), 0) for name in sorted(wished)])
     match order:
         case Load(loaded):
             assert len({key(n) for n in held | coming} | {loaded}) <= 3
--- a/tests/gateway/test_book.py
+++ b/tests/gateway/test_book.py
@@ -78,8 +78,7 @@
     book = TargetBook()
     book.take_report(make_report(born=1), 0.0)
     book.take_report(EngineReport(TargetId("t"), 2, ()), 1.0)
-    notes = book.find(TargetId("t"))
-    assert notes is not None
+    notes = book.notes(msgspec.structs.replace(TARGET, born=2))
     assert (notes.born, notes.report.holdings) == (2, ())
 
 
@@ -155,3 +154,13 @@
     assert (place.wished, place.wishes) == (True, 2)
     book.end_ask(notes, mine)
     assert not describe(book, 0.1, mine).adapter.wished
+
+
+def test_targets_that_are_gone_leave_no_notes():
+    """A gateway is ended for its memory after weeks of engines that come and go."""
+    book = TargetBook()
+    book.take_report(make_report(), 0.0)
+    book.keep({TargetId("t")})
+    assert describe(book, 0.1).adapter.resident
+    book.keep(set())
+    assert not describe(book, 0.1).adapter.resident
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -48,5 +48,5 @@
     """
     cutter = EventCutter()
     assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\ndata:") == b"id: 1\ndata: a\n\n"
-    cutter.drop_rest()
-    assert cutter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+    other = EventCutter(cutter.last)
+    assert other.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
