Go on electing soon until a leader was known

Change: until a leader was known in this life of the replica, the wait for the next election grows by the first one's each time, up to the usual one.

--- a/src/ibishead/control/consensus.py
+++ b/src/ibishead/control/consensus.py
@@ -78,7 +78,7 @@
             applied=start,
             durable=log.last_index,
         )
-        election.await_first(self._state)
+        election.reset_deadline(self._state)
 
     # What it knows -----------------------------------------------------------
 
--- a/src/ibishead/control/election.py
+++ b/src/ibishead/control/election.py
@@ -18,29 +18,25 @@
     "handle_request_vote",
     "handle_take_over",
     "handle_vote_answer",
-    "await_first",
     "pre_campaign",
     "reset_deadline",
 ]
 
 
 def reset_deadline(state: RaftState) -> None:
-    """Wait for a leader anew, for a partly random time."""
-    state.contact = state.now
-    election = state.timing.election
-    state.deadline = state.now + election + state.draw(election)
-
-
-def await_first(state: RaftState) -> None:
-    """Wait for a leader after a start.
+    """Wait for a leader anew, for a partly random time.
 
     Failure: all replicas are killed at once, and nothing can be agreed on before an
-    election that waits as long as if a leader had just spoken. A leader that serves is
-    heard by the others, who give no vote.
+    election that waits as long as if a leader had just spoken; or the first one comes
+    before all are linked, and the next one waits that long. So replicas that have known
+    no leader since their start wait for less, and a little longer each time. A leader
+    that serves is heard by the others, who give no vote.
     """
-    reset_deadline(state)
-    if first := state.timing.first:
-        state.deadline = state.now + first + state.draw(first)
+    state.contact = state.now
+    span = state.timing.election
+    if state.timing.first and not state.settled:
+        span = min(span, state.timing.first * (1 + state.attempts))
+    state.deadline = state.now + span + state.draw(span)
 
 
 def become_follower(state: RaftState, term: Term, leader: ReplicaId | None) -> None:
@@ -52,6 +48,7 @@
         state.set_term(term, None)
     state.role = Role.FOLLOWER
     state.leader = leader
+    state.settled = state.settled or leader is not None
     state.successor = None
     state.votes.clear()
     state.progress.clear()
@@ -68,6 +65,7 @@
     A replica that was cut off would come back with a higher term and depose a leader
     that serves; asking first lets the others, who hear their leader, say no.
     """
+    state.attempts += 1
     reset_deadline(state)
     state.leader = None
     if not state.is_voter():
@@ -179,6 +177,7 @@
 def _become_leader(state: RaftState) -> None:
     state.role = Role.LEADER
     state.leader = state.replica
+    state.settled = True
     state.votes.clear()
     state.elected = state.now
     following = state.log.last_index + 1
--- a/src/ibishead/control/raftstate.py
+++ b/src/ibishead/control/raftstate.py
@@ -50,9 +50,10 @@
     :param election: without contact until an election; a random share of the same
         length is added, so that candidates seldom meet.
     :param first: without contact until the first election after a start, and a random
-        share of it; 0 for as long as any other. A replica that has just started
-        may then elect another leader while an older one still counts on its lease, so
-        with it no state counts as current without a round to the quorum.
+        share of it; as much more for each further one until a leader was known. 0 for
+        as long as any other. A replica that has just started may then elect another
+        leader while an older one still counts on its lease, so with it no state counts
+        as current without a round to the quorum.
     :param retain: entries kept in memory behind a snapshot, at most.
     :param retain_bytes: data of these entries, at most.
     :param append_bytes: most data in one `Append`.
@@ -197,6 +198,8 @@
     progress: dict[ReplicaId, Progress] = field(default_factory=dict)
     round: int = 0
     elected: int = 0
+    settled: bool = False
+    attempts: int = 0
     heartbeat_due: bool = False
     own_term_index: int = 0
     reads: list[PendingRead] = field(default_factory=list)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -107,6 +107,28 @@
     assert replicas.leader() is not None
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_a_first_election_that_nobody_hears_is_soon_followed_by_another(
+    seed: int,
+) -> None:
+    """After a kill of all programs callers are refused for two seconds, at times.
+
+    The first replica to be back asks for votes before the others are linked. It waited
+    for the usual time until it asked again.
+    """
+    replicas = Replicas(3, seed, HASTY)
+    replicas.run(2 * HASTY.election, until=1)
+    for name in replicas.nodes:
+        replicas.crash(name)
+    for name in replicas.nodes:
+        replicas.restart(name)
+        replicas.isolate(name)
+    replicas.run(2 * HASTY.first)
+    replicas.heal()
+    replicas.run(2 * HASTY.first + HASTY.election // 2)
+    assert replicas.leader() is not None
+
+
 def test_one_that_starts_alone_leaves_the_leader_alone() -> None:
     """A replica is killed and comes back; the leader serves on.
 
