--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -1,27 +1,13 @@
 """Kept connections to targets."""
 
-from datetime import UTC, datetime
-
 import pytest
 
+from ibishead.clock import ManualClock
 from ibishead.gateway.pool import IDLE_DEFAULT, IDLE_MARGIN, ConnectionPool
 
 ADDRESS = "127.0.0.1:9"
 
 
-class FakeClock:
-    """Stands still until it is moved."""
-
-    def __init__(self) -> None:
-        self.seconds = 0.0
-
-    def monotonic(self) -> float:
-        return self.seconds
-
-    def now(self) -> datetime:
-        return datetime.fromtimestamp(self.seconds, UTC)
-
-
 class FakeConnection:
     """A connection whose target tells how long it keeps it."""
 
@@ -39,13 +25,13 @@
 )
 async def test_a_connection_is_used_while_its_target_surely_keeps_it(told, kept):
     """A request is lost, as it crosses the target's close of an idle connection."""
-    clock = FakeClock()
+    clock = ManualClock()
     pool, connection = ConnectionPool(clock), FakeConnection(told)
     pool.give_back(ADDRESS, connection)
-    clock.seconds = kept - 0.01
+    clock.step(kept - 0.01)
     pool.sweep()
     assert not connection.closed
-    clock.seconds = kept + 0.01
+    clock.step(0.02)
     pool.sweep()
     assert connection.closed
 
@@ -55,13 +41,13 @@
 
     Three connections are kept, and requests come one at a time.
     """
-    clock = FakeClock()
+    clock = ManualClock()
     pool = ConnectionPool(clock)
     kept = [FakeConnection() for _ in range(3)]
     for connection in kept:
         pool.give_back(ADDRESS, connection)
     for _ in range(12):
-        clock.seconds += 2.0
+        clock.step(2.0)
         pool.give_back(ADDRESS, await pool.take(ADDRESS))
         pool.sweep()
     assert not any(connection.closed for connection in kept)
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -3,10 +3,10 @@
 import json
 import logging
 import os
-from datetime import UTC, datetime
 
 import pytest
 
+from ibishead.clock import ManualClock
 from ibishead.logs import JsonFormatter
 from ibishead.logsink import (
     MAX_WAITING,
@@ -18,19 +18,6 @@
 )
 
 
-class FakeClock:
-    """Stands still until it is moved."""
-
-    def __init__(self) -> None:
-        self.seconds = 0.0
-
-    def monotonic(self) -> float:
-        return self.seconds
-
-    def now(self) -> datetime:
-        return datetime.fromtimestamp(self.seconds, UTC)
-
-
 def make_record(**extra) -> logging.LogRecord:
     record = logging.makeLogRecord({"msg": "request ended", "level": logging.INFO})
     vars(record).update(extra)
@@ -86,13 +73,13 @@
 
 @pytest.mark.parametrize("routine", [True, False])
 def test_only_routine_lines_are_left_out_and_they_are_counted(routine):
-    clock = FakeClock()
+    clock = ManualClock()
     budget = LineBudget(clock)
     extra = mark_routine() if routine else {}
     count = int(2 * ROUTINE_BURST)
     passed = sum(budget.filter(make_record(**extra)) for _ in range(count))
     assert passed == (ROUTINE_BURST if routine else count)
-    clock.seconds = 1.0
+    clock.step(1.0)
     record = make_record(**extra)
     assert budget.filter(record)
     assert getattr(record, "left_out", 0) == count - passed
