Count attempts that no target got apart from the others

Cause of the known red (calls ended not_run load_failed while connections were silent): an entry host stops after three attempts of one request, and those that were lost with their link before any target got them counted. Two of them, and then one refusal by an agent whose engine fails a load, used all three up, though other targets were free and the deadline far. Three attempts bound what an overload is given; what no target got adds nothing to it. Ruled out: claims, which move on whatever the code of a refusal.

Lost attempts have a bound of their own, four, so that a flapping link ends too.

--- a/src/ibishead/decisions/retry.py
+++ b/src/ibishead/decisions/retry.py
@@ -13,16 +13,22 @@
     "decide_retry",
 ]
 
-#: Attempts of one request, the first included; more only spread an overload.
+#: Attempts of one request that reached a target, the first included; more only spread
+#: an overload.
 MAX_ATTEMPTS = 3
 
+#: Attempts of one request that were lost before a target got them.
+MAX_UNSEEN = 4
+
 
 @dataclass(frozen=True)
 class AttemptEnd:
     """How an attempt ended before any byte of it reached the caller.
 
+    :param attempt: attempts so far that reached a target, this one included.
     :param remaining: seconds left until the request's deadline.
     :param unseen: the target never got it, so another attempt loads nothing twice.
+    :param lost: attempts so far that no target got, this one included.
     """
 
     outcome: Outcome
@@ -31,6 +37,7 @@
     remaining: float
     delivered: bool = False
     unseen: bool = False
+    lost: int = 0
 
 
 @dataclass(frozen=True)
@@ -104,7 +111,8 @@
     repeatable = end.outcome is Outcome.NOT_RUN or end.idempotent
     if not repeatable or end.delivered:
         return GiveUp("may not run twice", retry_after)
-    if end.attempt >= MAX_ATTEMPTS or end.remaining <= 0:
+    spent = end.attempt >= MAX_ATTEMPTS or end.lost >= MAX_UNSEEN
+    if spent or end.remaining <= 0:
         return GiveUp("no attempt left before the deadline", retry_after)
     # Load: a path between an entry host and its agents falls silent with all that was
     # on it. Harm: spending the budget on these would refuse requests that no target
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -58,6 +58,7 @@
     """One request on its way.
 
     :param deadline: monotonic seconds.
+    :param unseen: those of its attempts that never came into an agent's hands.
     :param admitted: it was taken in, and further attempts aren't refused for load.
     :param doubtful: an attempt may have run, whatever became of later ones.
     """
@@ -67,6 +68,7 @@
     trace: Trace
     deadline: float
     attempts: int = 0
+    unseen: int = 0
     admitted: bool = False
     doubtful: bool = False
 
@@ -298,13 +300,16 @@
 
     def _decide(self, job: Job, ended: Ended) -> RetryElsewhere | GiveUp:
         request_class = job.resolved.request_class
+        unseen = ended.outcome is Outcome.NOT_RUN and ended.code in _UNSEEN
+        job.unseen += unseen
         end = AttemptEnd(
             ended.outcome,
-            job.attempts,
+            job.attempts - job.unseen,
             request_class.idempotent,
             job.deadline - self._clock.monotonic(),
             job.relay.delivered,
-            unseen=ended.outcome is Outcome.NOT_RUN and ended.code in _UNSEEN,
+            unseen=unseen,
+            lost=job.unseen,
         )
         retry_after = ended.retry_after or DEFAULT_RETRY_AFTER
         return decide_retry(end, self._budget, retry_after)
