Pass over hosts that went silent until they answer again

Side hosts stand still from 3.0 to 8.0 s; their stewards leave questions unanswered and their engines are passed over, but after 2.4 s the silent links are given up, and a steward without a link counted as one that has ended with its engine well. So prompts for adapters that those engines hold were sent there without a turn (begun at 5.25, 5.55 and 5.62 s), their callers left 2.4 s later, and the runs began when the hosts went on. A link that was given up as silent now keeps its engine passed over until the steward is linked again or its host refuses a connection. A turn that arrives as its caller leaves is given back.

--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -9,6 +9,7 @@
 from ibishead.decisions.modelwait import expect_start
 from ibishead.decisions.readspeed import FIRST_RATE
 from ibishead.gateway.calls import TargetLoadTold
+from ibishead.gateway.stewards import HEARD_TIME
 from ibishead.ids import TargetId
 from ibishead.routing.messages import EngineReport, FailuresTold, PromptDelay
 from ibishead.routing.routes import EngineSpec
@@ -26,8 +27,9 @@
 UNREACHED_KEPT = 1.5
 
 #: Seconds since an engine's last word in which it counts as well although its steward
-#: is mute. Streams bring an event several times as often.
-ALIVE_TIME = 0.3
+#: is mute. Streams bring an event several times as often, and whatever came before the
+#: question that was left unanswered shows nothing.
+ALIVE_TIME = HEARD_TIME
 
 #: Seconds that a model still needs, at least, while its engine doesn't report it.
 LEAST_MODEL_WAIT = 0.05
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -28,7 +28,7 @@
 )
 from ibishead.routing.targets import WeightKey
 
-__all__ = ["StewardLinks", "TurnEnd"]
+__all__ = ["HEARD_TIME", "StewardLinks", "TurnEnd"]
 
 logger = logging.getLogger(__name__)
 
@@ -92,6 +92,8 @@
         self._asked: dict[int, _Asked] = {}
         self._given_up: dict[int, _Asked] = {}
         self._mute_until: dict[str, float] = {}
+        #: Addresses of engines whose stewards' links went silent and aren't back.
+        self._silenced: set[str] = set()
 
     def meet(self, member: MemberRecord) -> None:
         """Dial a steward, if it isn't linked already."""
@@ -108,14 +110,14 @@
         return self._clock.monotonic() >= self._mute_until.get(address, 0.0)
 
     def is_mute(self, address: str) -> bool:
-        """Return whether a steward that is linked has just left a question unanswered.
+        """Return whether a steward has just left a question unanswered, or went silent.
 
         Its host stands still or is out of reach, and so is the engine beside it. A
-        steward that has ended is no longer linked, and its engine may be well.
+        steward that has ended closes its link, and its engine may be well.
         """
         link = self._links.get(address)
         if link is None or link.closed:
-            return False
+            return address in self._silenced
         return self._clock.monotonic() < self._mute_until.get(address, 0.0)
 
     async def ask_turn(
@@ -151,6 +153,10 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait):
                     await asked.ended.wait()
+        except asyncio.CancelledError:
+            if asked.given:
+                self._give_back(asked)
+            raise
         finally:
             del self._asked[number]
             if not asked.ended.is_set():
@@ -207,23 +213,30 @@
                 )
             except LinkLost as error:
                 logger.debug("steward not reached", extra={"reason": error.message})
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    # its host answers, so the engine there may be well
+                    self._silenced.discard(member.target)
             else:
                 wait = REDIAL_FIRST
                 await self._listen(member.target, link)
                 reached = self._clock.monotonic()
             await asyncio.sleep(wait)
             wait = min(2 * wait, REDIAL_MOST)
+        self._silenced.discard(member.target)
         del self._keepers[endpoint]
 
     async def _listen(self, address: str, link: Link) -> None:
         logger.info("steward linked", extra={"peer": link.peer.host})
         self._links[address] = link
+        self._silenced.discard(address)
         try:
             async for message in link.receive():
                 self._take(message)
         finally:
             if self._links.get(address) is link:
                 del self._links[address]
+                if link.silenced:
+                    self._silenced.add(address)
             self._forget_asked(address)
             link.end()
             logger.info("steward lost", extra={"peer": link.peer.host})
@@ -254,10 +267,13 @@
             return
         left = self._given_up.pop(number, None)
         if given and left is not None:
-            # Nobody waits any more, but the steward counts the adapter as in use and
-            # the prompt as unread; left so, it would see no prompt read alone again.
-            self.note_read(left.address, 0, 0.0)
-            self.end_use(left.address, left.key)
+            self._give_back(left)
+
+    def _give_back(self, asked: _Asked) -> None:
+        # Nobody waits any more, but the steward counts the adapter and a slot as in use
+        # and the prompt as unread.
+        self.note_read(asked.address, 0, 0.0)
+        self.end_use(asked.address, asked.key)
 
     def _forget_asked(self, address: str) -> None:
         for asked in self._asked.values():
--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -94,6 +94,8 @@
         self.peer = peer
         self.sent_bytes = 0
         self.received_bytes = 0
+        #: The link was given up since its peer was silent.
+        self.silenced = False
         self._socket = socket
         self._clock = clock
         self._pace = pace
@@ -188,6 +190,7 @@
             match self._monitor.tick(self._clock.monotonic()):
                 case LinkAction.GIVE_UP:
                     logger.warning("peer is silent", extra={"peer": self.peer.host})
+                    self.silenced = True
                     self._abort()
                     return
                 case LinkAction.PING:
--- a/tests/gateway/test_stewards.py
+++ b/tests/gateway/test_stewards.py
@@ -39,6 +39,7 @@
     def __init__(self, answers) -> None:
         self.peer = Hello(Role.AGENT, HostId("side"))
         self.closed = False
+        self.silenced = False
         self.sent: list = []
         self.inbox: asyncio.Queue = asyncio.Queue()
         self._answers = answers
@@ -67,10 +68,11 @@
             HostId("g"), SystemClock(), print, self.delays.append, print, self._dial
         )
         self._dialled = False
+        self.refusal: Exception = TimeoutError()
 
     async def _dial(self, *_):
         if self._dialled:
-            raise LinkLost("gone", "wait")
+            raise LinkLost("gone", "wait") from self.refusal
         self._dialled = True
         return self.link
 
@@ -131,3 +133,34 @@
         setting.link.inbox.put_nowait(delay)
         await asyncio.sleep(0.01)
         assert setting.delays == [delay]
+
+
+async def test_a_turn_that_comes_as_its_caller_leaves_is_given_back():
+    """Guards against a slot and an adapter that stay in use for nobody."""
+    async with Setting(lambda n: [TurnNoted(n)]) as setting:
+        waiting = asyncio.create_task(setting.ask(wait=30.0))
+        await asyncio.sleep(0.01)
+        asked = next(m for m in setting.link.sent if isinstance(m, AskTurn))
+        setting.links._end_wait(asked.number, True)
+        waiting.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await waiting
+        assert EndUse(KEY) in setting.link.sent
+
+
+@pytest.mark.parametrize(
+    ("silenced", "refusal", "mute"),
+    [
+        (True, TimeoutError(), True),
+        (True, ConnectionRefusedError(), False),
+        (False, TimeoutError(), False),
+    ],
+)
+async def test_a_steward_whose_link_went_silent_stays_mute(silenced, refusal, mute):
+    """Guards against prompts for a host that has stood still for seconds."""
+    async with Setting(lambda n: []) as setting:
+        setting.refusal = refusal
+        setting.link.silenced = silenced
+        setting.link.inbox.put_nowait(None)
+        await asyncio.sleep(0.3)
+        assert setting.links.is_mute(ADDRESS) is mute
