Spread members and routes as changes, each once over a link

Cause: at 148 machines the state that the registries spread grows with hosts times hosts. Each of 18 registries sent its whole member list to each of 109 subscribers at each arrival, twice; the whole route set, 120 kB after a large document, to every program at each version; every engine's statements to 60 stewards that use their own engine's only; and a log entry that held the document twice, to five peers.

Change: members are told as changes, gathered for 0.2 s (registries at once); news from another registry goes to no registry, so that records of two lives can't circle. Stewards are told of registries and of their own engine, registries no routes.

--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -170,7 +170,7 @@
             if statement.state is not TargetState.READY:
                 self._pool.drop(statement.address)
 
-    def _meet_stewards(self) -> None:
+    def _meet_stewards(self, _: list[MemberRecord]) -> None:
         for member in self.feed.list_members(MemberKind.STEWARD):
             self._stewards.meet(member)
 
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -106,6 +106,7 @@
             self.feed,
             lambda holder: self.service.take_fence(holder),
             lambda statement: self.service.announce(statement),
+            self._meet_subscriber,
         )
         self.service = RegistryService(
             self.state, self.replica, self.feed, self._publisher, clock
@@ -206,13 +207,21 @@
             folder.close()
             raise
 
-    def _note_members(self) -> None:
-        for member in self.feed.list_members(MemberKind.REGISTRY):
-            if member.replica and member.host != self._settings.host:
+    def _meet_subscriber(self, member: MemberRecord) -> None:
+        fresh = self.feed.meet((member,))
+        self._add_peers(fresh)
+        self._publisher.tell_members(fresh, relayed=False)
+
+    def _note_members(self, members: list[MemberRecord]) -> None:
+        self._add_peers(members)
+        self._publisher.tell_members(members, relayed=True)
+
+    def _add_peers(self, members: list[MemberRecord]) -> None:
+        for member in members:
+            if member.kind is MemberKind.REGISTRY and member.replica:
                 self._peers.add_host(
                     replica_host(member.replica), Endpoint(member.address, member.port)
                 )
-        self._publisher.tell_members()
 
     async def _serve_link(self, link: Link) -> None:
         try:
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from ibishead.errors import StorageFault
+from ibishead.errors import InvalidInput, StorageFault
+from ibishead.routing.changes import pack, unpack
 from ibishead.routing.messages import AdapterFloor
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import WeightKey
@@ -115,7 +116,7 @@
         """
         self.applied = index
         try:
-            result = self._execute(index, _COMMANDS.decode(command))
+            result = self._execute(index, _COMMANDS.decode(unpack(command)))
         except Exception as error:
             logger.exception("a log entry can't be applied", extra={"index": index})
             result = Rejected(str(error))
@@ -125,7 +126,7 @@
         """Return the whole state, for a snapshot."""
         floors = tuple(self.floors.values())
         saved = _Saved(self.routes, self.document, floors, self.applied)
-        return msgspec.msgpack.encode(saved)
+        return pack(msgspec.msgpack.encode(saved))
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a captured one.
@@ -133,8 +134,8 @@
         :raises StorageFault: this is no captured state.
         """
         try:
-            saved = msgspec.msgpack.decode(data, type=_Saved)
-        except msgspec.DecodeError as error:
+            saved = msgspec.msgpack.decode(unpack(data), type=_Saved)
+        except (msgspec.DecodeError, InvalidInput) as error:
             raise StorageFault(
                 f"the snapshot can't be read: {error}",
                 "run the version of ibishead that wrote it, or empty this data folder",
@@ -173,7 +174,7 @@
 
 def encode_command(command: Command) -> bytes:
     """Return a command as the log carries it."""
-    return msgspec.msgpack.encode(command)
+    return pack(msgspec.msgpack.encode(command))
 
 
 def decode_result(data: bytes) -> Result:
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from ibishead.clock import Clock
-from ibishead.errors import LinkLost
+from ibishead.errors import IbisheadError, LinkLost
 from ibishead.ids import HostId, ServiceName
 from ibishead.links import Dialer, Endpoint, Link, Pace, dial
 from ibishead.messages import Hello, Message, Role
+from ibishead.routing.changes import RouteChange, apply_change, unpack
 from ibishead.routing.messages import (
     AdapterFloor,
     AskRoutes,
@@ -60,7 +61,7 @@
     :param seeds: link endpoints of the first registries.
     :param on_routes: called with each route set that comes into force here.
     :param on_statements: called with statements that were news.
-    :param on_members: called when programs have become known.
+    :param on_members: called with programs that a registry has made known.
     :param on_message: called with any other message of a registry.
     """
 
@@ -72,7 +73,7 @@
         *,
         on_routes: Callable[[RouteSet], None] | None = None,
         on_statements: Callable[[tuple[Registration, ...]], None] | None = None,
-        on_members: Callable[[], None] | None = None,
+        on_members: Callable[[list[MemberRecord]], None] | None = None,
         on_message: Callable[[Link, Message], None] | None = None,
         dialer: Dialer = dial,
     ) -> None:
@@ -92,7 +93,7 @@
         self._clock = clock
         self._on_routes = on_routes or _ignore
         self._on_statements = on_statements or _ignore
-        self._on_members = on_members or _ignore_none
+        self._on_members = on_members or _ignore
         self._on_message = on_message or _ignore_message
         self._dial = dialer
         self._seeds = seeds
@@ -100,6 +101,8 @@
         self._keepers: dict[Endpoint, asyncio.Task[None]] = {}
         self._noticed: dict[Endpoint, int] = {}
         self._asked_at = -ROUTES_WAIT
+        #: Version to ask a change of; 0 after one that couldn't be applied.
+        self._base = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -141,8 +144,6 @@
             self.members[place] = found
             if found.kind is MemberKind.REGISTRY:
                 self._keep(Endpoint(found.address, found.port))
-        if fresh:
-            self._on_members()
         return fresh
 
     def find_service(self, name: ServiceName) -> ServiceSpec | None:
@@ -203,7 +204,8 @@
         now = self._clock.monotonic()
         match message:
             case Members(members):
-                self.meet(members)
+                if fresh := self.meet(members):
+                    self._on_members(fresh)
             case Statements(registrations):
                 news = tuple(r for r in registrations if self.view.merge(r, now))
                 if news:
@@ -214,8 +216,8 @@
             case RouteNotice(version):
                 self._noticed[endpoint] = version
                 self._ask_routes(now)
-            case RoutesAnswer(version, encoded):
-                self._take_routes(version, encoded)
+            case RoutesAnswer():
+                self._take_routes(message)
             case Floors(floors, index):
                 self._raise(floors, index, now)
             case _:
@@ -234,19 +236,47 @@
             return
         newest = max(ahead.values())
         holders = [endpoint for endpoint, found in ahead.items() if found == newest]
+        near = [endpoint for endpoint in holders if self._is_near(endpoint)]
+        holders = near or holders
         self._asked_at = now
         chosen = holders[int(now * 1000) % len(holders)]
-        self.links[chosen].send(AskRoutes())
-
-    def _take_routes(self, version: int, encoded: bytes) -> None:
-        self._asked_at = -ROUTES_WAIT
-        if version > self.version:
-            self.routes = msgspec.msgpack.decode(encoded, type=RouteSet)
+        self.links[chosen].send(AskRoutes(self._base))
+
+    def _is_near(self, endpoint: Endpoint) -> bool:
+        """Return whether a registry is in this host's failure domain."""
+        return any(
+            found.kind is MemberKind.REGISTRY
+            and found.domain == self.member.domain
+            and (found.address, found.port) == (endpoint.address, endpoint.port)
+            for found in self.members.values()
+        )
+
+    def _take_routes(self, answer: RoutesAnswer) -> None:
+        stale = answer.base not in (0, self.version)
+        if answer.version > self.version and not stale:
+            try:
+                self.routes = self._read_routes(answer)
+            except (IbisheadError, msgspec.DecodeError) as error:
+                logger.warning(
+                    "routes not read",
+                    extra={"version": answer.version, "reason": str(error)},
+                )
+                self._base = 0
+                return
+            self._base = self.version
             self.routes_known.set()
-            logger.info("routes in force", extra={"version": version})
+            logger.info("routes in force", extra={"version": answer.version})
             self._on_routes(self.routes)
+        self._asked_at = -ROUTES_WAIT
         self._ask_routes(self._clock.monotonic())
 
+    def _read_routes(self, answer: RoutesAnswer) -> RouteSet:
+        data = unpack(answer.encoded)
+        if self.routes is None or not answer.base:
+            return msgspec.msgpack.decode(data, type=RouteSet)
+        change = msgspec.msgpack.decode(data, type=RouteChange)
+        return apply_change(self.routes, change)
+
     def _raise(self, floors: tuple[AdapterFloor, ...], index: int, now: float) -> None:
         for floor in floors:
             known = self.floors.get(floor.key)
@@ -284,9 +314,5 @@
     pass
 
 
-def _ignore_none() -> None:
-    pass
-
-
 def _ignore_message(_: Link, __: Message) -> None:
     pass
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -79,7 +79,7 @@
 
 
 class Members(_Message, frozen=True):
-    """Programs that the registry knows of."""
+    """Programs that the registry knows of and hasn't told over this link yet."""
 
     members: tuple[MemberRecord, ...]
 
@@ -103,14 +103,25 @@
 
 
 class AskRoutes(_Message, frozen=True):
-    """Asks for the route set in force."""
+    """Asks for the route set in force.
+
+    :param held: version that the sender has, 0 for none.
+    """
+
+    held: int = 0
 
 
 class RoutesAnswer(_Message, frozen=True):
-    """A whole route set, as msgpack of `ibishead.routing.routes.RouteSet`."""
+    """The route set in force, or what has changed since an older one.
+
+    :param encoded: packed msgpack of `ibishead.routing.routes.RouteSet`, or of
+        `ibishead.routing.changes.RouteChange` where there is a base.
+    :param base: version that the change applies to, 0 for a whole set.
+    """
 
     version: int
     encoded: bytes
+    base: int = 0
 
 
 class AdapterFloor(msgspec.Struct, frozen=True, array_like=True):
