Let requests wait for a slot at the steward, not inside the engine

Cause: an engine with 12 slots has requests of 31 gateways, each of which knows its own.

Change: the steward gives at most as many turns as the engine has slots, and counts requests until their gateways tell of their end; the engine's own report bounds the count, so that lost ends free their slots. Who waits is told as a delay, so that other engines are chosen. Slots come from the configuration; without an engine's bound nothing changes.

--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -163,6 +163,8 @@
     def take_routes(self, routes: RouteSet) -> None:
         """Take in the route set that is in force now."""
         self._turns.window.gap = find_gap_objective(routes, self._service)
+        spec = self._find_spec()
+        self._turns.slots.slots = spec.slots if spec is not None else 0
         self._wake.set()
 
     def _take(self, link: Link, message: Message) -> None:
@@ -182,6 +184,7 @@
                     self._note_outcome(failed, now)
                 if pause:
                     self._turns.window.note_pause(pause)
+                self._turns.note_end(link)
                 if self._uses.end(link, key, now) and self._demands:
                     self._wake.set()
             case _:
@@ -273,6 +276,7 @@
             self._lose_engine()
             return
         self._lost = False
+        self._turns.note_report(state.running + state.queued)
         if self._ledger.take(state, self._clock.monotonic()):
             logger.info("engine found", extra={"born": state.born})
             self._failures, self._told_failures = FailureShare(), FailureShare()
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ibishead.clock import Clock
+from ibishead.decisions.batchslots import BatchSlots
 from ibishead.decisions.turns import PromptWindow, Turn, choose_turn
 from ibishead.links import Link
 from ibishead.routing.messages import TurnAnswer, TurnNoted
@@ -48,7 +49,7 @@
 
 
 class TurnQueue:
-    """Gives turns as the engine's window lets prompts through.
+    """Gives turns as the engine's batch and its window let requests through.
 
     :param tell: tells gateways how many seconds a prompt that comes now would wait.
     :param drop: called with each request that got no turn in time.
@@ -61,6 +62,7 @@
         drop: Callable[[Waiter], None],
     ) -> None:
         self.window = PromptWindow()
+        self.slots = BatchSlots()
         self._clock = clock
         self._tell = tell
         self._drop = drop
@@ -71,6 +73,7 @@
         self._told_at = 0.0
         self._logged_rate = self.window.speed.rate
         self._unread: Counter[Link] = Counter()
+        self._running: Counter[Link] = Counter()
         self._alone = False
 
     @property
@@ -93,6 +96,8 @@
         self.window.take(tokens, self._clock.monotonic())
         self._alone = not self._unread.total()
         self._unread[link] += 1
+        self._running[link] += 1
+        self.slots.begin()
 
     def note_read(self, link: Link, tokens: int, seconds: float) -> None:
         """Take in that the engine has read a prompt, or that its request has ended.
@@ -109,8 +114,27 @@
             self.window.speed.note(tokens, seconds)
             self._log_rate()
 
+    def note_end(self, link: Link) -> None:
+        """Count a request of a gateway as over."""
+        if not self._running[link]:
+            # sent over an earlier link
+            return
+        self._running[link] -= 1
+        self.slots.end(1, self._clock.monotonic())
+        self._wake_waiting()
+
+    def note_report(self, requests: int) -> None:
+        """Take in how many requests the engine has."""
+        self.slots.note_report(requests)
+        self._wake_waiting()
+
+    def _wake_waiting(self) -> None:
+        if self._waiting and not self.slots.full:
+            self._wake.set()
+
     def leave(self, link: Link) -> None:
         """Forget the requests of a gateway whose link is over."""
+        self.slots.end(self._running.pop(link, 0), self._clock.monotonic())
         self._waiting = {t: w for t, w in self._waiting.items() if w.link is not link}
         # what the gateway sent may still be read, for a moment
         if self._unread.pop(link, 0):
@@ -144,7 +168,7 @@
         wait = None
         while (turn := choose_turn(self._waiting, now)) is not None:
             wait = self.window.wait(turn.tokens, now)
-            if wait > 0:
+            if wait > 0 or self.slots.full:
                 break
             waiter = self._waiting.pop(turn)
             self.note_sent(waiter.link, waiter.tokens)
@@ -153,6 +177,9 @@
         if not self._waiting:
             return None
         ends = min(waiter.until for waiter in self._waiting.values()) - now
+        if self.slots.full:
+            # the end of a request wakes those who wait
+            return max(0.001, ends)
         return max(0.001, min(ends, wait or 0.0))
 
     def _drop_late(self, now: float) -> None:
@@ -165,6 +192,7 @@
     def _publish(self, now: float) -> None:
         queued = sum(turn.tokens for turn in self._waiting)
         delay = self.window.delay(queued, now)
+        delay = max(delay, self.slots.delay(len(self._waiting)))
         believed = max(0.0, self._told - (now - self._told_at))
         if abs(delay - believed) >= DELAY_STEP:
             self._told, self._told_at = delay, now
--- /dev/null
+++ b/tests/decisions/test_batchslots.py
@@ -0,0 +1,55 @@
+"""Slots of an engine's batch: never more in use, none lost for good."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.decisions.batchslots import FIRST_INTERVAL, BatchSlots
+
+
+@given(st.integers(1, 8), st.lists(st.booleans(), max_size=60))
+def test_no_more_begin_than_there_are_slots(slots, steps):
+    batch, running = BatchSlots(slots), 0
+    for now, begins in enumerate(steps):
+        if begins and not batch.full:
+            batch.begin()
+            running += 1
+        elif not begins and running:
+            batch.end(1, float(now))
+            running -= 1
+        assert running <= slots
+        assert batch.full == (running == slots)
+
+
+@pytest.mark.parametrize(
+    ("counted", "reported", "begun", "used"),
+    [(3, 3, 0, 3), (3, 1, 0, 1), (3, 1, 1, 2), (1, 4, 0, 1)],
+)
+def test_the_report_bounds_what_is_counted(counted, reported, begun, used):
+    batch = BatchSlots(12)
+    for _ in range(counted - begun):
+        batch.begin()
+    batch.note_report(reported)
+    assert batch.used == counted - begun
+    batch.note_report(reported)
+    for _ in range(begun):
+        batch.begin()
+    assert batch.used == used
+
+
+def test_an_engine_without_a_bound_is_never_full():
+    batch = BatchSlots(0)
+    for _ in range(500):
+        batch.begin()
+    assert not batch.full
+    assert batch.delay(9) == 0.0
+
+
+def test_the_delay_follows_the_ends_of_a_full_batch():
+    batch = BatchSlots(1)
+    batch.begin()
+    assert batch.delay(2) == pytest.approx(2 * FIRST_INTERVAL)
+    for now in range(100):
+        batch.end(1, now * 0.5)
+        batch.begin()
+    assert batch.delay(2) == pytest.approx(1.0, rel=0.05)
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -123,3 +123,46 @@
         setting.queue.leave(other)
         setting.queue.note_read(other, 1000, 0.5)
         assert setting.queue.window.speed.rate == rate
+
+
+async def test_requests_wait_for_a_slot_outside_the_engine():
+    """Guards against running answers that more urgent requests push out."""
+    async with Setting() as setting:
+        setting.queue.window.gap = 0.0
+        setting.queue.slots.slots = 2
+        for number in range(1, 5):
+            setting.add(number, due=10.0 - number)
+        assert [number for number, _ in setting.answers] == [1, 2]
+        assert max(setting.told) > 0
+        setting.queue.note_end(setting.link)
+        await asyncio.sleep(0.01)
+        assert setting.answers[2:] == [(4, True)]
+
+
+async def test_slots_of_a_gateway_that_is_gone_are_free():
+    """Guards against slots that nobody will ever give back."""
+    async with Setting() as setting:
+        setting.queue.window.gap = 0.0
+        setting.queue.slots.slots = 1
+        other = FakeLink()
+        setting.queue.note_sent(other, 10)
+        setting.add(1)
+        assert not setting.answers
+        setting.queue.leave(other)
+        setting.queue.note_report(0)
+        await asyncio.sleep(0.01)
+        assert setting.answers == [(1, True)]
+
+
+async def test_the_report_of_an_engine_frees_slots_whose_ends_were_lost():
+    async with Setting() as setting:
+        setting.queue.window.gap = 0.0
+        setting.queue.slots.slots = 1
+        setting.queue.note_sent(setting.link, 10)
+        setting.add(1)
+        setting.queue.note_report(0)
+        await asyncio.sleep(0.01)
+        assert not setting.answers
+        setting.queue.note_report(0)
+        await asyncio.sleep(0.01)
+        assert setting.answers == [(1, True)]
