--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -32,13 +32,12 @@
 RELOAD_DELAY = 0.05
 
 #: Seconds that count for one more copy from the store of an adapter that another engine
-#: has. All loads share the store: at a rate that it can just bear, each waits a second.
-#: Without it an adapter was brought to 1.9 engines on a heavy day.
+#: has. All loads share the store, so a copy that isn't needed delays those that are.
 COPY_DELAY = 0.2
 
 #: Seconds for each adapter that is loaded before, and the share of them that comes
-#: before one that is waited for already. Without it eight engines fetched one adapter
-#: after a loss of power, each for the gateway that thought it the least busy.
+#: before one that is waited for already. The share leads gateways that know nothing of
+#: each other to the engine where an adapter is waited for.
 TURN_DELAY = 0.2
 WISHED_SHARE = 0.5
 
@@ -182,9 +181,8 @@
 ) -> Chosen | None:
     """Return the target with the least expected delay, or none where there is none.
 
-    Load: gateways that see the same reports at the same time. Harm: all choose the
-    target that was idle a moment ago, and it gets a queue while others idle. So
-    differences below a batch step are broken by chance.
+    Gateways that see the same reports at the same time would all choose the target
+    that was idle a moment ago, so differences below a batch step are broken by chance.
     """
     ranks = _rank(need.weights, candidates)
     usable = [c for c in candidates if c.target not in need.avoid]
@@ -210,10 +208,8 @@
     delay = candidate.prompt_wait + candidate.prompt_backlog / candidate.read_rate
     delay += BATCH_STEP * share * 10
     if need.weights is None:
-        # Load: long answers at engines with room in their batch. Harm: an engine runs a
-        # batch side by side, so nobody waits for a run to end there; counted as if, ten
-        # requests more weighed as much as a load from the store, and a heavy day took
-        # 1,021 loads in place of 891. So run time counts where there is no batch.
+        # An engine runs its batch side by side, and nobody waits for a run to end
+        # there. So run time counts only where there is no batch.
         delay += candidate.pace * need.run_time * share
     waiting = candidate.busy + 1 - candidate.slots
     if waiting > 0:
@@ -236,10 +232,8 @@
 
 def _estimate_adapter(adapter: AdapterPlace, rank: int) -> float:
     if not adapter.serving:
-        # Load: engines that have just started, without their model yet, and idle. Harm:
-        # each seems free to all gateways until it is there, and then has more loads
-        # before it than its callers wait for, 1.0 s in a play in which nobody need wait
-        # for over 0.5 s. So loads that wait count there as elsewhere.
+        # An idle engine that waits for its model seems free to all gateways; loads that
+        # will follow the model count there as elsewhere.
         return adapter.model_wait + _estimate_load(adapter, rank)
     if adapter.resident:
         return 0.0
--- a/src/ibishead/decisions/health.py
+++ b/src/ibishead/decisions/health.py
@@ -1,8 +1,7 @@
 """How often a target fails, by its last answers.
 
-Load: targets that answer a part of their requests with errors, at once, while they call
-themselves healthy. Harm: they look idle and quick, so most requests go there, and one
-that may run only once is lost with each error.
+A target that answers with errors at once, while it calls itself healthy, looks idle and
+quick and would draw most requests; one that may run only once is lost with each error.
 """
 
 __all__ = ["FailureShare"]
--- a/src/ibishead/decisions/leaving.py
+++ b/src/ibishead/decisions/leaving.py
@@ -1,8 +1,8 @@
 """Which requests a host that is about to stop still takes.
 
-Load: a planned stop while answers run for seconds. Harm: an answer that begins late in
-the grace is cut at its end, and its request may not be sent again. Refused at once, as
-not run, it is served whole by another host.
+An answer that begins late in the grace of a planned stop would be cut at its end, and
+its request may not be sent again. Refused at once, as not run, it is served whole by
+another host.
 """
 
 from collections import deque
@@ -27,9 +27,7 @@
 FIRST_PACE = 0.02
 LEAST_ANSWERS = 4
 
-#: Answers that the pace rests on: some seconds of a gateway's traffic. A guess that
-#: only faded with each answer turned 25 callers away within 2 s whose answers would
-#: have ended in time, at engines three times as quick.
+#: Answers that the pace rests on: some seconds of a gateway's traffic.
 MOST_ANSWERS = 64
 
 
--- a/src/ibishead/decisions/loadpace.py
+++ b/src/ibishead/decisions/loadpace.py
@@ -1,11 +1,9 @@
 """How long an engine's loads from the store take now, and how many it has at once.
 
-Load: all engines load adapters at the same time, after a loss of power or when many
-rare ones are asked for. They share the store, and beyond some loads under way each one
-takes longer in proportion. Harm: with more under way than the store bears nothing comes
-sooner, but what is urgent comes as late as all else; and who goes by the time of a calm
-load prefers callers whose load comes just too late. So the present time of a load is
-learned, and fewer are ordered at once while it is stretched.
+All engines share the weight store, and beyond some loads under way each one takes
+longer in proportion. More of them at once bring nothing sooner, and delay what is
+urgent. So the present time of a load is learned, and fewer are ordered at once while it
+is stretched.
 """
 
 import statistics
--- a/src/ibishead/decisions/modelwait.py
+++ b/src/ibishead/decisions/modelwait.py
@@ -1,10 +1,8 @@
 """How long an engine without a model needs until it holds one.
 
-Load: engines that have just started, all at once after a loss of power, or empty ones
-that are added. Harm: with one figure for all, engines that hold their model again
-within half a second are passed over for four, and callers are refused whom they could
-have served; or all wait at a new one that needs six seconds. What the service's
-description says of loads decides instead, by where the engine's copy lies.
+After a loss of power, or when empty engines are added, some hold their model again
+within tenths of a second and others need seconds. What the service's description says
+of loads tells them apart, by where the engine's copy lies.
 """
 
 from collections.abc import Collection
--- a/src/ibishead/decisions/patience.py
+++ b/src/ibishead/decisions/patience.py
@@ -1,10 +1,9 @@
 """How long an answer to an order is waited for.
 
-Load: an engine that leaves a part of its orders unanswered, while callers wait for the
-adapters that the orders bring. Harm: orders go one after the other, so each that gets
-no answer holds all others up for as long as it is waited for. The same order given
-again is harmless, since only one of the two is accepted. So it is given again soon
-after the time in which this engine usually answers.
+Orders go one after the other, so one that gets no answer holds all others up for as
+long as it is waited for. The same order given again is harmless, since only one of the
+two is accepted. So it is given again soon after the time in which this engine usually
+answers.
 """
 
 __all__ = ["OrderPatience"]
--- a/src/ibishead/decisions/readspeed.py
+++ b/src/ibishead/decisions/readspeed.py
@@ -1,11 +1,8 @@
 """How fast one engine reads prompts, learned from its answers.
 
-Load: engines of any make, which read from some thousand to some hundred thousand prompt
-tokens in a second, and which slow down or are replaced while they serve. Harm: with a
-figure of other engines, prompts wait for turns that an idle engine could give at once,
-or answers pause behind prompts that a slow one can't read in time. With 20,000 tokens a
-second for engines that read 38,100, prompts for resident adapters waited 65 ms on
-average and 0.75 s at p99 before any engine saw them.
+Engines differ in speed by orders of magnitude, and slow down or are replaced while they
+serve. With too low a figure prompts wait for turns that an idle engine could give at
+once; with too high a one answers pause behind prompts.
 """
 
 import statistics
@@ -14,8 +11,8 @@
 
 __all__ = ["FIRST_RATE", "ReadSpeed"]
 
-#: Prompt tokens in a second before anything has been learned. The slowest engines that
-#: were met read so fast; a guess above an engine's speed would make its answers pause.
+#: Prompt tokens in a second before anything has been learned. A guess above an engine's
+#: speed would make its answers pause.
 FIRST_RATE = 20_000.0
 
 #: Tokens in a second that no estimate exceeds. Reading costs less than a millisecond
--- a/src/ibishead/decisions/residents.py
+++ b/src/ibishead/decisions/residents.py
@@ -1,8 +1,8 @@
 """Which weights an engine is ordered to load or to drop next.
 
-Load: thousands of adapters for a few slots an engine, asked for by several gateways
-at once. Harm: an order beyond the slots ends the engine, and one that drops what is in
-use stalls it. So every adapter on its way holds a slot, and only idle ones leave.
+Several gateways ask one engine for far more adapters than it has slots. An order beyond
+the slots ends the engine, and one that drops an adapter in use stalls it. So every
+adapter on its way holds a slot, and only idle ones leave.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -182,10 +182,9 @@
         # a replacement waits for its runs, and no other order is taken meanwhile
         and not (wish.key in held and wish.key in weights.pinned)
     ]
-    # Load: more adapters are asked for than the store brings in time. Harm: in the
-    # order of asking each comes when its callers are late already, or have just given
-    # up. So those go first that help most callers, and among these the last asked for,
-    # which have most time left.
+    # When more adapters are asked for than the store brings in time, the order of
+    # asking makes each one late. Those go first that help most callers, and among these
+    # the last asked for, which have most time left.
     return max(open_wishes, key=lambda w: (w.helped, w.asked), default=None)
 
 
--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -1,11 +1,9 @@
 """When an engine is given the next prompt, and whose prompt it is.
 
-Load: prompts that arrive in clumps at an engine whose batch is answering others. An
-engine reads prompts in pieces between the tokens of its running answers. Harm: several
-long prompts in a row make the tokens of all these answers later than their callers
-accept; on a heavy day 32 in 100 streams had such a pause, 7 in 100 a late first event.
-So a prompt waits for its turn outside the engine, where the wait costs its own caller a
-part of the time to the first event, and nobody else anything.
+An engine reads prompts in pieces between the tokens of its running answers. Several
+long prompts in a row delay the tokens of all these answers beyond what their callers
+accept. So a prompt waits for its turn outside the engine, where the wait costs its own
+caller a part of the time to the first event, and nobody else anything.
 """
 
 from collections import deque
@@ -34,9 +32,7 @@
 CALM_SHARE = 0.78
 
 #: Calm answers in a row, while prompts wait, after which the share rises beyond the
-#: most above, and by which factor. Where 3 answers in 100 pause, one such row in seven
-#: has none. A heavy day at engines that read short pieces was worth 0.679 and 0.682
-#: with it (two plays), 0.662 to 0.665 without (three).
+#: most above, and by which factor.
 CALM_ANSWERS = 64
 RISE_FACTOR = 2.0
 
@@ -65,10 +61,9 @@
 def choose_turn(turns: Iterable[Turn], now: float) -> Turn | None:
     """Return the request that is sent next, or none where none waits.
 
-    Load: more prompts than the engine can read in time. Harm: in the order of arrival,
-    or of due times alone, each one is sent when it is late already, and all are late.
-    So those that can still be in time go first, by their due times; no size can starve,
-    as nobody overtakes the one that was chosen.
+    With more prompts than the engine can read in time, the order of arrival or of due
+    times alone makes all of them late. So those that can still be in time go first, by
+    their due times; no size starves, as nobody overtakes the one that was chosen.
     """
     return min(turns, key=lambda t: (t.due < now + BEGIN_TIME, t.due), default=None)
 
--- a/src/ibishead/steward/naming.py
+++ b/src/ibishead/steward/naming.py
@@ -1,10 +1,8 @@
 """Tells who an engine is, where nobody has heard of it yet.
 
-Load: all hosts are started at once, and targets announce themselves once a second or
-so. Harm: until then no order can name the engine's present life, so it is without its
-model for up to a second longer, and no gateway sends to it. What the engine says of
-itself is newer than this, whenever it comes. After a loss of power orders for models
-came 0.2 to 0.6 s sooner, by the logs of one played day.
+Targets announce themselves once a second or so. After a start of all hosts no order
+can name an engine's present life until then, and no gateway sends to it. What the
+engine says of itself counts as newer than this, whenever it comes.
 """
 
 import logging
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -76,7 +76,7 @@
     ],
 )
 async def test_attempts_that_no_target_got_leave_the_others(ends, served):
-    """Guards against a refusal after links fell silent, while another target is free."""
+    """Guards against a refusal after links fell silent while a target is free."""
     dispatcher = ScriptedDispatcher(ends)
     if served:
         await dispatcher.run(make_job())
