Hold callers for what they can wait while routes are being learned

Cause: a gateway that knows no routes refused its callers after 0.5 s, with half a second to come back; they try twice.

Change: a request is held for 0.15 of what its caller can wait, from 0.5 to 2.0 s, and the time to come back grows with the outage, up to 4 s.

--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -41,10 +41,11 @@
     # the adapter that was used last stays, however seldom it is used
     "reuse-count": (("decisions.eviction", "ReuseCounter.read", lambda *_: 0.0),),
     # who knows no route or target yet refuses at once
-    "learn-patience": (
-        ("gateway.choosing", "LEARN_PATIENCE", 0.0),
-        ("gateway.pipeline", "LEARN_PATIENCE", 0.0),
-    ),
+    "learn-patience": (("decisions.holding", "HOLD_MOST", 0.0),),
+    # an engine is sent more requests than its batch has slots
+    "batch-slots": (("decisions.batchslots", "BatchSlots.full", False),),
+    # every receiver is sent whole route sets
+    "route-changes": (("routing.changes", "KEPT_SETS", 1),),
     # requests that no engine begins wait until their deadline
     "refusal": (("gateway.choosing", "REFUSE_FACTOR", 1e6),),
     # voters wait out a silence after a start
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -11,6 +11,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.choice import Chosen, Need, choose_target
+from ibishead.decisions.holding import find_hold
 from ibishead.errors import IbisheadError, OutcomeUnknown, Refused
 from ibishead.gateway.accounts import RequestState
 from ibishead.gateway.book import TargetBook
@@ -20,7 +21,7 @@
 from ibishead.routing.routes import EngineSpec
 from ibishead.routing.targets import Registration
 
-__all__ = ["LEARN_PATIENCE", "LEARN_TIME", "RETRY_WAIT", "TargetChooser"]
+__all__ = ["LEARN_TIME", "RETRY_WAIT", "TargetChooser"]
 
 #: Seconds that a request waits for its turn at one engine, as a multiple of what its
 #: route aims at, and at least. After that another engine may be quicker.
@@ -32,11 +33,6 @@
 #: event; a refusal before lets them try once more, elsewhere.
 REFUSE_FACTOR = 2.5
 
-#: Seconds for which a request waits at a gateway that knows no routes, or no target of
-#: the service, yet. After a start of all programs both are learned within tenths of a
-#: second; a caller that is refused comes back later than that, and may try only once.
-LEARN_PATIENCE = 0.5
-
 #: Seconds since the start in which targets may be still unknown: they announce
 #: themselves every second or so.
 LEARN_TIME = 3.0
@@ -95,7 +91,8 @@
 
     async def _await_targets(self, request: RequestState) -> None:
         view, now = self._feed.view, self._clock.monotonic()
-        last = min(now + LEARN_PATIENCE, self._began + LEARN_TIME)
+        hold = find_hold(request.call.patience)
+        last = min(now + hold, self._began + LEARN_TIME)
         while now < last and not view.list_service(request.service):
             await asyncio.sleep(LEARN_INTERVAL)
             now = self._clock.monotonic()
@@ -208,8 +205,8 @@
                 f"an earlier send may have run, and then: {reason}",
                 "check before you send it again",
             )
-        # Load: all callers of an outage are refused within moments. Harm: told the same
-        # time they come back together, and most are refused again.
+        # Callers of an outage are refused within moments of each other; told the same
+        # time, they would come back together.
         wait = max(RETRY_WAIT, EXPECTED_SHARE * request.expected)
         return Refused(
             f"not run: {reason}",
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from ibishead.clock import Clock
+from ibishead.decisions.holding import expect_routes, find_hold
 from ibishead.decisions.leaving import ELSEWHERE_WAIT, AnswerPace, fits_grace
 from ibishead.decisions.retry import BudgetShare, RetryBudget
 from ibishead.errors import (
@@ -29,7 +30,7 @@
 )
 from ibishead.gateway.book import TargetBook
 from ibishead.gateway.calls import Call, CallerDialect, TargetDialect
-from ibishead.gateway.choosing import LEARN_PATIENCE, RETRY_WAIT, TargetChooser
+from ibishead.gateway.choosing import RETRY_WAIT, TargetChooser
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.sending import (
     Answered,
@@ -87,6 +88,7 @@
         self._draw = draw
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._pace = AnswerPace()
+        self._began = clock.monotonic()
         self._ends_at: float | None = None
 
     def leave(self, ends_at: float) -> None:
@@ -99,7 +101,7 @@
         request: RequestState | None = None
         try:
             call = self._callers.read_call(exchange.request)
-            await self._await_routes()
+            await self._await_routes(call)
             request = self._resolve(call, exchange, started)
             await self._run(request, exchange)
             self._accounts.note_end(request, ANSWERED)
@@ -124,12 +126,16 @@
             took = self._clock.monotonic() - progress.first
             self._pace.note(took, progress.events * spec.event_tokens)
 
-    async def _await_routes(self) -> None:
+    async def _await_routes(self, call: Call) -> None:
         if self._feed.routes is None:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LEARN_PATIENCE):
+                async with asyncio.timeout(find_hold(call.patience)):
                     await self._feed.routes_known.wait()
 
+    def _expect_routes(self) -> timedelta:
+        wait = expect_routes(self._clock.monotonic() - self._began)
+        return timedelta(seconds=wait * (0.5 + self._draw()))
+
     def _resolve(self, call: Call, exchange: Exchange, started: float) -> RequestState:
         expected = self._pace.expect(call.answer_tokens)
         if self._ends_at is not None and not fits_grace(
@@ -147,7 +153,7 @@
                 "no routes are known here yet",
                 "come back in a moment",
                 code=ErrorCode.NO_QUORUM,
-                retry_after=timedelta(seconds=RETRY_WAIT * (0.5 + self._draw())),
+                retry_after=self._expect_routes(),
             )
         route = find_route(routes, call.hostname, call.path)
         if route is None:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -7,10 +7,11 @@
 import pytest
 
 from ibishead.clock import SystemClock
+from ibishead.decisions.holding import HOLD_LEAST
 from ibishead.decisions.retry import BudgetShare
 from ibishead.errors import LinkLost
 from ibishead.gateway.book import TargetBook
-from ibishead.gateway.choosing import LEARN_PATIENCE, LEARN_TIME
+from ibishead.gateway.choosing import LEARN_TIME
 from ibishead.gateway.connection import TargetConnection
 from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
@@ -347,7 +348,7 @@
     async with Setting(SAFE, answer_well) as setting:
         setting.feed.view = TargetView()
         setting.pipeline._chooser._began -= LEARN_TIME
-        async with asyncio.timeout(LEARN_PATIENCE / 2):
+        async with asyncio.timeout(HOLD_LEAST / 2):
             assert (await setting.ask())[0] == 429
 
 
