Order loads over new connections, and look a silent one up

Orders and lists go over new connections now, and a load without an answer is looked up in the engine's list every 2 s; the list was the proof of a load before. Test: an engine that loads and never answers; red before (no end within 10 s).

--- a/src/ibishead/agent/target.py
+++ b/src/ibishead/agent/target.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import logging
 import re
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -18,10 +19,12 @@
 from ibishead.headers import Headers
 from ibishead.ids import BootId, Incarnation
 from ibishead.links import Endpoint
-from ibishead.webclient import ClientAnswer, ClientConnection
+from ibishead.webclient import ClientConnection
 
 __all__ = ["EngineSample", "TargetClient", "TargetRestarted"]
 
+logger = logging.getLogger(__name__)
+
 #: Seconds in which a target must answer a probe or an order's small questions.
 PROBE_TIMEOUT = 2.0
 
@@ -29,6 +32,9 @@
 #: an engine that is slower by two orders of magnitude has a fault.
 LOAD_TIMEOUT = 30.0
 
+#: Seconds after which an order without an answer is looked up in the engine's list.
+LOAD_CHECK = 2.0
+
 #: Connections kept open for further requests.
 MAX_IDLE_CONNECTIONS = 64
 
@@ -143,7 +149,7 @@
 
         :raises TargetRestarted: it is in another boot.
         """
-        async with self.borrow(boot) as connection, _bound(PROBE_TIMEOUT):
+        async with self.borrow(boot, True) as connection, _bound(PROBE_TIMEOUT):
             answer = await connection.ask("GET", "/v1/models")
             body = await answer.read()
         try:
@@ -167,16 +173,24 @@
         order = msgspec.json.encode(
             {"lora_name": make_lora_name(key), "lora_path": source}
         )
-        async with self.borrow(boot) as connection, _bound(LOAD_TIMEOUT):
-            answer = await self._order(
-                connection, "/v1/load_lora_adapter", order, incarnation
+        # A kept connection may have gone silent, and a load may take long
+        async with self.borrow(boot, True) as connection, _bound(LOAD_TIMEOUT):
+            ordering = asyncio.create_task(
+                self._order(connection, "/v1/load_lora_adapter", order, incarnation)
             )
-            body = await answer.read()
-        if answer.status != 200:
-            raise _describe_failed_order(answer.status, body)
+            try:
+                while not (await asyncio.wait((ordering,), timeout=LOAD_CHECK))[0]:
+                    if await self._is_listed(key, boot):
+                        # the connection went silent under the order
+                        return
+                status, body = ordering.result()
+            finally:
+                ordering.cancel()
+        if status != 200:
+            raise _describe_failed_order(status, body)
         # A load that answers 200 has been seen to be wrong; the list is the proof
         if key not in await self.list_adapters(boot):
-            raise _describe_failed_order(answer.status, b"loaded but not listed")
+            raise _describe_failed_order(status, b"loaded but not listed")
 
     async def unload(
         self, key: AdapterKey, boot: BootId, incarnation: Incarnation
@@ -186,13 +200,12 @@
         :raises Unavailable: the engine refused.
         """
         order = msgspec.json.encode({"lora_name": make_lora_name(key)})
-        async with self.borrow(boot) as connection, _bound(LOAD_TIMEOUT):
-            answer = await self._order(
+        async with self.borrow(boot, True) as connection, _bound(LOAD_TIMEOUT):
+            status, body = await self._order(
                 connection, "/v1/unload_lora_adapter", order, incarnation
             )
-            body = await answer.read()
-        if answer.status not in (200, 404):
-            raise _describe_failed_order(answer.status, body)
+        if status not in (200, 404):
+            raise _describe_failed_order(status, body)
 
     def close(self) -> None:
         """Drop all kept connections."""
@@ -206,12 +219,20 @@
         path: str,
         order: bytes,
         incarnation: Incarnation,
-    ) -> ClientAnswer:
+    ) -> tuple[int, bytes]:
         headers: Headers = (
             ("content-type", "application/json"),
             (FENCING_HEADER, str(incarnation)),
         )
-        return await connection.ask("POST", path, headers, order)
+        answer = await connection.ask("POST", path, headers, order)
+        return answer.status, await answer.read()
+
+    async def _is_listed(self, key: AdapterKey, boot: BootId) -> bool:
+        try:
+            return key in await self.list_adapters(boot)
+        except LinkLost as error:
+            logger.info("adapters not listed", extra={"reason": error.message})
+            return False
 
     async def _read_boot(self, connection: ClientConnection) -> BootId:
         if not self._has_boot:
--- /dev/null
+++ b/tests/agent/test_target.py
@@ -0,0 +1,78 @@
+"""Orders to an engine whose open connections go silent while new ones work."""
+
+import asyncio
+import json
+
+import pytest
+
+from ibishead.agent import target as target_module
+from ibishead.agent.slots import AdapterKey, make_lora_name
+from ibishead.agent.target import TargetClient
+from ibishead.errors import Unavailable
+from ibishead.ids import AdapterName, BootId, Incarnation, Version
+from ibishead.links import Endpoint
+from ibishead.web import WebServer
+
+KEY = AdapterKey(AdapterName("tisza"), Version("1"))
+BOOT = BootId("7")
+
+
+class Engine:
+    """An engine that loads, and leaves some orders without an answer.
+
+    :ivar listed: it lists the adapter once it was ordered.
+    """
+
+    def __init__(self, answers: bool, listed: bool) -> None:
+        self._answers = answers
+        self._listed = listed
+        self._loaded = False
+        self.orders = 0
+        self._for_ever = asyncio.Event()
+
+    async def serve(self, exchange) -> None:
+        path = exchange.request.path
+        if path == "/metrics":
+            await exchange.respond(
+                200, (), f"process_start_time_seconds {BOOT}".encode()
+            )
+        elif path == "/v1/models":
+            cards = (
+                [{"id": make_lora_name(KEY), "parent": "base"}] if self._loaded else []
+            )
+            await exchange.respond(200, (), json.dumps({"data": cards}).encode())
+        else:
+            self.orders += 1
+            self._loaded = self._listed
+            if not self._answers:
+                await self._for_ever.wait()
+            await exchange.respond(200, (), b"{}")
+
+
+@pytest.fixture
+def quick_check(monkeypatch):
+    monkeypatch.setattr(target_module, "LOAD_CHECK", 0.05)
+
+
+@pytest.mark.parametrize(
+    ("answers", "listed", "loaded"),
+    [(True, True, True), (False, True, True), (True, False, False)],
+)
+async def test_a_load_is_proved_by_the_list(quick_check, answers, listed, loaded):
+    """Guards against requests that wait for a load whose connection went silent."""
+    engine = Engine(answers, listed)
+    server = WebServer(engine.serve)
+    endpoint = await server.start(Endpoint("127.0.0.1", 0))
+    client = TargetClient(endpoint, has_boot=True)
+    try:
+        async with asyncio.timeout(10.0):
+            loading = client.load(KEY, "store", BOOT, Incarnation(1))
+            if loaded:
+                await loading
+            else:
+                with pytest.raises(Unavailable):
+                    await loading
+        assert engine.orders == 1
+    finally:
+        client.close()
+        await server.stop(0.0)
