Keep connections to a target unused for two seconds at most

Connections are kept unused for 2 s at most now. Test: a kept connection is taken again after 1 s and not after 4 s. Ruled out: loads (no line of one after the silence).

--- a/src/ibishead/agent/main.py
+++ b/src/ibishead/agent/main.py
@@ -41,7 +41,7 @@
     )
     taken = await server.start(settings.links.endpoint)
     client = TargetClient(
-        settings.target_endpoint, has_boot=settings.kind is TargetKind.ENGINE
+        settings.target_endpoint, settings.kind is TargetKind.ENGINE, clock
     )
     agent = Agent(settings, taken, client, clock)
     await agent.start()
--- a/src/ibishead/agent/target.py
+++ b/src/ibishead/agent/target.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ibishead.agent.slots import AdapterKey, make_lora_name, parse_lora_name
+from ibishead.clock import Clock
 from ibishead.errors import ErrorCode, LinkLost, Unavailable
 from ibishead.headers import Headers
 from ibishead.ids import BootId, Incarnation
@@ -38,6 +39,10 @@
 #: Connections kept open for further requests.
 MAX_IDLE_CONNECTIONS = 64
 
+#: Seconds for which a connection is kept unused. One that has gone silent shows it only
+#: to a request, which waits on it until its deadline.
+IDLE_LIMIT = 2.0
+
 FENCING_HEADER = "x-fencing-token"
 
 _START_TIME = re.compile(rb"^process_start_time_seconds(?:\{[^}]*\})? (\S+)", re.M)
@@ -66,6 +71,18 @@
     busy: frozenset[AdapterKey]
 
 
+@dataclass(frozen=True)
+class _Kept:
+    """A connection that waits for its next request.
+
+    :param since: monotonic seconds of its last use.
+    """
+
+    boot: BootId
+    connection: ClientConnection
+    since: float
+
+
 class _ModelCard(msgspec.Struct):
     id: str
     parent: str | None = None
@@ -81,10 +98,11 @@
     :param has_boot: the target shows its boot in ``/metrics``, as engines do.
     """
 
-    def __init__(self, endpoint: Endpoint, has_boot: bool) -> None:
+    def __init__(self, endpoint: Endpoint, has_boot: bool, clock: Clock) -> None:
         self._endpoint = endpoint
         self._has_boot = has_boot
-        self._idle: list[tuple[BootId, ClientConnection]] = []
+        self._clock = clock
+        self._idle: list[_Kept] = []
 
     @contextlib.asynccontextmanager
     async def borrow(
@@ -209,8 +227,8 @@
 
     def close(self) -> None:
         """Drop all kept connections."""
-        for _, connection in self._idle:
-            connection.close()
+        for kept in self._idle:
+            kept.connection.close()
         self._idle.clear()
 
     async def _order(
@@ -245,17 +263,19 @@
             return _parse_sample(await answer.read())
 
     def _take_idle(self, boot: BootId | None) -> tuple[BootId, ClientConnection | None]:
+        oldest = self._clock.monotonic() - IDLE_LIMIT
         while self._idle:
-            actual, connection = self._idle.pop()
-            if not connection.closed and (boot is None or actual == boot):
-                return actual, connection
-            connection.close()
+            kept = self._idle.pop()
+            usable = not kept.connection.closed and kept.since >= oldest
+            if usable and (boot is None or kept.boot == boot):
+                return kept.boot, kept.connection
+            kept.connection.close()
         return BootId(""), None
 
     def _give_back(self, boot: BootId, connection: ClientConnection) -> None:
         reusable = connection.idle and not connection.closed
         if reusable and len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append((boot, connection))
+            self._idle.append(_Kept(boot, connection, self._clock.monotonic()))
         else:
             connection.close()
 
--- a/tests/agent/test_target.py
+++ b/tests/agent/test_target.py
@@ -7,7 +7,8 @@
 
 from ibishead.agent import target as target_module
 from ibishead.agent.slots import AdapterKey, make_lora_name
-from ibishead.agent.target import TargetClient
+from ibishead.agent.target import IDLE_LIMIT, TargetClient
+from ibishead.clock import ManualClock, SystemClock
 from ibishead.errors import Unavailable
 from ibishead.ids import AdapterName, BootId, Incarnation, Version
 from ibishead.links import Endpoint
@@ -63,7 +64,7 @@
     engine = Engine(answers, listed)
     server = WebServer(engine.serve)
     endpoint = await server.start(Endpoint("127.0.0.1", 0))
-    client = TargetClient(endpoint, has_boot=True)
+    client = TargetClient(endpoint, True, SystemClock())
     try:
         async with asyncio.timeout(10.0):
             loading = client.load(KEY, "store", BOOT, Incarnation(1))
@@ -76,3 +77,23 @@
     finally:
         client.close()
         await server.stop(0.0)
+
+
+@pytest.mark.parametrize(
+    ("idle", "kept"), [(IDLE_LIMIT / 2, True), (IDLE_LIMIT * 2, False)]
+)
+async def test_a_connection_is_not_kept_unused_for_long(idle, kept):
+    """Guards against requests that wait on a silent connection until their deadline."""
+    server = WebServer(Engine(True, True).serve)
+    endpoint = await server.start(Endpoint("127.0.0.1", 0))
+    clock = ManualClock()
+    client = TargetClient(endpoint, True, clock)
+    try:
+        async with client.borrow(BOOT) as first:
+            pass
+        clock.step(idle)
+        async with client.borrow(BOOT) as second:
+            assert (second is first) is kept
+    finally:
+        client.close()
+        await server.stop(0.0)
--- a/tests/test_tls_path.py
+++ b/tests/test_tls_path.py
@@ -144,7 +144,7 @@
         lambda link: agent.serve(link), lambda: agent.greet(), CLOCK, tls=tls
     )
     taken = await links.start(LOOPBACK)
-    agent = Agent(settings, taken, TargetClient(endpoint, has_boot=False), CLOCK)
+    agent = Agent(settings, taken, TargetClient(endpoint, False, CLOCK), CLOCK)
     await agent.start()
     yield taken
     await links.stop()
