--- a/src/ibishead/registry/publisher.py
+++ b/src/ibishead/registry/publisher.py
@@ -43,7 +43,8 @@
 class _Subscriber:
     """What one subscriber has been told.
 
-    :param position: in the publisher's list of members' news.
+    :param position: in the publisher's present batch of news, from which on it hasn't
+        been told.
     """
 
     member: MemberRecord
@@ -211,7 +212,6 @@
         if self._news_due is not None:
             self._news_due.cancel()
             self._news_due = None
-        end = len(self._news)
         for link, subscriber in self._subscribers.items():
             fresh = tuple(
                 found
@@ -220,11 +220,9 @@
                 and found != subscriber.member
                 and not (relayed and subscriber.is_registry)
             )
-            subscriber.position = end
+            subscriber.position = 0
             if fresh:
                 link.send(Members(fresh))
-        for subscriber in self._subscribers.values():
-            subscriber.position = 0
         self._news.clear()
 
     def _answer_routes(self, link: Link, held: int) -> None:
