Log each change of the leader and each command of an operator

Cause: a change of routes or of an adapter version was reported without an acknowledgement, and no line told whether a registry was asked, for how long it was held, and whether there was a leader. Accepted versions that were known already left no line at all. Now: leader changed (leader, term, commit), and command answered (command, weights, version, outcome, leader, seconds), also of refused and abandoned ones.

--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -136,6 +136,7 @@
         self._snapshot_index = 0
         self._applied_bytes = 0
         self._room = False
+        self._leader: ReplicaId | None = None
         self._ticked = clock.monotonic()
         self.load(identity)
 
@@ -213,6 +214,19 @@
             for output in outputs:
                 self._perform(output)
         self._take_snapshot()
+        self._log_leader()
+
+    def _log_leader(self) -> None:
+        if self.core.leader != self._leader:
+            self._leader = self.core.leader
+            logger.info(
+                "leader changed",
+                extra={
+                    "leader": self._leader,
+                    "term": self.core.term,
+                    "commit": self.core.commit,
+                },
+            )
 
     def _perform(self, output: Output) -> None:
         match output:
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -1,7 +1,9 @@
 """What a registry does for targets and operators, whatever they speak."""
 
 import asyncio
+import contextlib
 import logging
+from collections.abc import Iterator
 from datetime import timedelta
 
 import msgspec
@@ -123,19 +125,16 @@
         :raises InvalidInput: the set is inconsistent; nothing was changed.
         :raises Unavailable: whether it was taken is not known, or it was not.
         """
-        check_routes(routes)
-        if self._replica is not None and routes.version <= self._state.version:
-            # what is applied here was committed, so a higher one is in force for good
-            return self._state.version
-        result = await self._command(PutRoutes(routes, document))
-        match result:
-            case RoutesPut(version):
-                logger.info(
-                    "routes accepted",
-                    extra={"version": routes.version, "in_force": version},
-                )
-                return version
-        raise _describe_rejection(result)
+        with self._log_command("put_routes", routes.version):
+            check_routes(routes)
+            if self._replica is not None and routes.version <= self._state.version:
+                # applied here means committed, so a higher one is in force for good
+                return self._state.version
+            result = await self._command(PutRoutes(routes, document))
+            match result:
+                case RoutesPut(version):
+                    return version
+            raise _describe_rejection(result)
 
     async def read_routes(self) -> bytes:
         """Return the newest accepted set, as it was sent; empty where there is none.
@@ -164,16 +163,18 @@
 
         :raises Unavailable: whether it was taken is not known, or it was not.
         """
-        if version < 1:
-            raise InvalidInput(f"version {version} is none", "name one above zero")
-        known = self._state.floors.get(key)
-        if self._replica is not None and known is not None and known.version >= version:
-            return known.version
-        result = await self._command(RaiseFloor(key, version))
-        match result:
-            case FloorRaised(floor):
-                return floor
-        raise _describe_rejection(result)
+        with self._log_command("raise_floor", version, key):
+            if version < 1:
+                raise InvalidInput(f"version {version} is none", "name one above zero")
+            known = self._state.floors.get(key)
+            held = known.version if known is not None else 0
+            if self._replica is not None and held >= version:
+                return held
+            result = await self._command(RaiseFloor(key, version))
+            match result:
+                case FloorRaised(floor):
+                    return floor
+            raise _describe_rejection(result)
 
     async def take_fence(self, holder: str) -> int:
         """Return a fencing number above all that were given before.
@@ -186,6 +187,31 @@
                 return fence
         raise _describe_rejection(result)
 
+    @contextlib.contextmanager
+    def _log_command(
+        self, command: str, version: int, key: WeightKey | None = None
+    ) -> Iterator[None]:
+        started = self._clock.monotonic()
+        outcome = "caller_left"
+        try:
+            yield
+            outcome = "accepted"
+        except IbisheadError as error:
+            outcome = error.code.value
+            raise
+        finally:
+            logger.info(
+                "command answered",
+                extra={
+                    "command": command,
+                    "weights": f"{key.model}/{key.adapter}" if key else None,
+                    "version": version,
+                    "outcome": outcome,
+                    "leader": self._replica.leader() if self._replica else None,
+                    "seconds": round(self._clock.monotonic() - started, 4),
+                },
+            )
+
     async def _command(self, command: Command) -> Result:
         # All commands may be applied twice: versions only rise, and a fencing number
         # that nobody uses is no loss. So a command whose end isn't known is sent again.
