Test that a question ends with the leader that it was put to (red)

A follower forwards a change, and the leader stops with its links up. The change is held for the whole answer time, though another one leads after an election.

--- a/tests/control/replica_fakes.py
+++ b/tests/control/replica_fakes.py
@@ -83,7 +83,7 @@
         return True
 
     def _deliver(self, host: HostId, frame: PeerFrame) -> None:
-        if self.reaches(host):
+        if self.reaches(host) and not self.cluster.silent & {self.own, host}:
             self.cluster.hosts[host].replica.take_frame(frame)
 
 
@@ -109,13 +109,17 @@
 
 @dataclass
 class Cluster:
-    """Hosts by name; `hosts` holds those that run."""
+    """Hosts by name; `hosts` holds those that run.
+
+    :ivar silent: hosts whose links stay up and bring nothing any more.
+    """
 
     names: list[HostId]
     first: tuple[HostId, ...]
     pace: Pace = PACE
     hosts: dict[HostId, Host] = field(default_factory=dict)
     cuts: set[tuple[HostId, HostId]] = field(default_factory=set)
+    silent: set[HostId] = field(default_factory=set)
     random: Random = field(default_factory=lambda: Random(1))
 
     async def start(self, host: HostId, files: FakeFiles | None = None) -> Host:
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -1,7 +1,7 @@
 """Replicas with disks and links: proposals, reads, leases, founding and repair."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
 
@@ -127,6 +127,32 @@
     assert caught.value.code is ErrorCode.NO_QUORUM
 
 
+@pytest.mark.parametrize(
+    "ask",
+    [lambda replica: replica.propose(b"x"), LogReplica.confirm_read],
+    ids=["proposal", "read"],
+)
+async def test_question_does_not_outlast_the_leader_that_was_asked(
+    ask: Callable[[LogReplica], Awaitable[object]],
+) -> None:
+    """A change is held at a leader that has stopped, though another one leads."""
+    cluster = Cluster([A, B, C], (A, B, C), replace(PACE, answer=60.0))
+    for host in (A, B, C):
+        await cluster.start(host)
+    lost = await cluster.find_leader()
+    follower = cluster.hosts[followers(cluster)[0]].replica
+    await wait_until(lambda: follower.leader() is not None)
+    cluster.silent.add(lost)
+    asked = asyncio.ensure_future(ask(follower))
+    await wait_until(lambda: cluster.leader() not in (None, lost))
+    await asyncio.wait({asked}, timeout=20 * PACE.election)
+    ended = asked.done()
+    asked.cancel()
+    await asyncio.gather(asked, return_exceptions=True)
+    await cluster.stop()
+    assert ended
+
+
 async def test_follower_vouches_while_the_quorum_lives(cluster: Cluster) -> None:
     await cluster.find_leader()
     follower = cluster.hosts[followers(cluster)[0]].replica
