End a question to the leader when it leads no more

Cause: a replica that forwards a change waits for the answer of the leader that it asked, for the whole answer time, as long as the link to it is up. A host that stands still keeps its links up for one to two and a half seconds. Class: a wait that is bound to a peer and not to the role that the peer had. Now: each round ends the questions whose replica leads no more; the callers put the same command, which may be applied twice, to the next leader. A replacement of a replica is still answered by the leader that has handed over.

--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -186,7 +186,9 @@
         if self.is_leader():
             return await repair.replace(self, lost, host)
         answer = await self._ask(
-            lambda number: AskReplace(number, lost, host), repair.REPLACE_LIMIT
+            lambda number: AskReplace(number, lost, host),
+            repair.REPLACE_LIMIT,
+            outlives_lead=True,
         )
         return answer.replica
 
@@ -255,12 +257,16 @@
         return index
 
     async def _ask(
-        self, make: Callable[[int], ReplicaMessage], limit: float | None = None
+        self,
+        make: Callable[[int], ReplicaMessage],
+        limit: float | None = None,
+        *,
+        outlives_lead: bool = False,
     ) -> Any:
         leader = self.core.leader
         if leader is None or leader == self.name or self._driver.failed:
             raise self._describe_no_quorum()
-        number, future = self._answers.open(leader)
+        number, future = self._answers.open(leader, outlives_lead=outlives_lead)
         try:
             if not self._links.send(self._identity, leader, make(number)):
                 raise self._describe_no_quorum()
@@ -379,7 +385,7 @@
         if self.clock.monotonic() - self._introduced >= INTRODUCE_INTERVAL:
             self._introduce()
             self._join(self.founding.found(self._identity))
-        self._answers.fail_unless(lambda replica: self._reaches(replica))
+        self._answers.fail_lost(self.core.leader, self._reaches)
         self._hasten_election()
         if not self.is_leader():
             return
--- a/src/ibishead/control/waiters.py
+++ b/src/ibishead/control/waiters.py
@@ -116,29 +116,43 @@
             waiting.future.set_exception(describe_unknown())
 
 
+@dataclass
+class _Question:
+    """One that waits for another replica's answer."""
+
+    asked: ReplicaId
+    outlives_lead: bool
+    future: asyncio.Future[Any]
+
+
 class Answers:
     """Questions to other replicas, by number."""
 
     def __init__(self) -> None:
         self._number = 0
-        self._waiting: dict[int, tuple[ReplicaId, asyncio.Future[Any]]] = {}
+        self._waiting: dict[int, _Question] = {}
 
-    def open(self, replica: ReplicaId) -> tuple[int, asyncio.Future[Any]]:
-        """Return the number of a new question and its future answer."""
+    def open(
+        self, replica: ReplicaId, *, outlives_lead: bool = False
+    ) -> tuple[int, asyncio.Future[Any]]:
+        """Return the number of a new question and its future answer.
+
+        :param outlives_lead: the replica is to answer even if it leads no more.
+        """
         self._number += 1
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._waiting[self._number] = (replica, future)
+        self._waiting[self._number] = _Question(replica, outlives_lead, future)
         return self._number, future
 
     def settle(self, number: int, answer: Any) -> None:
         """Give an answer, or an error, to whoever waits for it."""
         found = self._waiting.pop(number, None)
-        if found is None or found[1].done():
+        if found is None or found.future.done():
             return
         if isinstance(answer, IbisheadError):
-            found[1].set_exception(answer)
+            found.future.set_exception(answer)
         else:
-            found[1].set_result(answer)
+            found.future.set_result(answer)
 
     def close(self, number: int) -> None:
         """Forget a question."""
@@ -146,10 +160,18 @@
 
     def fail(self) -> None:
         """Tell all questions that nothing is known of them."""
-        self.fail_unless(lambda replica: False)
+        for number in list(self._waiting):
+            self.settle(number, describe_unknown())
 
-    def fail_unless(self, is_reached: Callable[[ReplicaId], bool]) -> None:
-        """Tell so the questions to replicas that can't be reached any more."""
-        for number, (asked, _) in list(self._waiting.items()):
-            if not is_reached(asked):
+    def fail_lost(
+        self, leader: ReplicaId | None, is_reached: Callable[[ReplicaId], bool]
+    ) -> None:
+        """Tell so the questions that nobody is going to answer.
+
+        :param leader: who leads now.
+        :param is_reached: whether a link leads to a replica.
+        """
+        for number, question in list(self._waiting.items()):
+            deposed = question.asked != leader and not question.outlives_lead
+            if deposed or not is_reached(question.asked):
                 self.settle(number, describe_unknown())
