Read the limit that a target names, and log each change of it

Now each gateway logs when a target begins to name a limit, changes it or names none, and shows how many do (targets_limited). Nothing is decided by it yet.

--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -1,5 +1,6 @@
 """What a gateway knows of each target: reports, own sends, and how answers went."""
 
+import logging
 from collections import Counter
 from collections.abc import Collection
 from dataclasses import dataclass, field, replace
@@ -17,6 +18,8 @@
 
 __all__ = ["TargetBook", "TargetNotes"]
 
+logger = logging.getLogger(__name__)
+
 #: Seconds for which a told load counts; other gateways' sends change it all the time.
 TOLD_KEPT = 0.6
 
@@ -71,6 +74,7 @@
     prompt_wait_at: float = 0.0
     heard_at: float = -ALIVE_TIME
     lacking: set[WeightKey] = field(default_factory=set)
+    rate_limit: float | None = None
 
 
 class TargetBook:
@@ -121,6 +125,26 @@
         notes.told_at = now
         notes.sent_since_told = 0
 
+    def note_limit(
+        self, target: Registration, notes: TargetNotes, rate: float | None
+    ) -> None:
+        """Take in the limit that an answer names, none where it names none."""
+        if rate == notes.rate_limit:
+            return
+        notes.rate_limit = rate
+        logger.info(
+            "target names a limit" if rate is not None else "target names no limit",
+            extra={
+                "target": target.target,
+                "service": target.service,
+                "requests_a_second": rate,
+            },
+        )
+
+    def count_limited(self) -> int:
+        """Return how many targets name a limit."""
+        return sum(1 for n in self._notes.values() if n.rate_limit is not None)
+
     def begin_ask(self, notes: TargetNotes, key: WeightKey) -> None:
         """Count a request that waits for an adapter there."""
         notes.asked[key] += 1
--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -99,6 +99,8 @@
     :param misdirected: the target is another one, or lacks what was asked for.
     :param encoded: the body isn't in the plain form that was asked for.
     :param idle_time: seconds for which the target keeps an idle connection, if told.
+    :param rate_limit: requests a second that the target takes from all callers
+        together; none where it names no limit.
     """
 
     status: int
@@ -109,6 +111,7 @@
     encoded: bool = False
     load: TargetLoadTold | None = None
     idle_time: float | None = None
+    rate_limit: float | None = None
 
     @property
     def success(self) -> bool:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -186,6 +186,8 @@
         state.connection.idle_time = head.idle_time
         if head.load is not None:
             self._book.note_told(state.notes, head.load, self._clock.monotonic())
+        if head.genuine or (head.not_run and not head.misdirected):
+            self._book.note_limit(state.target, state.notes, head.rate_limit)
         if head.not_run:
             return await self._take_refusal(state, head)
         if not head.genuine or head.encoded:
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -104,6 +104,7 @@
             "registries_linked": len(self.feed.links),
             "targets_known": sum(1 for _ in self.feed.view),
             "connections_opened": self._pool.opened,
+            "targets_limited": self._book.count_limited(),
         }
 
     async def stop(self) -> None:
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -1,5 +1,7 @@
 """Calls to the platform's targets, and what their answers mean."""
 
+import math
+
 from ibishead.gateway.calls import Call, Sending, TargetHead, TargetLoadTold
 from ibishead.headers import Headers, drop_hop_by_hop, find_header
 
@@ -43,6 +45,7 @@
             encoded=find_header(headers, "content-encoding") is not None,
             load=_read_load(find_header(headers, "server-load")),
             idle_time=_read_idle(find_header(headers, "keep-alive")),
+            rate_limit=_read_rate(find_header(headers, "server-limit")),
         )
 
 
@@ -60,3 +63,11 @@
         if name.lower() == "timeout" and value.isdigit():
             return float(value)
     return None
+
+
+def _read_rate(text: str | None) -> float | None:
+    try:
+        rate = float(text or "")
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
--- a/tests/onplatform/test_bodies.py
+++ b/tests/onplatform/test_bodies.py
@@ -207,3 +207,14 @@
     call = PlatformCallers().read_call(make_request(request_id="r1"))
     head = PlatformTargets().read_head(call, status, tuple(headers.items()))
     assert (head.not_run, head.genuine) == (not_run, genuine)
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [("2.1", 2.1), ("4", 4.0), ("0", 0.0), ("", None), ("-1", None), ("nan", None)]
+    + [("inf", None), ("two", None), (None, None)],
+)
+def test_a_limit_that_cannot_be_read_is_none(text, rate):
+    call = PlatformCallers().read_call(make_request(request_id="r1"))
+    headers = () if text is None else (("server-limit", text),)
+    assert PlatformTargets().read_head(call, 200, headers).rate_limit == rate
