Test that gateways keep to the limit that a target names (red)

Two stand-in targets name 2 requests a second; two gateways are sent 20 a second for 9 s. Seen on these sources: 40 (plain service), 42 (engine with a steward) and 79 (engine whose steward was killed) requests in 4 s at one target, where 17 are allowed.

--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -57,6 +57,10 @@
         self.refusing = False
         self.losing = False
         self.most_held = 0
+        #: Requests a second that its answers name as its limit.
+        self.rate_limit: float | None = None
+        #: When requests came, monotonic seconds.
+        self.arrivals: list[float] = []
         self._server = WebServer(self._serve)
         self._beater: asyncio.Task[None] | None = None
 
@@ -190,11 +194,14 @@
             await exchange.respond(421, refusal)
             return
         self.world.ledger.note(request, self.name)
+        self.arrivals.append(time.monotonic())
         if self.losing:
             exchange.abort()
             return
         stamp = f"{self.name}.{adapter}@{self.adapters.get(adapter, 0)}"
         own = (("request-id", request), ("response-stamp", stamp))
+        if self.rate_limit is not None:
+            own += (("server-limit", str(self.rate_limit)),)
         if not self.engine:
             await asyncio.sleep(self.work)
             body = b"done " + request.encode() + b" " + exchange.request.body
