Keep to the limit that a target names, all gateways together

Cause: no source read the header, so targets in need were chosen like all others. Class: a bound that a peer states about all of us together, and that nobody keeps. Now: a gateway tells the engine's steward what an answer names, and the steward, which every request asks for a turn, spaces turns by it and tells how long the next one waits, so that others are chosen. Where no steward keeps it (plain services, engines whose steward is gone), each gateway sends an equal part, evenly spaced and out of step. What no target lets through in time is refused at once, as not run. The newest answer counts: one without a limit ends it, and so do the end of a gateway's link and another life of the engine.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -134,6 +134,8 @@
     :param failures: share of failures among its last answers, recent ones for more.
     :param prompt_wait: seconds that a prompt waits there for its turn.
     :param read_rate: prompt tokens that it reads in a second.
+    :param share_wait: seconds until this gateway's part of the target's limit lets a
+        request through.
     """
 
     target: TargetId
@@ -147,6 +149,7 @@
     unreached: bool = False
     prompt_wait: float = 0.0
     read_rate: float = FIRST_RATE
+    share_wait: float = 0.0
     adapter: AdapterPlace = AdapterPlace(resident=True)
 
 
@@ -206,7 +209,7 @@
     """
     share = candidate.busy / max(1, candidate.slots)
     delay = candidate.prompt_wait + candidate.prompt_backlog / candidate.read_rate
-    delay += BATCH_STEP * share * 10
+    delay += BATCH_STEP * share * 10 + candidate.share_wait
     if need.weights is None:
         # An engine runs its batch side by side, and nobody waits for a run to end
         # there. So run time counts only where there is no batch.
@@ -227,7 +230,8 @@
     a slot takes is a guess that only helps to compare targets.
     """
     adapter = candidate.adapter
-    return candidate.prompt_wait + adapter.model_wait * (not adapter.serving)
+    model_wait = adapter.model_wait * (not adapter.serving)
+    return candidate.prompt_wait + candidate.share_wait + model_wait
 
 
 def _estimate_adapter(adapter: AdapterPlace, rank: int) -> float:
--- a/src/ibishead/gateway/book.py
+++ b/src/ibishead/gateway/book.py
@@ -9,6 +9,7 @@
 from ibishead.decisions.health import FailureShare
 from ibishead.decisions.modelwait import expect_start
 from ibishead.decisions.readspeed import FIRST_RATE
+from ibishead.decisions.sendrate import SendRate
 from ibishead.gateway.calls import TargetLoadTold
 from ibishead.gateway.stewards import HEARD_TIME
 from ibishead.ids import TargetId
@@ -54,6 +55,9 @@
     :param heard_at: when an answer of it last brought something, monotonic seconds.
     :param prompt_wait: seconds that a new prompt had to wait for its turn there, when
         its steward last told; it falls with time.
+    :param rate_limit: requests a second that it takes from all callers together, by
+        its newest answer; none where it names no limit.
+    :param share: this gateway's part of that limit.
     """
 
     born: int
@@ -75,6 +79,7 @@
     heard_at: float = -ALIVE_TIME
     lacking: set[WeightKey] = field(default_factory=set)
     rate_limit: float | None = None
+    share: SendRate = field(default_factory=SendRate)
 
 
 class TargetBook:
@@ -126,9 +131,21 @@
         notes.sent_since_told = 0
 
     def note_limit(
-        self, target: Registration, notes: TargetNotes, rate: float | None
+        self,
+        target: Registration,
+        rate: float | None,
+        gateways: int,
+        now: float,
+        offset: float,
     ) -> None:
-        """Take in the limit that an answer names, none where it names none."""
+        """Take in the limit that an answer names, none where it names none.
+
+        :param gateways: how many share it.
+        :param offset: part of a period until this gateway's first request. Gateways
+            that learn of a limit together are out of step by it.
+        """
+        notes = self.notes(target)
+        notes.share.limit(None if rate is None else rate / gateways, now, offset)
         if rate == notes.rate_limit:
             return
         notes.rate_limit = rate
@@ -224,6 +241,10 @@
             or (mute and not self.is_alive(notes, now)),
             prompt_wait=max(0.0, notes.prompt_wait - (now - notes.prompt_wait_at)),
             read_rate=read_rate or FIRST_RATE,
+            # a steward that is linked keeps the limit, and its delays tell of it
+            share_wait=0.0
+            if weights is not None and manageable
+            else notes.share.wait(now),
             adapter=place,
         )
 
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -78,7 +78,9 @@
             if target is None:
                 raise self.refuse(request, "the target has just left")
             if request.call.engine_key is None:
-                return target
+                if await self._wait_share(request, target, chosen):
+                    return target
+                continue
             request.placed = chosen.candidate.adapter.describe()
             match await self._wait_turn(request, target, chosen):
                 case TurnEnd.GIVEN:
@@ -97,6 +99,21 @@
             await asyncio.sleep(LEARN_INTERVAL)
             now = self._clock.monotonic()
 
+    async def _wait_share(
+        self, request: RequestState, target: Registration, chosen: Chosen
+    ) -> bool:
+        """Wait for this gateway's part of a target's limit.
+
+        :returns: whether the target is still there.
+        """
+        now = self._clock.monotonic()
+        if chosen.wait > self._find_rest(request, now):
+            raise self.refuse(request, "no target's limit lets it through in time")
+        wait = self._book.notes(target).share.take(now)
+        if wait > 0:
+            await asyncio.sleep(wait)
+        return self._feed.view.get(target.target) is not None
+
     async def _wait_turn(
         self, request: RequestState, target: Registration, chosen: Chosen
     ) -> TurnEnd:
@@ -131,6 +148,10 @@
         if end is TurnEnd.MUTE and adapter.resident and self._seems_well(target):
             # Failure: a steward has ended, or is late, and its engine is well. What the
             # engine already holds needs no order, so the request goes there at once.
+            share = self._book.notes(target).share
+            if share.wait(now := self._clock.monotonic()) > 0:
+                return TurnEnd.LATE
+            share.take(now)
             self._stewards.begin_use(target.address, key, call.prompt_tokens)
             return TurnEnd.GIVEN
         return end
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -81,7 +81,10 @@
         self._chooser = TargetChooser(domain, feed, book, stewards, clock, draw)
         self._stewards = stewards
         self._callers = callers
-        self._sender = Sender(book, pool, targets, clock, self._note_begin)
+        self._book = book
+        self._sender = Sender(
+            book, pool, targets, clock, self._note_begin, self._note_limit
+        )
         self._clock = clock
         self._share = share
         self._accounts = RequestAccounts(callers, feed, metrics, clock)
@@ -226,6 +229,18 @@
         if call.engine_key is not None:
             self._stewards.note_read(target.address, call.prompt_tokens, seconds)
 
+    def _note_limit(self, call: Call, target: Registration, rate: float | None) -> None:
+        notes = self._book.notes(target)
+        if rate is None and notes.rate_limit is None:
+            return
+        if call.engine_key is not None:
+            self._stewards.tell_limit(target, rate)
+        now = self._clock.monotonic()
+        self._book.note_limit(target, rate, self._count_gateways(), now, self._draw())
+
+    def _count_gateways(self) -> int:
+        return max(1, len(self._feed.list_members(MemberKind.GATEWAY)))
+
     def _weigh(
         self, request: RequestState, target: Registration, outcome: Outcome
     ) -> None:
@@ -255,8 +270,7 @@
     def _budget(self, service: ServiceName) -> RetryBudget:
         found = self._budgets.get(service)
         if found is None:
-            gateways = max(1, len(self._feed.list_members(MemberKind.GATEWAY)))
-            burst = max(1.0, self._share.slack / gateways)
+            burst = max(1.0, self._share.slack / self._count_gateways())
             found = RetryBudget(self._share.ratio, burst)
             self._budgets[service] = found
         return found
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -98,6 +98,7 @@
     """Sends calls over pooled connections.
 
     :param on_begin: called when an answer begins, with the seconds that it took.
+    :param on_limit: called with the limit that an answer names, or none.
     """
 
     def __init__(
@@ -107,8 +108,10 @@
         dialect: TargetDialect,
         clock: Clock,
         on_begin: Callable[[Call, Registration, float], None],
+        on_limit: Callable[[Call, Registration, float | None], None],
     ) -> None:
         self._on_begin = on_begin
+        self._on_limit = on_limit
         self._book = book
         self._pool = pool
         self._dialect = dialect
@@ -187,7 +190,7 @@
         if head.load is not None:
             self._book.note_told(state.notes, head.load, self._clock.monotonic())
         if head.genuine or (head.not_run and not head.misdirected):
-            self._book.note_limit(state.target, state.notes, head.rate_limit)
+            self._on_limit(call, state.target, head.rate_limit)
         if head.not_run:
             return await self._take_refusal(state, head)
         if not head.genuine or head.encoded:
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -23,10 +23,11 @@
     MemberRecord,
     PromptDelay,
     PromptRead,
+    RateTold,
     TurnAnswer,
     TurnNoted,
 )
-from ibishead.routing.targets import WeightKey
+from ibishead.routing.targets import Registration, WeightKey
 
 __all__ = ["HEARD_TIME", "StewardLinks", "TurnEnd"]
 
@@ -194,6 +195,12 @@
         if link is not None:
             link.send(PromptRead(tokens, round(seconds, 4)))
 
+    def tell_limit(self, target: Registration, rate: float | None) -> None:
+        """Tell a steward what its engine's answer names as its limit."""
+        link = self._links.get(target.address)
+        if link is not None:
+            link.send(RateTold(target.target, rate))
+
     async def stop(self) -> None:
         """Close all links."""
         for task in self._keepers.values():
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -40,6 +40,7 @@
     Members,
     PromptDelay,
     PromptRead,
+    RateTold,
     RouteNotice,
     RoutesAnswer,
     SignsOfLife,
@@ -598,4 +599,5 @@
     | EngineReport
     | PromptDelay
     | PromptRead
+    | RateTold
 )
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -26,6 +26,7 @@
     "Members",
     "PromptDelay",
     "PromptRead",
+    "RateTold",
     "RouteNotice",
     "RoutesAnswer",
     "SignsOfLife",
@@ -211,6 +212,16 @@
     share: float
 
 
+class RateTold(_Message, frozen=True):
+    """What an engine's answer names as its limit.
+
+    :param rate: requests a second from all gateways together; none for no limit.
+    """
+
+    target: TargetId
+    rate: float | None
+
+
 class PromptRead(_Message, frozen=True):
     """An engine has read a prompt that it was sent.
 
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -19,7 +19,7 @@
     choose_order,
 )
 from ibishead.errors import LinkLost
-from ibishead.ids import FailureDomain, HostId, ServiceName
+from ibishead.ids import FailureDomain, HostId, ServiceName, TargetId
 from ibishead.links import Link
 from ibishead.messages import Message
 from ibishead.routing.feed import RegistryFeed
@@ -33,6 +33,7 @@
     FenceAnswer,
     PromptDelay,
     PromptRead,
+    RateTold,
     TurnNoted,
 )
 from ibishead.routing.routes import (
@@ -100,6 +101,9 @@
         self._feed = feed
         self._clock = clock
         self._links: set[Link] = set()
+        #: Requests a second that the engine's answers name, by gateway, newest last.
+        self._limits: dict[Link, float] = {}
+        self._limit: float | None = None
         self._uses = AdapterUses()
         self._turns = TurnQueue(clock, self._tell_delay, self._drop_waiter)
         self._demands = AdapterDemands()
@@ -131,6 +135,8 @@
                 self._take(link, message)
         finally:
             self._links.discard(link)
+            self._limits.pop(link, None)
+            self._set_limit()
             self._turns.leave(link)
             self._uses.leave(link, self._clock.monotonic())
 
@@ -158,6 +164,7 @@
             "prompts_waiting": self._turns.count,
             "prompt_limit": self._turns.window.limit,
             "read_rate": self._turns.window.speed.rate,
+            "rate_limit": self._limit or 0.0,
         }
 
     def take_routes(self, routes: RouteSet) -> None:
@@ -177,6 +184,8 @@
                 self._uses.note(key, now)
                 self._uses.begin(link, key)
                 self._turns.note_sent(link, tokens)
+            case RateTold(target, rate):
+                self._note_limit(link, target, rate)
             case PromptRead(tokens, seconds):
                 self._turns.note_read(link, tokens, seconds)
             case EndUse(key, pause, failed):
@@ -232,6 +241,29 @@
                 extra={"target": target.target, "share": round(share, 3)},
             )
 
+    def _note_limit(self, link: Link, target: TargetId, rate: float | None) -> None:
+        """Take in what an engine's answer to one gateway names as its limit.
+
+        The newest word counts. One that names no limit ends those of all gateways, and
+        a gateway's own ends with its link, as nobody would take it back.
+        """
+        known = self._feed.view.find_address(self._address)
+        if known is None or known.target != target:
+            return
+        self._limits.pop(link, None)
+        if rate is None:
+            self._limits.clear()
+        else:
+            self._limits[link] = rate
+        self._set_limit()
+
+    def _set_limit(self) -> None:
+        rate = next(reversed(self._limits.values()), None)
+        if rate != self._limit:
+            logger.info("limit of the engine", extra={"requests_a_second": rate})
+            self._limit = rate
+            self._turns.set_limit(rate)
+
     def _tell_gateways(self, message: Message) -> None:
         for link in self._links:
             link.send(message)
@@ -280,6 +312,8 @@
         if self._ledger.take(state, self._clock.monotonic()):
             logger.info("engine found", extra={"born": state.born})
             self._failures, self._told_failures = FailureShare(), FailureShare()
+            self._limits.clear()
+            self._set_limit()
         for waiter in self._demands.take_served(self._ledger):
             self._queue(waiter)
 
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -9,6 +9,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.batchslots import BatchSlots
+from ibishead.decisions.sendrate import SendRate
 from ibishead.decisions.turns import PromptWindow, Turn, choose_turn
 from ibishead.links import Link
 from ibishead.routing.messages import TurnAnswer, TurnNoted
@@ -63,6 +64,7 @@
     ) -> None:
         self.window = PromptWindow()
         self.slots = BatchSlots()
+        self.rate = SendRate()
         self._clock = clock
         self._tell = tell
         self._drop = drop
@@ -98,6 +100,7 @@
         self._unread[link] += 1
         self._running[link] += 1
         self.slots.begin()
+        self.rate.take(self._clock.monotonic())
 
     def note_read(self, link: Link, tokens: int, seconds: float) -> None:
         """Take in that the engine has read a prompt, or that its request has ended.
@@ -128,6 +131,11 @@
         self.slots.note_report(requests)
         self._wake_waiting()
 
+    def set_limit(self, rate: float | None) -> None:
+        """Give no more turns than this many a second, none for no bound."""
+        self.rate.limit(rate, self._clock.monotonic())
+        self._wake_waiting()
+
     def _wake_waiting(self) -> None:
         if self._waiting and not self.slots.full:
             self._wake.set()
@@ -167,7 +175,7 @@
         self._drop_late(now)
         wait = None
         while (turn := choose_turn(self._waiting, now)) is not None:
-            wait = self.window.wait(turn.tokens, now)
+            wait = max(self.window.wait(turn.tokens, now), self.rate.wait(now))
             if wait > 0 or self.slots.full:
                 break
             waiter = self._waiting.pop(turn)
@@ -192,7 +200,8 @@
     def _publish(self, now: float) -> None:
         queued = sum(turn.tokens for turn in self._waiting)
         delay = self.window.delay(queued, now)
-        delay = max(delay, self.slots.delay(len(self._waiting)))
+        waiting = len(self._waiting)
+        delay = max(delay, self.slots.delay(waiting), self.rate.delay(waiting, now))
         believed = max(0.0, self._told - (now - self._told_at))
         if abs(delay - believed) >= DELAY_STEP:
             self._told, self._told_at = delay, now
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -35,6 +35,7 @@
         ((make("a", 6, pace=4.0), make("b", 6)), "b"),
         ((make("a", 0, prompt_backlog=20_000), make("b", 4)), "b"),
         ((make("a", 0, domain=THERE), make("b", 0)), "b"),
+        ((make("a", 0, share_wait=1.0), make("b", 9)), "b"),
         ((), None),
     ],
 )
--- a/tests/gateway/test_book.py
+++ b/tests/gateway/test_book.py
@@ -200,3 +200,18 @@
     book.notes(TARGET).heard_at = heard
     found = book.describe(TARGET, 10.0, 10.0, KEY, 0, True, None, mute)
     assert found.unreached is unreached
+
+
+@pytest.mark.parametrize(
+    ("key", "linked", "wait"),
+    [(None, True, 2.0), (None, False, 2.0), (KEY, False, 2.0), (KEY, True, 0.0)],
+)
+def test_a_limit_is_shared_where_no_steward_keeps_it(key, linked, wait):
+    """Each gateway sends a target as much as it takes from all of them."""
+    book = TargetBook()
+    book.note_limit(TARGET, 2.0, gateways=8, now=0.0, offset=0.5)
+    assert describe(book, 0.0, key, linked=linked).share_wait == pytest.approx(wait)
+    assert book.count_limited() == 1
+    book.note_limit(TARGET, None, gateways=8, now=1.0, offset=0.5)
+    assert describe(book, 1.0, key, linked=linked).share_wait == 0.0
+    assert book.count_limited() == 0
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -51,6 +51,11 @@
     await exchange.respond(500, _own(request), b"broken")
 
 
+async def answer_with_limit(exchange: Exchange, request: str) -> None:
+    limit = (("server-limit", "0.5"),)
+    await exchange.respond(200, (*_own(request), *limit), b"done")
+
+
 async def reset(exchange: Exchange, request: str) -> None:
     exchange._connection._writer.transport.abort()
 
@@ -435,3 +440,12 @@
         setting.pipeline._stewards = setting.pipeline._chooser._stewards = stewards
         assert (await setting.ask(model="m/a1"))[0] == 429
         assert stewards.sent == setting.arrivals == []
+
+
+async def test_what_a_limit_does_not_let_through_in_time_is_refused_at_once():
+    """A caller waits until its deadline for a target that takes one request in 2 s."""
+    async with Setting(SAFE, answer_with_limit) as setting:
+        setting._behaviours *= 9
+        answers = [(await setting.ask())[0] for _ in range(4)]
+    assert answers == [200, 200, 429, 429]
+    assert len(setting.arrivals) == 2
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -20,6 +20,7 @@
     FenceAnswer,
     MemberKind,
     MemberRecord,
+    RateTold,
     TurnAnswer,
 )
 from ibishead.routing.routes import EngineSpec, ModelSpec, RouteSet, ServiceSpec
@@ -45,6 +46,7 @@
     """
 
     def __init__(self, lose: float = 0.0, late: float = 0.0, seed: int = 1) -> None:
+        self.born = 1
         self.adapters: dict[str, int] = {}
         self.count = 0
         self.most = 0
@@ -54,7 +56,7 @@
 
     async def read_state(self) -> EngineState:
         refs = tuple(AdapterRef(n, v) for n, v in self.adapters.items())
-        return EngineState(1, self.count, False, (Holding(MODEL, 1, refs),))
+        return EngineState(self.born, self.count, False, (Holding(MODEL, 1, refs),))
 
     async def read_name(self, health_path: str) -> TargetId | None:
         return TargetId("t9")
@@ -341,3 +343,44 @@
         own = msgspec.structs.replace(announced, target=stated.target)
         assert setting.feed.view.merge(own, 1.0)
         assert not setting.feed.view.merge(stated, 2.0)
+
+
+@pytest.mark.parametrize(
+    ("told", "leaves", "limit"),
+    [
+        ([(0, 2.0)], None, 2.0),
+        ([(0, 2.0), (1, 1.5)], None, 1.5),
+        ([(0, 2.0), (1, 1.5), (0, 3.0)], None, 3.0),
+        ([(0, 2.0), (1, 2.0), (1, None)], None, 0.0),
+        ([(0, 2.0), (1, 1.5)], 1, 2.0),
+        ([(0, 2.0)], 0, 0.0),
+    ],
+)
+async def test_the_newest_word_of_linked_gateways_is_the_limit(told, leaves, limit):
+    """A limit outlives the gateway that told of it, and nobody takes it back."""
+    setting = Setting(FakeEngine())
+    steward, links = setting.steward, [FakeLink(), FakeLink()]
+    serving = [asyncio.create_task(steward.serve_link(link)) for link in links]
+    for gateway, rate in told:
+        links[gateway].inbox.put_nowait(RateTold(TargetId("t"), rate))
+        links[gateway].inbox.put_nowait(RateTold(TargetId("other"), 9.0))
+        while not links[gateway].inbox.empty():
+            await asyncio.sleep(0)
+    if leaves is not None:
+        serving[leaves].cancel()
+        await asyncio.gather(serving[leaves], return_exceptions=True)
+    assert steward.list_gauges()["rate_limit"] == limit
+    for task in serving:
+        task.cancel()
+    await asyncio.gather(*serving, return_exceptions=True)
+
+
+async def test_another_life_of_the_engine_has_no_limit():
+    setting = Setting(FakeEngine())
+    async with setting:
+        setting.gateway.inbox.put_nowait(RateTold(TargetId("t"), 2.0))
+        assert await setting.want(1, "a1")
+        assert setting.steward.list_gauges()["rate_limit"] == 2.0
+        setting.engine.born = 2
+        while setting.steward.list_gauges()["rate_limit"]:
+            await asyncio.sleep(0.01)
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -166,3 +166,24 @@
         setting.queue.note_report(0)
         await asyncio.sleep(0.01)
         assert setting.answers == [(1, True)]
+
+
+async def test_turns_keep_to_the_limit_that_the_engine_names():
+    """Requests with and without turns come faster than the engine takes them."""
+    limit = 20.0
+    async with Setting() as setting:
+        setting.queue.window.gap = 0.0
+        began = setting.clock.monotonic()
+        setting.queue.set_limit(limit)
+        for number in range(1, 5):
+            setting.add(number)
+        setting.queue.note_sent(setting.link, 10)
+        while len(setting.answers) < 4:
+            elapsed = setting.clock.monotonic() - began
+            assert len(setting.answers) <= elapsed * limit
+            await asyncio.sleep(0.01)
+        assert max(setting.told) >= 4 / limit
+        setting.queue.set_limit(None)
+        for number in range(5, 25):
+            setting.add(number)
+        assert len(setting.answers) == 24
