Turn away at once what an engine's limit doesn't let through in time

Cause, by the code: an engine with a limit runs little and looks idle, and its told wait falls to nothing before each turn. Several gateways choose it in that moment, and all but one wait 1.2 s in vain there. Now the steward says no before the wait, and before an adapter is loaded for it, so that the request goes elsewhere at once.

--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -204,7 +204,9 @@
     def _want(self, waiter: Waiter, version: int, now: float) -> None:
         key = waiter.key
         self._uses.note(key, now)
-        if self._lost:
+        # Failure: an engine with a limit runs little and looks idle. Requests that wait
+        # there in vain have lost the time in which another engine could serve them.
+        if self._lost or not self._turns.fits(waiter, len(self._demands)):
             waiter.answer(False)
             return
         if self._ledger.holds(key, version):
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -93,6 +93,15 @@
             waiter.link.send(TurnNoted(waiter.number))
             self._wake.set()
 
+    def fits(self, waiter: Waiter, before: int) -> bool:
+        """Return whether the engine's limit lets a request through in time.
+
+        :param before: requests that will join the queue before it.
+        """
+        now = self._clock.monotonic()
+        wait = self.rate.delay(len(self._waiting) + before, now)
+        return now + wait <= waiter.until
+
     def note_sent(self, link: Link, tokens: int) -> None:
         """Count a prompt that is sent now, with or without a turn."""
         self.window.take(tokens, self._clock.monotonic())
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -384,3 +384,16 @@
         setting.engine.born = 2
         while setting.steward.list_gauges()["rate_limit"]:
             await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(("rate", "given"), [(20.0, True), (0.25, False)])
+async def test_what_a_limit_does_not_let_through_in_time_goes_elsewhere(rate, given):
+    """A request waits in vain at an engine that looks idle since it has a limit."""
+    engine = FakeEngine()
+    async with Setting(engine) as setting:
+        assert await setting.want(1, "a1")
+        setting.gateway.inbox.put_nowait(RateTold(TargetId("t"), rate))
+        assert await setting.want(2, "a2", wait=2.0) == given
+    assert {order.key.adapter for order in engine.orders} == (
+        {"a1", "a2"} if given else {"a1"}
+    )
