Let a steward make up for a moment without requests

One that sends for all callers may use what the last second left of an engine's limit; in 4 s these are five times the limit and one request at most. Gateways that share a limit still space theirs evenly.

--- a/src/ibishead/decisions/sendrate.py
+++ b/src/ibishead/decisions/sendrate.py
@@ -1,7 +1,7 @@
 """When the next request may go to a target that names a limit.
 
 A target in need takes a number of requests a second from all callers together. They are
-spaced evenly, as several senders that each save requests up would send them at once.
+spaced evenly; only one that sends for all callers may make up for a moment without any.
 """
 
 __all__ = ["SendRate"]
@@ -14,10 +14,13 @@
 class SendRate:
     """Spaces the requests to one target.
 
+    :param saved: seconds without a request that may be made up for. Several senders
+        that share a limit would do so at the same time.
     :ivar rate: requests a second, none for no bound.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, saved: float = 0.0) -> None:
+        self._saved = saved
         self.rate: float | None = None
         self._next = 0.0
 
@@ -48,7 +51,7 @@
         if self.rate is None:
             return 0.0
         wait = self.wait(now)
-        self._next = now + wait + 1 / self.rate
+        self._next = max(self._next, now - self._saved) + 1 / self.rate
         return wait
 
     def delay(self, waiting: int, now: float) -> float:
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -26,6 +26,9 @@
 #: until they are told anew.
 DELAY_STEP = 0.05
 
+#: Seconds without a request that an engine with a limit may make up for.
+SAVED_TIME = 1.0
+
 
 @dataclass(frozen=True, eq=False)
 class Waiter:
@@ -64,7 +67,7 @@
     ) -> None:
         self.window = PromptWindow()
         self.slots = BatchSlots()
-        self.rate = SendRate()
+        self.rate = SendRate(SAVED_TIME)
         self._clock = clock
         self._tell = tell
         self._drop = drop
