Tell all gateways of the limit that a steward keeps

Cause: a gateway told the steward of an answer without a limit only if it had heard of one. With one request a second over eight gateways, most had not, so that a steward went on holding back after the need was over. Now the steward tells every gateway what it keeps; any answer without a limit ends it. Gateways that lose the steward know their part, too.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -45,7 +45,7 @@
 from ibishead.ids import FailureDomain, ServiceName
 from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
-from ibishead.routing.messages import MemberKind
+from ibishead.routing.messages import MemberKind, RateTold
 from ibishead.routing.routes import find_route, pick_service
 from ibishead.routing.targets import Registration
 from ibishead.web import Exchange
@@ -98,6 +98,16 @@
         """Take only what will have been answered by then, in monotonic seconds."""
         self._ends_at = ends_at
 
+    def take_limit(self, told: RateTold) -> None:
+        """Take in the limit that a steward keeps for its engine, or none.
+
+        Failure: a limit is over, and the answer that shows it goes to a gateway that
+        hasn't heard of it. Nobody tells the steward, which goes on holding back.
+        """
+        target = self._feed.view.get(told.target)
+        if target is not None:
+            self._set_limit(target, told.rate)
+
     async def serve(self, exchange: Exchange) -> None:
         """Answer one request."""
         started = self._clock.monotonic()
@@ -230,11 +240,13 @@
             self._stewards.note_read(target.address, call.prompt_tokens, seconds)
 
     def _note_limit(self, call: Call, target: Registration, rate: float | None) -> None:
-        notes = self._book.notes(target)
-        if rate is None and notes.rate_limit is None:
+        if rate is None and self._book.notes(target).rate_limit is None:
             return
         if call.engine_key is not None:
             self._stewards.tell_limit(target, rate)
+        self._set_limit(target, rate)
+
+    def _set_limit(self, target: Registration, rate: float | None) -> None:
         now = self._clock.monotonic()
         self._book.note_limit(target, rate, self._count_gateways(), now, self._draw())
 
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -57,6 +57,7 @@
             lambda report: self._book.take_report(report, clock.monotonic()),
             lambda delay: self._book.take_delay(delay, clock.monotonic()),
             lambda told: self._book.take_failures(told, clock.monotonic()),
+            lambda told: self._pipeline.take_limit(told),
         )
         member = MemberRecord(
             settings.host, MemberKind.GATEWAY, "", 0, settings.failure_domain
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -70,6 +70,7 @@
     :param on_report: called with each report of an engine.
     :param on_delay: called when the wait for a turn at an engine has changed.
     :param on_failures: called when an engine fails more or less often.
+    :param on_limit: called when a steward keeps another limit, or none.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         on_report: Callable[[EngineReport], None],
         on_delay: Callable[[PromptDelay], None],
         on_failures: Callable[[FailuresTold], None],
+        on_limit: Callable[[RateTold], None],
         dialer: Dialer = dial,
     ) -> None:
         self._host = host
@@ -86,6 +88,7 @@
         self._on_report = on_report
         self._on_delay = on_delay
         self._on_failures = on_failures
+        self._on_limit = on_limit
         self._dial = dialer
         self._links: dict[str, Link] = {}
         self._keepers: dict[Endpoint, asyncio.Task[None]] = {}
@@ -256,6 +259,8 @@
                 self._on_delay(message)
             case FailuresTold():
                 self._on_failures(message)
+            case RateTold():
+                self._on_limit(message)
             case TurnNoted(number):
                 asked = self._asked.get(number)
                 if asked is not None:
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -130,6 +130,8 @@
         self._uses.join(link)
         if self._reported is not None:
             link.send(self._reported)
+            if self._limit is not None:
+                link.send(RateTold(self._reported.target, self._limit))
         try:
             async for message in link.receive():
                 self._take(link, message)
@@ -265,6 +267,9 @@
             logger.info("limit of the engine", extra={"requests_a_second": rate})
             self._limit = rate
             self._turns.set_limit(rate)
+            target = self._feed.view.find_address(self._address)
+            if target is not None:
+                self._tell_gateways(RateTold(target.target, rate))
 
     def _tell_gateways(self, message: Message) -> None:
         for link in self._links:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -139,7 +139,7 @@
             feed,
             self.book,
             self.pool,
-            StewardLinks(HostId("g"), clock, print, print, print),
+            StewardLinks(HostId("g"), clock, print, print, print, print),
             PlatformCallers(),
             PlatformTargets(),
             clock,
--- a/tests/gateway/test_stewards.py
+++ b/tests/gateway/test_stewards.py
@@ -65,7 +65,13 @@
         self.link = FakeLink(answers)
         self.delays: list[PromptDelay] = []
         self.links = StewardLinks(
-            HostId("g"), SystemClock(), print, self.delays.append, print, self._dial
+            HostId("g"),
+            SystemClock(),
+            print,
+            self.delays.append,
+            print,
+            print,
+            self._dial,
         )
         self._dialled = False
         self.refusal: Exception = TimeoutError()
--- a/tests/onplatform/test_limits.py
+++ b/tests/onplatform/test_limits.py
@@ -73,3 +73,19 @@
     async with asyncio.timeout(20.0):
         while not await serves_all(world, route, model):
             await asyncio.sleep(0.2)
+
+
+async def test_a_limit_ends_wherever_the_answer_without_it_goes(world):
+    """A limit is over, and only a gateway that never heard of it gets the answer."""
+    model = f"{MODEL}/warm"
+    for target in world.engines:
+        target.rate_limit = RATE / 4
+    for _ in range(4):
+        await world.ask("plan", world.gateways[0], model)
+    for target in world.engines:
+        target.rate_limit = None
+    async with asyncio.timeout(20.0):
+        while (await world.ask("plan", world.gateways[1], model))[0] != 200:
+            await asyncio.sleep(0.2)
+    answers = [await world.ask("plan", world.gateways[1], model) for _ in range(10)]
+    assert [status for status, _, _ in answers] == [200] * 10
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -370,6 +370,9 @@
         serving[leaves].cancel()
         await asyncio.gather(serving[leaves], return_exceptions=True)
     assert steward.list_gauges()["rate_limit"] == limit
+    staying = next(k for n, k in enumerate(links) if n != leaves)
+    heard = [m.rate for m in staying.sent if isinstance(m, RateTold)]
+    assert (heard[-1] or 0.0) == limit
     for task in serving:
         task.cancel()
     await asyncio.gather(*serving, return_exceptions=True)
