Send a late request where no limit holds it back

Cause: the new wait for a part of a limit compared a wait of nothing with the time left until refusal, which is below zero for a plain request that another target refused late. It was refused with an idle target beside it; red in the test without the change.

--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -107,7 +107,7 @@
         :returns: whether the target is still there.
         """
         now = self._clock.monotonic()
-        if chosen.wait > self._find_rest(request, now):
+        if chosen.wait > max(0.0, self._find_rest(request, now)):
             raise self.refuse(request, "no target's limit lets it through in time")
         wait = self._book.notes(target).share.take(now)
         if wait > 0:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -51,6 +51,11 @@
     await exchange.respond(500, _own(request), b"broken")
 
 
+async def refuse_late(exchange: Exchange, request: str) -> None:
+    await asyncio.sleep(0.1)
+    await refuse(exchange, request)
+
+
 async def answer_with_limit(exchange: Exchange, request: str) -> None:
     limit = (("server-limit", "0.5"),)
     await exchange.respond(200, (*_own(request), *limit), b"done")
@@ -449,3 +454,10 @@
         answers = [(await setting.ask())[0] for _ in range(4)]
     assert answers == [200, 200, 429, 429]
     assert len(setting.arrivals) == 2
+
+
+async def test_a_late_request_is_still_sent_where_no_limit_holds_it_back():
+    """A target refuses late, and the request is refused with another one idle."""
+    behaviours = (refuse_late, answer_well)
+    async with Setting(SAFE, *behaviours, objective=0.01) as setting:
+        assert (await setting.ask())[0] == 200
