Let a second answer to a proof be no answer to the next claim

Ruled out: the end of an incarnation (no retirement, no registration), the agent (nothing had reached it), retention (60 s). Cause: questions to control are sent again with each report. The proof that an attempt didn't run got two answers; the second came when the same request had asked for its claim anew, and both kinds are answered by ClaimAnswer under the request's name. "Not run" is no state that a claim is answered by, and was taken for one that nobody knows. Class: an answer matched to a question by less than what tells the questions apart. The other direction was guarded already. The test is red without the change (2 failed) and green with it.

--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -228,9 +228,11 @@
             case Registration():
                 self._settle(message.nonce, message)
             case ClaimAnswer():
-                self._settle(f"claim/{message.request}", message)
-                # An answer to the claim, sent twice, must not pass for the record
-                # of its end: that generation would still stand as granted.
+                # Questions are sent again while they wait, so answers come twice. A
+                # second answer to one kind must not pass for one to the other: what
+                # didn't run is granted anew, and what is granted has no end on record.
+                if message.state is not ClaimState.NOT_RUN:
+                    self._settle(f"claim/{message.request}", message)
                 if message.state not in (ClaimState.GRANTED, ClaimState.RUNNING):
                     self._settle(
                         f"resolve/{message.request}/{message.generation}", message
--- /dev/null
+++ b/tests/entry/test_questions.py
@@ -0,0 +1,98 @@
+"""Questions to control whose answers come twice, late or in another order."""
+
+import asyncio
+
+import pytest
+
+from ibishead.clock import SystemClock
+from ibishead.ids import (
+    Generation,
+    IdempotencyKey,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    TargetId,
+    TeamId,
+)
+from ibishead.links import Endpoint
+from ibishead.messages import (
+    AskClaim,
+    ClaimAnswer,
+    ClaimState,
+    Hello,
+    Outcome,
+    ResolveClaim,
+    Role,
+)
+from ibishead.subscription import Subscription
+
+REQUEST, TEAM, SERVICE = RequestId("r1"), TeamId("t"), ServiceName("s")
+KEY, TARGET = IdempotencyKey("k"), TargetId("x")
+ASK = AskClaim(REQUEST, TEAM, SERVICE, KEY, "d", TARGET, Incarnation(1), 60.0)
+NOT_RUN = ResolveClaim(REQUEST, TEAM, SERVICE, KEY, Generation(1), Outcome.NOT_RUN)
+
+
+def answer(state: ClaimState, generation: int) -> ClaimAnswer:
+    return ClaimAnswer(
+        REQUEST,
+        TEAM,
+        SERVICE,
+        KEY,
+        state,
+        REQUEST,
+        TARGET,
+        Incarnation(1),
+        Generation(generation),
+    )
+
+
+class FakeLink:
+    """A control replica's end of a link."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.sent: list = []
+        self.inbox: asyncio.Queue = asyncio.Queue()
+
+    def send(self, message) -> None:
+        self.sent.append(message)
+
+    async def receive(self):
+        while True:
+            yield await self.inbox.get()
+
+    async def close(self) -> None:
+        self.closed = True
+
+    async def wait_sent(self, kind: type) -> None:
+        while not any(isinstance(message, kind) for message in self.sent):
+            await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("late", [1, 3])
+async def test_a_second_answer_to_a_proof_is_no_answer_to_the_next_claim(late):
+    """A call that didn't run is told that it may have, as a question was sent again."""
+    link = FakeLink()
+
+    async def dial(*_) -> FakeLink:
+        return link
+
+    subscription = Subscription(
+        [Endpoint("127.0.0.1", 1)],
+        lambda: Hello(Role.ENTRY, "e"),
+        SystemClock(),
+        dialer=dial,
+    )
+    subscription.start()
+    proof = asyncio.create_task(subscription.resolve(NOT_RUN, 5.0))
+    await link.wait_sent(ResolveClaim)
+    link.inbox.put_nowait(answer(ClaimState.NOT_RUN, 1))
+    assert (await proof).state is ClaimState.NOT_RUN
+    claim = asyncio.create_task(subscription.claim(ASK, 5.0))
+    await link.wait_sent(AskClaim)
+    for _ in range(late):
+        link.inbox.put_nowait(answer(ClaimState.NOT_RUN, 1))
+    link.inbox.put_nowait(answer(ClaimState.GRANTED, 2))
+    granted = await claim
+    await subscription.stop()
+    assert (granted.state, granted.generation) == (ClaimState.GRANTED, 2)
