Wait for targets as long as a silent link needs to be dialled anew

Refused 0.3 s after the link was given up; its wait of 1 s had begun when the agent was suspected. Cause: an agent is suspected 1.2 s after its last report, and its link is given up and dialled anew up to 1.8 s after that, by the constants alone. A request waited 1 s. Class: a patience shorter than what it waits for. Now: as long as the limit of silence, and no longer than the caller.

--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -32,6 +32,7 @@
 )
 from ibishead.ids import Generation, IdempotencyKey, TargetId
 from ibishead.messages import AnswerEnd, AnswerHead, Dispatch, NotRun, Outcome
+from ibishead.session import SILENCE_LIMIT
 
 __all__ = ["Dispatcher", "Ended", "Grant", "Job"]
 
@@ -46,8 +47,9 @@
 _UNSEEN = (ErrorCode.NEVER_RECEIVED, ErrorCode.LINK_LOST)
 
 #: Seconds that a request waits for a target to be reached again. All links of a host
-#: may be lost at once while every target is well; dialling takes a round trip.
-REACH_PATIENCE = 1.0
+#: may go silent at once while every target is well. From the suspicion on they have to
+#: be given up and dialled anew.
+REACH_PATIENCE = SILENCE_LIMIT
 
 #: Seconds that an agent has to say whether a cancelled attempt had begun.
 VERDICT_PATIENCE = 0.5
@@ -129,8 +131,9 @@
         placed = self._placer.place(job.resolved, avoid)
         if placed is None and self._placer.expects_targets(job.resolved, avoid):
             self._note(job, "place", "waits", "no target is in reach")
+            left = job.deadline - self._clock.monotonic()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(REACH_PATIENCE):
+                async with asyncio.timeout(min(REACH_PATIENCE, left)):
                     while placed is None:
                         await self._placer.wait_for_change()
                         placed = self._placer.place(job.resolved, avoid)
