Keep one limit an engine, the newest word of any gateway

Since all gateways are told of it, each of them takes it back when an answer names none. So it needs no book by gateway, and no longer ends with the link of the one that told of it while the others go on sending.

--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -19,7 +19,7 @@
     choose_order,
 )
 from ibishead.errors import LinkLost
-from ibishead.ids import FailureDomain, HostId, ServiceName, TargetId
+from ibishead.ids import FailureDomain, HostId, ServiceName
 from ibishead.links import Link
 from ibishead.messages import Message
 from ibishead.routing.feed import RegistryFeed
@@ -101,8 +101,7 @@
         self._feed = feed
         self._clock = clock
         self._links: set[Link] = set()
-        #: Requests a second that the engine's answers name, by gateway, newest last.
-        self._limits: dict[Link, float] = {}
+        #: Requests a second that the engine's newest answer names.
         self._limit: float | None = None
         self._uses = AdapterUses()
         self._turns = TurnQueue(clock, self._tell_delay, self._drop_waiter)
@@ -137,8 +136,6 @@
                 self._take(link, message)
         finally:
             self._links.discard(link)
-            self._limits.pop(link, None)
-            self._set_limit()
             self._turns.leave(link)
             self._uses.leave(link, self._clock.monotonic())
 
@@ -187,7 +184,9 @@
                 self._uses.begin(link, key)
                 self._turns.note_sent(link, tokens)
             case RateTold(target, rate):
-                self._note_limit(link, target, rate)
+                known = self._feed.view.find_address(self._address)
+                if known is not None and known.target == target:
+                    self._set_limit(rate)
             case PromptRead(tokens, seconds):
                 self._turns.note_read(link, tokens, seconds)
             case EndUse(key, pause, failed):
@@ -245,24 +244,11 @@
                 extra={"target": target.target, "share": round(share, 3)},
             )
 
-    def _note_limit(self, link: Link, target: TargetId, rate: float | None) -> None:
-        """Take in what an engine's answer to one gateway names as its limit.
+    def _set_limit(self, rate: float | None) -> None:
+        """Keep to what the engine's newest answer names, and tell all gateways.
 
-        The newest word counts. One that names no limit ends those of all gateways, and
-        a gateway's own ends with its link, as nobody would take it back.
+        Each of them takes it back when it gets an answer that names none.
         """
-        known = self._feed.view.find_address(self._address)
-        if known is None or known.target != target:
-            return
-        self._limits.pop(link, None)
-        if rate is None:
-            self._limits.clear()
-        else:
-            self._limits[link] = rate
-        self._set_limit()
-
-    def _set_limit(self) -> None:
-        rate = next(reversed(self._limits.values()), None)
         if rate != self._limit:
             logger.info("limit of the engine", extra={"requests_a_second": rate})
             self._limit = rate
@@ -319,8 +305,7 @@
         if self._ledger.take(state, self._clock.monotonic()):
             logger.info("engine found", extra={"born": state.born})
             self._failures, self._told_failures = FailureShare(), FailureShare()
-            self._limits.clear()
-            self._set_limit()
+            self._set_limit(None)
         for waiter in self._demands.take_served(self._ledger):
             self._queue(waiter)
 
