--- a/tests/entry/test_questions.py
+++ b/tests/entry/test_questions.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.fake_links import FakeLink
 
 from ibishead.clock import SystemClock
 from ibishead.ids import (
@@ -46,27 +47,9 @@
     )
 
 
-class FakeLink:
-    """A control replica's end of a link."""
-
-    def __init__(self) -> None:
-        self.closed = False
-        self.sent: list = []
-        self.inbox: asyncio.Queue = asyncio.Queue()
-
-    def send(self, message) -> None:
-        self.sent.append(message)
-
-    async def receive(self):
-        while True:
-            yield await self.inbox.get()
-
-    async def close(self) -> None:
-        self.closed = True
-
-    async def wait_sent(self, kind: type) -> None:
-        while not any(isinstance(message, kind) for message in self.sent):
-            await asyncio.sleep(0)
+async def wait_sent(link: FakeLink, kind: type) -> None:
+    while not any(isinstance(message, kind) for message in link.sent):
+        await asyncio.sleep(0)
 
 
 @pytest.mark.parametrize("late", [1, 3])
@@ -85,11 +68,11 @@
     )
     subscription.start()
     proof = asyncio.create_task(subscription.resolve(NOT_RUN, 5.0))
-    await link.wait_sent(ResolveClaim)
+    await wait_sent(link, ResolveClaim)
     link.inbox.put_nowait(answer(ClaimState.NOT_RUN, 1))
     assert (await proof).state is ClaimState.NOT_RUN
     claim = asyncio.create_task(subscription.claim(ASK, 5.0))
-    await link.wait_sent(AskClaim)
+    await wait_sent(link, AskClaim)
     for _ in range(late):
         link.inbox.put_nowait(answer(ClaimState.NOT_RUN, 1))
     link.inbox.put_nowait(answer(ClaimState.GRANTED, 2))
--- /dev/null
+++ b/tests/fake_links.py
@@ -0,0 +1,22 @@
+"""A peer's end of a link, for tests that play the other program."""
+
+import asyncio
+
+
+class FakeLink:
+    """Keeps what was sent, and yields what a test puts into its inbox."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.sent: list = []
+        self.inbox: asyncio.Queue = asyncio.Queue()
+
+    def send(self, message) -> None:
+        self.sent.append(message)
+
+    async def receive(self):
+        while True:
+            yield await self.inbox.get()
+
+    async def close(self) -> None:
+        self.closed = True
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from tests.fake_links import FakeLink
 
 from ibishead.clock import SystemClock
 from ibishead.errors import LinkLost
@@ -81,21 +82,12 @@
         return OrderEnd.STARTED
 
 
-class FakeLink:
+class PeerLink(FakeLink):
     """A gateway's or a registry's end of a link."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.peer = Hello(Role.ENTRY, HostId("g"))
-        self.closed = False
-        self.sent: list = []
-        self.inbox: asyncio.Queue = asyncio.Queue()
-
-    def send(self, message) -> None:
-        self.sent.append(message)
-
-    async def receive(self):
-        while True:
-            yield await self.inbox.get()
 
     def answered(self, number: int) -> bool | None:
         for message in self.sent:
@@ -129,7 +121,7 @@
             ),
             0.0,
         )
-        self.registry, self.gateway = FakeLink(), FakeLink()
+        self.registry, self.gateway = PeerLink(), PeerLink()
         self.feed.links[object()] = self.registry
         self.steward = Steward(
             HostId("side"),
@@ -359,7 +351,7 @@
 async def test_the_newest_word_of_a_gateway_is_the_limit(told, leaves, limit):
     """A gateway that has told of a limit ends, and the others send without it."""
     setting = Setting(FakeEngine())
-    steward, links = setting.steward, [FakeLink(), FakeLink()]
+    steward, links = setting.steward, [PeerLink(), PeerLink()]
     serving = [asyncio.create_task(steward.serve_link(link)) for link in links]
     for gateway, rate in told:
         links[gateway].inbox.put_nowait(RateTold(TargetId("t"), rate))
