Let the cut of two proofs outlast a request's patience

Both stories ended their cut 4 s after the target's restart. The outage is now named, and longer by that patience; steps and expectation are the same.

--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -15,6 +15,7 @@
 from tests.proofs.virtual import run_virtual
 from tests.proofs.world import ADAPTERS, CONTROL_HOST, Call, Slot, World, expect_text
 
+from ibishead.entry.dispatching import REACH_PATIENCE
 from ibishead.ids import HostId
 from ibishead.messages import Outcome
 
@@ -193,6 +194,10 @@
     check_world(run_virtual(lambda: Story().run(steps)))
 
 
+#: Seconds of a cut that outlasts the patience of a request without a target.
+OUTAGE = 4.0 + REACH_PATIENCE
+
+
 def list_outcomes(*steps) -> list[Outcome | None]:
     world = run_virtual(lambda: Story().run(steps))
     check_world(world)
@@ -222,7 +227,7 @@
         *[("wait", 0.2)] * 3,
         ("fail_loads", 0, True),
         ("restart_target", 0),
-        ("wait", 4.0),
+        ("wait", OUTAGE),
     ]
     assert list_outcomes(*steps) == [Outcome.UNKNOWN]
 
@@ -263,7 +268,7 @@
         ("restart_agent", 0),
         ("fail_loads", 0, True),
         ("restart_target", 0),
-        ("wait", 4.0),
+        ("wait", OUTAGE),
     ]
     assert list_outcomes(*steps) == [Outcome.UNKNOWN]
 
