Log how many voters a registry reaches, and count commands by outcome

From a line `command answered` with outcome_unknown nobody could tell a registry that waits out an election from one that is cut off for good. The line has the voters that a link leads to now, and the metrics count each command with its outcome.

--- a/src/ibishead/control/machine.py
+++ b/src/ibishead/control/machine.py
@@ -82,6 +82,9 @@
     def replicas(self) -> ReplicaSet:
         """Return the replica set in force."""
 
+    def count_reached(self) -> tuple[int, int]:
+        """Return how many voters a link leads to, itself included, and all voters."""
+
     async def transfer(self) -> None:
         """Hand the leadership to the replica that is furthest along.
 
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -157,6 +157,10 @@
         found = self.core.configuration
         return ReplicaSet(found.voters, found.learners)
 
+    def count_reached(self) -> tuple[int, int]:
+        """Return how many voters a link leads to, itself included, and all voters."""
+        return len(self._list_linked()), len(self.core.configuration.voters)
+
     async def transfer(self) -> None:
         """Hand the leadership to the replica that is furthest along.
 
@@ -401,9 +405,9 @@
 
         One a round, so that two that start together don't share the votes.
         """
-        voters = self.core.configuration.voters
-        linked = [v for v in voters if v == self.name or self._reaches(v)]
-        if self.name not in linked or not has_quorum(voters, linked):
+        linked = self._list_linked()
+        quorum = has_quorum(self.core.configuration.voters, linked)
+        if self.name not in linked or not quorum:
             self._linked_rounds = 0
             return
         if self._linked_rounds == sorted(linked).index(self.name):
@@ -411,6 +415,10 @@
             self._driver.schedule_flush()
         self._linked_rounds += 1
 
+    def _list_linked(self) -> list[ReplicaId]:
+        voters = self.core.configuration.voters
+        return [v for v in voters if v == self.name or self._reaches(v)]
+
     def _reaches(self, replica: ReplicaId) -> bool:
         return self._links.reaches(replica_host(replica))
 
--- a/src/ibishead/platform/programs.py
+++ b/src/ibishead/platform/programs.py
@@ -89,7 +89,7 @@
             failure.set_exception(fault)
 
     registry = Registry(settings.registry(), BootClock(), make_door, note_failure)
-    page = MetricsServer(Metrics("registry"), registry.list_gauges)
+    page = MetricsServer(registry.metrics, registry.list_gauges)
     async with _show_metrics(page, settings, metrics_port):
         await _run(
             "registry", registry.start, registry.stop, registry.feed, path, failure
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -17,6 +17,7 @@
 from ibishead.ids import ReplicaId
 from ibishead.links import Endpoint, Link, LinkServer
 from ibishead.messages import Hello, PeerFrame, Role
+from ibishead.metrics import Metrics
 from ibishead.registry.founders import (
     LONGEST_WAIT,
     SETTLE_TIME,
@@ -76,6 +77,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
+        self.metrics = Metrics("registry")
         self.state = RouteState()
         self.replica: LogReplica | None = None
         self._peers = PeerLinks(
@@ -109,7 +111,7 @@
             self._meet_subscriber,
         )
         self.service = RegistryService(
-            self.state, self.replica, self.feed, self._publisher, clock
+            self.state, self.replica, self.feed, self._publisher, clock, self.metrics
         )
         self.state.on_change = self._publisher.tell_state
         self._links = LinkServer(
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -12,6 +12,7 @@
 from ibishead.control.machine import Replica
 from ibishead.errors import ErrorCode, IbisheadError, InvalidInput, Unavailable
 from ibishead.ids import TargetId
+from ibishead.metrics import Metrics
 from ibishead.registry.publisher import FeedPublisher
 from ibishead.registry.state import (
     Command,
@@ -74,12 +75,14 @@
         feed: RegistryFeed,
         publisher: FeedPublisher,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._state = state
         self._replica = replica
         self._feed = feed
         self._publisher = publisher
         self._clock = clock
+        self.metrics = metrics
 
     # Targets -----------------------------------------------------------------
 
@@ -208,9 +211,17 @@
                     "version": version,
                     "outcome": outcome,
                     "leader": self._replica.leader() if self._replica else None,
+                    "voters_reached": self._count_reached(),
                     "seconds": round(self._clock.monotonic() - started, 4),
                 },
             )
+            self.metrics.count_event(f"{command}_{outcome}")
+
+    def _count_reached(self) -> str | None:
+        if self._replica is None:
+            return None
+        reached, all_voters = self._replica.count_reached()
+        return f"{reached} of {all_voters}"
 
     async def _command(self, command: Command) -> Result:
         # All commands may be applied twice: versions only rise, and a fencing number
--- a/tests/registry/test_service.py
+++ b/tests/registry/test_service.py
@@ -5,6 +5,7 @@
 from ibishead.clock import ManualClock
 from ibishead.errors import ErrorCode, InvalidInput
 from ibishead.ids import ModelName, ReplicaId
+from ibishead.metrics import Metrics
 from ibishead.registry.service import RegistryService
 from ibishead.registry.state import RouteState
 from ibishead.routing.targets import WeightKey
@@ -23,6 +24,9 @@
     def leader(self) -> ReplicaId:
         return ReplicaId("a.1")
 
+    def count_reached(self) -> tuple[int, int]:
+        return 1, 3
+
     async def propose(self, command: bytes) -> bytes:
         if self._refusal is not None:
             raise self._refusal
@@ -33,7 +37,9 @@
 def make_service(refusal: Exception | None) -> RegistryService:
     state = RouteState()
     replica = LoneReplica(state, refusal)
-    return RegistryService(state, replica, None, None, ManualClock())
+    return RegistryService(
+        state, replica, None, None, ManualClock(), Metrics("registry")
+    )
 
 
 FULL = InvalidInput("the disk is full", "free some room")
@@ -60,3 +66,6 @@
     lines = [vars(r) for r in caplog.records if r.message == "command answered"]
     assert [line["outcome"] for line in lines] == [outcome] * 2
     assert {(line["weights"], line["leader"]) for line in lines} == {("m/a1", "a.1")}
+    assert {line["voters_reached"] for line in lines} == {"1 of 3"}
+    shown = service.metrics.render()[1].decode()
+    assert f'events_total{{event="raise_floor_{outcome}"}} 2' in shown
