--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -153,6 +153,31 @@
     assert ended
 
 
+async def test_replica_that_is_cut_off_soon_expects_no_leader(
+    cluster: Cluster,
+) -> None:
+    """A replica that nobody reaches keeps its callers as long as in an election."""
+    await cluster.find_leader()
+    cut_off, other = (cluster.hosts[host].replica for host in followers(cluster))
+    assert cut_off.expects_leader()
+    cluster.isolate(followers(cluster)[0])
+    await wait_until(lambda: cut_off.leader() is None)
+    assert cut_off.expects_leader()
+    await wait_until(lambda: not cut_off.expects_leader())
+    assert other.expects_leader()
+    cluster.cuts.clear()
+    await wait_until(cut_off.expects_leader)
+
+
+async def test_replica_expects_a_leader_until_the_log_is_founded() -> None:
+    """All start for the first time, and the first change is refused again and again."""
+    cluster = Cluster([A, B, C], (A, B, C))
+    replica = (await cluster.start(A)).replica
+    await asyncio.sleep(3 * PACE.election)
+    assert replica.expects_leader()
+    await cluster.stop()
+
+
 async def test_follower_vouches_while_the_quorum_lives(cluster: Cluster) -> None:
     await cluster.find_leader()
     follower = cluster.hosts[followers(cluster)[0]].replica
