Refuse at once what a registry that is cut off can't take

Cause: the wait for a leader was bound to the caller's patience, not to whether one may come. Change: a replica says whether a leader is known or an election may still be under way; where not, the call is refused after its first try, as not taken where no try reached a leader.

--- a/src/ibishead/control/machine.py
+++ b/src/ibishead/control/machine.py
@@ -76,6 +76,9 @@
     def leader(self) -> ReplicaId | None:
         """Return the leader this replica follows, itself included."""
 
+    def expects_leader(self) -> bool:
+        """Return whether a leader is known or may be within the time of an election."""
+
     def is_leader(self) -> bool:
         """Return whether this replica leads and its quorum still answers."""
 
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -93,6 +93,7 @@
         self._reads = 0
         self._introduced = 0.0
         self._linked_rounds = 0
+        self._led_at = clock.monotonic()
         self._repair = repair.Watch(self)
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -148,6 +149,18 @@
         """Return the leader this replica follows, itself included."""
         return self.core.leader
 
+    def expects_leader(self) -> bool:
+        """Return whether a leader is known or may be within the time of an election.
+
+        A replica that is cut off has no leader for as long as that lasts, while an
+        election ends soon after the leader is lost. Until the log is founded one is
+        always expected.
+        """
+        core = self.core
+        if core.leader is not None or not core.configuration.voters:
+            return True
+        return self.clock.monotonic() - self._led_at <= self.pace.election
+
     def is_leader(self) -> bool:
         """Return whether this replica leads and its quorum still answers."""
         return self.core.role is Role.LEADER and not self._driver.failed
@@ -373,13 +386,13 @@
     # Time --------------------------------------------------------------------
 
     async def _run(self) -> None:
-        leaderless = 0.0
         while True:
             await asyncio.sleep(self.pace.tick)
             with contextlib.suppress(IbisheadError):
                 self._do_round()
-            leaderless = 0.0 if self.core.leader else leaderless + self.pace.tick
-            if leaderless > self.pace.election:
+            if self.core.leader is not None:
+                self._led_at = self.clock.monotonic()
+            elif not self.expects_leader():
                 # whoever waits may ask elsewhere; a hand-over takes less than this
                 self._driver.waiters.fail()
                 self._answers.fail()
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -3,8 +3,9 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from datetime import timedelta
+from typing import TypeVar
 
 import msgspec
 
@@ -37,6 +38,11 @@
 
 logger = logging.getLogger(__name__)
 
+_T = TypeVar("_T")
+
+#: Errors of a replica after which a command is certainly not in the log.
+_NOT_TAKEN = frozenset({ErrorCode.NO_QUORUM, ErrorCode.STORAGE_FULL})
+
 #: Seconds between two tries of a command that found no leader.
 RETRY_PAUSE = 0.05
 
@@ -146,20 +152,15 @@
         """
         replica = self._need_replica()
         try:
-            async with asyncio.timeout(COMMAND_TIME):
-                while True:
-                    try:
-                        await replica.confirm_read()
-                        return self._state.document
-                    except Unavailable:
-                        await asyncio.sleep(RETRY_PAUSE)
-        except TimeoutError as error:
+            await self._keep_trying(replica, replica.confirm_read)
+        except Unavailable as error:
             raise Unavailable(
                 "no quorum confirmed in time which route set is the newest",
                 "ask another registry",
                 code=ErrorCode.NO_QUORUM,
                 retry_after=QUORUM_WAIT,
             ) from error
+        return self._state.document
 
     async def raise_floor(self, key: WeightKey, version: int) -> int:
         """Let no request begin on an older version, and return the floor in force.
@@ -228,20 +229,39 @@
         # that nobody uses is no loss. So a command whose end isn't known is sent again.
         replica = self._need_replica()
         encoded = encode_command(command)
+        return decode_result(
+            await self._keep_trying(replica, lambda: replica.propose(encoded))
+        )
+
+    async def _keep_trying(
+        self, replica: Replica, ask: Callable[[], Awaitable[_T]]
+    ) -> _T:
+        """Ask the log until it answers, for as long as a leader is to be expected.
+
+        :raises Unavailable: code ``OUTCOME_UNKNOWN`` when the log may have taken what
+            was asked, else ``NO_QUORUM``.
+        """
+        asking = unknown = False
         try:
             async with asyncio.timeout(COMMAND_TIME):
                 while True:
+                    asking = True
                     try:
-                        return decode_result(await replica.propose(encoded))
-                    except Unavailable:
-                        await asyncio.sleep(RETRY_PAUSE)
-        except TimeoutError as error:
-            raise Unavailable(
-                "no quorum answered in time",
-                "send the same again, to any registry",
-                code=ErrorCode.OUTCOME_UNKNOWN,
-                retry_after=QUORUM_WAIT,
-            ) from error
+                        return await ask()
+                    except Unavailable as error:
+                        unknown = unknown or error.code not in _NOT_TAKEN
+                    asking = False
+                    if not replica.expects_leader():
+                        break
+                    await asyncio.sleep(RETRY_PAUSE)
+        except TimeoutError:
+            unknown = unknown or asking
+        raise Unavailable(
+            "no quorum answered in time",
+            "send the same again, to another registry",
+            code=ErrorCode.OUTCOME_UNKNOWN if unknown else ErrorCode.NO_QUORUM,
+            retry_after=QUORUM_WAIT,
+        )
 
     def _need_replica(self) -> Replica:
         if self._replica is not None:
