Send callers to each registry with a log in turn

Callers would see: a registry without a log redirects every operator to the same registry; where that one stands still, each such call costs a second until its link is given up. Cause: the first linked member was named. Change: the feed lists the registries that keep the log and are linked, and redirects go round them.

--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -30,7 +30,6 @@
     encode_command,
 )
 from ibishead.routing.feed import RegistryFeed
-from ibishead.routing.messages import MemberKind
 from ibishead.routing.routes import RouteSet, check_routes
 from ibishead.routing.targets import Registration, TargetState, WeightKey
 
@@ -89,6 +88,7 @@
         self._publisher = publisher
         self._clock = clock
         self.metrics = metrics
+        self._redirects = 0
 
     # Targets -----------------------------------------------------------------
 
@@ -266,18 +266,18 @@
     def _need_replica(self) -> Replica:
         if self._replica is not None:
             return self._replica
-        for member in self._feed.list_members(MemberKind.REGISTRY):
-            linked = any(
-                endpoint.address == member.address for endpoint in self._feed.links
+        keepers = self._feed.list_log_keepers()
+        if not keepers:
+            raise Unavailable(
+                "no registry with a log is linked",
+                "ask another registry",
+                code=ErrorCode.NO_QUORUM,
+                retry_after=QUORUM_WAIT,
             )
-            if member.replica and linked:
-                raise ElsewhereError(member.operators)
-        raise Unavailable(
-            "no registry with a log is linked",
-            "ask another registry",
-            code=ErrorCode.NO_QUORUM,
-            retry_after=QUORUM_WAIT,
-        )
+        # another one each time: one that stands still keeps its link for a while
+        self._redirects += 1
+        chosen, _ = keepers[self._redirects % len(keepers)]
+        raise ElsewhereError(chosen.operators)
 
 
 def _repeats(known: Registration, statement: Registration) -> bool:
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -132,6 +132,15 @@
         """Return the known programs of one kind."""
         return [found for found in self.members.values() if found.kind is kind]
 
+    def list_log_keepers(self) -> list[tuple[MemberRecord, Link]]:
+        """Return the registries that keep the log, each with its link that is up."""
+        linked = (
+            (found, self.links.get(Endpoint(found.address, found.port)))
+            for found in self.list_members(MemberKind.REGISTRY)
+            if found.replica
+        )
+        return [(found, link) for found, link in linked if link and not link.closed]
+
     def meet(self, members: tuple[MemberRecord, ...]) -> list[MemberRecord]:
         """Take members in, and return those that are news."""
         own = (self.member.host, self.member.kind)
--- a/tests/registry/test_service.py
+++ b/tests/registry/test_service.py
@@ -1,6 +1,7 @@
 """What operators get from a registry, and what it logs of it."""
 
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 
 import pytest
 
@@ -11,6 +12,7 @@
 from ibishead.metrics import Metrics
 from ibishead.registry.service import ElsewhereError, RegistryService
 from ibishead.registry.state import RouteState
+from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, MemberRecord
 from ibishead.routing.targets import WeightKey
 
@@ -49,15 +51,15 @@
         return self._state.apply(self._index, command)
 
 
-class LinkedFeed:
-    """Links to some of the registries that are known."""
-
-    def __init__(self, linked: tuple[MemberRecord, ...]) -> None:
-        self.members = (make_registry(1, ""), *(make_registry(n, "r") for n in KEEPERS))
-        self.links = {Endpoint(m.address, m.port): None for m in linked}
-
-    def list_members(self, kind: MemberKind) -> list[MemberRecord]:
-        return [found for found in self.members if found.kind is kind]
+def make_feed(linked: tuple[MemberRecord, ...]) -> RegistryFeed:
+    """Return a feed that knows some registries and is linked to a few of them."""
+    feed = RegistryFeed(make_registry(1, ""), (), ManualClock())
+    for number in KEEPERS:
+        found = make_registry(number, "r")
+        feed.members[found.host, found.kind] = found
+    up = SimpleNamespace(closed=False)
+    feed.links.update((Endpoint(m.address, m.port), up) for m in linked)
+    return feed
 
 
 def make_registry(number: int, replica: str) -> MemberRecord:
@@ -158,8 +160,9 @@
 async def test_callers_are_sent_to_each_linked_registry_with_a_log_in_turn() -> None:
     """All callers are sent to one registry, and it stands still."""
     linked = tuple(make_registry(number, "r") for number in KEEPERS[:2])
+    feed = make_feed(linked)
     service = RegistryService(
-        RouteState(), None, LinkedFeed(linked), None, ManualClock(), Metrics("registry")
+        RouteState(), None, feed, None, ManualClock(), Metrics("registry")
     )
     told = []
     for _ in range(4):
