Ask for fencing numbers where a log is kept

Stewards asked every registry in turn, also those without a log, which answer that they have none; with as many of these as others, a steward's first order waits half a second longer for each. The test was red before.

--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -428,7 +428,10 @@
     def _ask_fence(self, now: float) -> None:
         if now - self._fence_asked < FENCE_WAIT:
             return
-        links = [link for link in self._feed.links.values() if not link.closed]
+        links = [link for _, link in self._feed.list_log_keepers()]
+        if not links:
+            # who keeps the log isn't known before the first answer of a registry
+            links = [link for link in self._feed.links.values() if not link.closed]
         if not links:
             return
         self._fence_asked = now
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -10,7 +10,15 @@
 
 from ibishead.clock import SystemClock
 from ibishead.errors import LinkLost
-from ibishead.ids import FailureDomain, HostId, ModelName, ServiceName, TargetId
+from ibishead.ids import (
+    FailureDomain,
+    HostId,
+    ModelName,
+    ReplicaId,
+    ServiceName,
+    TargetId,
+)
+from ibishead.links import Endpoint
 from ibishead.messages import Hello, Role
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
@@ -157,6 +165,19 @@
             self.registry.sent.clear()
             await asyncio.sleep(0.01)
 
+    def link_registry(self, number: int, replica: str, link: PeerLink) -> PeerLink:
+        member = MemberRecord(
+            HostId(f"r{number}"),
+            MemberKind.REGISTRY,
+            f"127.0.0.{number}",
+            7000,
+            FailureDomain("a"),
+            replica=ReplicaId(replica),
+        )
+        self.feed.members[member.host, member.kind] = member
+        self.feed.links[Endpoint(member.address, member.port)] = link
+        return link
+
     async def want(self, number: int, adapter: str, wait: float = 5.0) -> bool:
         key = WeightKey(MODEL, adapter)
         self.gateway.inbox.put_nowait(AskTurn(number, key, 0, wait))
@@ -200,6 +221,18 @@
         assert set(engine.adapters) == {"a1", "b", "a3"}
 
 
+async def test_fencing_numbers_are_asked_for_where_a_log_is_kept():
+    """Half of the registries keep no log, and an engine's first order waits longer."""
+    setting = Setting(FakeEngine())
+    setting.feed.links.clear()
+    others = [setting.link_registry(n, "", PeerLink()) for n in (2, 3, 4)]
+    setting.link_registry(5, "r", setting.registry)
+    async with setting:
+        assert await setting.want(1, "a1")
+    asked = [message for link in others for message in link.sent]
+    assert not any(isinstance(message, AskFence) for message in asked)
+
+
 async def test_every_order_bears_the_fence_and_the_count_of_those_before():
     engine = FakeEngine()
     async with Setting(engine) as setting:
