Answer a command by the leader's word, not by the own disk

Cause: who passes a command on waited until it had applied it itself. Nothing that the registry answers needs that: reads ask the leader for its index. Change: propose(applied=False). The test was red before (no such choice; with the wait the call ends in outcome_unknown).

--- a/src/ibishead/control/machine.py
+++ b/src/ibishead/control/machine.py
@@ -49,13 +49,15 @@
     def take_frame(self, frame: PeerFrame) -> None:
         """Take in what another replica sent to this one's link server."""
 
-    async def propose(self, command: bytes) -> bytes:
-        """Return the command's result, once committed and applied on this replica.
+    async def propose(self, command: bytes, *, applied: bool = True) -> bytes:
+        """Return the command's result, once committed.
 
         A follower forwards to the leader. After `LinkLost`, or `Unavailable` with
         the code ``OUTCOME_UNKNOWN``, the command may still be applied; commands are
         idempotent, so it may be proposed again.
 
+        :param applied: wait until it is applied on this replica too, which takes for
+            as long as its disk is full or slow.
         :raises Unavailable: code ``NO_QUORUM``, at once, with ``retry_after``, when
             no leader with a quorum is known; the command was not taken.
         """
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -114,9 +114,10 @@
         self._driver.schedule_flush()
         self._spawn(self._run())
 
-    async def propose(self, command: bytes) -> bytes:
-        """Return the command's result, once committed and applied here.
+    async def propose(self, command: bytes, *, applied: bool = True) -> bytes:
+        """Return the command's result, once committed.
 
+        :param applied: wait until it is applied here too.
         :raises Unavailable: code ``NO_QUORUM`` when it was not taken, or
             ``OUTCOME_UNKNOWN`` when nothing is known of it.
         :raises StorageFault: code ``STORAGE_FULL``; it was not taken.
@@ -124,7 +125,8 @@
         if self.is_leader():
             return (await self._propose_here(command))[1]
         answer = await self._ask(lambda number: Forward(number, command))
-        await self._bound(self._driver.waiters.reach(answer.index))
+        if applied:
+            await self._bound(self._driver.waiters.reach(answer.index))
         return answer.result
 
     async def confirm_read(self) -> None:
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -229,9 +229,10 @@
         # that nobody uses is no loss. So a command whose end isn't known is sent again.
         replica = self._need_replica()
         encoded = encode_command(command)
-        return decode_result(
-            await self._keep_trying(replica, lambda: replica.propose(encoded))
+        result = await self._keep_trying(
+            replica, lambda: replica.propose(encoded, applied=False)
         )
+        return decode_result(result)
 
     async def _keep_trying(
         self, replica: Replica, ask: Callable[[], Awaitable[_T]]
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -327,6 +327,19 @@
     await cluster.stop()
 
 
+async def test_answer_does_not_wait_for_the_full_disk_of_who_passed_it_on(
+    cluster: Cluster,
+) -> None:
+    """A change is in force everywhere, and told as unknown where a disk is full."""
+    await cluster.find_leader()
+    full, other = (cluster.hosts[host] for host in followers(cluster))
+    await wait_until(lambda: full.replica.leader() is not None)
+    full.files.full = True
+    assert await full.replica.propose(b"x", applied=False) == b"1"
+    await wait_until(lambda: other.machine.commands == ["x"])
+    assert full.machine.commands == []
+
+
 async def test_full_disk_refuses_and_serves_again(cluster: Cluster) -> None:
     leader = cluster.hosts[await cluster.find_leader()]
     leader.files.full = True
--- a/tests/registry/test_service.py
+++ b/tests/registry/test_service.py
@@ -43,7 +43,7 @@
         if self._refusal is not None:
             raise self._refusal
 
-    async def propose(self, command: bytes) -> bytes:
+    async def propose(self, command: bytes, *, applied: bool = True) -> bytes:
         self.tries += 1
         if self._refusal is not None:
             raise self._refusal
