Let one of two voters go first that ask for votes at the same moment

Cause: ticks of voters count from the founding, which reaches all within milliseconds, and the random part of a timeout is a whole number of nine ticks. Two whose time is up at the same tick gave each other leave to ask, then voted for themselves; nobody had two of three, and both waited for 0.9 to 1.7 s again. Change: a voter that asks and is asked gives way to the longer log, or to the later name. Test: red before for equal logs (nobody led after three timeouts).

--- a/src/ibishead/control/election.py
+++ b/src/ibishead/control/election.py
@@ -114,6 +114,8 @@
         return
     if request.pre:
         granted = request.term > state.term and _is_up_to_date(state, request)
+        if granted and state.role is Role.PRE_CANDIDATE:
+            granted = _gives_way(state, sender, request)
         term = request.term if granted else state.term
         state.send(sender, VoteAnswer(term, granted, pre=True))
         return
@@ -130,6 +132,21 @@
     state.send_synced(sender, VoteAnswer(state.term, granted))
 
 
+def _gives_way(state: RaftState, rival: ReplicaId, request: RequestVote) -> bool:
+    """Let the rival go first that has the longer log or, of equal ones, the later name.
+
+    Failure: two voters ask at the same moment, give each other leave and then vote
+    for themselves, so that nobody is elected. Ticks of voters that were founded
+    together stay together, so that this happens again and again.
+    """
+    own = (state.log.last_term, state.log.last_index, state.replica)
+    if (request.last_term, request.last_index, rival) < own:
+        return False
+    state.role = Role.FOLLOWER
+    state.votes.clear()
+    return True
+
+
 def handle_vote_answer(state: RaftState, sender: ReplicaId, answer: VoteAnswer) -> None:
     """Count a vote, and go on to the next step of the election with a quorum."""
     if not answer.granted and answer.term > state.term:
--- a/tests/raft_fakes.py
+++ b/tests/raft_fakes.py
@@ -91,11 +91,13 @@
 
     :param count: voters at the start.
     :param seed: of the elections' jitter.
+    :ivar draw: gives all replicas their random numbers.
     """
 
     def __init__(self, count: int, seed: int = 0, timing: Timing = TIMING) -> None:
         self.timing = timing
         self.random = random.Random(seed)
+        self.draw = self.random.randrange
         self.nodes: dict[ReplicaId, FakeReplica] = {}
         self.network: list[InFlight] = []
         self.cuts: set[tuple[ReplicaId, ReplicaId]] = set()
@@ -309,7 +311,7 @@
     # Inside ------------------------------------------------------------------
 
     def _start(self, name: ReplicaId, disk: FakeDisk) -> None:
-        core = Consensus(name, disk.stored, self.timing, self.random.randrange)
+        core = Consensus(name, disk.stored, self.timing, lambda n: self.draw(n))
         node = FakeReplica(name, disk, core)
         self.nodes[name] = node
         self._restore(node, disk.stored.snapshot)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -90,6 +90,25 @@
     assert replicas.nodes[leader].core.term == term
 
 
+@pytest.mark.parametrize("ahead", [None, 0, 1], ids=["equal", "first", "second"])
+def test_voters_whose_time_is_up_at_the_same_moment_elect_one_of_them(
+    ahead: int | None,
+) -> None:
+    """The leader is lost, and the others vote for themselves again and again."""
+    replicas, leader, others = make_led()
+    replicas.draw = lambda _: 0
+    replicas.run(2)
+    if ahead is not None:
+        replicas.isolate(others[1 - ahead])
+        replicas.propose(leader)
+        replicas.settle()
+        replicas.cuts.clear()
+    replicas.freeze(leader, True)
+    replicas.run(3 * TIMING.election)
+    leading = [o for o in others if replicas.nodes[o].core.role is Role.LEADER]
+    assert leading == [others[ahead]] if ahead is not None else len(leading) == 1
+
+
 HASTY = Timing(heartbeat=1, election=9, first=3, retain=2, append_bytes=40, window=6)
 
 
