Ask again soon for votes that nobody gave

A voter that notes the loss of the leader a tick before the other is ignored, and waited for a whole timeout until it asked again; the other one may have drawn a long one too. Asking changes no term, so it is asked again after a third of it. Test: red before (two questions in two timeouts).

--- a/src/ibishead/control/election.py
+++ b/src/ibishead/control/election.py
@@ -24,6 +24,10 @@
 ]
 
 
+#: Part of an election's wait after which a pre-vote without a quorum is asked again.
+ASK_AGAIN = 3
+
+
 def reset_deadline(state: RaftState) -> None:
     """Wait for a leader anew, for a partly random time.
 
@@ -68,6 +72,9 @@
     """
     state.attempts += 1
     reset_deadline(state)
+    # another voter may have heard the leader a little later, and ignores the question
+    wait = max(1, state.timing.election // ASK_AGAIN)
+    state.deadline = min(state.deadline, state.now + wait + state.draw(wait))
     state.leader = None
     if not state.is_voter():
         return
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -109,6 +109,17 @@
     assert leading == [others[ahead]] if ahead is not None else len(leading) == 1
 
 
+def test_a_question_for_votes_that_came_too_early_is_soon_asked_again() -> None:
+    """The leader is lost, the other voter notes it a tick later and waits for longer."""
+    core = make_core(Stored(snapshot=FOUNDING))
+    asked = []
+    for tick in range(2 * TIMING.election):
+        core.tick()
+        asked += [tick for message in sent(core, RequestVote) if message.pre]
+    assert asked[0] == TIMING.election - 1
+    assert len(set(asked)) > 2
+
+
 HASTY = Timing(heartbeat=1, election=9, first=3, retain=2, append_bytes=40, window=6)
 
 
