Send callers to no registry that has gone silent

Change: a link tells when the peer's heartbeat is overdue, and such registries are named only where all are. The test was red before: both were named.

--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -114,6 +114,11 @@
         """Whether the link is over."""
         return self._closed.is_set()
 
+    @property
+    def overdue(self) -> bool:
+        """Whether the peer has not been heard of for longer than it should."""
+        return self._monitor.is_overdue(self._clock.monotonic())
+
     async def wait_closed(self) -> None:
         """Return once the link is over."""
         await self._closed.wait()
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -133,13 +133,17 @@
         return [found for found in self.members.values() if found.kind is kind]
 
     def list_log_keepers(self) -> list[tuple[MemberRecord, Link]]:
-        """Return the registries that keep the log, each with its link that is up."""
+        """Return the registries that keep the log, each with its link that is up.
+
+        Those that haven't been heard of lately are left out, unless all are such.
+        """
         linked = (
             (found, self.links.get(Endpoint(found.address, found.port)))
             for found in self.list_members(MemberKind.REGISTRY)
             if found.replica
         )
-        return [(found, link) for found, link in linked if link and not link.closed]
+        keepers = [(found, link) for found, link in linked if link and not link.closed]
+        return [k for k in keepers if not k[1].overdue] or keepers
 
     def meet(self, members: tuple[MemberRecord, ...]) -> list[MemberRecord]:
         """Take members in, and return those that are news."""
--- a/src/ibishead/session.py
+++ b/src/ibishead/session.py
@@ -28,6 +28,9 @@
 #: Seconds between heartbeats.
 HEARTBEAT_INTERVAL = 0.5
 
+#: Intervals without any message after which other peers are preferred.
+OVERDUE = 1.5
+
 #: Seconds without any message after which a peer counts as lost. Four heartbeats,
 #: so that one slow loop turn is survived, yet short of the 5 s in which a silent
 #: target must be gone.
@@ -66,6 +69,10 @@
         """Note that a message came from the peer's own loop."""
         self._heard = now
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the peer's next heartbeat should have come long ago."""
+        return now - self._heard > OVERDUE * self.interval
+
     def note_sent(self, now: float) -> None:
         """Note that a message has left, which the peer hears as a heartbeat.
 
--- a/tests/fake_links.py
+++ b/tests/fake_links.py
@@ -7,7 +7,7 @@
     """Keeps what was sent, and yields what a test puts into its inbox."""
 
     def __init__(self) -> None:
-        self.closed = False
+        self.closed = self.overdue = False
         self.sent: list = []
         self.inbox: asyncio.Queue = asyncio.Queue()
 
--- a/tests/registry/test_service.py
+++ b/tests/registry/test_service.py
@@ -51,14 +51,20 @@
         return self._state.apply(self._index, command)
 
 
-def make_feed(linked: tuple[MemberRecord, ...]) -> RegistryFeed:
-    """Return a feed that knows some registries and is linked to a few of them."""
+def make_feed(
+    linked: tuple[MemberRecord, ...], overdue: tuple[HostId, ...] = ()
+) -> RegistryFeed:
+    """Return a feed that knows some registries and is linked to a few of them.
+
+    :param overdue: hosts whose link is up and silent.
+    """
     feed = RegistryFeed(make_registry(1, ""), (), ManualClock())
     for number in KEEPERS:
         found = make_registry(number, "r")
         feed.members[found.host, found.kind] = found
-    up = SimpleNamespace(closed=False)
-    feed.links.update((Endpoint(m.address, m.port), up) for m in linked)
+    for found in linked:
+        link = SimpleNamespace(closed=False, overdue=found.host in overdue)
+        feed.links[Endpoint(found.address, found.port)] = link
     return feed
 
 
@@ -171,3 +177,25 @@
         told.append(caught.value.address)
     assert sorted(told) == sorted(2 * [member.operators for member in linked])
     assert told[0] != told[1]
+
+
+@pytest.mark.parametrize(
+    ("overdue", "told"),
+    [((2,), {"127.0.0.3:8000"}), ((2, 3), {"127.0.0.2:8000", "127.0.0.3:8000"})],
+    ids=["one", "all"],
+)
+async def test_callers_are_sent_to_no_registry_that_has_gone_silent(
+    overdue: tuple[int, ...], told: set[str]
+) -> None:
+    """A registry stands still, and callers are sent there while its link is up."""
+    linked = tuple(make_registry(number, "r") for number in KEEPERS[:2])
+    feed = make_feed(linked, tuple(HostId(f"h{number}") for number in overdue))
+    service = RegistryService(
+        RouteState(), None, feed, None, ManualClock(), Metrics("registry")
+    )
+    found = set()
+    for _ in range(4):
+        with pytest.raises(ElsewhereError) as caught:
+            await service.raise_floor(KEY, 2)
+        found.add(caught.value.address)
+    assert found == told
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -110,7 +110,7 @@
 
 
 def test_a_question_for_votes_that_came_too_early_is_soon_asked_again() -> None:
-    """The leader is lost, the other voter notes it a tick later and waits for longer."""
+    """The leader is lost; the other voter notes it a tick later and waits longer."""
     core = make_core(Stored(snapshot=FOUNDING))
     asked = []
     for tick in range(2 * TIMING.election):
