Match answers about claims by key, not by the request alone

Callers could be told another key's holder: questions to control are sent again while they wait, so answers come twice, and a second answer for one key passed for the answer to the next claim under the same request id. Test: red before (the first key's COMPLETED was returned for the second key).

--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -129,7 +129,7 @@
         """
         if self._link is None and not self.is_current():
             raise _describe_no_quorum()
-        answer = await self._ask(f"claim/{ask.request}", ask, timeout)
+        answer = await self._ask(_name_claim(ask), ask, timeout)
         match answer:
             case ClaimAnswer():
                 return answer
@@ -142,8 +142,7 @@
 
         :raises Unavailable: no quorum has answered in time; ask again.
         """
-        subject = f"resolve/{ask.request}/{ask.generation}"
-        answer = await self._ask(subject, ask, timeout)
+        answer = await self._ask(_name_proof(ask), ask, timeout)
         if isinstance(answer, ClaimAnswer):
             return answer
         raise _describe_no_quorum()
@@ -232,11 +231,9 @@
                 # second answer to one kind must not pass for one to the other: what
                 # didn't run is granted anew, and what is granted has no end on record.
                 if message.state is not ClaimState.NOT_RUN:
-                    self._settle(f"claim/{message.request}", message)
+                    self._settle(_name_claim(message), message)
                 if message.state not in (ClaimState.GRANTED, ClaimState.RUNNING):
-                    self._settle(
-                        f"resolve/{message.request}/{message.generation}", message
-                    )
+                    self._settle(_name_proof(message), message)
             case PermitAnswer():
                 self._settle(_name_permit(message), message)
             case Refusal():
@@ -244,7 +241,7 @@
                 # know. Other asks stay open: they are sent again at the next
                 # report, and over the next link, until their own time is up.
                 if message.code is ErrorCode.NO_QUORUM or message.code in _NOT_HELD:
-                    self._settle(f"claim/{message.subject}", message)
+                    self._refuse_claims(message)
                 logger.info(
                     "control refused",
                     extra={"subject": message.subject, "reason": message.reason},
@@ -264,6 +261,11 @@
         if waiting is not None and not waiting[1].done():
             waiting[1].set_result(answer)
 
+    def _refuse_claims(self, refusal: Refusal) -> None:
+        for ask, _ in list(self._waiting.values()):
+            if isinstance(ask, AskClaim) and ask.request == refusal.subject:
+                self._settle(_name_claim(ask), refusal)
+
     async def _report(self, link: Link) -> None:
         patience = self._clock.monotonic() + LEASE_PATIENCE
         while not link.closed:
@@ -285,6 +287,14 @@
         link.send(ReportInForce(self._hello().host, self.catalog.index, self._reports))
 
 
+def _name_claim(message: AskClaim | ClaimAnswer | ResolveClaim) -> str:
+    return f"claim/{message.request}/{message.team}/{message.service}/{message.key}"
+
+
+def _name_proof(message: ResolveClaim | ClaimAnswer) -> str:
+    return f"resolve/{message.generation}/{_name_claim(message)}"
+
+
 def _name_permit(message: AskPermit | PermitAnswer) -> str:
     return f"{message.target}/{message.incarnation}/{message.number}"
 
