--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -15,7 +15,7 @@
 from ibishead.catalog import Catalog
 from ibishead.clock import Clock
 from ibishead.errors import ErrorCode, IbisheadError, LinkLost, NotFound, Unavailable
-from ibishead.ids import ServiceName
+from ibishead.ids import RequestId, ServiceName
 from ibishead.links import Dialer, Endpoint, Link, Pace, dial
 from ibishead.messages import (
     AskClaim,
@@ -90,6 +90,8 @@
         self._next_replica = start_at
         self._link: Link | None = None
         self._waiting: dict[str, tuple[Message, asyncio.Future[Message]]] = {}
+        #: What a request claims now; refusals name the request alone.
+        self._claims: dict[RequestId, str] = {}
         self._reports = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -129,7 +131,11 @@
         """
         if self._link is None and not self.is_current():
             raise _describe_no_quorum()
-        answer = await self._ask(_name_claim(ask), ask, timeout)
+        self._claims[ask.request] = _name_claim(ask)
+        try:
+            answer = await self._ask(_name_claim(ask), ask, timeout)
+        finally:
+            self._claims.pop(ask.request, None)
         match answer:
             case ClaimAnswer():
                 return answer
@@ -241,7 +247,8 @@
                 # know. Other asks stay open: they are sent again at the next
                 # report, and over the next link, until their own time is up.
                 if message.code is ErrorCode.NO_QUORUM or message.code in _NOT_HELD:
-                    self._refuse_claims(message)
+                    claim = self._claims.get(RequestId(message.subject), "")
+                    self._settle(claim, message)
                 logger.info(
                     "control refused",
                     extra={"subject": message.subject, "reason": message.reason},
@@ -261,11 +268,6 @@
         if waiting is not None and not waiting[1].done():
             waiting[1].set_result(answer)
 
-    def _refuse_claims(self, refusal: Refusal) -> None:
-        for ask, _ in list(self._waiting.values()):
-            if isinstance(ask, AskClaim) and ask.request == refusal.subject:
-                self._settle(_name_claim(ask), refusal)
-
     async def _report(self, link: Link) -> None:
         patience = self._clock.monotonic() + LEASE_PATIENCE
         while not link.closed:
