Send no order under a claim that was reported as not run

Callers saw an order run at two targets under one Idempotency-Key.

Cause: an entry host that couldn't send an order reports its claim's generation as not run. Where the report was held up for longer than the 2 s that the entry waits, it asked again, was told that the same generation is granted to it, and sent the order under it. Then the report was recorded, and the next entry host that was asked got the next generation and ran the order again. The agent can't refuse here, as it has never seen the first attempt.

Evidence: a relay in virtual time that loses the first dispatch, breaks the links at the second grant and delays just the report. Without the change the order ran at plain-0 and plain-1; with it once, and both callers get the answer.

Why it works: a generation is reported by the request that holds it, so it knows what it has reported. It reports again and asks again instead of sending.

--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -25,7 +25,7 @@
     OutcomeUnknown,
     Unavailable,
 )
-from ibishead.ids import IdempotencyKey, Incarnation, TargetId
+from ibishead.ids import Generation, IdempotencyKey, Incarnation, TargetId
 from ibishead.messages import (
     AskClaim,
     ClaimAnswer,
@@ -70,6 +70,7 @@
         key = job.resolved.call.key or IdempotencyKey(job.resolved.call.request)
         avoid: frozenset[TargetId] = frozenset()
         ended = Ended(Outcome.NOT_RUN, ErrorCode.NO_TARGET, "never sent")
+        given_up = Generation(0)
         for _ in range(MAX_GRANTS):
             placed = await self._dispatcher.choose_again(job, avoid)
             answer = await self._claim(job, key, placed)
@@ -81,11 +82,15 @@
             if not self._is_open(answer):
                 await self._answer_settled(job, answer)
                 return
-            ended = await self._run_granted(job, answer, key, placed)
-            if ended.outcome is Outcome.COMPLETED:
-                return
-            if ended.outcome is Outcome.UNKNOWN:
-                raise describe_end(ended, RUNNING_RETRY_AFTER)
+            # A generation that was reported as not run may be recorded so at any
+            # moment, and another one granted. Nothing is sent under it again.
+            if answer.generation > given_up:
+                ended = await self._run_granted(job, answer, key, placed)
+                if ended.outcome is Outcome.COMPLETED:
+                    return
+                if ended.outcome is Outcome.UNKNOWN:
+                    raise describe_end(ended, RUNNING_RETRY_AFTER)
+                given_up = answer.generation
             await self._release(job, answer, key)
             if ended.refreshed:
                 self._dispatcher.refresh(job)
