Match answers about claims by the number of the question

Callers saw: an entry that asked for a claim whose outcome was on record was told that it runs, once that it is granted; a refusal of one question ended the next one under the same request id, or never reached the second of two.

Cause: a question is sent again while it waits, so it is answered twice, and answers and refusals were matched by request and key, or by the request alone. An answer to an earlier question about the same claim passed for the answer to a later one.

Change: questions about claims are numbered, and answers and refusals repeat the number. One that is sent again keeps it. The cases by state go.

Why it works: a number is used for one question only, and the answers of a link end with it.

--- a/src/ibishead/control/service.py
+++ b/src/ibishead/control/service.py
@@ -4,7 +4,9 @@
 import logging
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, TypeVar
+
+import msgspec
 
 from ibishead.clock import Clock
 from ibishead.control.commands import (
@@ -56,6 +58,7 @@
 RETRY_PAUSE = 0.05
 
 _Ask: TypeAlias = AskRegistration | AskClaim | ResolveClaim
+_Answer = TypeVar("_Answer", ClaimAnswer, Refusal)
 
 
 async def propose_command(replica: Replica, clock: Clock, command: Command) -> Result:
@@ -180,10 +183,8 @@
             case AskHolders(index):
                 waiting = self._publisher.list_waiting(LogIndex(index))
                 session.link.send(Holders(index, self._state.applied, tuple(waiting)))
-            case AskRegistration(nonce=subject):
-                self._accept(session, subject, message)
-            case AskClaim(request=subject) | ResolveClaim(request=subject):
-                self._accept(session, subject, message)
+            case AskRegistration() | AskClaim() | ResolveClaim():
+                self._accept(session, message)
             case _:
                 logger.warning(
                     "unexpected message",
@@ -193,17 +194,18 @@
                     },
                 )
 
-    def _accept(self, session: "_Session", subject: str, ask: _Ask) -> None:
+    def _accept(self, session: "_Session", ask: _Ask) -> None:
         # A peer that sends faster than the log commits would pile up memory here
         if session.asks >= MAX_ASKS:
-            session.link.send(
-                Refusal(subject, ErrorCode.OVERLOADED, "too many asks at once", 1.0)
+            refusal = Refusal(
+                _name_subject(ask), ErrorCode.OVERLOADED, "too many asks at once", 1.0
             )
+            session.link.send(_number(refusal, ask))
             return
         session.asks += 1
-        self._spawn(self._answer(session, subject, ask))
+        self._spawn(self._answer(session, ask))
 
-    async def _answer(self, session: "_Session", subject: str, ask: _Ask) -> None:
+    async def _answer(self, session: "_Session", ask: _Ask) -> None:
         try:
             match ask:
                 case AskRegistration():
@@ -214,20 +216,22 @@
                     command = SettleClaim(ask)
             result = await propose_command(self._replica, self._clock, command)
         except IbisheadError as error:
-            session.link.send(self._refuse(subject, error))
+            refusal = self._refuse(_name_subject(ask), error)
+            session.link.send(_number(refusal, ask))
             return
         finally:
             session.asks -= 1
         match result:
             case ClaimAnswer():
-                session.link.send(result)
+                session.link.send(_number(result, ask))
             case Registered() if isinstance(ask, AskRegistration):
                 session.link.send(
                     Registration(ask.nonce, ask.target, result.incarnation)
                 )
                 session.attached[ask.target] = result
             case Rejected(code, message, remedy):
-                session.link.send(Refusal(subject, code, f"{message}; {remedy}"))
+                refusal = Refusal(_name_subject(ask), code, f"{message}; {remedy}")
+                session.link.send(_number(refusal, ask))
 
     async def _attach(self, session: "_Session", incarnation: Incarnation) -> None:
         target = self._find_target(incarnation)
@@ -270,3 +274,14 @@
     subscriber: Subscriber | None = None
     attached: dict[TargetId, Registered] = field(default_factory=dict)
     asks: int = 0
+
+
+def _name_subject(ask: _Ask) -> str:
+    return ask.nonce if isinstance(ask, AskRegistration) else ask.request
+
+
+def _number(answer: _Answer, ask: _Ask) -> _Answer:
+    """Return the answer with the number of the ask, for its sender to match."""
+    if isinstance(ask, AskRegistration):
+        return answer
+    return msgspec.structs.replace(answer, question=ask.question)
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -423,6 +423,8 @@
     body, so that a key sent with another body is told apart.
 
     :param retention: seconds for which the outcome is kept.
+    :param question: number of the ask on its sender's side; the answer, and a
+        `Refusal`, repeat it. An ask that is sent again keeps its number.
     """
 
     request: RequestId
@@ -433,13 +435,14 @@
     target: TargetId
     incarnation: Incarnation
     retention: float
+    question: int = 0
 
 
 class ClaimAnswer(_Message, frozen=True):
     """Where a claim stands after `AskClaim` or `ResolveClaim`.
 
-    :param granted: the asker alone may dispatch, to the target in the claim.
     :param answer_status: of the recorded answer, when the claim has completed.
+    :param question: of the ask.
     """
 
     request: RequestId
@@ -454,10 +457,14 @@
     answer_status: int = 0
     answer_headers: tuple[tuple[str, str], ...] = ()
     answer_body: bytes = b""
+    question: int = 0
 
 
 class ResolveClaim(_Message, frozen=True):
-    """Records how the attempt under a claim ended."""
+    """Records how the attempt under a claim ended.
+
+    :param question: as in `AskClaim`.
+    """
 
     request: RequestId
     team: TeamId
@@ -468,6 +475,7 @@
     answer_status: int = 0
     answer_headers: tuple[tuple[str, str], ...] = ()
     answer_body: bytes = b""
+    question: int = 0
 
 
 class AskPermit(_Message, frozen=True):
@@ -505,6 +513,7 @@
 
     :param subject: the request id, nonce or load number of the ask.
     :param leader: address of the leader where it is known.
+    :param question: of the ask, 0 where it has none.
     """
 
     subject: str
@@ -512,6 +521,7 @@
     reason: str
     retry_after: float = 0.0
     leader: ReplicaId = ReplicaId("")
+    question: int = 0
 
 
 # Control replicas among themselves ------------------------------------------
--- a/src/ibishead/subscription.py
+++ b/src/ibishead/subscription.py
@@ -7,22 +7,24 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import ssl
 from collections.abc import Awaitable, Callable, Sequence
 from datetime import timedelta
 
+import msgspec
+
 from ibishead.catalog import Catalog
 from ibishead.clock import Clock
 from ibishead.errors import ErrorCode, IbisheadError, LinkLost, NotFound, Unavailable
-from ibishead.ids import RequestId, ServiceName
+from ibishead.ids import ServiceName
 from ibishead.links import Dialer, Endpoint, Link, Pace, dial
 from ibishead.messages import (
     AskClaim,
     AskPermit,
     AskRegistration,
     ClaimAnswer,
-    ClaimState,
     Hello,
     Message,
     PermitAnswer,
@@ -90,8 +92,7 @@
         self._next_replica = start_at
         self._link: Link | None = None
         self._waiting: dict[str, tuple[Message, asyncio.Future[Message]]] = {}
-        #: What a request claims now; refusals name the request alone.
-        self._claims: dict[RequestId, str] = {}
+        self._questions = itertools.count(1)
         self._reports = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -131,11 +132,7 @@
         """
         if self._link is None and not self.is_current():
             raise _describe_no_quorum()
-        self._claims[ask.request] = _name_claim(ask)
-        try:
-            answer = await self._ask(_name_claim(ask), ask, timeout)
-        finally:
-            self._claims.pop(ask.request, None)
+        answer = await self._ask_numbered(ask, timeout)
         match answer:
             case ClaimAnswer():
                 return answer
@@ -148,7 +145,7 @@
 
         :raises Unavailable: no quorum has answered in time; ask again.
         """
-        answer = await self._ask(_name_proof(ask), ask, timeout)
+        answer = await self._ask_numbered(ask, timeout)
         if isinstance(answer, ClaimAnswer):
             return answer
         raise _describe_no_quorum()
@@ -168,6 +165,15 @@
         if self._link is not None:
             self._link.send(release)
 
+    async def _ask_numbered(
+        self, ask: AskClaim | ResolveClaim, timeout: float
+    ) -> Message:
+        # Asks are sent again while they wait, so answers come twice. Where a claim
+        # stands changes meanwhile, and an answer to an earlier ask about it must not
+        # pass for the answer to this one.
+        ask = msgspec.structs.replace(ask, question=next(self._questions))
+        return await self._ask(_name_question(ask), ask, timeout)
+
     async def _ask(self, subject: str, ask: Message, timeout: float) -> Message:
         _, future = self._waiting.get(subject, (ask, None))
         if future is None:
@@ -233,22 +239,11 @@
             case Registration():
                 self._settle(message.nonce, message)
             case ClaimAnswer():
-                # Questions are sent again while they wait, so answers come twice. A
-                # second answer to one kind must not pass for one to the other: what
-                # didn't run is granted anew, and what is granted has no end on record.
-                if message.state is not ClaimState.NOT_RUN:
-                    self._settle(_name_claim(message), message)
-                if message.state not in (ClaimState.GRANTED, ClaimState.RUNNING):
-                    self._settle(_name_proof(message), message)
+                self._settle(_name_question(message), message)
             case PermitAnswer():
                 self._settle(_name_permit(message), message)
             case Refusal():
-                # Without a quorum a claim is refused at once, as its caller should
-                # know. Other asks stay open: they are sent again at the next
-                # report, and over the next link, until their own time is up.
-                if message.code is ErrorCode.NO_QUORUM or message.code in _NOT_HELD:
-                    claim = self._claims.get(RequestId(message.subject), "")
-                    self._settle(claim, message)
+                self._take_refusal(message)
                 logger.info(
                     "control refused",
                     extra={"subject": message.subject, "reason": message.reason},
@@ -263,6 +258,16 @@
         if self._changed is not None:
             self._changed()
 
+    def _take_refusal(self, refusal: Refusal) -> None:
+        # Without a quorum a claim is refused at once, as its caller should know. Other
+        # asks stay open: they are sent again at the next report, and over the next
+        # link, until their own time is up.
+        subject = _name_question(refusal)
+        ask, _ = self._waiting.get(subject, (None, None))
+        final = refusal.code is ErrorCode.NO_QUORUM or refusal.code in _NOT_HELD
+        if isinstance(ask, AskClaim) and final:
+            self._settle(subject, refusal)
+
     def _settle(self, subject: str, answer: Message) -> None:
         waiting = self._waiting.get(subject)
         if waiting is not None and not waiting[1].done():
@@ -289,12 +294,8 @@
         link.send(ReportInForce(self._hello().host, self.catalog.index, self._reports))
 
 
-def _name_claim(message: AskClaim | ClaimAnswer | ResolveClaim) -> str:
-    return f"claim/{message.request}/{message.team}/{message.service}/{message.key}"
-
-
-def _name_proof(message: ResolveClaim | ClaimAnswer) -> str:
-    return f"resolve/{message.generation}/{_name_claim(message)}"
+def _name_question(message: AskClaim | ResolveClaim | ClaimAnswer | Refusal) -> str:
+    return f"question/{message.question}"
 
 
 def _name_permit(message: AskPermit | PermitAnswer) -> str:
