Number a replica's questions anew at each start

Operators would see a change told as accepted with another one's result, and a read that sees too little; two agents could get one incarnation.

Cause: the numbers of questions to the leader began at 1 in each life of a replica, and answers come over other links than the questions. The leader's answer to question 1 of the former life settled question 1 of the next.

--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -33,7 +33,12 @@
 )
 from ibishead.control.peers import Configuration
 from ibishead.control.raftstate import Role, has_quorum
-from ibishead.control.waiters import Answers, describe_no_quorum, describe_unknown
+from ibishead.control.waiters import (
+    NUMBERS,
+    Answers,
+    describe_no_quorum,
+    describe_unknown,
+)
 from ibishead.errors import ErrorCode, IbisheadError, StorageFault, Unavailable
 from ibishead.ids import HostId, LogIndex, ReplicaId
 from ibishead.messages import PeerFrame
@@ -89,7 +94,7 @@
             on_failure,
         )
         self._reader = FrameReader()
-        self._answers = Answers()
+        self._answers = Answers(draw(NUMBERS))
         self._reads = 0
         self._introduced = 0.0
         self._linked_rounds = 0
--- a/src/ibishead/control/waiters.py
+++ b/src/ibishead/control/waiters.py
@@ -10,7 +10,10 @@
 from ibishead.errors import ErrorCode, IbisheadError, Unavailable
 from ibishead.ids import LogIndex, ReplicaId, Term
 
-__all__ = ["Answers", "Waiters", "describe_no_quorum", "describe_unknown"]
+__all__ = ["NUMBERS", "Answers", "Waiters", "describe_no_quorum", "describe_unknown"]
+
+#: Numbers that questions may begin at.
+NUMBERS = 2**48
 
 
 def describe_no_quorum(seconds: float) -> Unavailable:
@@ -126,10 +129,15 @@
 
 
 class Answers:
-    """Questions to other replicas, by number."""
+    """Questions to other replicas, by number.
 
-    def __init__(self) -> None:
-        self._number = 0
+    :param first: number to count from. Answers come over links of their own, so those
+        to an earlier life of this replica may come now; drawn anew at each start from
+        `NUMBERS`, their numbers mean nothing here.
+    """
+
+    def __init__(self, first: int) -> None:
+        self._number = first
         self._waiting: dict[int, _Question] = {}
 
     def open(
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -202,6 +202,26 @@
     assert leader.machine.commands == [str(number) for number in range(180)]
 
 
+async def test_answer_to_an_earlier_life_is_none_to_this_one(cluster: Cluster) -> None:
+    """A change is told as accepted by the answer to one from before a restart."""
+    leader = await cluster.find_leader()
+    host, other = followers(cluster)
+    asker = cluster.hosts[host].replica
+    await wait_until(lambda: asker.leader() is not None)
+    cluster.cuts |= {(leader, other), (other, leader)}
+    lost = asyncio.create_task(asker.propose(b"x"))
+    await asyncio.sleep(0)
+    files = await cluster.kill(host)
+    with pytest.raises(Unavailable):
+        await lost
+    back = (await cluster.start(host, files)).replica
+    # The leader's answer to the earlier life comes a few turns after its heartbeat
+    while back.leader() is None:
+        await asyncio.sleep(0)
+    assert await back.propose(b"y") == b"2"
+    assert cluster.hosts[host].machine.commands == ["x", "y"]
+
+
 async def test_planned_stop_cuts_no_change_short(cluster: Cluster) -> None:
     """The leader hands over while changes wait on it."""
     leader = cluster.hosts[await cluster.find_leader()]
