Complete a stream whose text came whole before its connection was lost

Cause: the agent took a stream for whole only when its connection had ended whole. An engine's last event says why the generation finished, and a line that says no more follows; where the connection goes silent between them, the agent told a finished answer as unknown.

A failed check shows each call, not only how many ended so.

Why it works: a reason to finish comes with the last word; with several choices, or usage asked for, the agent waits for the usage. Anything else is unknown as before.

--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -10,6 +10,7 @@
 
 from ibishead.agent.gate import AttemptKey
 from ibishead.agent.slots import AdapterKey
+from ibishead.agent.streamtail import DONE_EVENT, StreamEnd, StreamTail
 from ibishead.errors import ErrorCode
 from ibishead.headers import Headers
 from ibishead.ids import Sequence, TargetId
@@ -51,6 +52,7 @@
     :param silent: the run was given up because its connection has gone silent.
     :param sent: the request's bytes may have reached the target.
     :param requeued: how often the target turned out to be empty.
+    :param tail: the end of a model's stream, none for any other answer.
     """
 
     dispatch: Dispatch
@@ -71,6 +73,7 @@
     ended: float = 0.0
     sent: bool = False
     requeued: int = 0
+    tail: StreamTail | None = None
     _acknowledged: int = 0
 
     @property
@@ -113,6 +116,8 @@
 
     def emit_body(self, data: bytes) -> None:
         """Owe a piece of the body."""
+        if self.tail is not None:
+            self.tail.add(data)
         self._emit(
             AnswerBody(
                 self.dispatch.request,
@@ -122,6 +127,18 @@
             )
         )
 
+    def finish_stream(self) -> bool:
+        """Owe what a stream lacks whose connection is lost, if its text is whole.
+
+        :returns: whether the answer is whole.
+        """
+        if self.tail is None:
+            return False
+        end = self.tail.judge(self.dispatch.body)
+        if end is StreamEnd.FINISHED:
+            self.emit_body(DONE_EVENT)
+        return end is not StreamEnd.UNFINISHED
+
     def emit_end(
         self,
         outcome: Outcome,
--- a/src/ibishead/agent/runner.py
+++ b/src/ibishead/agent/runner.py
@@ -11,6 +11,7 @@
 
 from ibishead.agent.attempts import Attempt
 from ibishead.agent.slots import make_lora_name
+from ibishead.agent.streamtail import StreamTail
 from ibishead.agent.target import TargetClient
 from ibishead.errors import ErrorCode, LinkLost
 from ibishead.headers import drop_hop_by_hop, find_header
@@ -94,6 +95,7 @@
     kind = find_header(answer.headers, "content-type") or ""
     streamed = kind.startswith("text/event-stream")
     if streamed:
+        attempt.tail = StreamTail()
         first = await _read_first_event(answer)
         payload = first.partition(b"data:")[2].split(b"\n", 1)[0].strip()
     else:
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections import Counter
 from dataclasses import dataclass
 from typing import Protocol
@@ -26,6 +27,8 @@
 
 __all__ = ["Registrar", "Scheduler", "TargetShape"]
 
+logger = logging.getLogger(__name__)
+
 #: Seconds between turns while nothing happens, for deadlines to be seen.
 TICK = 0.1
 
@@ -356,6 +359,13 @@
             )
 
     async def _doubt(self, attempt: Attempt, reason: str) -> None:
+        if attempt.finish_stream():
+            logger.info(
+                "stream completed without its connection",
+                extra={"request": attempt.dispatch.request, "reason": reason},
+            )
+            await self._settle(attempt, RunEnd.COMPLETED)
+            return
         await self._registrar.record_end(attempt, Outcome.UNKNOWN)
         self._end(attempt, Outcome.UNKNOWN, ErrorCode.TARGET_FAILED, reason)
 
--- /dev/null
+++ b/src/ibishead/agent/streamtail.py
@@ -0,0 +1,92 @@
+"""The last events of a model's stream, which tell whether it is whole.
+
+A stream ends with an event that names why the generation finished, and a line that
+says no more follows. When the connection is lost between the two, the answer is whole
+all the same.
+"""
+
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+__all__ = ["DONE_EVENT", "StreamEnd", "StreamTail"]
+
+#: The last event of a stream.
+DONE_EVENT = b"data: [DONE]\n\n"
+
+#: Bytes kept at least. An event that doesn't fit counts as unfinished.
+KEPT_BYTES = 64 * 1024
+
+_SEPARATOR = b"\n\n"
+_DATA = b"data:"
+
+#: Reasons that an engine gives for a generation that ran to its end.
+_FINISHED = frozenset(
+    ("stop", "length", "content_filter", "tool_calls", "function_call")
+)
+
+
+class StreamEnd(Enum):
+    """How far a stream had come when its connection was lost."""
+
+    UNFINISHED = "unfinished"
+    FINISHED = "finished"
+    DONE = "done"
+
+
+class _Choice(msgspec.Struct):
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = []
+    usage: dict[str, Any] | None = None
+
+
+class _Options(msgspec.Struct):
+    include_usage: bool = False
+
+
+class _Request(msgspec.Struct):
+    n: int | None = None
+    stream_options: _Options | None = None
+
+
+class StreamTail:
+    """The end of what has come of one stream."""
+
+    def __init__(self) -> None:
+        self._kept = bytearray()
+
+    def add(self, data: bytes) -> None:
+        """Take in the next bytes."""
+        self._kept += data
+        if len(self._kept) > 2 * KEPT_BYTES:
+            del self._kept[:-KEPT_BYTES]
+
+    def judge(self, request: bytes) -> StreamEnd:
+        """Return how far the stream has come.
+
+        :param request: body of the request that it answers.
+        """
+        *_, last, rest = (b"", *self._kept.split(_SEPARATOR))
+        if rest or not last.startswith(_DATA):
+            return StreamEnd.UNFINISHED
+        if bytes(last) + _SEPARATOR == DONE_EVENT:
+            return StreamEnd.DONE
+        try:
+            event = msgspec.json.decode(last[len(_DATA) :], type=_Event)
+            asked = msgspec.json.decode(request, type=_Request)
+        except msgspec.DecodeError:
+            return StreamEnd.UNFINISHED
+        return StreamEnd.FINISHED if _is_last(event, asked) else StreamEnd.UNFINISHED
+
+
+def _is_last(event: _Event, asked: _Request) -> bool:
+    if asked.stream_options is not None and asked.stream_options.include_usage:
+        # Usage comes once all choices are finished
+        return not event.choices and event.usage is not None
+    if asked.n not in (None, 1) or len(event.choices) != 1:
+        return False
+    return event.choices[0].finish_reason in _FINISHED
--- a/tests/processes/promises.py
+++ b/tests/processes/promises.py
@@ -14,6 +14,9 @@
 
 REQUEST_ID_HEADER = "x-ibishead-request"
 
+#: Calls that a failed check shows one by one.
+MOST_SHOWN = 10
+
 
 @dataclass(frozen=True)
 class Tally:
@@ -23,6 +26,7 @@
     """
 
     ends: Counter[tuple[Verdict, str]]
+    results: tuple[CallResult, ...] = ()
 
     def keep(self, *allowed: Verdict) -> None:
         """Fail unless all calls ended in one of these ways."""
@@ -31,7 +35,9 @@
             for (verdict, code), count in self.ends.items()
             if verdict not in allowed
         ]
-        assert not others, f"calls ended otherwise: {', '.join(others)}"
+        shown = [_describe(r) for r in self.results if r.verdict not in allowed]
+        message = f"calls ended otherwise: {', '.join(others)}"
+        assert not others, "\n".join([message, *shown[:MOST_SHOWN]])
 
 
 def check_promises(fleet: Fleet, results: list[CallResult]) -> Tally:
@@ -45,7 +51,19 @@
     started = _list_started(fleet)
     for result in results:
         _check_run(fleet, result, started)
-    return Tally(Counter((result.verdict, result.code) for result in results))
+    ends = Counter((result.verdict, result.code) for result in results)
+    return Tally(ends, tuple(results))
+
+
+def _describe(result: CallResult) -> str:
+    call = result.call
+    return (
+        f"{call.kind.value} {call.word} to {call.model or call.path}: "
+        f"{result.verdict.value} {result.code}, status {result.status}, "
+        f"{len(result.text)} of {len(call.expected)} characters, sent "
+        f"{result.sends} times, {result.seconds:.2f} s, request "
+        f"{find_header(result.headers, REQUEST_ID_HEADER)}"
+    )
 
 
 def _list_started(fleet: Fleet) -> set[str]:
--- a/tests/processes/relay.py
+++ b/tests/processes/relay.py
@@ -15,6 +15,8 @@
     nothing more, for good; new ones work.
 
     :ivar upstream: may be set once it is known, before the first connection.
+    :ivar swallowed: connections that carry these bytes toward the caller fall silent
+        before them; none while it is empty.
     """
 
     def __init__(self) -> None:
@@ -23,6 +25,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._generation = 0
         self.accepted = 0
+        self.swallowed = b""
 
     async def start(self, port: int = 0) -> Endpoint:
         """Listen on loopback."""
@@ -56,7 +59,9 @@
             writer.close()
             return
         for source, sink in ((reader, far_writer), (far_reader, writer)):
-            task = asyncio.create_task(self._pass_on(source, sink, self._generation))
+            silences = sink is writer
+            work = self._pass_on(source, sink, self._generation, silences)
+            task = asyncio.create_task(work)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -65,12 +70,16 @@
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
         generation: int,
+        silences: bool,
     ) -> None:
         try:
             while data := await source.read(65536):
                 # A silent connection swallows what comes and passes on no end
                 if generation != self._generation:
                     continue
+                if silences and self.swallowed and self.swallowed in data:
+                    data = data[: data.index(self.swallowed)]
+                    generation = -1
                 sink.write(data)
                 await sink.drain()
         except (ConnectionError, asyncio.CancelledError):
--- a/tests/processes/test_silence.py
+++ b/tests/processes/test_silence.py
@@ -6,6 +6,7 @@
 from tests.processes.striking import run_under_load
 
 from ibishead.standin.calls import Verdict
+from ibishead.standin.protocol import DONE_LINE
 
 #: How calls may end when the open connections of a path go silent. Between entry and
 #: agent answers are resumed, so all are whole. What a target still did on a silent
@@ -33,3 +34,15 @@
     results = await run_under_load(fleet, silence)
     check_promises(fleet, results).keep(*ALLOWED[hop])
     await fleet.wait_serving()
+
+
+async def test_stream_that_falls_silent_before_its_end_is_not_cut(start_fleet):
+    """A stream's text has come whole, its last line hasn't, and it counts as cut."""
+    fleet = await start_fleet(relayed=frozenset({Hop.AGENT_TARGET}))
+
+    async def swallow_ends() -> None:
+        for relay in fleet.relays:
+            relay.swallowed = DONE_LINE
+
+    results = await run_under_load(fleet, swallow_ends, rate=10.0)
+    check_promises(fleet, results).keep(*ALLOWED[Hop.AGENT_TARGET])
