Assess an order before its claim is asked for

Callers of a protected service were refused, "no target is up", where the request a moment later waits until the links to the agents are back.

Cause: an order was placed by one view of the targets and assessed by another, after the claim was granted. Beside load the claim takes 0.2 s, in which agents without a report are passed over; without a target there was no capacity.

In virtual time with the claim's answer held up for 1.6 s: refused before, answered now.

Why it works: placement and assessment go by one view. Where the link is gone once the claim is granted, nothing is sent, the claim is given up, and the placement that follows waits for the links as for any other request.

--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -73,6 +73,9 @@
         given_up = Generation(0)
         for _ in range(MAX_GRANTS):
             placed = await self._dispatcher.choose_again(job, avoid)
+            # Assessed by the same view as the placement: while the claim is asked for,
+            # links may fall silent, and that is no load.
+            refusal = self._dispatcher.assess(job, placed)
             answer = await self._claim(job, key, placed)
             if answer is None and placed is None:
                 raise describe_no_target()
@@ -85,7 +88,7 @@
             # A generation that was reported as not run may be recorded so at any
             # moment, and another one granted. Nothing is sent under it again.
             if answer.generation > given_up:
-                ended = await self._run_granted(job, answer, key, placed)
+                ended = await self._run_granted(job, answer, key, refusal)
                 if ended.outcome is Outcome.COMPLETED:
                     return
                 if ended.outcome is Outcome.UNKNOWN:
@@ -143,7 +146,7 @@
         job: Job,
         answer: ClaimAnswer,
         key: IdempotencyKey,
-        placed: Placed | None,
+        refusal: IbisheadError | None,
     ) -> Ended:
         agent = self._dispatcher.find_agent(answer.target)
         mine = answer.holder == job.resolved.call.request
@@ -153,11 +156,9 @@
                 return Ended(
                     Outcome.NOT_RUN, ErrorCode.STALE_INCARNATION, "the target is gone"
                 )
-            try:
-                self._dispatcher.admit(job, placed)
-            except IbisheadError:
+            if refusal is not None:
                 await self._release(job, answer, key)
-                raise
+                raise refusal
             job.attempts += 1
             return await self._dispatcher.attempt(
                 job, agent, Grant(answer.generation, key)
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -150,21 +150,22 @@
             placed = await self.choose(job, frozenset())
         return placed
 
-    def admit(self, job: Job, placed: Placed | None) -> None:
+    def assess(self, job: Job, placed: Placed | None) -> IbisheadError | None:
         """Take the request in, by the load at the target chosen; once is enough.
 
-        :raises IbisheadError: it is refused, and was not run.
+        :returns: why it is refused, for who then hasn't run it; none when it is taken.
         """
         if job.admitted:
-            return
+            return None
         try:
             admitted = self._placer.admit(job.resolved, placed)
         except IbisheadError as error:
             self._note(job, "admit", error.code.value, error.message)
-            raise
+            return error
         job.admitted = True
         wait = f"expected wait {admitted.expected_wait:.3f} s"
         self._note(job, "admit", "admitted", wait)
+        return None
 
     async def run(self, job: Job) -> None:
         """Answer an idempotent request, by as many attempts as it takes and may.
@@ -175,7 +176,8 @@
         avoid: frozenset[TargetId] = frozenset()
         refreshes = 0
         placed = await self.choose(job, avoid)
-        self.admit(job, placed)
+        if (refusal := self.assess(job, placed)) is not None:
+            raise refusal
         while True:
             agent = None if placed is None else self._pool.find(placed.target)
             if agent is None:
--- a/tests/proofs/test_claims.py
+++ b/tests/proofs/test_claims.py
@@ -113,3 +113,26 @@
     assert grants.count(2) > 1, "the grant that was given up wasn't offered again"
     check_world(world)
     assert {call.outcome for call in world.calls} == {Outcome.COMPLETED}
+
+
+async def _order_while_links_fall_silent() -> World:
+    world = World()
+    await world.start()
+    # Longer than it takes until silent agents are passed over
+    world.network.hold(CONTROL_HOST, ENTRY, 1.6)
+    world.call_plain(0, "k1")
+    for slot in world.slots:
+        world.network.silence(ENTRY, slot.settings.host)
+    await asyncio.sleep(1.5)
+    world.call_plain(0, "k2")
+    await world.settle()
+    await asyncio.sleep(10.0)
+    await world.stop()
+    return world
+
+
+def test_links_that_fall_silent_during_a_claim_are_no_load():
+    """An order is refused, as no target is up, that a moment later would wait."""
+    world = run_virtual(_order_while_links_fall_silent)
+    check_world(world)
+    assert [call.outcome for call in world.calls] == [Outcome.COMPLETED] * 2
