--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -75,7 +75,7 @@
             placed = await self._dispatcher.choose_again(job, avoid)
             # Assessed by the same view as the placement: while the claim is asked for,
             # links may fall silent, and that is no load.
-            refusal = self._dispatcher.assess(job, placed)
+            refusal = self._dispatcher.admit(job, placed)
             answer = await self._claim(job, key, placed)
             if answer is None and placed is None:
                 raise describe_no_target()
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -150,7 +150,7 @@
             placed = await self.choose(job, frozenset())
         return placed
 
-    def assess(self, job: Job, placed: Placed | None) -> IbisheadError | None:
+    def admit(self, job: Job, placed: Placed | None) -> IbisheadError | None:
         """Take the request in, by the load at the target chosen; once is enough.
 
         :returns: why it is refused, for who then hasn't run it; none when it is taken.
@@ -176,7 +176,7 @@
         avoid: frozenset[TargetId] = frozenset()
         refreshes = 0
         placed = await self.choose(job, avoid)
-        if (refusal := self.assess(job, placed)) is not None:
+        if (refusal := self.admit(job, placed)) is not None:
             raise refusal
         while True:
             agent = None if placed is None else self._pool.find(placed.target)
