Show by what figures a request is refused

A refusal for load said "the queue is full" and no more, so that a record couldn't tell a real queue from reports that are late. It now names how many wait, how many run at once and for how long, and how old the oldest report is.

No decision has changed.

--- a/src/ibishead/decisions/admission.py
+++ b/src/ibishead/decisions/admission.py
@@ -45,6 +45,7 @@
     :param class_waiting: requests of this class that wait; none when unknown.
     :param needs_load: the target chosen neither holds nor awaits the adapter.
     :param wishes: adapters that wait for their load at all targets known here.
+    :param age: seconds since the report of one of these targets that came first.
     """
 
     priority: int
@@ -59,6 +60,7 @@
     class_waiting: int | None = None
     needs_load: bool = False
     wishes: int = 0
+    age: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -93,16 +95,15 @@
     wait = max(query.waiting / drain, query.expected_wait)
     late = wait + query.seconds_per_request - query.deadline
     if late > 0:
-        reason = f"the queue takes {wait:.1f} s, over the deadline"
+        reason = f"the queue takes {wait:.1f} s, over the deadline{_show_load(query)}"
         return _refuse(query, ErrorCode.DEADLINE_UNREACHABLE, reason, late)
     # Load: a shift of popularity, or saturation with many rare adapters. Harm: the
     # backlog at the store grows past every deadline, and all loads come too late for
     # those that asked for them.
     backlog = query.wishes * STORE_SECONDS
     if query.needs_load and backlog >= MAX_LOAD_BACKLOG * _part(query.priority):
-        return _refuse(
-            query, ErrorCode.OVERLOADED, "too many adapters wait to load", backlog
-        )
+        reason = f"too many adapters wait to load: {query.wishes}"
+        return _refuse(query, ErrorCode.OVERLOADED, reason, backlog)
     # Load: a burst of short requests, such as what a silent path held back. Harm: two
     # rounds of them drain in a tenth of a second, and a bound by rounds alone refuses
     # what would have been answered at once.
@@ -119,17 +120,26 @@
         return None
     if query.waiting >= limit:
         over = (query.waiting - limit + 1) / drain
-        return _refuse(query, ErrorCode.OVERLOADED, "the queue is full", over)
+        reason = f"the queue is full{_show_load(query)}"
+        return _refuse(query, ErrorCode.OVERLOADED, reason, over)
     # Load: one team sends far more than its share. Harm: it fills the queue and the
     # other teams of the class are refused. Below contention the share is not held,
     # because unused capacity serves nobody.
     contended = query.waiting >= CONTENTION * limit
     if contended and query.team_waiting >= max(1.0, query.team_share * limit):
         over = query.team_waiting / drain / max(query.team_share, 0.01)
-        return _refuse(query, ErrorCode.OVERLOADED, "the team's share is used", over)
+        reason = f"the team's share is used{_show_load(query)}"
+        return _refuse(query, ErrorCode.OVERLOADED, reason, over)
     return None
 
 
+def _show_load(query: AdmissionQuery) -> str:
+    return (
+        f" ({query.waiting} wait, {query.capacity} run at once for "
+        f"{query.seconds_per_request:.2f} s, by reports of {query.age:.1f} s ago)"
+    )
+
+
 def _part(priority: int) -> float:
     # The last part of a bounded queue is left to the higher classes, so that a burst
     # of the lowest doesn't keep them out.
--- a/src/ibishead/entry/placing.py
+++ b/src/ibishead/entry/placing.py
@@ -168,8 +168,15 @@
             expected_wait=placed.expected_wait if placed else 0.0,
             needs_load=placed.needs_load if placed else False,
             wishes=sum(item.wishes for item in up),
+            age=self._find_age(up),
         )
 
+    def _find_age(self, up: list[TargetView]) -> float:
+        """Return the seconds since the report that came first, 0 without any."""
+        now = self._clock.monotonic()
+        heard = (self._heard.get(view.target, now) for view in up)
+        return now - min(heard, default=now)
+
     def _suspect_quiet_agents(self) -> None:
         # Load: a path to many agents falls silent at once. Harm: until each link is
         # given up, all that comes is sent into it, and the queue that this host
