Give up a run whose answer never begins

Callers of a plain service were told unknown every 30 s for the same order, and a service whose connections had once fallen silent took nothing new.

Cause: the agent waited for an answer without any limit. A plain service shows nobody what it runs, so a run on a connection that has gone silent held its place in the batch, and its claim, until the agent was restarted.

Why it works: ten seconds after its deadline an answer that hasn't begun is worth nothing to its caller. Its outcome is recorded as unknown, so that whoever asks again with the key is told at once, and the place is free.

--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -54,6 +54,10 @@
 #: hundredths of a second, so this is a target that has stopped.
 STREAM_SILENCE = 10.0
 
+#: Seconds after its deadline in which an answer may still begin. Its caller has been
+#: told, but who asks again with the same key gets what is recorded.
+LATE_ANSWER_TIME = 10.0
+
 
 @dataclass(frozen=True)
 class TargetShape:
@@ -447,7 +451,10 @@
     else:
         attempt.absences += 1
     stopped = shown > 0 and now - attempt.quiet_since > STREAM_SILENCE
-    return stopped or attempt.absences >= MAX_ABSENCES
+    # A service without a list of its runs shows nothing; a run without an answer would
+    # hold its place in the batch for ever.
+    overdue = shown == 0 and now - attempt.deadline > LATE_ANSWER_TIME
+    return stopped or overdue or attempt.absences >= MAX_ABSENCES
 
 
 def _find_digest(attempt: Attempt) -> int:
--- a/src/ibishead/agent/watcher.py
+++ b/src/ibishead/agent/watcher.py
@@ -26,7 +26,8 @@
 
     :param is_engine: it shows its boot and its adapters.
     :param changed: called when the target's health has changed.
-    :param review_runs: called at each look with the adapters that are at work.
+    :param review_runs: called at each look with the adapters that are at work, none of
+        a plain service.
     :ivar healthy: it answered the last look.
     """
 
@@ -74,6 +75,7 @@
     async def _look(self) -> None:
         if not self._is_engine:
             await self._client.check_reachable()
+            self._review_runs(frozenset())
             return
         sample = await self._client.sample()
         if sample.boot != self._slots.boot:
