Say in decisions why, not which load and harm

The comments of decisions/ told a load and a harm each, in a form of their own. They now give the reason in the field's terms, or go where the code says it. No line of code has changed.

--- a/src/ibishead/control/election.py
+++ b/src/ibishead/control/election.py
@@ -85,10 +85,9 @@
 def hasten(state: RaftState) -> None:
     """Ask for votes before the deadline, where no leader was known since the start.
 
-    Load: all replicas are started at once. Harm: they are linked to each other and wait
-    out a silence that nobody broke, and meanwhile no change, no read and no fencing
-    number can be had. Asking early is safe: a voter that hears a leader gives no vote,
-    and the answer to the question alone changes no term.
+    Replicas that are started together have no leader whose silence is to be waited for.
+    Asking early is safe: a voter that hears a leader gives no vote, and the answer to
+    the question alone changes no term.
     """
     asking = state.role in (Role.CANDIDATE, Role.LEADER)
     if asking or state.settled or not state.timing.first:
--- a/src/ibishead/decisions/admission.py
+++ b/src/ibishead/decisions/admission.py
@@ -85,9 +85,8 @@
 def admit(query: AdmissionQuery) -> Admitted | Refused:
     """Take the request, or refuse it at once.
 
-    Load: bursts and saturation. Harm: every caller waits in a queue that ends after
-    its deadline, and targets run work that is late already. A refusal costs its
-    caller one round trip and says when to come back.
+    Under saturation a queue that outlasts the deadlines makes every answer late. A
+    refusal costs its caller one round trip and says when to come back.
     """
     if query.capacity <= 0:
         return _refuse(query, ErrorCode.NO_TARGET, "no target is up", 0.0)
@@ -97,24 +96,19 @@
     if late > 0:
         reason = f"the queue takes {wait:.1f} s, over the deadline{_show_load(query)}"
         return _refuse(query, ErrorCode.DEADLINE_UNREACHABLE, reason, late)
-    # Load: a shift of popularity, or saturation with many rare adapters. Harm: the
-    # backlog at the store grows past every deadline, and all loads come too late for
-    # those that asked for them.
+    # A backlog at the store that outlasts the deadlines makes all loads late.
     backlog = query.wishes * STORE_SECONDS
     if query.needs_load and backlog >= MAX_LOAD_BACKLOG * _part(query.priority):
         reason = f"too many adapters wait to load: {query.wishes}"
         return _refuse(query, ErrorCode.OVERLOADED, reason, backlog)
-    # Load: a burst of short requests, such as what a silent path held back. Harm: two
-    # rounds of them drain in a tenth of a second, and a bound by rounds alone refuses
-    # what would have been answered at once.
+    # A few rounds of short requests drain at once, so the bound is also one of time.
     room = max(MAX_ROUNDS * query.capacity, SHORT_QUEUE * drain)
     limit = max(1.0, room * _part(query.priority))
     return _hold_to_queue(query, limit, drain) or Admitted(wait)
 
 
 def _hold_to_queue(query: AdmissionQuery, limit: float, drain: float) -> Refused | None:
-    # Load: a class above sends enough to fill the queue for good. Harm: the classes
-    # below get nothing. Each may keep a small part of the queue whatever its length.
+    # A small part of the queue is reserved for each class, so that none starves.
     own = query.class_waiting
     if own is not None and own < CLASS_PART * limit:
         return None
@@ -122,9 +116,7 @@
         over = (query.waiting - limit + 1) / drain
         reason = f"the queue is full{_show_load(query)}"
         return _refuse(query, ErrorCode.OVERLOADED, reason, over)
-    # Load: one team sends far more than its share. Harm: it fills the queue and the
-    # other teams of the class are refused. Below contention the share is not held,
-    # because unused capacity serves nobody.
+    # Fair shares hold under contention only: unused capacity serves nobody.
     contended = query.waiting >= CONTENTION * limit
     if contended and query.team_waiting >= max(1.0, query.team_share * limit):
         over = query.team_waiting / drain / max(query.team_share, 0.01)
--- a/src/ibishead/decisions/eviction.py
+++ b/src/ibishead/decisions/eviction.py
@@ -66,10 +66,8 @@
 def expect_reuse(slot: SlotView, now: float) -> float:
     """Return the aged uses to reckon with, its silence taken into account.
 
-    Load: popularity that shifts without warning. Harm: the favourite of an hour ago
-    keeps its slot by its old count for many half-lives. One that was used often and
-    has been silent since can't be as frequent as it was, so the count is capped by
-    what its silence still allows.
+    The count is capped by what the silence since the last use still allows, so that an
+    adapter that has gone out of use doesn't keep its slot for many half-lives.
     """
     silence = max(now - slot.last_used, 1e-3)
     return min(slot.reuse, SILENT_USES * HALF_LIFE / silence)
@@ -80,10 +78,8 @@
 ) -> SlotView | None:
     """Return the slot to empty, or none when none may be.
 
-    Load: thousands of skewed adapters through a few slots. Harm: the one that left
-    is asked for next and takes another of the store's few loads. A pinned slot
-    serves a request and is never a candidate; one with waiting requests comes last,
-    because its eviction only moves the stall from one caller to another.
+    A pinned slot serves a request and is never a candidate; one with waiting requests
+    comes last, because its eviction only moves the stall from one caller to another.
 
     :param now: monotonic seconds.
     :param spare_waiting: return none rather than a slot that requests wait for.
--- a/src/ibishead/decisions/loading.py
+++ b/src/ibishead/decisions/loading.py
@@ -44,9 +44,8 @@
 def urgency(wish: LoadWish) -> float:
     """Return the harm of waiting: class, age and number of those that wait.
 
-    Load: more wishes than the store's four loads a second. Harm: a load for one
-    caller goes before a load for many. Age is a factor, so that a lone caller of a
-    low class passes every newer wish in time and none starves.
+    Grows with the number that wait and with age, so that a load for many goes first and
+    none starves.
     """
     return (1 + wish.priority) * (wish.oldest + 0.1) * wish.waiting
 
@@ -72,8 +71,7 @@
 class LoadBackoff:
     """Spaces the repeats of failed loads of one agent.
 
-    Load: loads of which some fail. Harm: a load that can't succeed here takes the
-    store's rate from loads that can.
+    A load that can't succeed would take the store's rate from loads that can.
 
     :param first: seconds after a first failed load; each further one doubles them.
     """
@@ -107,10 +105,8 @@
 class LoadPermits:
     """Shares the store's rate and its places in flight over all agents.
 
-    Load: every agent wants to load at once, as after a shift of popularity. Harm:
-    beyond the places in flight all loads get slower, and urgent ones wait behind
-    what was ordered earlier. Nothing is ordered before its permit, so that the most
-    urgent wish goes next even when it came last.
+    Beyond the places in flight all loads get slower. Nothing is ordered before its
+    permit, so that the most urgent wish goes next even when it came last.
 
     :param burst: permits saved up while the store idles.
     """
--- a/src/ibishead/decisions/placement.py
+++ b/src/ibishead/decisions/placement.py
@@ -192,10 +192,8 @@
 def _choose_new_holders(
     adapter: int, usable: list[TargetView], holders: list[TargetView]
 ) -> list[TargetView]:
-    # Load: thousands of rare adapters, several entry hosts that don't talk. Harm:
-    # each host loads the adapter to its own idle target, and the store's few loads
-    # are spent twice. All hosts rank alike, and the bound keeps a target that the
-    # hash has dealt many hot adapters from taking more of them.
+    # Rendezvous hashing with bounded loads: entry hosts choose alike without talking,
+    # and a target with many hot adapters is passed over.
     held = {view.target for view in holders}
     loads = [(_load(view), view) for view in usable]
     bound = max(1.0, LOAD_BOUND * sum([load for load, _ in loads]) / len(loads))
@@ -213,10 +211,8 @@
 def _cost_of_load(
     query: PlacementQuery, view: TargetView, fleet: _Fleet, gainers: int
 ) -> float:
-    # Load: a hot adapter whose holder queues, beside rare ones that wait for the
-    # store. Harm: a replica of the hot one takes a load from those. It is made only
-    # when its holder's queue exceeds this load, the wait it adds to other loads and
-    # the worth of what it evicts; the stall weight scales what they count for.
+    # A replica is worth its load only when the holder's queue exceeds the load itself,
+    # the wait that it adds to other loads and the worth of what it evicts.
     blocked = view.free_slots <= view.wishes
     delay = view.seconds_per_request / 2 if blocked else 0.0
     wait = max(view.seconds_per_load, STORE_SECONDS * (1 + fleet.wishes))
@@ -237,8 +233,7 @@
 
 
 def _cost_of_turn(query: PlacementQuery, view: TargetView, fleet: _Fleet) -> float:
-    # Load: one target that runs slowly while its queue looks as short as the rest's.
-    # Harm: it gets its full part and its callers are late. Its excess is charged in
+    # A slow target's queue looks as short as the rest's. Its excess time is charged in
     # full, so that work shifts as soon as another target ends it earlier.
     slowness = max(0.0, view.seconds_per_request - SLOW_FACTOR * fleet.fastest)
     packing = (2.0 * query.stall_weight - 1.0) * PACKING_SECONDS
@@ -264,7 +259,6 @@
 
 
 def _held(view: TargetView) -> int:
-    # Load: a target whose queue waits for adapters while its batch has room. Harm:
-    # it looks busy, so that hot adapters are copied elsewhere, which takes the loads
-    # that its queue waits for; the store then stays overloaded by copies alone.
+    # What waits for its adapter doesn't occupy the batch. Counted as load, it would
+    # cause replicas, whose loads delay the very adapters that it waits for.
     return view.running + view.queued + view.recent - view.stalled
--- a/src/ibishead/decisions/queueing.py
+++ b/src/ibishead/decisions/queueing.py
@@ -49,11 +49,9 @@
 ) -> Waiting | None:
     """Return the request to run next, or none when no one is ready.
 
-    Load: a full queue of several classes, teams and adapters. Harm: a class or a
-    team that sends much keeps the others out; a batch of many adapters steps slower
-    and pins slots that loads wait for. Classes go first and age, so that each
-    request is the highest in time; teams within a class go by what they have used;
-    then adapters that run already go first, for a bounded wait.
+    Classes go first and age, so that none starves; teams within a class go by what they
+    have used; then adapters that run already go first, for a bounded wait, as a batch
+    of many adapters steps slower and pins more slots.
 
     :param running: requests in the target's batch for each adapter digest.
     :param now: monotonic seconds.
@@ -78,9 +76,8 @@
 ) -> list[Waiting]:
     """Return the requests that can no longer end in time.
 
-    Load: a queue that grew after they were admitted. Harm: the target runs work
-    that nobody waits for any more. They are to be answered `NotRun` at once, with a
-    time to come back, not held until their deadline.
+    They are to be answered `NotRun` at once, with a time to come back, not held until
+    their deadline.
     """
     return [item for item in waiting if now + seconds_per_request > item.deadline]
 
--- a/src/ibishead/decisions/retry.py
+++ b/src/ibishead/decisions/retry.py
@@ -73,8 +73,8 @@
 class RetryBudget:
     """Lets retries be a fraction of first attempts, so that none amplify a failure.
 
-    Load: a target, a failure domain or many loads fail at once. Harm: everything
-    that failed is sent again to the targets that are left, which then fail as well.
+    Without a budget all that failed at one target is sent again to the others, which
+    may then fail as well.
 
     :param ratio: retries that each first attempt earns.
     :param burst: retries that may be saved up, about one target's batch.
@@ -102,9 +102,8 @@
 ) -> RetryElsewhere | GiveUp:
     """Decide what follows an attempt.
 
-    Load: attempts that failed or were refused by their target. Harm: a request that
-    may have run runs twice, or one that can't succeed circles until its deadline.
-    What is given up is answered at once, with the time to come back.
+    A request that may have run is sent again only where it is idempotent. What is given
+    up is answered at once, with the time to come back.
 
     :param retry_after: seconds to tell the caller when it is given up.
     """
@@ -114,9 +113,7 @@
     spent = end.attempt >= MAX_ATTEMPTS or end.lost >= MAX_UNSEEN
     if spent or end.remaining <= 0:
         return GiveUp("no attempt left before the deadline", retry_after)
-    # Load: a path between an entry host and its agents falls silent with all that was
-    # on it. Harm: spending the budget on these would refuse requests that no target
-    # has seen; they bring no more load than the first attempts would have.
+    # What no target has seen brings no more load than the first attempt would have.
     if not end.unseen and not budget.take():
         return GiveUp("retry budget is spent", retry_after)
     return RetryElsewhere(end.outcome.value)
--- a/src/ibishead/decisions/views.py
+++ b/src/ibishead/decisions/views.py
@@ -32,9 +32,7 @@
 class TargetIndex:
     """Finds the targets that an adapter concerns without looking at all of them.
 
-    Load: hundreds of targets and tens of thousands of adapters. Harm: a decision
-    that visits every target costs more with each target added. A lookup costs the
-    logarithm of the ring and the few that it returns.
+    A lookup costs the logarithm of the ring and the few targets that it returns.
     """
 
     def __init__(self) -> None:
@@ -78,9 +76,8 @@
     def find(self, digest: int, draw: float = 0.0) -> list[TargetId]:
         """Return holders and ring neighbours of an adapter, each once.
 
-        Load: an adapter so hot that it is on many targets. Harm: if the same few of
-        them were always proposed, the other copies would idle. Those proposed start
-        at a place drawn by chance.
+        Of many holders only some are proposed, from a place drawn by chance on, so that
+        all copies are used.
 
         :param draw: from 0 up to 1.
         """
@@ -118,9 +115,8 @@
 class EntryView:
     """One entry host's view of a service's targets.
 
-    Load: bursts that arrive between two reports, at several entry hosts. Harm: the
-    target that last looked idle gets all of them. Own dispatches count until a
-    report can include them, and their adapters count as on their way.
+    Own dispatches count until a report can include them, and their adapters count as on
+    their way, so that a burst between two reports is spread.
 
     :param lag: seconds by which a report may be older than its arrival.
     """
--- a/src/ibishead/entry/placing.py
+++ b/src/ibishead/entry/placing.py
@@ -178,10 +178,8 @@
         return now - min(heard, default=now)
 
     def _suspect_quiet_agents(self) -> None:
-        # Load: a path to many agents falls silent at once. Harm: until each link is
-        # given up, all that comes is sent into it, and the queue that this host
-        # believes in fills up. Agents report twice a second, so one that has missed
-        # two reports gets nothing more until it is heard.
+        # Agents report all the time, so one that has missed some reports gets nothing
+        # more until it is heard. Its link is given up later.
         now = self._clock.monotonic()
         if now - self._swept < SWEEP_INTERVAL:
             return
--- a/src/ibishead/logsink.py
+++ b/src/ibishead/logsink.py
@@ -1,7 +1,6 @@
 """Where log lines go: a stream that may stand still, and a bound on their number.
 
-Load: a reader of the logs stops reading, or every request of a heavy day writes its
-line. Harm: a program that waits for its log answers nobody.
+A program that waits for the reader of its log would answer nobody.
 """
 
 import contextlib
