--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -42,7 +42,57 @@
 SLOTS = "tests/agent/test_slots.py"
 GATE = "tests/agent/test_gate.py"
 
+CLAIMS = "tests/proofs/test_claims.py"
+QUESTIONS = "tests/entry/test_questions.py"
+
 GUARDS = (
+    Guard(
+        "an order isn't sent under a grant that was given up",
+        "entry/claims.py",
+        "if answer.generation > given_up:",
+        "if True:",
+        (f"{CLAIMS}::test_an_order_is_not_sent_under_a_grant_that_was_given_up",),
+    ),
+    Guard(
+        "an earlier answer about a claim is none to the next ask",
+        "subscription.py",
+        'return f"question/{message.question}"',
+        'return f"question/{message.request}"',
+        (
+            f"{QUESTIONS}"
+            "::test_an_earlier_answer_about_a_claim_is_no_answer_to_the_next_ask",
+        ),
+    ),
+    Guard(
+        "an answer to an earlier life of a replica is none to this one",
+        "control/replica.py",
+        "Answers(draw(NUMBERS))",
+        "Answers(0)",
+        (
+            "tests/control/test_replica.py"
+            "::test_answer_to_an_earlier_life_is_none_to_this_one",
+        ),
+    ),
+    Guard(
+        "runs without answers leave their places in the batch",
+        "agent/scheduler.py",
+        "return stopped or overdue or attempt",
+        "return stopped or attempt",
+        (
+            "tests/proofs/test_lost_answers.py"
+            "::test_runs_without_answers_leave_their_places_in_the_batch",
+        ),
+    ),
+    Guard(
+        "a stream whose text is whole is completed",
+        "agent/scheduler.py",
+        "if attempt.finish_stream():",
+        "if False:",
+        (
+            "tests/processes/test_silence.py"
+            "::test_stream_that_falls_silent_before_its_end_is_not_cut",
+        ),
+    ),
     Guard(
         "haste in elections deposes nobody",
         "control/election.py",
@@ -63,8 +113,8 @@
     Guard(
         "run time isn't counted against an engine that answers a batch",
         "decisions/choice.py",
-        "    if need.weights is None:\n        # Load: long",
-        "    if True:\n        # Load: long",
+        "    if need.weights is None:\n        # An engine runs",
+        "    if True:\n        # An engine runs",
         (
             "tests/decisions/test_choice.py"
             "::test_a_busy_engine_that_holds_the_adapter_is_asked_first",
