--- a/tests/agent/test_gate.py
+++ b/tests/agent/test_gate.py
@@ -84,11 +84,7 @@
 
 
 def test_stale_entry_is_handed_the_newer_document():
-    """An entry host was cut off while a change was accepted, and sends by the old one.
-
-    The agent holds the new document: it must refuse, and hand it over, so that the
-    host's next attempt is right.
-    """
+    """An entry host that missed a change sends requests by the old document."""
     verdict = Gate().check(DISPATCH, make_state(document=NEWER))
     assert isinstance(verdict, Rejected)
     assert verdict.document == NEWER
@@ -102,11 +98,7 @@
 
 
 def test_buried_attempt_never_runs():
-    """An entry host freezes with a dispatch in its buffer.
-
-    Its caller's request is asked for by another host, the agent says that it never
-    came, and it runs elsewhere. The first host thaws and the dispatch arrives.
-    """
+    """An entry host freezes with a dispatch in its buffer."""
     gate = Gate()
     assert gate.bury(KEY)
     verdict = gate.check(DISPATCH, make_state())
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -74,11 +74,7 @@
 @pytest.mark.parametrize("model", ["base", "tisza@2", "balaton@1", ""])
 @pytest.mark.parametrize("kind", [JSON, EVENTS])
 async def test_answer_of_another_model_is_held_back(kind, model):
-    """An engine lost an adapter and serves the base model, or another version.
-
-    Its status is 200 and the text reads well; only the model's name tells. Not a
-    byte of it may reach the mender who asked for that adapter.
-    """
+    """An engine lost an adapter and serves the base model, or another version."""
     piece = name(model) if kind == JSON else event(model)
     end, body = await run(OneAnswer(200, kind, piece))
     assert end is RunEnd.WRONG_MODEL
--- a/tests/agent/test_slots.py
+++ b/tests/agent/test_slots.py
@@ -44,11 +44,7 @@
 
 
 def test_caller_that_left_doesnt_free_the_adapter():
-    """A caller leaves in the middle of a stream and the agent hangs up on the engine.
-
-    The engine goes on for a while. Evicting now would change the adapter under a
-    running request; the engine itself must show twice that it is over.
-    """
+    """An adapter is evicted under a run whose caller has left the stream."""
     table = SlotTable(1)
     load(table, TISZA)
     table.unpin(table.pin(TISZA, 0.0), ended=False)
@@ -82,10 +78,7 @@
 
 
 def test_pin_of_a_dropped_slot_doesnt_touch_its_successor():
-    """The engine lost an adapter under a running request and it is loaded again.
-
-    When the old request ends, its pin must not be taken off the new slot.
-    """
+    """The engine lost an adapter under a running request and it is loaded again."""
     table = SlotTable(1)
     load(table, TISZA)
     old = table.pin(TISZA, 0.0)
@@ -97,10 +90,7 @@
 
 
 def test_load_that_timed_out_is_found_again():
-    """A load times out at the agent and ends well at the engine.
-
-    Its slot is taken there and free here; each further load would be refused.
-    """
+    """A load times out at the agent and ends well at the engine."""
     table = SlotTable(1)
     table.begin_boot(ONE, [], 0.0)
     table.reconcile([TISZA], 1.0)
--- a/tests/control/test_claims.py
+++ b/tests/control/test_claims.py
@@ -93,11 +93,7 @@
 
 
 def test_late_proof_of_an_earlier_generation():
-    """The proof that attempt 1 did not run is delivered twice, late.
-
-    In between the request was granted anew and runs. Taken again, the proof would
-    let a third attempt run beside the second.
-    """
+    """The proof that attempt 1 did not run is delivered twice, late."""
     log = start_log()
     ask(log, "r1")
     log.apply(make_settlement("r1", Outcome.NOT_RUN))
@@ -116,10 +112,7 @@
 @pytest.mark.parametrize("end", ["retire", "register"])
 @pytest.mark.parametrize("restart", [False, True])
 def test_target_is_lost_with_a_claim(end, restart):
-    """A target dies with a stock issue in progress, and the mender tries again.
-
-    The issue may have been booked, so it must never be granted anew.
-    """
+    """A target dies with a stock issue in progress, and the mender tries again."""
     log = start_log()
     ask(log, "r1")
     if restart:
@@ -172,11 +165,7 @@
 
 
 def test_leap_of_the_leaders_clock():
-    """A leader was frozen for a year and measures its next step; or resends one.
-
-    If callers' keys were forgotten at once, every order that a shop resends would
-    run again.
-    """
+    """A leader was frozen for a year and measures its next step; or resends one."""
     log = start_log()
     ask(log, "r1", retention=1000.0)
     log.apply(make_settlement("r1", Outcome.COMPLETED))
--- a/tests/control/test_force.py
+++ b/tests/control/test_force.py
@@ -51,11 +51,7 @@
 
 
 async def test_cut_off_replica_counts_until_its_holders_have_stopped():
-    """A replica is cut off together with an entry that holds the old document.
-
-    The entry acts on it until its lease ends. Called in force earlier, the change
-    would seem to revert for whoever reaches that entry.
-    """
+    """A replica is cut off together with an entry that holds the old document."""
     tracker, clock = make_tracker({"c2": None, "c3": Holders(1, 1)})
     clock.step(SURE_LIMIT - 0.1)
     assert await tracker.find_waiting(1) == ["c2"]
--- a/tests/control/test_group.py
+++ b/tests/control/test_group.py
@@ -95,10 +95,7 @@
 
 
 async def test_agent_moves_when_its_replica_dies(scene):
-    """A replica dies; its agents attach elsewhere and keep their incarnations.
-
-    Taken for dead, their non-idempotent requests would all become unknown.
-    """
+    """A replica dies; its agents attach elsewhere and keep their incarnations."""
     _, c2, c3 = scene.servers
     agent = start_agent([c2, c3])
     await wait_for(scene.is_live)
@@ -115,11 +112,7 @@
 
 @pytest.mark.parametrize("former", ["c2", "c3"])
 async def test_late_registration_over_a_former_link(scene, former):
-    """An agent has moved to a new link; only then its ask over the old one commits.
-
-    The replica of the old link finds the target gone. Retired, it would vanish while
-    it serves.
-    """
+    """An agent has moved to a new link; only then its ask over the old one commits."""
     agent = start_agent([scene.servers[2]])
     await wait_for(scene.is_live)
     incarnation = scene.replica("c1").state.targets.members[T1].record.incarnation
@@ -142,11 +135,7 @@
 
 
 async def test_replica_without_a_quorum_sends_its_agents_away(scene):
-    """A replica is cut off from the others, but not from its agents.
-
-    They must move on while their documents' lease still holds, and not refuse work
-    until they find out by themselves.
-    """
+    """A replica is cut off from the others, but not from its agents."""
     _, c2, c3 = scene.servers
     agent = start_agent([c2, c3])
     await wait_for(scene.is_live)
--- a/tests/control/test_operator_keys.py
+++ b/tests/control/test_operator_keys.py
@@ -120,12 +120,7 @@
 
 @pytest.mark.parametrize("base", [2, 3])
 async def test_late_replica_gives_no_reach_back(operators, replica, base):
-    """An operator who has lost the key changes the document once more.
-
-    The change that took the key away is accepted, but the replica that is asked has
-    not heard of it and checks the key by the document before. Submitted on the newest
-    revision, the operator's change would be accepted on top.
-    """
+    """An operator who has lost the key changes the document once more."""
     without = RAKTAR.replace(hash_key(HALO), hash_key("sk-new"))
     replica.unheard.append(make_submission("s2", 1, without))
     target = f"/v1/documents/raktar?base={base}&submission=s3"
--- a/tests/control/test_permits.py
+++ b/tests/control/test_permits.py
@@ -91,12 +91,7 @@
 
 @given(STEPS)
 def test_limits_hold_over_changes_of_leader(steps):
-    """Leaders are replaced while loads run, and none knows its predecessor's permits.
-
-    However often that happens, no second sees more than the store's rate start, and
-    never more than its bound are in flight, counting each load until it is released
-    or its lifetime is over.
-    """
+    """A new leader grants loads beside those that its predecessor granted."""
     now = 0.0
     book = PermitBook(0.0)
     starts: list[float] = []
--- a/tests/control/test_publish.py
+++ b/tests/control/test_publish.py
@@ -50,11 +50,7 @@
 
 @pytest.mark.parametrize("leaves", [False, True])
 def test_silent_holder_counts_until_its_lease_is_over(leaves):
-    """An entry's link goes silent while it acts on the old document.
-
-    The change may be called in force only when that entry has stopped by itself,
-    whether its link is still open or already given up.
-    """
+    """An entry's link goes silent while it acts on the old document."""
     scene = Scene()
     subscriber = scene.subscribe("e1")
     index = scene.submit(0)
@@ -116,11 +112,7 @@
 
 
 def test_large_documents_come_in_parts_and_the_lease_last():
-    """Documents together are larger than a frame; a cut-off entry comes back.
-
-    One delta would break its link at each try. Its lease must not begin before it
-    has the last part, as until then it holds a document that was replaced.
-    """
+    """Documents together are larger than a frame; a cut-off entry comes back."""
     scene = Scene()
     services = ["raktar", "bolt", "posta"]
     for number, service in enumerate(services):
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -104,11 +104,7 @@
 async def test_leader_that_wakes_vouches_for_nothing(
     cluster: Cluster, vouches: Callable[[LogReplica], bool]
 ) -> None:
-    """A leader's process is frozen for seconds and goes on where it was.
-
-    Another may lead by now. Before it has heard its quorum again, it must neither
-    give leases nor take changes, whatever it finds waiting.
-    """
+    """A leader's process is frozen for seconds and goes on where it was."""
     leader = cluster.hosts[await cluster.find_leader()]
     assert vouches(leader.replica)
     leader.clock.frozen += 2 * PACE.election
@@ -291,10 +287,7 @@
 
 
 async def test_unattended_repair_then_a_second_host_is_lost(cluster: Cluster) -> None:
-    """A host dies for good; a spare takes its place; then another host dies.
-
-    Nothing that was accepted may be gone, and changes must go on.
-    """
+    """A host dies for good; a spare takes its place; then another host dies."""
     leader = await cluster.find_leader()
     await cluster.hosts[leader].replica.propose(b"before")
     await cluster.start(D)
@@ -314,12 +307,7 @@
 
 @pytest.mark.parametrize("taken", ["follower", "none"])
 async def test_interrupted_replacement_is_finished(taken: str) -> None:
-    """Nothing can be changed any more, for good, after a single loss.
-
-    A voter that was cut off for seconds was taken out to be replaced, and the
-    replacement ended there. Everything looked well until one of the two voters that
-    were left was lost.
-    """
+    """Nothing can be changed any more, for good, after a single loss."""
     names = [HostId(f"c{number}") for number in (1, 2, 3, 4)]
     pace = replace(PACE, readmit=True, voters=3)
     cluster = Cluster(names, tuple(names[:3]), pace)
--- a/tests/control/test_replicas.py
+++ b/tests/control/test_replicas.py
@@ -182,11 +182,7 @@
 
 
 async def test_leader_is_killed_while_operators_submit(trio):
-    """Operators submit without pause, and resend what they got no answer to.
-
-    The leader is killed in the middle, twice. Each change must be applied once, none
-    that was accepted may vanish, and an entry never sees an older revision again.
-    """
+    """Operators submit without pause, and resend what they got no answer to."""
     watcher = trio.follow()
     accepted: list[str] = []
     killed = 0
@@ -216,11 +212,7 @@
 
 
 async def test_all_restart_after_hundreds_of_changes(trio):
-    """All replicas lose power after more changes than a snapshot waits for.
-
-    Every change must be there again, and a resend of the very first submission must
-    still get its first answer.
-    """
+    """All replicas lose power after more changes than a snapshot waits for."""
     services = [f"service-{number}" for number in range(8)]
     count = 140
 
@@ -243,11 +235,7 @@
 
 
 async def test_frozen_leader_neither_accepts_nor_serves_old_state(trio):
-    """The leader is frozen; the others elect another one, which accepts a change.
-
-    Requests wait in the old leader's sockets. Thawed, it must not answer them from
-    its old state, nor accept a change on the old revision.
-    """
+    """The leader is frozen; the others elect another one, which accepts a change."""
     await trio.insist("s0", 0)
     old = await trio.find_leader()
     others = tuple(name for name in NAMES if name != old)
@@ -304,12 +292,7 @@
 
 
 async def test_claims_of_several_entries_while_the_leader_is_killed(trio):
-    """A caller retries an order through three entries at once; the leader dies.
-
-    Each entry asks at another replica and repeats its ask. Exactly one of them may
-    run the order, and all are told its outcome later. No entry that is linked to a
-    replica that lives ever stops acting on its documents.
-    """
+    """A caller retries an order through three entries at once; the leader dies."""
     leader = await trio.find_leader()
     agent, registrations = start_agent(trio, NAMES.index(leader))
     registration = await registrations.get()
@@ -380,10 +363,7 @@
 
 
 async def test_lost_disk_is_repaired_and_the_next_host_lost(trio):
-    """A host loses its disk and is replaced; right afterwards another host is lost.
-
-    Both replicas that are left hold all that was accepted, so nothing is missing.
-    """
+    """A host loses its disk and is replaced; right afterwards another host is lost."""
     accepted = [f"s{number}" for number in range(10)]
     for number, submission in enumerate(accepted):
         await trio.insist(submission, number)
@@ -409,11 +389,7 @@
 
 
 async def test_lost_host_is_repaired_unattended_and_the_next_one_lost(tmp_path):
-    """A control host burns down at night, and a second one in the morning.
-
-    A spare has taken the first one's place by then, without anybody's doing, and
-    holds all that was accepted. Without it the second loss would end the quorum.
-    """
+    """A control host burns down at night, and a second one in the morning."""
     trio = Trio(tmp_path, spares=("c4",), repair_after="2 s")
     try:
         for program in trio.programs.values():
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -52,10 +52,7 @@
 
 @pytest.mark.parametrize("losses", [[], [LOST], [UNKNOWN, LOST]])
 async def test_lost_answers_are_asked_for_again(losses):
-    """The leader dies right after it has committed a change.
-
-    The operator's replica proposes it again, and the change stands once.
-    """
+    """The leader dies right after it has committed a change."""
     log = Log()
     replica = LogReplica(log, list(losses))
     result = await propose_command(replica, SystemClock(), make_submission("s1", 0))
@@ -110,10 +107,7 @@
 
 
 async def test_links_of_replicas_stay_without_a_lease():
-    """A replica without a quorum sends its peers away, but not the other replicas.
-
-    Over their links the quorum is found again, and a new replica is taken in.
-    """
+    """A replica without a quorum sends its peers away, but not the other replicas."""
     state = ControlState()
     service = ControlService(C1, state, FakeReplica("c1"), None, None, SystemClock())
     links = [OpenLink(role, role.value) for role in Role]
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -17,11 +17,7 @@
 
 
 def test_two_operators_with_the_same_base():
-    """Two operators edit revision 1 and submit at nearly the same time.
-
-    One wins. The other must be told who won, when and with which submission,
-    instead of undoing the winner's change.
-    """
+    """Two operators edit revision 1 and submit at nearly the same time."""
     log = Log()
     log.apply(make_submission("s1", 0))
     won = log.apply(make_submission("s2", 1, "from anna", now=20.0))
@@ -33,11 +29,7 @@
 
 @pytest.mark.parametrize("restart", [False, True])
 def test_resend_long_after_others_changed_the_document(restart):
-    """An operator's answer is lost; hundreds of changes later the tool resends.
-
-    The change was applied once, so the answer must be the first one, and the
-    document must stay as the later operators left it.
-    """
+    """An operator's answer is lost; hundreds of changes later the tool resends."""
     log = Log()
     first = log.apply(make_submission("s1", 0, "first"))
     for base in range(1, 301):
@@ -51,10 +43,7 @@
 
 
 def test_refusal_is_kept_too():
-    """A submission on a revision to come is refused; its resend comes after it.
-
-    The operator was told that nothing was accepted, so nothing may be.
-    """
+    """A submission on a revision to come is refused; its resend comes after it."""
     log = Log()
     log.apply(make_submission("s1", 0))
     refused = log.apply(make_submission("s3", 2, "early"))
@@ -82,10 +71,7 @@
 
 
 def test_poisoned_entry_doesnt_stop_the_replica():
-    """A log entry can't be decoded, on every replica and after every restart.
-
-    Raising would stop the whole quorum for good.
-    """
+    """A log entry can't be decoded, on every replica and after every restart."""
     log = Log()
     for poison in (b"", b"\xff" * 9, b"\x80"):
         log.index += 1
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -85,10 +85,7 @@
 
 @given(queries.filter(lambda asked: isinstance(admit(asked), Refused)))
 def test_refused_callers_return_spread(asked):
-    """A thousand callers are refused within one second of saturation.
-
-    Told the same time, all would return together and be refused again.
-    """
+    """A thousand callers are refused within one second of saturation."""
     low = admit(query_with(asked, 0.0)).retry_after
     high = admit(query_with(asked, 0.99)).retry_after
     assert high > 1.9 * low
@@ -116,10 +113,7 @@
 
 @given(st.lists(st.booleans(), min_size=100, max_size=500))
 def test_retries_never_amplify(fails):
-    """Every target fails for a while, and every attempt would be repeated.
-
-    The budget lets retries be a tenth of first attempts and one burst besides.
-    """
+    """Every target fails for a while, and every attempt would be repeated."""
     budget = RetryBudget()
     retries = 0
     for failed in fails:
@@ -131,11 +125,7 @@
 
 
 def test_burst_of_short_requests_is_not_refused():
-    """A path to a stock service was silent for two seconds and is back.
-
-    All that was held up comes at once: three rounds, which the service answers in
-    less than a quarter of a second. Refusing them would send their callers away.
-    """
+    """A path to a stock service was silent for two seconds and is back."""
     query = AdmissionQuery(
         priority=5,
         deadline=10.0,
--- a/tests/decisions/test_agent_decisions.py
+++ b/tests/decisions/test_agent_decisions.py
@@ -162,11 +162,7 @@
     st.lists(st.integers(1, 9), min_size=200, max_size=200),
 )
 def test_no_request_starves(priority, weight, steps):
-    """One request waits while newer ones of higher classes keep coming.
-
-    Each second one arrives and one runs. Without ageing the lowest class would wait
-    for as long as higher ones come.
-    """
+    """One request waits while newer ones of higher classes keep coming."""
     others = [min(9, priority + step) for step in steps]
     lone = item("lone", priority=priority, arrived=0.0, adapter=3)
     queue = [lone]
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -67,10 +67,7 @@
 
 
 def test_gateways_that_know_nothing_of_each_other_choose_the_same_engine():
-    """An adapter is loaded on two engines where one would do.
-
-    Two gateways get a request for it at the same time, and neither knows of the other.
-    """
+    """An adapter is loaded on two engines where one would do."""
     candidates = [make(f"e{n}", adapter=AdapterPlace()) for n in range(9)]
     for number in range(50):
         need = Need(HERE, WeightKey(ModelName("m"), f"a{number}"), run_time=1.4)
@@ -119,12 +116,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_thousands_of_adapters_are_fetched_little_more_than_once(seed):
-    """The store is asked for all it can give, and callers wait a second for a load.
-
-    Few adapters have most requests, and slots are few. Each engine that is a moment
-    less busy than the one that has the adapter fetches a copy of its own: 1.3 copies of
-    each adapter, where 1.04 do.
-    """
+    """The store is asked for all it can give, and callers wait a second for a load."""
     rng = random.Random(seed)
     names, weights = range(3000), [(n + 1) ** -1.2 for n in range(3000)]
     slots: dict[str, list[str]] = {f"e{n}": [] for n in range(9)}
@@ -197,12 +189,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_an_engine_that_comes_back_gets_no_more_than_it_loads_in_time(seed):
-    """Callers wait over a second although eight engines could serve them at once.
-
-    An engine has crashed and holds no model yet, so it is idle. Everybody chooses it,
-    and the loads that wait there count for nothing until the model is in place: the
-    longest wait was 1.0 s, and is 0.5 s where they count.
-    """
+    """Callers wait over a second although eight engines could serve them at once."""
     assert play_return(seed) < 0.8
 
 
@@ -217,11 +204,7 @@
     ],
 )
 def test_a_busy_engine_that_holds_the_adapter_is_asked_first(busy, backlog, expected):
-    """Every adapter is brought to two engines, and evicts another one at each.
-
-    Answers last over a second, and the holder runs some of them; it would still begin
-    this one at once.
-    """
+    """Every adapter is brought to two engines, and evicts another one at each."""
     holder = make(
         "holder",
         busy,
--- a/tests/decisions/test_health.py
+++ b/tests/decisions/test_health.py
@@ -59,11 +59,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
 def test_few_requests_are_lost_to_targets_that_fail(seed):
-    """A part of all requests fails for as long as a fault of some engines lasts.
-
-    Each gateway sees an eighth of the answers, so it learns of the fault late; told of
-    all answers, it avoids those engines after two or three failures.
-    """
+    """A part of all requests fails for as long as a fault of some engines lasts."""
     blind = play(seed, weighed=False, shared=False)
     alone = play(seed, weighed=True, shared=False)
     told = play(seed, weighed=True, shared=True)
--- a/tests/decisions/test_leaving.py
+++ b/tests/decisions/test_leaving.py
@@ -14,10 +14,7 @@
 
 
 def test_answers_that_end_early_do_not_hide_the_pace():
-    """An answer that uses all its tokens is cut, though short ones made it seem quick.
-
-    Nine answers of ten end at a third of their allowed tokens.
-    """
+    """A long answer is cut by a planned stop, as short ones made it seem quick."""
     pace = AnswerPace()
     for number in range(200):
         pace.note(7.0 if number % 10 == 0 else 2.3, 500)
@@ -25,11 +22,7 @@
 
 
 def test_a_long_answer_that_begins_late_is_not_taken():
-    """A mender's plan breaks off in the middle while a host is updated.
-
-    It was asked for 1.2 s after the order to stop, and ran 6.3 s of the 6.5 s that its
-    161 events needed. The caller may not repeat it.
-    """
+    """A mender's plan breaks off in the middle while a host is updated."""
     pace = AnswerPace()
     for _ in range(200):
         pace.note(9.1, 483)
@@ -42,10 +35,7 @@
     [(0.0066, 4, True), (0.0066, 3, False), (0.02, 4, False)],
 )
 def test_quick_engines_are_known_after_a_few_answers(pace, answers, taken):
-    """A planned stop turns callers away whose answers would end in time.
-
-    The host has served for some seconds; its first guess is that of slow engines.
-    """
+    """A planned stop turns callers away whose answers would end in time."""
     known = AnswerPace()
     for _ in range(answers):
         known.note(pace * 300, 300)
--- a/tests/decisions/test_loadpace.py
+++ b/tests/decisions/test_loadpace.py
@@ -166,12 +166,7 @@
 
 
 def test_more_callers_are_in_time_when_all_engines_load():
-    """All engines restart empty, and callers have come for most of a second.
-
-    With three loads at each engine 27 share a store that brings 16 at full speed. Each
-    takes nearly twice as long, and what was urgent comes as late as the rest. Three
-    whatever the store does: 62 in 100 callers in time, and 74 by what is learned.
-    """
+    """All engines restart empty, and callers have come for most of a second."""
     fixed, learned = _play(_FixedPace, 0.8, 3.0), _play(LoadPace, 0.8, 3.0)
     assert learned > fixed + 0.05
 
--- a/tests/decisions/test_modelwait.py
+++ b/tests/decisions/test_modelwait.py
@@ -59,11 +59,7 @@
 
 
 def test_nobody_waits_at_a_new_engine_that_fetches_its_model():
-    """Callers wait at an empty engine that has been added, and are refused in the end.
-
-    It loads its model from the store, 5.4 s and longer while others load; it looks
-    idle, and by the time of a load from a disk it seemed to be there any moment.
-    """
+    """Callers wait at an empty engine that was added, and are refused in the end."""
     spec = make_spec(5.4, 2.2)
     for spent in (0.1, 2.3, 5.0, 9.0):
         wait = expect_model(spec, Source.STORE, 10.0, 10.0 + spent)
@@ -80,10 +76,7 @@
 
 
 def test_after_a_loss_of_power_the_engine_that_is_back_first_is_chosen():
-    """Callers are refused although an engine would take them in half a second.
-
-    One engine loads its model already, another isn't reached by its steward.
-    """
+    """Callers are refused although an engine would take them in half a second."""
     spec = make_spec(0.6, 0.5)
     waits = {"loads": expect_model(spec, Source.DISK, 1.0, 1.2), "lost": LOST_WAIT}
     candidates = [
--- a/tests/decisions/test_patience.py
+++ b/tests/decisions/test_patience.py
@@ -43,11 +43,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_orders_left_unanswered_hold_the_others_up_little(seed):
-    """Callers wait a second for adapters that take a quarter of one.
-
-    An engine leaves a third of its orders unanswered. Each was waited for 0.15 s before
-    it was given again, and all others stood behind it.
-    """
+    """Callers wait a second for adapters that take a quarter of one."""
     rng, patience, silences = random.Random(seed), OrderPatience(), []
     for _ in range(200):
         if rng.random() < 1 / 3:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -76,11 +76,7 @@
 
 @pytest.mark.parametrize("adapter", [3, 77, 4099])
 def test_entry_hosts_agree_on_a_new_holder(adapter):
-    """A rare adapter is asked for at three entry hosts at once.
-
-    Each would load it to the target that it believes idle, and the store would spend
-    three loads on it; the hash makes them choose alike without a word.
-    """
+    """A rare adapter is asked for at three entry hosts at once."""
     targets = [view(f"t{number}", coldest=1.0) for number in range(9)]
     hosts = [random.Random(seed) for seed in range(20)]
     chosen = {
@@ -127,11 +123,7 @@
 
 
 def test_burst_between_two_reports_spreads():
-    """Forty requests without an adapter arrive between two load reports.
-
-    All targets looked idle in the last report, so that one of them would get all
-    forty, and its callers wait while the others idle.
-    """
+    """Forty requests without an adapter arrive between two load reports."""
     entry = EntryView()
     for name in "abcd":
         entry.add(TargetId(name), DOMAIN)
@@ -167,11 +159,7 @@
 
 
 def test_all_copies_of_a_hot_adapter_serve():
-    """An adapter is on twenty of forty targets.
-
-    If every request were shown the same few holders, those would queue while the
-    other copies idle.
-    """
+    """An adapter is on twenty of forty targets."""
     entry = EntryView()
     for number in range(40):
         entry.add(TargetId(f"t{number}"), DOMAIN)
--- a/tests/decisions/test_readspeed.py
+++ b/tests/decisions/test_readspeed.py
@@ -33,10 +33,7 @@
 
 @pytest.mark.parametrize("rate", [4_000, 10_000, 20_400, 38_100, 100_000])
 def test_the_estimate_is_closer_than_any_one_figure_for_all_engines(rate):
-    """Prompts wait for turns that an idle engine could give, or answers pause.
-
-    The figure of one customer's engines is wrong by its whole ratio for another's.
-    """
+    """Prompts wait for turns that an idle engine could give, or answers pause."""
     found = [play(random.Random(n), rate, 64).rate for n in range(20)]
     assert 0.8 * rate < statistics.median(found) < 1.25 * rate
 
--- a/tests/decisions/test_residents.py
+++ b/tests/decisions/test_residents.py
@@ -89,11 +89,7 @@
 
 
 def test_an_adapter_in_use_never_leaves():
-    """All requests of an engine wait for seconds behind one adapter's change.
-
-    The adapter that is ordered to leave still serves a long answer; the engine waits
-    for it and takes no other order meanwhile.
-    """
+    """All requests of an engine wait for seconds behind one adapter's change."""
     pinned = frozenset({key("a"), key("b"), key("c")})
     weights = EngineWeights(hold("a", "b", "c"), pinned=pinned)
     assert isinstance(choose(weights, (Wish(key("d"), 0),)), Idle)
--- a/tests/decisions/test_turns.py
+++ b/tests/decisions/test_turns.py
@@ -87,12 +87,7 @@
 @pytest.mark.parametrize("speed", [1.0, 1.3])
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_answers_under_way_pause_less_and_prompts_still_begin_in_time(seed, speed):
-    """Streams stop for a third of a second, over and over, on an engine half idle.
-
-    Prompts come in clumps. The engine reads them in whole chunks, one a step, and an
-    event of every running stream needs three steps. With turns hardly a stream has a
-    late event, and the wait for the turn stays below the time to the first event.
-    """
+    """Streams stop for a third of a second, over and over, on an engine half idle."""
     rng = random.Random(seed)
     arrivals, at = [], 0.0
     while at < 90.0:
@@ -109,11 +104,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_engines_that_never_pause_are_given_more(seed):
-    """First events are late, as prompts wait for turns at engines that bear them all.
-
-    The engine reads short pieces, and its events span seven steps: even with every
-    piece full no answer pauses for longer than callers accept.
-    """
+    """First events are late, as prompts wait for turns that engines could give."""
     rng = random.Random(seed)
     arrivals, at = [], 0.0
     while at < 60.0:
--- a/tests/entry/test_protection.py
+++ b/tests/entry/test_protection.py
@@ -76,11 +76,7 @@
     ],
 )
 def test_disguised_path_keeps_its_protection(path):
-    """A stock issue goes out twice, although the document protects /issues.
-
-    A caller writes the path in another way that the service takes for the same. No
-    route knows it, so it counts as idempotent, and after a lost link it is repeated.
-    """
+    """A stock issue goes out twice, although the document protects /issues."""
     assert resolve_call(OPEN, "POST", path).request_class.name == "issue"
 
 
--- a/tests/entry/test_unconfirmed.py
+++ b/tests/entry/test_unconfirmed.py
@@ -45,11 +45,7 @@
     ],
 )
 def test_unconfirmed_documents_refuse_nothing_for_good(service, headers, error):
-    """A caller is told that its service doesn't exist, and gives up.
-
-    The entry host has just started, or is cut off from control, and holds no or old
-    documents. The others behind the balancer would have served the call.
-    """
+    """A caller is told that its service doesn't exist, and gives up."""
     with pytest.raises(error):
         resolve_call(service, headers, current=True)
     with pytest.raises(Unavailable) as caught:
--- a/tests/gateway/test_book.py
+++ b/tests/gateway/test_book.py
@@ -41,10 +41,7 @@
 
 @pytest.mark.parametrize("age", [0.1, 5.0, 600.0])
 def test_a_report_that_has_nothing_new_to_tell_still_counts(age):
-    """The first callers after a quiet time are refused, as if no engine was there.
-
-    Nothing had changed at the engines for minutes, so their stewards had told nothing.
-    """
+    """The first callers after a quiet time are refused, as if no engine was there."""
     book = TargetBook()
     book.take_report(make_report(), 0.0)
     assert describe(book, age).adapter.resident
@@ -107,10 +104,7 @@
 def test_an_engine_without_the_model_is_no_place_for_its_adapters(
     key, holdings, serving
 ):
-    """Requests wait at engines that have just started, as these are idle.
-
-    An engine is back after a crash and holds nothing. Its steward has told so.
-    """
+    """Requests wait at engines that have just started, as these are idle."""
     book, report = TargetBook(), make_report()
     book.take_report(
         report if holdings is None else msgspec.structs.replace(report, holdings=()),
@@ -141,10 +135,7 @@
 
 
 def test_an_adapter_that_is_waited_for_is_not_asked_for_elsewhere():
-    """Eight engines fetch one adapter, each for another gateway.
-
-    All adapters are asked for at once after an outage, and none is on its way yet.
-    """
+    """Eight engines fetch one adapter, each for another gateway."""
     book, other = TargetBook(), WeightKey(MODEL, "b")
     book.take_report(make_report(wished=(other,)), 0.0)
     assert describe(book, 0.1, other).adapter.wished
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -95,11 +95,7 @@
 
 
 async def test_bytes_that_nobody_asked_for_end_a_kept_connection():
-    """A caller gets the answer to somebody else's request.
-
-    A target sends a second answer late, while its connection lies unused. The next
-    request on that connection would take it for its own.
-    """
+    """A caller gets the answer to somebody else's request."""
     async with RawTarget(WHOLE, then="keep") as endpoint:
         connection = await TargetConnection.open(endpoint)
         await exchange(connection)
@@ -132,12 +128,7 @@
 
 
 async def test_a_target_sees_that_nobody_waits_for_a_request_any_more():
-    """A target runs requests seconds after their callers have left.
-
-    Its host stands still with a request in its buffers; the caller leaves, and its
-    connection is closed; then the host goes on and reads what it finds. A connection
-    that was closed in order looks like that of a caller who waits for an answer.
-    """
+    """A target runs requests seconds after their callers have left."""
     listener = socket.create_server(("127.0.0.1", 0))
     connection = await TargetConnection.open(Endpoint(*listener.getsockname()))
     asking = asyncio.create_task(exchange(connection))
--- a/tests/gateway/test_events.py
+++ b/tests/gateway/test_events.py
@@ -42,10 +42,7 @@
 
 
 def test_a_broken_event_is_not_passed_on():
-    """A caller sees an event twice, the first time in half.
-
-    A target breaks off in the middle of event 2, and another goes on behind event 1.
-    """
+    """A caller sees an event twice, the first time in half."""
     cutter = EventCutter()
     assert cutter.feed(b"id: 1\ndata: a\n\nid: 2\ndata:") == b"id: 1\ndata: a\n\n"
     other = EventCutter(cutter.last)
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -230,11 +230,7 @@
     ],
 )
 async def test_what_a_caller_hears(kind, behaviours, attempts, status, arrivals):
-    """An order is committed twice, or said not to have run although it had.
-
-    What may run once goes on only after a refusal; whatever may have run is never told
-    as not run, also when a later target refuses.
-    """
+    """An order is committed twice, or said not to have run although it had."""
     async with Setting(kind, *behaviours, attempts=attempts) as setting:
         assert (await setting.ask())[0] == status
         assert len(setting.arrivals) == arrivals
@@ -242,10 +238,7 @@
 
 @pytest.mark.parametrize("breaking", [stream_half, stream_then_stall])
 async def test_a_resumable_stream_goes_on_elsewhere_without_a_seam(breaking):
-    """A plan shows an event in half and then again, or stops in the middle.
-
-    The first target breaks off, or falls silent, in the middle of event 3.
-    """
+    """A plan shows an event in half and then again, or stops in the middle."""
     changes = {"resumable": True, "attempts": 2, "timeout": 9.0}
     async with Setting(STREAM, breaking, stream_well, **changes) as setting:
         answer = await setting.ask(**{"deadline-ms": "8000"})
@@ -274,9 +267,7 @@
 
 
 async def test_without_routes_nothing_is_denied():
-    """Callers are told for good that a service doesn't exist, by a host that has just
-    been started and knows no routes yet.
-    """
+    """A host that has just started tells callers that their service doesn't exist."""
     async with Setting(SAFE, answer_well) as setting:
         setting.feed.routes = None
         assert (await setting.ask())[0] == 503
@@ -311,11 +302,7 @@
 
 @pytest.mark.parametrize("lacking", ["routes", "targets"])
 async def test_a_gateway_that_is_learning_keeps_its_first_callers(lacking):
-    """After a start of all programs callers are refused who come a moment too early.
-
-    The gateway learns routes and targets a tenth of a second after it has begun to
-    listen. A caller that is refused comes back later, and may try only once more.
-    """
+    """After a start of all programs callers are refused who come a moment too early."""
     async with Setting(SAFE, answer_well, objective=1.0) as setting:
         feed = setting.feed
         routes, targets = feed.routes, list(feed.view)
@@ -334,10 +321,7 @@
 
 
 async def test_who_leaves_while_routes_are_learned_is_not_sent_on():
-    """A request reaches a target half a second after its caller has left.
-
-    The caller came while the gateway was still learning routes, and didn't stay.
-    """
+    """A request reaches a target half a second after its caller has left."""
     async with Setting(SAFE, answer_well) as setting:
         feed = setting.feed
         routes, feed.routes = feed.routes, None
@@ -364,10 +348,7 @@
 
 @pytest.mark.parametrize(("behaviour", "failed"), [(answer_well, False), (fail, True)])
 async def test_a_failure_that_is_passed_on_counts_against_its_target(behaviour, failed):
-    """A target that answers errors at once looks idle, and gets most requests.
-
-    Its error goes to the caller unchanged, as the request may run only once.
-    """
+    """A target that answers errors at once looks idle, and gets most requests."""
     async with Setting(ONCE, behaviour) as setting:
         await setting.ask()
         target = next(iter(setting.feed.view))
@@ -406,12 +387,7 @@
 
 @pytest.mark.parametrize("alive", [False, True])
 async def test_a_host_that_stands_still_gets_no_prompts(alive):
-    """Callers wait for an engine until they leave, though another one is idle.
-
-    The host of an engine and its steward stands still. The engine holds the adapter, so
-    prompts for it went there without the steward's word. One that brings events is sent
-    to all the same.
-    """
+    """Callers wait for an engine until they leave, though another one is idle."""
     async with Setting(STREAM, stream_well, stream_well) as setting:
         still, other = list(setting.feed.view)
         for target, adapters in ((still, (AdapterRef("a1", 1),)), (other, ())):
@@ -430,11 +406,7 @@
 
 
 async def test_who_finds_only_a_host_that_stands_still_is_refused_at_once():
-    """A caller waits for an engine on a host that stands still until he leaves.
-
-    It is the only one, and holds the adapter. Nothing was sent there, so he is told
-    that his request wasn't run.
-    """
+    """A caller waits for an engine on a host that stands still until he leaves."""
     async with Setting(STREAM, stream_well, timeout=9.0) as setting:
         still = next(iter(setting.feed.view))
         holdings = (Holding(ModelName("m"), 1, (AdapterRef("a1", 1),)),)
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -37,10 +37,7 @@
 
 
 async def test_all_kept_connections_stay_in_use():
-    """Targets are dialled anew at each clump of requests.
-
-    Three connections are kept, and requests come one at a time.
-    """
+    """Targets are dialled anew at each clump of requests."""
     clock = ManualClock()
     pool = ConnectionPool(clock)
     kept = [FakeConnection() for _ in range(3)]
--- a/tests/gateway/test_stewards.py
+++ b/tests/gateway/test_stewards.py
@@ -106,11 +106,7 @@
     ],
 )
 async def test_the_end_of_a_wait(answers, expected, reached):
-    """Requests wait seconds for a steward whose host stands still.
-
-    A steward says at once that it has heard. One that doesn't is passed over for a
-    while, so that its engine, which is well, goes on being used.
-    """
+    """Requests wait seconds for a steward whose host stands still."""
     async with Setting(answers) as setting:
         assert await setting.ask() is expected
         assert setting.links.reaches(ADDRESS) is reached
--- a/tests/onplatform/test_path.py
+++ b/tests/onplatform/test_path.py
@@ -67,10 +67,7 @@
 
 
 async def test_what_may_run_once_is_not_sent_again(world):
-    """A material issue is recorded twice.
-
-    The target runs it, and its connection is reset before the answer is out.
-    """
+    """A material issue is recorded twice."""
     for target in world.plain:
         target.losing = True
     answers = await asyncio.gather(*(world.ask("issue") for _ in range(5)))
@@ -125,12 +122,7 @@
 
 
 async def test_a_registry_that_lost_its_disk_votes_again(world):
-    """Two disks are lost in turn, and all that was accepted is still read back.
-
-    Every change is refused for good once two of three voters are lost. The second disk
-    goes as soon as a new voter stands in for the first one, and no sooner: a host that
-    is slow to start its registry would make it two losses at once.
-    """
+    """Two disks are lost in turn, and all that was accepted is still read back."""
     for lost, address in enumerate(world.edges[:2], 1):
         program = world.programs["registry", address]
         program.kill()
--- a/tests/onplatform/test_return.py
+++ b/tests/onplatform/test_return.py
@@ -34,11 +34,7 @@
 
 @pytest.mark.parametrize("engines_too", [False, True], ids=["killed", "without-power"])
 async def test_service_returns_with_all_that_was_accepted(world, engines_too):
-    """Callers are refused for minutes, or served by routes that were given up.
-
-    All programs end at the same moment, with the engines or without them, right after a
-    change was acknowledged. They come back in any order, on the disks that they had.
-    """
+    """Callers are refused for minutes, or served by routes that were given up."""
     assert await world.operate("/api/config/put", world.make_config(2)) == 200
     for program in world.programs.values():
         program.kill()
--- a/tests/operator/test_client.py
+++ b/tests/operator/test_client.py
@@ -25,10 +25,7 @@
 
 
 async def test_silent_server_is_passed_over():
-    """An open connection goes silent for good while new ones work.
-
-    The operator's command would hang on it without an end of its own.
-    """
+    """An open connection goes silent for good while new ones work."""
     servers = [WebServer(stay_silent), WebServer(answer)]
     endpoints = tuple([await server.start(LOOPBACK) for server in servers])
     client = HttpClient(endpoints, SystemClock(), answer_timeout=0.1)
@@ -65,10 +62,7 @@
 
 
 async def test_submission_id_is_shown_before_anything_is_sent():
-    """The command is killed while it sends, and the operator needs the id.
-
-    An id that is shown with the answer only would be lost with it.
-    """
+    """The command is killed while it sends, and the operator needs the id."""
     client = RecordingClient()
     document = type("Document", (), {"service": "s", "team": "t"})()
     change = Submission(document, "text", 0, "id-1")
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -164,11 +164,7 @@
 
 
 async def test_lost_answer_is_sent_again_as_the_same_submission(stage):
-    """An operator's answer is lost and the command asks the next replica.
-
-    The first replica applies the change and its connection breaks. Sent under a new
-    id the change would be refused as stale, or made twice; so the id stays.
-    """
+    """An operator's answer is lost and the command asks the next replica."""
     first = await stage.add({"/v1/documents/raktar": LOST})
     second = await stage.add({"/v1/documents/raktar": ACCEPTED})
     result = await stage.submit("--no-wait")
@@ -178,11 +174,7 @@
 
 
 async def test_refusal_after_a_lost_answer_is_no_proof(stage):
-    """A change that takes the operator's own key away seems to be refused.
-
-    It is accepted and the answer is lost. The resend is refused, as the key is gone.
-    Told "refused", the operator would make the change anew over the accepted one.
-    """
+    """A change that takes the operator's own key away seems to be refused."""
     await stage.add({"/v1/documents/raktar": LOST})
     await stage.add({"/v1/documents/raktar": Forbidden("unknown key", "use another")})
     result = await stage.submit()
@@ -293,10 +285,7 @@
 
 
 async def test_replacement_is_not_sent_twice(stage):
-    """A replica is replaced, the answer is lost, and the resend replaces another.
-
-    The command must not ask the next replica by itself, as it does elsewhere.
-    """
+    """A replica is replaced, the answer is lost, and the resend replaces another."""
     await stage.add({"/v1/replicas/replace": LOST})
     second = await stage.add({"/v1/replicas/replace": {"replica": "c5"}})
     result = await stage.run("replace", "c1", "--host", "h4")
--- a/tests/processes/test_outcomes.py
+++ b/tests/processes/test_outcomes.py
@@ -50,11 +50,7 @@
     ids=["chat", "stream", "idempotent", "non-idempotent"],
 )
 async def test_run_that_a_dead_target_began_is_unknown(start_fleet, kind, path):
-    """The only target dies in the middle of a call and stays dead.
-
-    A second attempt finds no target, and that attempt was not run; but the first one
-    began. A caller who is told "not run" would send a stock issue again.
-    """
+    """The only target dies in the middle of a call and stays dead."""
     fleet = await start_fleet(engines=1, entries=1, delay=3.0)
     targets = fleet.plains if kind is CallKind.PLAIN else fleet.engines
     call = plan_call(kind, path)
@@ -76,11 +72,7 @@
 
 
 async def test_issue_survives_its_entry_host(start_fleet):
-    """An entry host dies while an issue runs; the caller resends through another.
-
-    The mender's twine must be issued once, and the resend must get the answer of the
-    run that the first sending began, not a second run and not "unknown".
-    """
+    """An entry host dies while an issue runs; the caller resends through another."""
     fleet = await start_fleet(engines=1, delay=2.0)
     call = plan_call(CallKind.PLAIN)
     first = asyncio.create_task(call_through(fleet, 0, call))
@@ -93,11 +85,7 @@
 
 
 async def test_issue_of_a_dead_service_is_never_run_again(start_fleet):
-    """A service dies in an issue and comes back; the caller sends the key again.
-
-    Nobody knows whether the twine was handed out, so no resend may run it again,
-    through whichever entry host.
-    """
+    """A service dies in an issue and comes back; the caller sends the key again."""
     fleet = await start_fleet(engines=1, delay=2.0)
     call = plan_call(CallKind.PLAIN)
     first = asyncio.create_task(call_through(fleet, 0, call))
@@ -112,11 +100,7 @@
 
 
 async def test_false_loads_never_answer(start_fleet):
-    """One slot for four adapters, and every other load is answered as done and isn't.
-
-    The engine serves an adapter that isn't there by its base model, under the
-    adapter's name. A mender would get a plan that no adapter had a part in.
-    """
+    """A load is answered as done and isn't, and another model's answer passes."""
     options = ("--ignores-unknown-adapter", "--false-load", "0.5")
     fleet = await start_fleet(engines=1, slots=1, engine_options=options)
     mix = Mix("mester", ADAPTERS, 40, rate=8.0, zipf=0.0, max_tokens=60)
@@ -129,11 +113,7 @@
 
 
 async def test_engine_restarts_behind_a_frozen_agent(start_fleet):
-    """An engine comes back empty while its agent is frozen with requests before it.
-
-    On waking the agent believes the adapter resident. Its first requests would be
-    served by the base model under the adapter's name.
-    """
+    """An engine comes back empty while its agent is frozen with requests before it."""
     fleet = await start_fleet(engines=1, entries=1)
     caller = fleet.make_caller()
     first, *others = plan_calls(
@@ -155,11 +135,7 @@
 
 
 async def test_adapter_outlives_its_agent(start_fleet):
-    """An agent dies during streams; its successor is asked for other adapters.
-
-    The engine has one slot. A successor that takes it for free would evict an adapter
-    that the engine still serves, and a stream would end early.
-    """
+    """An agent dies during streams; its successor is asked for other adapters."""
     fleet = await start_fleet(engines=1, slots=1, entries=1)
     stream = plan_call(CallKind.STREAM, tokens=600)
     caller = fleet.make_caller()
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -36,11 +36,7 @@
 
 
 async def test_calls_without_faults_are_all_whole(start_fleet):
-    """Four adapters share two slots an engine, so adapters come and go all the time.
-
-    A caller would see another adapter's words, or half an answer, if an eviction hit
-    an adapter at work or if answers were mixed on the links.
-    """
+    """Four adapters share two slots an engine, so adapters come and go all the time."""
     fleet = await start_fleet()
     results = await run_under_load(fleet, lambda: asyncio.sleep(0))
     check_promises(fleet, results).keep(Verdict.WHOLE)
@@ -49,12 +45,7 @@
 @pytest.mark.parametrize("victim", CHOOSE)
 @pytest.mark.parametrize("strike", [kill, freeze])
 async def test_strike_breaks_no_promise(start_fleet, victim, strike):
-    """A program dies and comes back, or freezes and goes on, under load.
-
-    Callers may see refusals, cut answers and unknown outcomes meanwhile. They must
-    never see a wrong or mixed answer, a "not run" that ran, or a second run of what
-    may run once, even when they resend under the same key. Afterwards all is whole.
-    """
+    """A program dies and comes back, or freezes and goes on, under load."""
     fleet = await start_fleet()
     program = CHOOSE[victim](fleet)
     results = await run_under_load(fleet, lambda: strike(program))
@@ -64,11 +55,7 @@
 
 @pytest.mark.parametrize("victim", ["entry", "agent", "plain agent", "control"])
 async def test_planned_stop_cuts_nothing(start_fleet, victim):
-    """A program is asked to stop while it carries streams and plain calls.
-
-    A caller would see a stream end early. The program must refuse new work, let what
-    runs end, and exit with status 0.
-    """
+    """A program is asked to stop while it carries streams and plain calls."""
     fleet = await start_fleet()
     program = CHOOSE[victim](fleet)
     statuses = []
--- a/tests/processes/test_silence.py
+++ b/tests/processes/test_silence.py
@@ -21,11 +21,7 @@
 
 @pytest.mark.parametrize("hop", ALLOWED)
 async def test_silent_connections_break_no_promise(start_fleet, hop):
-    """A middlebox loses track of all open connections of one path, under load.
-
-    Nothing is closed and nothing arrives any more; new connections work. Callers
-    would wait for ever, or see a half answer, if a program trusted the old ones.
-    """
+    """A middlebox loses track of all open connections of one path, under load."""
     fleet = await start_fleet(relayed=frozenset({hop}))
 
     async def silence() -> None:
--- a/tests/processes/test_submissions.py
+++ b/tests/processes/test_submissions.py
@@ -17,11 +17,7 @@
 
 
 async def test_change_survives_every_control_replica(start_fleet):
-    """All control replicas die right after a change was accepted.
-
-    An operator whose answer was lost sends the same submission again. It must get the
-    answer of the first sending, and nobody may see the document go back.
-    """
+    """All control replicas die right after a change was accepted."""
     fleet = await start_fleet(engines=1, entries=1)
     accepted = await fleet.submit("mester.ini", base=1, extra="; changed\n")
     for control in fleet.controls:
@@ -35,11 +31,7 @@
 
 
 async def test_one_of_two_racing_operators_is_refused(start_fleet):
-    """Two operators edit the same revision and submit at the same moment.
-
-    Both changes may be good, but the second would undo the first unseen; its operator
-    must be told.
-    """
+    """Two operators edit the same revision and submit at the same moment."""
     fleet = await start_fleet(engines=1, entries=1)
     text = (await fleet.operate("GET", "/v1/documents/mester")).value["text"]
 
@@ -54,11 +46,7 @@
 
 
 async def test_changes_of_the_same_moment_are_all_accepted(start_fleet):
-    """Many teams submit new services at once, and the disk has room for all.
-
-    An operator would be told that the disk is full when a change came in while an
-    earlier one of the same moment was still being written.
-    """
+    """Many teams submit new services at once, and the disk has room for all."""
     fleet = await start_fleet(engines=1, entries=1)
 
     async def submit(number: int) -> Reply:
--- a/tests/proofs/test_promises.py
+++ b/tests/proofs/test_promises.py
@@ -205,21 +205,13 @@
 
 
 def test_two_callers_under_one_key_are_both_answered():
-    """A caller loses patience and resends under its key, through the same entry host.
-
-    Both follow one attempt over one link. The second took the first one's place in
-    the list of open attempts, and the first was never answered.
-    """
+    """Of two callers that resend under one key through one host, one gets no answer."""
     calls = [("plain", 0, "k1"), ("plain", 0, "k1"), ("plain", 1, "k1")]
     assert list_outcomes(*calls) == [Outcome.COMPLETED] * 3
 
 
 def test_request_that_ran_once_is_never_told_as_not_run():
-    """An engine dies under a request, and no other target can take the next attempt.
-
-    The last attempt is proved not to have run. The first one had begun, so "not
-    run" would be untrue of the request.
-    """
+    """An engine dies under a request, and no other target can take the next attempt."""
     steps = [
         ("cut", 0, 1),
         ("wait", 4.0),
@@ -233,33 +225,21 @@
 
 
 def test_request_that_waited_until_its_deadline_is_told_as_not_run():
-    """No load permit comes, as the agents are cut off from control.
-
-    The request waits at an agent until its deadline. It never ran, and its caller
-    must hear so rather than "unknown".
-    """
+    """No load permit comes, as the agents are cut off from control."""
     steps = [("cut_control", 2), ("cut_control", 3), ("model", 0, "tisza", "1", False)]
     steps += [("wait", 4.0)] * 6
     assert list_outcomes(*steps) == [Outcome.NOT_RUN]
 
 
 def test_stream_outlives_its_link():
-    """A middlebox loses track of an entry's connections in the middle of a stream.
-
-    New connections work. The answer must come whole over the next link, each token
-    once and in order, though frames were lost on the first.
-    """
+    """A middlebox loses track of an entry's connections in the middle of a stream."""
     steps = [("model", 0, "tisza", "1", True), *[("wait", 0.2)] * 2]
     steps += [("silence", 0, 0), ("silence", 0, 1), ("wait", 4.0)]
     assert list_outcomes(*steps) == [Outcome.COMPLETED]
 
 
 def test_new_agent_doesnt_vouch_for_the_one_before():
-    """An agent is killed while its engine runs a request, and both come back empty.
-
-    The entry host asks the new agent, which has never heard of the request. Its
-    ignorance is no proof: the target's ledger shows that the request had begun.
-    """
+    """An agent is killed while its engine runs a request, and both come back empty."""
     steps = [
         ("cut", 0, 1),
         ("wait", 4.0),
@@ -274,11 +254,7 @@
 
 
 def test_issue_isnt_doubled_by_an_agents_restart():
-    """An agent dies while its target runs a stock issue, and is back at once.
-
-    The new agent has never seen the request. Taking that for "not run" would let the
-    caller's next try issue the twine twice.
-    """
+    """An agent dies while its target runs a stock issue, and is back at once."""
     call = ("plain", 0, "k1")
     steps = [call, ("wait", 0.02)]
     steps += [("wait", 0.02)] * 4
@@ -288,10 +264,7 @@
 
 
 def test_host_that_has_just_started_denies_nothing():
-    """An entry host restarts and is asked before it has heard from control.
-
-    It holds no document yet; "unknown service" would send its caller away for good.
-    """
+    """An entry host restarts and is asked before it has heard from control."""
 
     async def ask_at_once() -> int:
         world = World()
@@ -330,22 +303,14 @@
 
 @pytest.mark.parametrize("action", ["drain", "stop_agent"])
 def test_leaving_target_gets_no_new_work_and_cuts_nothing(action):
-    """A target is drained, or its agent asked to stop, in the middle of streams.
-
-    Every call must be answered whole: those that run are finished, those that come
-    go elsewhere. After a few seconds the target's ledger must show nothing new.
-    """
+    """A target is drained, or its agent asked to stop, in the middle of streams."""
     world = run_virtual(lambda: _leave(action))
     check_world(world)
     assert {call.outcome for call in world.calls} == {Outcome.COMPLETED}
 
 
 def test_change_reaches_every_host_and_holds():
-    """A document is accepted while one entry host is cut off from control.
-
-    Calls through that host must not be served by the old document once the change is
-    in force: the agents refuse it and hand the new one over.
-    """
+    """A document is accepted while one entry host is cut off from control."""
 
     async def change() -> tuple[list[str], int]:
         world = World()
@@ -364,11 +329,7 @@
 
 
 def test_request_that_becomes_protected_is_not_run_without_a_claim():
-    """A team makes its plans run-once while an entry host is cut off from control.
-
-    That host still takes a plan for one that may be repeated. The agent refuses its
-    revision and hands over the new document; the host must not go on without a claim.
-    """
+    """A team makes its plans run-once while an entry host is cut off from control."""
 
     async def call_late() -> tuple[World, Call]:
         world = World()
--- a/tests/registry/test_founders.py
+++ b/tests/registry/test_founders.py
@@ -53,10 +53,7 @@
     known=st.lists(st.sets(st.integers(4, 9)), min_size=2, max_size=4),
 )
 def test_two_hosts_never_both_found(disks, known):
-    """Two hosts that found would each accept what the other never hears of.
-
-    Each knows all seeds, but not the same others.
-    """
+    """Two hosts that found would each accept what the other never hears of."""
     founders = set()
     for others in known:
         members = [make_member(n, n in disks) for n in {1, 2, 3} | others]
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -30,11 +30,7 @@
 
 
 def test_a_late_statement_does_not_bring_a_dead_target_back():
-    """Callers get connection errors from an address long after its target crashed.
-
-    A heartbeat of the crashed life was held up by a cut. Meanwhile a new target has
-    registered at the same address, and then the old heartbeat comes through.
-    """
+    """Callers get connection errors from an address long after its target crashed."""
     view = TargetView()
     view.merge(make_statement("new", born=200), 1.0)
     view.merge(make_statement("old", born=100, sequence=9), 2.0)
@@ -42,11 +38,7 @@
 
 
 def test_a_farewell_is_not_undone_by_a_statement_of_the_same_life():
-    """A target says that it drains, and still gets new requests.
-
-    Its last statement of readiness took a slower way and arrives behind the farewell,
-    with a higher sequence, as the two came from different attempts.
-    """
+    """A target says that it drains, and still gets new requests."""
     view = TargetView()
     view.merge(make_statement(sequence=5, state=DRAINING), 1.0)
     assert not view.merge(make_statement(sequence=6), 1.1)
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -194,11 +194,7 @@
     ("lose", "late", "seed"), [(0, 0, 1), (0.4, 0, 2), (0, 0.4, 3), (0.3, 0.3, 4)]
 )
 async def test_adapters_come_and_slots_hold_whatever_is_lost(lose, late, seed):
-    """An engine ends itself, ordered beyond its slots.
-
-    Answers to orders are lost; some orders were carried out, some are seconds later,
-    behind newer ones.
-    """
+    """An engine ends itself, ordered beyond its slots."""
     engine = FakeEngine(lose, late, seed)
     async with Setting(engine) as setting:
         for number in range(1, 13):
@@ -246,11 +242,7 @@
 
 
 async def test_an_order_whose_answer_was_lost_is_given_again_before_any_other():
-    """An engine gets one adapter more than it has slots for, and ends itself.
-
-    The answer to an order is lost while its caller gives up. Another order in its place
-    would leave both to be carried out.
-    """
+    """An engine gets one adapter more than it has slots for, and ends itself."""
 
     class SilentEngine(FakeEngine):
         def __init__(self) -> None:
@@ -297,11 +289,7 @@
 
 
 async def test_who_waits_at_an_engine_that_goes_is_sent_elsewhere_at_once():
-    """Callers wait a second and more at an engine that is down, and then elsewhere.
-
-    Its slots are all in use as it goes, and it looks idle ever after: its steward tells
-    that it holds nothing.
-    """
+    """Callers wait a second and more at an engine that is down, and then elsewhere."""
     engine = MortalEngine()
     async with Setting(engine) as setting:
         for number in range(SLOTS):
@@ -330,11 +318,7 @@
     ],
 )
 async def test_an_engine_that_nobody_has_heard_of_is_named(state, name, named):
-    """After a loss of power engines are without their models for a second longer.
-
-    All hosts are back, but an order must name the engine's present life, and engines
-    announce themselves once a second or so.
-    """
+    """After a loss of power engines are without their models for a second longer."""
 
     class FreshEngine(FakeEngine):
         async def read_state(self) -> EngineState:
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -54,11 +54,7 @@
 
 
 async def test_prompts_of_several_gateways_are_spread_over_time():
-    """Running answers pause, as each gateway sees only its own prompts.
-
-    Three prompts come at once. The second and the third are told that they wait, and
-    are sent one by one, the one that is due first before the other.
-    """
+    """Running answers pause, as each gateway sees only its own prompts."""
     async with Setting() as setting:
         setting.add(1)
         setting.add(2, due=9.0)
@@ -101,11 +97,7 @@
 
 @pytest.mark.parametrize(("crowd", "learns"), [(False, True), (True, False)])
 async def test_only_prompts_that_were_read_alone_tell_the_speed(crowd, learns):
-    """A quick engine passes for a slow one because prompts were read two at a time.
-
-    Each pair's times hold the reading of both. A gateway that is gone takes its unread
-    prompts out of the count.
-    """
+    """A quick engine passes for a slow one because prompts were read two at a time."""
     async with Setting() as setting:
         other = FakeLink()
         setting.queue.window.gap = 0.0
--- a/tests/test_bad_links.py
+++ b/tests/test_bad_links.py
@@ -80,12 +80,7 @@
 
 
 async def test_peer_that_leaves_a_full_link_ends_it():
-    """An entry host never comes back to a control replica that was stopped.
-
-    The replica closes its side while the link still has bytes to send, then takes
-    them. The transport is lost by itself, and the library fails to abort it with an
-    AttributeError, which ended the writer and left the link open.
-    """
+    """An entry host never comes back to a control replica that was stopped."""
     full = asyncio.Event()
 
     async def leave(reader, writer):
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -119,11 +119,7 @@
     ],
 )
 def test_lease_counts_from_the_report(sent, answered, lease, asked, current):
-    """An answer is held up for seconds on its way from a replica.
-
-    Counting the lease from its arrival would let this host act on a document that
-    the quorum believes nobody holds any more.
-    """
+    """An answer is held up for seconds on its way from a replica."""
     catalog = Catalog()
     catalog.note_report(1, sent)
     catalog.renew(Publish(1, lease, answers=1), answered)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -74,11 +74,7 @@
 
 
 def test_cut_off_replica_does_not_depose_the_leader() -> None:
-    """A replica is cut off for long, then comes back.
-
-    It has asked for votes all the time. Without pre-vote it would come back with a
-    high term, and the others would stop serving for an election.
-    """
+    """A replica is cut off for long, then comes back."""
     replicas, leader, others = make_led()
     replicas.isolate(others[0])
     replicas.run(60)
@@ -125,10 +121,7 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_replicas_that_start_together_elect_soon(seed: int) -> None:
-    """All are killed at once, and callers are refused until somebody leads.
-
-    Nobody has heard a leader in this life, so nobody waits as if one had just spoken.
-    """
+    """All are killed at once, and callers are refused until somebody leads."""
     replicas = Replicas(3, seed, HASTY)
     replicas.run(2 * HASTY.election, until=1)
     for name in replicas.nodes:
@@ -143,11 +136,7 @@
 def test_a_first_election_that_nobody_hears_is_soon_followed_by_another(
     seed: int,
 ) -> None:
-    """After a kill of all programs callers are refused for two seconds, at times.
-
-    The first replica to be back asks for votes before the others are linked. It waited
-    for the usual time until it asked again.
-    """
+    """After a kill of all programs callers are refused for two seconds, at times."""
     replicas = Replicas(3, seed, HASTY)
     replicas.run(2 * HASTY.election, until=1)
     for name in replicas.nodes:
@@ -162,10 +151,7 @@
 
 
 def test_voters_that_are_linked_after_a_start_elect_at_once() -> None:
-    """After a loss of power callers are refused while linked voters wait out a silence.
-
-    All are killed and come back; as soon as they are linked, one asks for votes.
-    """
+    """After a start callers are refused while linked voters wait out a silence."""
     replicas = Replicas(3, 1, HASTY)
     replicas.run(2 * HASTY.election, until=1)
     for name in replicas.nodes:
@@ -179,10 +165,7 @@
 
 @pytest.mark.parametrize("cut", [False, True])
 def test_haste_leaves_a_leader_alone(cut: bool) -> None:
-    """A replica that was killed comes back alone and deposes a leader that serves.
-
-    It asks for votes at once, and may be cut off from the leader alone.
-    """
+    """A replica that was killed comes back alone and deposes a leader that serves."""
     replicas, leader, (other, _) = make_led(seed=1, timing=HASTY)
     term = replicas.nodes[leader].core.term
     replicas.crash(other)
@@ -197,11 +180,7 @@
 
 
 def test_one_that_starts_alone_leaves_the_leader_alone() -> None:
-    """A replica is killed and comes back; the leader serves on.
-
-    It asks for votes sooner than usual, before it may have heard the leader. The others
-    hear their leader and give none.
-    """
+    """A replica is killed and comes back; the leader serves on."""
     replicas, leader, (other, _) = make_led(seed=1, timing=HASTY)
     term = replicas.nodes[leader].core.term
     replicas.crash(other)
@@ -221,11 +200,7 @@
 
 
 def test_cut_off_leader_steps_down_and_takes_nothing() -> None:
-    """A leader loses both followers; operators still reach it.
-
-    Without check-quorum it would take their changes, which can never be committed,
-    and they would wait instead of moving on to another replica.
-    """
+    """A leader loses both followers; operators still reach it."""
     replicas, leader, _ = make_led()
     core = replicas.nodes[leader].core
     replicas.isolate(leader)
@@ -237,11 +212,7 @@
 
 
 def test_replicas_that_hear_their_leader_refuse_a_vote() -> None:
-    """One follower can't hear the leader, but the other follower can.
-
-    If the other granted its vote to whoever asks, the two would depose leader after
-    leader for as long as the one-way cut lasts.
-    """
+    """One follower can't hear the leader, but the other follower can."""
     replicas, leader, others = make_led()
     replicas.cut(leader, others[0])
     term = replicas.nodes[leader].core.term
@@ -251,11 +222,7 @@
 
 
 def test_vote_waits_for_the_sync() -> None:
-    """A voter answers, loses power, restarts and votes for another in the same term.
-
-    Both candidates would lead that term. So the answer leaves only after the vote is
-    on the disk, and the vote is found there afterwards.
-    """
+    """A voter answers, loses power, restarts and votes for another in the same term."""
     core = make_core(Stored(snapshot=FOUNDING))
     core.step(B, RequestVote(Term(1), LogIndex(0), Term(0)))
     outputs = core.take()
@@ -288,10 +255,7 @@
 
 
 def test_append_answer_waits_for_the_sync() -> None:
-    """A follower acknowledges an entry and loses power before it is on the disk.
-
-    The leader would count it and tell an operator "accepted"; the entry is gone.
-    """
+    """A follower acknowledges an entry and loses power before it is on the disk."""
     core = make_core(Stored(snapshot=FOUNDING))
     message = Append(
         Term(1), LogIndex(0), Term(0), (entry(1, 1),), LogIndex(0), 0, sent_tick=3
@@ -304,10 +268,7 @@
 
 
 def test_late_entries_of_an_old_leader_change_nothing() -> None:
-    """An old leader's message was held up; meanwhile another's entry was accepted.
-
-    Taking the old entry would drop the acknowledged one, which may be committed.
-    """
+    """An old leader's message was held up; meanwhile another's entry was accepted."""
     core = make_core(Stored(Term(2), None, FOUNDING, (entry(1, 2, b"new"),)))
     core.step(
         B,
@@ -321,10 +282,7 @@
 
 
 def test_leader_counts_its_own_entry_only_once_synced() -> None:
-    """Of three, one follower answers quickly while the leader's disk is slow.
-
-    If the leader counted itself before its sync, a power cut would leave one copy.
-    """
+    """Of three, one follower answers quickly while the leader's disk is slow."""
     replicas, leader, others = make_led()
     replicas.isolate(others[1])
     before = replicas.max_commit
@@ -341,11 +299,7 @@
 
 
 def test_entry_of_an_older_term_is_not_committed_by_counting() -> None:
-    """A leader finds an entry of an older term on a quorum and calls it committed.
-
-    Another replica with an entry of a term in between may still win and overwrite it
-    (figure 8 of the Raft paper); so only an entry of the leader's own term counts.
-    """
+    """A leader finds an entry of an older term on a quorum and calls it committed."""
     core = make_led_core(Stored(Term(3), A, FOUNDING, (entry(1, 1), entry(2, 2))))
     core.step(B, AppendAnswer(Term(4), True, LogIndex(2), 0, 0, 0))
     assert core.commit == 0
@@ -354,11 +308,7 @@
 
 
 def test_read_waits_for_a_heartbeat_round() -> None:
-    """A leader is frozen, another is elected and accepts a change; the old one wakes.
-
-    For a moment it still believes that it leads. A read served from its own state
-    would miss the accepted change.
-    """
+    """A leader that wakes after its successor accepted a change serves an old read."""
     replicas, leader, _ = make_led()
     replicas.freeze(leader, True)
     replicas.run(30)
@@ -377,11 +327,7 @@
 
 
 def test_new_leader_holds_reads_until_it_knows_what_is_committed() -> None:
-    """A leader dies right after a change was accepted; a read asks its successor.
-
-    The successor holds the change but doesn't know that it was committed. Until an
-    entry of its own term is, a read at its commit index would miss the change.
-    """
+    """A leader dies right after a change was accepted; a read asks its successor."""
     core = make_led_core(Stored(Term(1), None, FOUNDING, (entry(1, 1),)))
     core.read(7)
     core.step(B, AppendAnswer(Term(2), True, LogIndex(1), 9, 0, 0))
@@ -416,11 +362,7 @@
 
 
 def test_learner_is_not_counted() -> None:
-    """Two fresh replicas get the log; then two of the three voters are gone.
-
-    Were the learners counted, the leader and they would commit without a quorum of
-    the voters, and the voters that come back could elect another without the change.
-    """
+    """Two fresh replicas get the log; then two of the three voters are gone."""
     replicas, leader, others = make_led()
     core = replicas.nodes[leader].core
     fresh = [replicas.add_host(host) for host in "de"]
@@ -441,10 +383,7 @@
 
 
 def test_learner_becomes_voter_only_when_caught_up() -> None:
-    """An operator adds an empty replica and counts it at once; then a host is lost.
-
-    Nothing could be committed until the new one had the whole log.
-    """
+    """An operator adds an empty replica and counts it at once; then a host is lost."""
     replicas, leader, others = make_led()
     fresh = replicas.add_host("d")
     replicas.isolate(fresh)
@@ -484,11 +423,7 @@
 
 
 def test_second_change_waits_for_the_first() -> None:
-    """Two operators replace two replicas at the same moment.
-
-    The old set's quorum and that after both changes may share no replica, and each
-    could commit something else.
-    """
+    """Two operators replace two replicas at the same moment."""
     replicas, leader, _ = make_led()
     core = replicas.nodes[leader].core
     core.propose_configuration(changes.add_learner(core.configuration, ReplicaId("d")))
@@ -498,11 +433,7 @@
 
 
 def test_new_leader_changes_nothing_before_its_own_entry_is_committed() -> None:
-    """A leader began a change and was cut off; its successor begins another.
-
-    Both changes started from the same set, so their quorums may not meet. The
-    successor's own committed entry rules the first change out.
-    """
+    """A leader began a change and was cut off; its successor begins another."""
     core = make_led_core(Stored(Term(1), A, FOUNDING))
     with pytest.raises(Unavailable, match="lead yet"):
         core.propose_configuration(changes.remove(ABC, C))
@@ -584,11 +515,7 @@
 
 
 def test_follower_lease_counts_from_its_own_tick() -> None:
-    """A follower is cut off, and old heartbeats reach it long after they were sent.
-
-    If their arrival renewed the lease, it would vouch for documents that were
-    replaced meanwhile. The echoed tick tells how old they are.
-    """
+    """A follower is cut off, and old heartbeats reach it long after they were sent."""
     replicas, leader, others = make_led()
     replicas.run(5)
     follower = replicas.nodes[others[0]]
@@ -625,11 +552,7 @@
 
 
 def test_lost_disk_under_the_old_name_would_lose_what_was_accepted() -> None:
-    """Of three, the leader and one follower hold a change; the follower's disk goes.
-
-    Coming back as a new replica, it doesn't vote, so the third can't win with it.
-    The new replica is taken in by a change of the set, and the change is there.
-    """
+    """Of three, the leader and one follower hold a change; the follower's disk goes."""
     replicas, leader, others = make_led()
     replicas.isolate(others[1])
     replicas.propose(leader)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -52,11 +52,7 @@
 
 
 async def test_silent_peer_is_given_up():
-    """A middlebox forgets a connection: the kernel sees nothing, no message comes.
-
-    The peer greets and then never answers a heartbeat. The link must end by itself,
-    or its requests would hang for good.
-    """
+    """A middlebox forgets a connection: the kernel sees nothing, no message comes."""
 
     stuck = asyncio.Event()
 
@@ -94,11 +90,7 @@
 
 
 def test_monitor_doesnt_blame_the_peer_for_its_own_freeze():
-    """A program is frozen for a minute and thawed; its peer was alive all along.
-
-    The peer's heartbeats lie unread in the socket when the first tick comes. Giving
-    up now would cut links that work, and with them all requests on them.
-    """
+    """A program is frozen for a minute and thawed; its peer was alive all along."""
     monitor = LinkMonitor(0.0, interval=0.5, silence=2.0)
     monitor.tick(0.5)
     assert monitor.tick(60.0) is LinkAction.PING
@@ -108,11 +100,7 @@
 
 
 async def test_peer_that_is_greeted_during_a_stop_is_closed():
-    """A peer dials just before a planned stop and greets after it has begun.
-
-    Its link was opened after the others were closed. Kept, it would hold up the stop
-    for as long as the peer lives.
-    """
+    """A peer dials just before a planned stop and greets after it has begun."""
     server = LinkServer(echo, lambda: AGENT, CLOCK)
     endpoint = await server.start(LOOPBACK)
     socket = await connect(f"ws://{endpoint}/", compression=None, proxy=None)
--- a/tests/test_logsink.py
+++ b/tests/test_logsink.py
@@ -48,11 +48,7 @@
 
 
 def test_a_reader_that_stands_still_costs_lines_and_no_time(pipe):
-    """All callers wait, as the collector of the logs hangs and the pipe is full.
-
-    Lines wait up to a bound; then whole ones are lost, and the first that gets through
-    says how many. None is torn.
-    """
+    """All callers wait, as the collector of the logs hangs and the pipe is full."""
     reader, handler = pipe
     size = len(handler.format(make_record(number=100000))) + 1
     count = (2 * MAX_WAITING + 65536) // size
--- a/tests/test_session.py
+++ b/tests/test_session.py
@@ -63,11 +63,7 @@
 
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 5)), max_size=30))
 def test_resume_over_lossy_links_brings_the_whole_answer(losses):
-    """Links break at any frame, in either direction, as often as they like.
-
-    Each new link resumes at the receiver's next sequence. In the end the caller has
-    every frame once, and the sender has nothing left.
-    """
+    """Links break at any frame, in either direction, as often as they like."""
     frames = [make_body(n) for n in range(9)] + [make_end(9)]
     buffer, sequence = FrameBuffer(), FrameSequence()
     for frame in frames:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -37,11 +37,7 @@
 async def test_a_host_without_power_is_given_up_before_its_system_is_asked_again(
     deaf, open_one
 ):
-    """A host is back, and for a second nobody talks to it.
-
-    The first packet was lost while the host was off; the system repeats it after a
-    second, and whoever waits for that asks nobody else meanwhile.
-    """
+    """A host is back, and for a second nobody talks to it."""
     async with asyncio.timeout(0.9):
         with pytest.raises(LinkLost):
             await open_one(deaf)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -146,10 +146,7 @@
 
 @pytest.mark.parametrize("position", range(0, 400, 7))
 def test_damage_stops_the_replica(position: int) -> None:
-    """One bit of the log turns over; the replica would apply another change.
-
-    Cutting the log there would also take back what was acknowledged.
-    """
+    """One bit of the log turns over; the replica would apply another change."""
     files = FakeFiles()
     storage = open_storage(files)
     for index in range(1, 6):
@@ -234,10 +231,7 @@
 
 
 def test_crash_between_a_leaders_snapshot_and_its_record() -> None:
-    """The power fails when the snapshot is in place and the log not yet reset.
-
-    What comes next doesn't follow on the old entries, and must not be taken for a gap.
-    """
+    """The power fails when the snapshot is in place and the log not yet reset."""
     files = FakeFiles()
     storage = open_storage(files)
     storage.write(write(entry(1), entry(2)))
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -116,10 +116,7 @@
 
 
 async def test_answer_cut_off_inside_is_not_taken_for_whole(server):
-    """A target dies in the middle of an answer without a length.
-
-    The caller must see that the answer isn't whole: the last chunk never comes.
-    """
+    """A target dies in the middle of an answer without a length."""
     received = await _send_raw(server, b"GET /cut HTTP/1.1\r\nHost: x\r\n\r\n")
     assert b"half" in received
     assert not received.endswith(b"0\r\n\r\n")
@@ -167,11 +164,7 @@
 
 @pytest.mark.parametrize("accepted", [False, True])
 async def test_a_request_that_came_before_a_stop_is_answered(accepted):
-    """A planned stop cuts one call of hundreds: connected, sent, and then reset.
-
-    The connection waits to be accepted as the port closes, or it is accepted and its
-    request isn't read yet.
-    """
+    """A planned stop cuts one call of hundreds: connected, sent, and then reset."""
     server = WebServer(answer)
     endpoint = await server.start(LOOPBACK)
     with socket.create_connection((endpoint.address, endpoint.port)) as caller:
@@ -201,11 +194,7 @@
 
 
 async def test_a_long_last_answer_reaches_a_slow_reader_whole():
-    """An operator reads the routes back and gets half of them.
-
-    The connection is to be closed after the answer, and the reader is slower than the
-    server: a part of the answer still waits in the server when it closes.
-    """
+    """An operator reads the routes back and gets half of them."""
     body = b"x" * 60_000
 
     async def answer(exchange):
