Send no granted order to a target that is leaving

A caller of a plain service was told unknown at a planned stop of its agent.

Cause: since an order is assessed before its claim is asked for, its target was not looked at again once the claim was granted. An agent that had said in between that it leaves was still sent the order, as it closed its links.

With a claim held up for 0.5 s while its target drains: the order was sent there before, and goes to the other target now.

--- a/src/ibishead/entry/claims.py
+++ b/src/ibishead/entry/claims.py
@@ -159,6 +159,10 @@
             if refusal is not None:
                 await self._release(job, answer, key)
                 raise refusal
+            if not self._dispatcher.takes_work(answer.target):
+                return Ended(
+                    Outcome.NOT_RUN, ErrorCode.NO_TARGET, "the target takes nothing now"
+                )
             job.attempts += 1
             return await self._dispatcher.attempt(
                 job, agent, Grant(answer.generation, key)
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -123,6 +123,10 @@
         """Return the agent of a target, or none."""
         return self._pool.find(target)
 
+    def takes_work(self, target: TargetId) -> bool:
+        """Whether a target may be sent something now."""
+        return self._placer.takes_work(target)
+
     async def choose(self, job: Job, avoid: frozenset[TargetId]) -> Placed | None:
         """Return where the next attempt goes, or none when nothing can take it.
 
--- a/src/ibishead/entry/placing.py
+++ b/src/ibishead/entry/placing.py
@@ -91,6 +91,13 @@
         if view is not None:
             view.record_dispatch(target, adapter, self._clock.monotonic())
 
+    def takes_work(self, target: TargetId) -> bool:
+        """Whether a target is in reach and not leaving, by the last that was heard."""
+        view = self._find_view(target)
+        return view is not None and any(
+            item.target == target and _is_up(item) for item in view.all()
+        )
+
     def expects_targets(self, resolved: Resolved, avoid: frozenset[TargetId]) -> bool:
         """Whether control knows a target that might be reached again soon."""
         view = self._views.get(resolved.call.service)
--- a/tests/proofs/test_claims.py
+++ b/tests/proofs/test_claims.py
@@ -5,10 +5,11 @@
 from tests.proofs.network import LATENCY, FakeLink
 from tests.proofs.test_promises import check_world
 from tests.proofs.virtual import run_virtual
-from tests.proofs.world import CONTROL_HOST, World
+from tests.proofs.world import CONTROL_HOST, Slot, World
 
 from ibishead.ids import HostId
 from ibishead.messages import (
+    AskClaim,
     ClaimAnswer,
     ClaimState,
     Dispatch,
@@ -136,3 +137,47 @@
     world = run_virtual(_order_while_links_fall_silent)
     check_world(world)
     assert [call.outcome for call in world.calls] == [Outcome.COMPLETED] * 2
+
+
+async def _order_while_its_target_leaves() -> tuple[World, list[Dispatch]]:
+    world = World()
+    await world.start()
+    sent: list[Dispatch] = []
+    (control,) = world.network.list_ends(ENTRY, CONTROL_HOST)
+    carry = control.send
+
+    def send(message: Message) -> None:
+        if isinstance(message, AskClaim) and not sent_to:
+            (leaving,) = (s for s in world.slots if s.target == message.target)
+            sent_to.append(leaving)
+            world.drain(leaving)
+            _record_dispatches(world, leaving, sent)
+            world.network.hold(CONTROL_HOST, ENTRY, 0.5)
+        carry(message)
+
+    sent_to: list[Slot] = []
+    control.send = send
+    world.call_plain(0, "k1")
+    await world.settle()
+    await world.stop()
+    return world, sent
+
+
+def _record_dispatches(world: World, slot: Slot, sent: list[Dispatch]) -> None:
+    (link,) = world.network.list_ends(ENTRY, slot.settings.host)
+    carry = link.send
+
+    def send(message: Message) -> None:
+        if isinstance(message, Dispatch):
+            sent.append(message)
+        carry(message)
+
+    link.send = send
+
+
+def test_an_order_is_not_sent_to_a_target_that_left_during_its_claim():
+    """An order that crosses the planned stop of an agent is told as unknown."""
+    world, sent = run_virtual(_order_while_its_target_leaves)
+    assert not sent
+    check_world(world)
+    assert [call.outcome for call in world.calls] == [Outcome.COMPLETED]
