Keep a leaving agent linked until its entry hosts have heard of it

A caller was told unknown of an order that never ran, at a planned stop of the agent beside its service.

Cause: an agent that had nothing open when it was asked to stop closed its links at once. What an entry host had sent before it heard of that was lost, and nobody could tell what became of it.

With the link to the agents held up for 0.3 s: told as unknown before, as not run now.

Why it works: for a second the agent refuses what comes, which proves that it doesn't run.

--- a/src/ibishead/agent/agent.py
+++ b/src/ibishead/agent/agent.py
@@ -21,6 +21,11 @@
 __all__ = ["Agent"]
 
 
+#: Seconds for which an agent that leaves stays linked, at least, so that entry hosts
+#: hear of it first.
+LEAVE_TIME = 1.0
+
+
 class Agent:
     """The only client of one target.
 
@@ -77,6 +82,10 @@
 
     async def finish(self) -> None:
         """Take nothing new, and return once all that was taken is delivered."""
+        self.scheduler.begin_drain()
+        # What is on its way here is refused as not run. With the links closed nobody
+        # could tell what became of it.
+        await asyncio.sleep(LEAVE_TIME)
         await self.scheduler.finish()
 
     async def stop(self) -> None:
--- a/tests/proofs/test_claims.py
+++ b/tests/proofs/test_claims.py
@@ -181,3 +181,25 @@
     assert not sent
     check_world(world)
     assert [call.outcome for call in world.calls] == [Outcome.COMPLETED]
+
+
+async def _order_as_its_agents_stop() -> World:
+    world = World()
+    await world.start()
+    plains = world.slots[2:]
+    for slot in plains:
+        world.network.hold(ENTRY, slot.settings.host, 0.3)
+    world.call_plain(0, "k1")
+    await asyncio.sleep(0.1)
+    for slot in plains:
+        world.stop_agent(slot)
+    await world.settle()
+    await world.stop()
+    return world
+
+
+def test_an_order_on_its_way_to_an_agent_that_stops_is_not_unknown():
+    """A planned stop loses an order that an entry host had just sent."""
+    world = run_virtual(_order_as_its_agents_stop)
+    check_world(world)
+    assert [call.outcome for call in world.calls] == [Outcome.NOT_RUN]
