End loops whose cancellation comes as their event is set

Cause: asyncio.wait_for of Python 3.11 returns instead of raising if it is cancelled in the moment in which the event is set, so Steward._run_orders went on for ever. All waits on events now go through waiting.wait_for_event, which uses asyncio.timeout; so do the two waits of a link that closes. No asyncio.wait_for is left in src/.

--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import itertools
 import logging
 from collections.abc import Callable
@@ -37,6 +36,7 @@
     TurnNoted,
 )
 from ibishead.routing.targets import Registration, WeightKey
+from ibishead.waiting import wait_for_event
 
 __all__ = ["ACK_TIMEOUT_SECONDS", "StewardLinks", "TurnOutcome"]
 
@@ -170,16 +170,14 @@
         turn = self._pending[number] = _PendingTurn(address, key)
         link.send(AskTurn(number, key, version, wait, tokens, due))
         try:
-            if not await _wait_for_event(
+            if not await _wait_for_ack(
                 turn.acknowledged, min(ACK_TIMEOUT_SECONDS, wait)
             ):
                 self._unresponsive_until[address] = (
                     self._clock.monotonic() + UNRESPONSIVE_SECONDS
                 )
                 return TurnOutcome.UNRESPONSIVE
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait):
-                    await turn.finished.wait()
+            await wait_for_event(turn.finished, wait)
         except asyncio.CancelledError:
             if turn.granted:
                 self._return_turn(turn)
@@ -331,11 +329,8 @@
         }
 
 
-async def _wait_for_event(event: asyncio.Event, seconds: float) -> bool:
+async def _wait_for_ack(event: asyncio.Event, seconds: float) -> bool:
     for _ in range(ACK_INTERVALS):
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds / ACK_INTERVALS):
-                await event.wait()
-        if event.is_set():
+        if await wait_for_event(event, seconds / ACK_INTERVALS):
             return True
     return False
--- a/src/ibishead/links.py
+++ b/src/ibishead/links.py
@@ -176,11 +176,13 @@
     async def close(self) -> None:
         """Send the queued messages, then close the link."""
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.flush(), CLOSE_TIMEOUT)
+            async with asyncio.timeout(CLOSE_TIMEOUT):
+                await self.flush()
         with contextlib.suppress(
             TimeoutError, WebSocketException, *_LOST_TRANSPORT_ERRORS
         ):
-            await asyncio.wait_for(self._socket.close(), CLOSE_TIMEOUT)
+            async with asyncio.timeout(CLOSE_TIMEOUT):
+                await self._socket.close()
         self._abort()
 
     async def _write_batches(self) -> None:
--- a/src/ibishead/platform/programs.py
+++ b/src/ibishead/platform/programs.py
@@ -29,6 +29,7 @@
 from ibishead.process import EXIT_SETTINGS, run_program, wait_for_stop
 from ibishead.routing.feed import RegistryFeed
 from ibishead.settingsfile import LogLevel
+from ibishead.waiting import wait_for_event
 
 __all__ = ["main"]
 
@@ -172,10 +173,7 @@
                 seeds = frozenset(found)
                 feed.replace_seeds(found)
         changed.clear()
-        try:
-            await asyncio.wait_for(changed.wait(), RELOAD_INTERVAL_SECONDS)
-        except TimeoutError:
-            continue
+        await wait_for_event(changed, RELOAD_INTERVAL_SECONDS)
 
 
 _RunProgram = Callable[[PlatformSettings, Path, int | None], Coroutine[Any, Any, None]]
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -1,7 +1,6 @@
 """Sends load and unload orders to an engine and reports its state to the gateways."""
 
 import asyncio
-import contextlib
 import logging
 
 import msgspec
@@ -57,6 +56,7 @@
 from ibishead.steward.naming import EngineNamer
 from ibishead.steward.turns import TurnQueue, Waiter
 from ibishead.steward.uses import AdapterUses
+from ibishead.waiting import wait_for_event
 
 __all__ = ["Steward"]
 
@@ -306,8 +306,7 @@
             self._report(self._clock.monotonic())
             wait = max(0.005, read_at + self._read_interval() - self._clock.monotonic())
             self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), wait)
+            await wait_for_event(self._wake, wait)
 
     def _read_interval(self) -> float:
         return (
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import logging
 from collections import Counter
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 from ibishead.links import Link
 from ibishead.routing.messages import TurnAnswer, TurnNoted
 from ibishead.routing.targets import WeightKey
+from ibishead.waiting import wait_for_event
 
 __all__ = ["TurnQueue", "Waiter"]
 
@@ -188,8 +188,7 @@
         while True:
             wait = self._grant_due()
             self._wake.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), wait)
+            await wait_for_event(self._wake, wait)
 
     def _log_read_rate(self) -> None:
         rate = self.window.speed.rate
