--- a/src/ibishead/control/consensus.py
+++ b/src/ibishead/control/consensus.py
@@ -141,6 +141,15 @@
             return 0
         return max(0, state.timing.election - replication.quorum_age(state))
 
+    def quorum_age(self) -> int | None:
+        """Return the ticks since a quorum certainly followed this leader.
+
+        :returns: ``None`` unless this replica leads.
+        """
+        if self._state.role is not Role.LEADER:
+            return None
+        return replication.quorum_age(self._state)
+
     def silence(self, replica: ReplicaId) -> int:
         """Return the ticks since a replica last answered; 0 unless this one leads.
 
--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -184,6 +184,20 @@
         lease = self.core.lease() * self.options.tick_seconds - since
         return 0.0 if self.failed else max(0.0, lease)
 
+    def led_until(self) -> float | None:
+        """Return the time at which a quorum last followed this leader for certain.
+
+        The times in which different replicas are followed for certain don't overlap: a
+        replica that has voted for the next leader no longer answers the former one.
+
+        :returns: monotonic seconds, ``None`` unless this replica leads.
+        """
+        self.advance()
+        age = self.core.quorum_age()
+        if age is None or self.failed:
+            return None
+        return self._last_tick - age * self.options.tick_seconds
+
     def step(self, sender: ReplicaId, message: PeerMessage) -> None:
         """Process a consensus message from another replica."""
         try:
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -152,6 +152,10 @@
         """Return the seconds for which this replica's state counts as current."""
         return self._driver.lease()
 
+    def led_until(self) -> float | None:
+        """Return the time at which a quorum last followed this leader for certain."""
+        return self._driver.led_until()
+
     def leader(self) -> ReplicaId | None:
         """Return the current leader, possibly this replica, or None."""
         return self.core.leader
--- /dev/null
+++ b/src/ibishead/decisions/quota.py
@@ -0,0 +1,117 @@
+"""Accounts of customers' quotas at the program that keeps them for all gateways.
+
+Load: a customer sends several times its usual requests, through some of many gateways,
+while the load balancer spreads callers unevenly. Gateways that each enforced a part of
+the quota would refuse requests below it, as a part can't follow its callers. So one
+program charges every request, at the moment at which it arrives.
+
+Only one program may do so at a time. A program's accounts are credited only for time in
+which it was certain to be the one, and start empty. The certain times of two programs
+never overlap, so that in any period all charges together stay below the quota's rate
+times the period plus its burst.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ibishead.ids import CustomerId
+from ibishead.routing.customers import Quota
+
+__all__ = ["QuotaAccounts", "Verdict"]
+
+#: Minimum size of an account in seconds of its rate, for quotas without a burst.
+MIN_BURST_SECONDS = 0.1
+
+#: Maximum time in seconds since the program was last certain to keep the accounts, for
+#: it to charge requests. A program that was suspended must not use its balances.
+MAX_CERTAINTY_AGE_SECONDS = 0.7
+
+
+@dataclass(frozen=True)
+class Verdict:
+    """Whether a request is within its customer's quota.
+
+    :param wait: seconds until the quota admits the request, if it was refused.
+    :param balance: units that the customer may use at once, negative if it has used
+        more; ``None`` if it has no quota.
+    """
+
+    granted: bool
+    wait: float = 0.0
+    balance: float | None = None
+
+
+@dataclass
+class _Account:
+    """Balance of one customer in the unit of its quota.
+
+    It may become negative by one request, since a request can cost more than the burst.
+    """
+
+    quota: Quota
+    balance: float = 0.0
+
+    @property
+    def size(self) -> float:
+        return max(self.quota.burst, MIN_BURST_SECONDS * self.quota.rate)
+
+    def credit(self, units: float) -> None:
+        self.balance = min(self.size, self.balance + units)
+
+
+class QuotaAccounts:
+    """Token buckets of all customers with a quota.
+
+    :param now: monotonic seconds from which this program keeps the accounts.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._accounts: dict[CustomerId, _Account] = {}
+        self._credited_until = now
+
+    def set_quotas(self, quotas: Mapping[CustomerId, Quota]) -> None:
+        """Replace the quotas; customers whose quota changes keep their balance."""
+        accounts = {}
+        for name, quota in quotas.items():
+            account = self._accounts.get(name, _Account(quota))
+            account.quota = quota
+            account.credit(0.0)
+            accounts[name] = account
+        self._accounts = accounts
+
+    def advance(self, certain_until: float) -> None:
+        """Credit all accounts for the time up to a moment.
+
+        :param certain_until: monotonic seconds up to which it is certain that no other
+            program has kept the accounts.
+        """
+        seconds = certain_until - self._credited_until
+        if seconds <= 0:
+            return
+        self._credited_until = certain_until
+        for account in self._accounts.values():
+            account.credit(seconds * account.quota.rate)
+
+    def is_certain(self, now: float) -> bool:
+        """Return whether requests may be charged."""
+        return now - self._credited_until <= MAX_CERTAINTY_AGE_SECONDS
+
+    def charge(self, customer: CustomerId, cost: float) -> Verdict:
+        """Charge a request, or refuse it if the balance is used up.
+
+        A customer that has no quota any more is not charged.
+        """
+        account = self._accounts.get(customer)
+        if account is None:
+            return Verdict(True)
+        if account.balance <= 0:
+            missing = cost - account.balance
+            return Verdict(False, missing / account.quota.rate, account.balance)
+        account.balance -= cost
+        return Verdict(True, balance=account.balance)
+
+    def give_back(self, customer: CustomerId, cost: float) -> None:
+        """Return the charge of a request that has not run."""
+        account = self._accounts.get(customer)
+        if account is not None:
+            account.credit(cost)
--- a/src/ibishead/errors.py
+++ b/src/ibishead/errors.py
@@ -49,6 +49,7 @@
     REVISION_CONFLICT = "revision_conflict"
     DOCUMENT_INVALID = "document_invalid"
     OVERLOADED = "overloaded"
+    QUOTA_EXCEEDED = "quota_exceeded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     DRAINING = "draining"
--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -1,11 +1,11 @@
 """Protocol-independent representation of callers' requests and targets' responses."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from ibishead.errors import IbisheadError
 from ibishead.headers import Headers
-from ibishead.ids import ModelName, RequestId, TargetId
+from ibishead.ids import CustomerId, ModelName, RequestId, TargetId
 from ibishead.routing.targets import WeightKey
 from ibishead.web import WebRequest
 
@@ -36,13 +36,16 @@
     """One request as received from a caller.
 
     :param target: HTTP request target, that is path and query.
-    :param headers: headers that are forwarded to the target.
+    :param headers: headers that are forwarded to the target, if its dialect does not
+        withhold them.
     :param timeout: seconds until the caller's deadline, or ``None`` if it set none.
     :param model: empty if the request names no model.
     :param adapter: empty for the base model.
-    :param prompt_tokens: length of the prompt in tokens.
-    :param max_answer_tokens: maximum length of the response in tokens.
+    :param prompt_tokens: length of the prompt in tokens, 0 if the request does not say.
+    :param max_answer_tokens: maximum length of the response in tokens, likewise.
     :param resume_after: id of the last event that the caller has received.
+    :param api_key: empty if the request carries none.
+    :param counts_tokens: whether the request says how many tokens it needs.
     """
 
     request: RequestId
@@ -59,6 +62,15 @@
     max_answer_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     resume_after: str | None = None
+    api_key: str = field(default="", repr=False)
+    counts_tokens: bool = False
+
+    @property
+    def tokens(self) -> int | None:
+        """Prompt and maximum answer tokens, or ``None`` if the request doesn't say."""
+        if not self.counts_tokens:
+            return None
+        return self.prompt_tokens + self.max_answer_tokens
 
     @property
     def weights(self) -> WeightKey | None:
@@ -78,12 +90,17 @@
     :param remaining: seconds until the request's deadline.
     :param rank: priority; 0 is the most urgent.
     :param resume_after: id of the last event that was relayed to the caller.
+    :param has_customers: the deployment has customers, so that the credentials in the
+        call are the system's own and stay with it.
+    :param customer: customer that the call is for, or ``None`` if it is anonymous.
     """
 
     target: TargetId
     remaining: float
     rank: int
     resume_after: str | None = None
+    has_customers: bool = False
+    customer: CustomerId | None = None
 
 
 @dataclass(frozen=True)
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -17,14 +17,15 @@
 from ibishead.errors import (
     ErrorCode,
     IbisheadError,
-    NotFound,
     OutcomeUnknown,
     Refused,
     Unavailable,
 )
 from ibishead.gateway.calls import Call, CallerDialect, TargetDialect
 from ibishead.gateway.choosing import MIN_RETRY_AFTER_SECONDS, TargetChooser
+from ibishead.gateway.directory import RouteDirectory
 from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.quotas import QuotaClient
 from ibishead.gateway.recorder import (
     ANSWERED,
     CALLER_LEFT,
@@ -35,6 +36,7 @@
     Answered,
     CallerLeftError,
     Failed,
+    Identity,
     NotRun,
     Outcome,
     Progress,
@@ -46,7 +48,7 @@
 from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, RateTold
-from ibishead.routing.routes import find_route, pick_service
+from ibishead.routing.routes import pick_service
 from ibishead.routing.targets import Registration
 from ibishead.web import Exchange
 
@@ -75,6 +77,7 @@
         tracker: TargetTracker,
         pool: ConnectionPool,
         stewards: StewardLinks,
+        quotas: QuotaClient,
         callers: CallerDialect,
         targets: TargetDialect,
         clock: Clock,
@@ -85,6 +88,8 @@
         self._feed = feed
         self._chooser = TargetChooser(domain, feed, tracker, stewards, clock, draw)
         self._stewards = stewards
+        self._quotas = quotas
+        self._directory = RouteDirectory(feed)
         self._callers = callers
         self._tracker = tracker
         self._sender = Sender(
@@ -124,14 +129,17 @@
         try:
             call = self._callers.read_call(exchange.request)
             await self._wait_for_routes(call)
-            request = self._resolve(call, exchange, started)
+            request = await self._resolve(call, exchange, started)
             await self._run_until_deadline(request, exchange)
             self._recorder.record_end(request, ANSWERED)
             self._record_pace(request)
         except CallerLeftError:
             if request is not None:
+                self._return_charge(request)
                 self._recorder.record_end(request, CALLER_LEFT)
         except IbisheadError as error:
+            if request is not None:
+                self._return_charge(request)
             if request is None:
                 self._recorder.record_refusal(exchange.request, error)
             else:
@@ -158,7 +166,9 @@
         wait = estimate_route_wait(self._clock.monotonic() - self._started_at)
         return timedelta(seconds=wait * (0.5 + self._draw()))
 
-    def _resolve(self, call: Call, exchange: Exchange, started: float) -> RequestState:
+    async def _resolve(
+        self, call: Call, exchange: Exchange, started: float
+    ) -> RequestState:
         expected = self._answer_pace.estimate(call.max_answer_tokens)
         if self._stop_at is not None and not fits_grace(
             expected, self._stop_at - started
@@ -169,20 +179,14 @@
                 code=ErrorCode.DRAINING,
                 retry_after=OTHER_HOST_RETRY_AFTER,
             )
-        routes = self._feed.routes
-        if routes is None:
+        if self._feed.routes is None:
             raise Unavailable(
                 "not run: no routes have been received yet",
                 "retry after the given time",
                 code=ErrorCode.NO_QUORUM,
                 retry_after=self._find_retry_after(),
             )
-        route = find_route(routes, call.hostname, call.path)
-        if route is None:
-            raise NotFound(
-                f"no route matches {call.hostname} {call.path}",
-                "check the host name and the path against the current routes",
-            )
+        route, customer = await self._directory.find(call)
         timeout = route.timeout if call.timeout is None else call.timeout
         deadline = started + min(timeout, route.timeout)
         service = pick_service(route, self._draw())
@@ -195,6 +199,7 @@
             started,
             started,
             Progress(exchange, call.resume_after),
+            customer,
         )
 
     async def _run_until_deadline(
@@ -222,15 +227,18 @@
 
     async def _send_until_answered(self, request: RequestState) -> None:
         key = request.call.engine_key
+        await self._charge(request)
         while True:
             target = await self._chooser.choose(request)
             try:
+                await self._renew_charge(request)
                 outcome = await self._sender.send(
                     request.call,
                     request.route,
                     target,
                     request.progress,
                     request.deadline,
+                    self._identify(request),
                 )
             finally:
                 if key is not None:
@@ -246,6 +254,44 @@
                 case NotRun() | Failed():
                     self._check_resend(request, target, outcome)
 
+    async def _charge(self, request: RequestState) -> None:
+        if request.customer is None or request.customer.quota is None:
+            return
+        call, started = request.call, self._clock.monotonic()
+        wait = min(compute_hold(call.timeout), request.deadline - started)
+        try:
+            request.charge = await self._quotas.charge(
+                request.customer, call.tokens, wait
+            )
+        finally:
+            request.quota_wait += self._clock.monotonic() - started
+
+    async def _renew_charge(self, request: RequestState) -> None:
+        """Charge a request again if its charge has expired while it waited.
+
+        The expired charge is not given back. So the requests that are sent in a period
+        are covered by charges of that period and of one lifetime before it.
+        """
+        charge = request.charge
+        if charge is not None and not self._quotas.is_valid(charge):
+            request.charge = None
+            await self._charge(request)
+
+    def _return_charge(self, request: RequestState) -> None:
+        """Give back the charge of a request that has certainly not run."""
+        progress = request.progress
+        unsent = not progress.uncertain_sends and not progress.sending
+        if request.charge is not None and unsent and not progress.exchange.started:
+            self._quotas.give_back(request.charge)
+
+    def _identify(self, request: RequestState) -> Identity:
+        routes, customer = self._feed.routes, request.customer
+        return Identity(
+            request.rank,
+            routes is not None and routes.customers is not None,
+            customer.name if customer is not None else None,
+        )
+
     def _notify_prompt_read(
         self, call: Call, target: Registration, seconds: float
     ) -> None:
--- /dev/null
+++ b/src/ibishead/gateway/quotas.py
@@ -0,0 +1,288 @@
+"""Charges requests to their customers' quotas, at the registry that keeps them.
+
+All requests that arrive in one iteration of the event loop are charged with one
+message. A request waits for the answer, about one round trip.
+"""
+
+import asyncio
+import itertools
+import logging
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from ibishead.clock import Clock
+from ibishead.errors import ErrorCode, Refused, Unavailable
+from ibishead.ids import CustomerId
+from ibishead.links import Link
+from ibishead.routing.customers import Customer
+from ibishead.routing.messages import AskQuota, QuotaAnswer, QuotaKept, QuotaVerdict
+
+__all__ = ["Charge", "QuotaClient"]
+
+logger = logging.getLogger(__name__)
+
+#: Seconds without an answer after which a question is repeated.
+REPEAT_SECONDS = 0.25
+
+#: Seconds until a question is repeated to a registry that can't answer it now.
+UNCERTAIN_RETRY_SECONDS = 0.05
+
+#: Seconds for which charges that are given back are collected.
+RETURN_INTERVAL_SECONDS = 0.1
+
+#: Minimum and maximum time after which a refused caller is told to come back.
+MIN_RETRY_AFTER_SECONDS = 0.3
+MAX_RETRY_AFTER_SECONDS = 10.0
+
+#: Retry delay for callers whose quota could not be checked.
+UNKNOWN_RETRY_AFTER = timedelta(seconds=0.5)
+
+
+@dataclass(frozen=True)
+class Charge:
+    """A request's charge to the quota of its customer.
+
+    :param charged_at: monotonic seconds, not later than the charge itself.
+    :param term: term of the registry that made it.
+    """
+
+    customer: CustomerId
+    cost: float
+    charged_at: float
+    term: int
+
+
+@dataclass(eq=False)
+class _Demand:
+    """A request that waits to be charged.
+
+    :ivar asked_at: monotonic seconds of the question whose answer is `verdict`.
+    """
+
+    customer: Customer
+    cost: float
+    answered: asyncio.Event = field(default_factory=asyncio.Event)
+    verdict: QuotaVerdict | None = None
+    asked_at: float = 0.0
+    term: int = 0
+
+
+@dataclass(frozen=True)
+class _Question:
+    """An `AskQuota` that has been sent."""
+
+    demands: Sequence[_Demand]
+    sent_at: float
+    term: int
+
+
+class QuotaClient:
+    """Charges this gateway's requests.
+
+    :param lifetime: seconds after which a charge no longer covers a request that has
+        not been sent. It bounds by how much the requests sent in some period exceed
+        those charged in it.
+    :param draw: returns a random number in [0, 1), for retry-after times.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        lifetime: float,
+        draw: Callable[[], float] = random.random,
+    ) -> None:
+        self._clock = clock
+        self._lifetime = lifetime
+        self._draw = draw
+        self._numbers = itertools.count(1)
+        self._keeper: Link | None = None
+        self._term = 0
+        self._waiting: list[_Demand] = []
+        self._questions: dict[int, _Question] = {}
+        self._returned: list[tuple[CustomerId, float]] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def has_keeper(self) -> bool:
+        """Whether a registry is known that keeps the accounts."""
+        return self._keeper is not None and not self._keeper.closed
+
+    def handle_message(self, link: Link, message: QuotaKept | QuotaAnswer) -> None:
+        """Handle a message from a registry."""
+        match message:
+            case QuotaKept(term) if term >= self._term:
+                logger.info(
+                    "quota keeper changed",
+                    extra={"peer": link.peer.host, "term": term},
+                )
+                self._keeper, self._term = link, term
+                self._returned.clear()
+                self._repeat_all()
+            case QuotaAnswer(number, verdicts):
+                question = self._questions.pop(number, None)
+                if question is not None:
+                    self._handle_verdicts(question, verdicts)
+
+    async def charge(
+        self, customer: Customer, tokens: int | None, wait: float
+    ) -> Charge | None:
+        """Charge a request to its customer's quota.
+
+        :param tokens: tokens that it needs, ``None`` if it doesn't say.
+        :param wait: seconds to wait for a registry that keeps the accounts.
+        :returns: ``None`` if the customer has no quota.
+        :raises Refused: the quota is used up.
+        :raises Unavailable: no registry answered.
+        """
+        quota = customer.quota
+        if quota is None:
+            return None
+        demand = _Demand(customer, quota.cost(tokens))
+        started = self._clock.monotonic()
+        self._ask(demand)
+        try:
+            async with asyncio.timeout(max(0.0, wait)):
+                await self._repeat_until_answered(demand)
+        except TimeoutError as error:
+            waited = self._clock.monotonic() - started
+            raise Unavailable(
+                f"not run: no registry has confirmed the quota for {waited:.1f} s",
+                "retry after the given time",
+                code=ErrorCode.NO_QUORUM,
+                retry_after=UNKNOWN_RETRY_AFTER,
+            ) from error
+        except asyncio.CancelledError:
+            if demand.verdict is not None and demand.verdict.granted:
+                self.give_back(_make_charge(demand))
+            raise
+        finally:
+            self._withdraw(demand)
+        verdict = demand.verdict
+        assert verdict is not None
+        if not verdict.granted:
+            raise self._make_refusal(demand, verdict)
+        return _make_charge(demand)
+
+    def is_valid(self, charge: Charge) -> bool:
+        """Return whether a charge still covers its request."""
+        return self._clock.monotonic() - charge.charged_at < self._lifetime
+
+    def give_back(self, charge: Charge) -> None:
+        """Give back the charge of a request that has certainly not run."""
+        if charge.term == self._term and self.is_valid(charge):
+            self._returned.append((charge.customer, charge.cost))
+            self._schedule_flush(RETURN_INTERVAL_SECONDS)
+
+    def stop(self) -> None:
+        """Cancel the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    async def _repeat_until_answered(self, demand: _Demand) -> None:
+        while True:
+            with_timeout = asyncio.timeout(REPEAT_SECONDS)
+            try:
+                async with with_timeout:
+                    await demand.answered.wait()
+                return
+            except TimeoutError:
+                if not with_timeout.expired():
+                    raise
+            self._ask(demand)
+
+    def _ask(self, demand: _Demand) -> None:
+        if demand not in self._waiting:
+            self._waiting.append(demand)
+        self._schedule_flush(0.0)
+
+    def _schedule_flush(self, delay: float) -> None:
+        loop = asyncio.get_running_loop()
+        due = loop.time() + delay
+        if self._timer is not None and self._timer.when() <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = loop.call_at(due, self._flush)
+
+    def _flush(self) -> None:
+        self._timer = None
+        keeper = self._keeper
+        if keeper is None or keeper.closed:
+            # the demands are sent once a registry announces that it keeps the accounts
+            return
+        demands, self._waiting = self._waiting, []
+        returned, self._returned = self._returned, []
+        if not demands and not returned:
+            return
+        number = next(self._numbers)
+        if demands:
+            sent_at = self._clock.monotonic()
+            self._questions[number] = _Question(demands, sent_at, self._term)
+        asked = tuple((demand.customer.name, demand.cost) for demand in demands)
+        keeper.send(AskQuota(number, self._term, asked, tuple(returned)))
+
+    def _handle_verdicts(
+        self, question: _Question, verdicts: tuple[QuotaVerdict, ...] | None
+    ) -> None:
+        if verdicts is None:
+            if question.term == self._term:
+                self._waiting.extend(_list_unanswered(question.demands, self._waiting))
+                self._schedule_flush(UNCERTAIN_RETRY_SECONDS)
+            return
+        for demand, verdict in zip(question.demands, verdicts, strict=False):
+            if demand.answered.is_set():
+                # the answer to an earlier or later question about the same request
+                if verdict.granted:
+                    self.give_back(
+                        Charge(
+                            demand.customer.name,
+                            demand.cost,
+                            question.sent_at,
+                            question.term,
+                        )
+                    )
+                continue
+            demand.verdict = verdict
+            demand.asked_at, demand.term = question.sent_at, question.term
+            demand.answered.set()
+
+    def _withdraw(self, demand: _Demand) -> None:
+        """Give up a request's demand; a grant that is on its way is given back."""
+        if demand in self._waiting:
+            self._waiting.remove(demand)
+        demand.answered.set()
+
+    def _repeat_all(self) -> None:
+        """Ask the new keeper about all requests that the former one left unanswered."""
+        for question in self._questions.values():
+            self._waiting.extend(_list_unanswered(question.demands, self._waiting))
+        self._questions.clear()
+        self._schedule_flush(0.0)
+
+    def _make_refusal(self, demand: _Demand, verdict: QuotaVerdict) -> Refused:
+        quota = demand.customer.quota
+        assert quota is not None
+        unit = quota.unit.value
+        wait = min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, verdict.wait))
+        # all callers of the customer are refused while it is over its quota
+        wait *= 1 + self._draw()
+        return Refused(
+            f"not run: customer {demand.customer.name} has used up its quota of "
+            f"{quota.rate:g} {unit} per second (balance {verdict.balance:.0f}, "
+            f"request {demand.cost:g} {unit})",
+            "send fewer requests, or retry after the given time",
+            code=ErrorCode.QUOTA_EXCEEDED,
+            retry_after=timedelta(seconds=wait),
+        )
+
+
+def _make_charge(demand: _Demand) -> Charge:
+    return Charge(demand.customer.name, demand.cost, demand.asked_at, demand.term)
+
+
+def _list_unanswered(
+    demands: Sequence[_Demand], waiting: Sequence[_Demand]
+) -> list[_Demand]:
+    return [d for d in demands if not d.answered.is_set() and d not in waiting]
--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -6,11 +6,13 @@
 from ibishead.clock import Clock
 from ibishead.errors import IbisheadError, NotFound, Refused, Unavailable
 from ibishead.gateway.calls import Call, CallerDialect
+from ibishead.gateway.quotas import Charge
 from ibishead.gateway.sending import Progress
 from ibishead.ids import ClassName, ServiceName, TargetId, TeamId
 from ibishead.logsink import mark_routine
 from ibishead.messages import Outcome
 from ibishead.metrics import Measure, Metrics
+from ibishead.routing.customers import Customer
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.routes import Route
 from ibishead.web import WebRequest
@@ -33,12 +35,15 @@
     :ivar started: monotonic seconds at which the request was received.
     :ivar selection_started: monotonic seconds at which the selection of a target began;
         reset after each failed send.
+    :ivar customer: customer that the request is for, or ``None`` if it is anonymous.
     :ivar avoid: targets that are not selected again for this request.
     :ivar refusals: number of sends that targets refused or that did not reach them.
     :ivar last_reason: reason of the last unsuccessful send or wait.
     :ivar turn_wait: seconds spent waiting for turns at engines.
     :ivar placement: state of the adapter at the engine that was selected last.
     :ivar expected_wait: expected seconds until the selected target takes the request.
+    :ivar charge: charge to the customer's quota, ``None`` if there is no quota.
+    :ivar quota_wait: seconds spent waiting for that charge.
     """
 
     call: Call
@@ -48,12 +53,23 @@
     started: float
     selection_started: float
     progress: Progress
+    customer: Customer | None = None
     avoid: set[TargetId] = field(default_factory=set)
     refusals: int = 0
     last_reason: str = ""
     turn_wait: float = 0.0
     placement: str = ""
     expected_wait: float = 0.0
+    charge: Charge | None = None
+    quota_wait: float = 0.0
+
+    @property
+    def rank(self) -> int:
+        """Priority: that of the customer, if it has one, or else of the route."""
+        customer = self.customer
+        if customer is None or customer.rank is None:
+            return self.route.rank
+        return customer.rank
 
 
 class RequestRecorder:
@@ -111,6 +127,7 @@
                 "request": request.call.request,
                 "route": request.route.name,
                 "service": request.service,
+                "customer": request.customer.name if request.customer else None,
                 "adapter": request.call.adapter,
                 "target": progress.target,
                 "sends": progress.uncertain_sends,
@@ -118,6 +135,7 @@
                 "events_after": progress.last_event,
                 "seconds": round(self._clock.monotonic() - request.started, 4),
                 "placed": request.placement,
+                "quota_wait": round(request.quota_wait, 4),
                 "turn_wait": round(request.turn_wait, 4),
                 "pause": round(progress.max_gap, 4),
                 "first": round(progress.response_started - request.started, 4)
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -13,7 +13,7 @@
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.tracker import TargetStats, TargetTracker
 from ibishead.headers import Headers
-from ibishead.ids import TargetId
+from ibishead.ids import CustomerId, TargetId
 from ibishead.routing.routes import Repeatability, Route
 from ibishead.routing.targets import Registration
 from ibishead.web import Exchange
@@ -22,6 +22,7 @@
     "Answered",
     "CallerLeftError",
     "Failed",
+    "Identity",
     "NotRun",
     "Outcome",
     "Progress",
@@ -40,6 +41,20 @@
 MIN_FAILURE_STATUS = 500
 
 
+@dataclass(frozen=True)
+class Identity:
+    """On whose behalf a call is sent.
+
+    :param rank: priority; 0 is the most urgent.
+    :param has_customers: whether the deployment has customers.
+    :param customer: ``None`` for an anonymous call.
+    """
+
+    rank: int
+    has_customers: bool = False
+    customer: CustomerId | None = None
+
+
 class CallerLeftError(Exception):
     """The caller has closed its connection and can't receive a response."""
 
@@ -129,10 +144,12 @@
         target: Registration,
         progress: Progress,
         deadline: float,
+        identity: Identity,
     ) -> Outcome:
         """Send a call to a target and relay its response if it is a valid one.
 
         :param deadline: monotonic seconds at which the request times out.
+        :param identity: on whose behalf the call is sent.
         :raises CallerLeftError: the caller has closed its connection.
         """
         stats = self._tracker.stats(target)
@@ -146,7 +163,7 @@
         progress.sending = True
         self._tracker.begin_request(stats, call.prompt_tokens)
         started = self._clock.monotonic()
-        state = _SendState(call, route, target, connection, stats, started)
+        state = _SendState(call, route, target, connection, stats, started, identity)
         try:
             outcome = await self._exchange(state, progress, deadline)
         except LinkLost as error:
@@ -180,8 +197,10 @@
         sending = SendParameters(
             state.target.target,
             deadline - self._clock.monotonic(),
-            route.rank,
+            state.identity.rank,
             progress.last_event,
+            state.identity.has_customers,
+            state.identity.customer,
         )
         headers = self._dialect.make_headers(call, sending)
         try:
@@ -319,6 +338,7 @@
     connection: TargetConnection
     stats: TargetStats
     started: float
+    identity: Identity
     responding: bool = False
     failed: bool = False
     complete: bool = False
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -8,12 +8,20 @@
 from ibishead.gateway.calls import CallerDialect, TargetDialect
 from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.quotas import QuotaClient
 from ibishead.gateway.settings import GatewaySettings
 from ibishead.gateway.stewards import StewardLinks
 from ibishead.gateway.tracker import TargetTracker
+from ibishead.links import Link
+from ibishead.messages import Message
 from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
-from ibishead.routing.messages import MemberKind, MemberRecord
+from ibishead.routing.messages import (
+    MemberKind,
+    MemberRecord,
+    QuotaAnswer,
+    QuotaKept,
+)
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import Registration, TargetState
 from ibishead.web import Exchange, Limits, WebServer
@@ -63,6 +71,7 @@
         member = MemberRecord(
             settings.host, MemberKind.GATEWAY, "", 0, settings.failure_domain
         )
+        self._quotas = QuotaClient(clock, settings.charge_lifetime)
         self.feed = RegistryFeed(
             member,
             settings.registries,
@@ -70,6 +79,7 @@
             on_routes=self._apply_routes,
             on_registrations=self._handle_statements,
             on_members=self._connect_stewards,
+            on_message=self._handle_registry_message,
         )
         self.metrics = Metrics("gateway")
         self._pipeline = Pipeline(
@@ -78,6 +88,7 @@
             self._tracker,
             self._pool,
             self._stewards,
+            self._quotas,
             callers,
             targets,
             clock,
@@ -109,6 +120,7 @@
             "targets_known": sum(1 for _ in self.feed.view),
             "connections_opened": self._pool.opened,
             "targets_limited": self._tracker.count_limited(),
+            "quota_keeper_linked": self._quotas.has_keeper,
         }
 
     async def stop(self) -> None:
@@ -130,6 +142,7 @@
             self._cleanup_task.cancel()
             await asyncio.gather(self._cleanup_task, return_exceptions=True)
         await self._stewards.stop()
+        self._quotas.stop()
         await self.feed.stop()
         await self._readiness_server.stop(0.0)
         self._pool.close()
@@ -159,6 +172,15 @@
             connections=self._settings.connections,
         )
 
+    def _handle_registry_message(self, link: Link, message: Message) -> None:
+        match message:
+            case QuotaKept() | QuotaAnswer():
+                self._quotas.handle_message(link, message)
+            case _:
+                logger.warning(
+                    "unexpected message", extra={"kind": type(message).__name__}
+                )
+
     def _handle_statements(self, statements: tuple[Registration, ...]) -> None:
         for statement in statements:
             logger.info(
--- a/src/ibishead/gateway/settings.py
+++ b/src/ibishead/gateway/settings.py
@@ -19,6 +19,8 @@
     :param registries: link endpoints of the seed registries.
     :param grace: seconds between the stop signal and the kill of the process.
     :param retries: retry budget that all gateways share.
+    :param charge_lifetime: seconds for which a charge to a customer's quota covers a
+        request that has not been sent yet.
     :param connections: maximum number of callers' connections.
     """
 
@@ -29,4 +31,5 @@
     registries: tuple[Endpoint, ...]
     grace: float
     retries: BudgetShare
+    charge_lifetime: float
     connections: int = 3000
--- a/src/ibishead/ids.py
+++ b/src/ibishead/ids.py
@@ -6,10 +6,12 @@
     "AdapterName",
     "BootId",
     "ClassName",
+    "CustomerId",
     "FailureDomain",
     "Generation",
     "HostId",
     "IdempotencyKey",
+    "KeyDigest",
     "Incarnation",
     "LogIndex",
     "ModelName",
@@ -31,6 +33,10 @@
 AdapterName = NewType("AdapterName", str)
 Version = NewType("Version", str)
 ClassName = NewType("ClassName", str)
+#: Name of a customer that shares the deployment with others.
+CustomerId = NewType("CustomerId", str)
+#: SHA-256 of an API key in hexadecimal.
+KeyDigest = NewType("KeyDigest", str)
 HostId = NewType("HostId", str)
 FailureDomain = NewType("FailureDomain", str)
 TargetId = NewType("TargetId", str)
--- a/src/ibishead/keys.py
+++ b/src/ibishead/keys.py
@@ -8,8 +8,16 @@
 from ibishead.documents import Caller, ServiceDocument
 from ibishead.errors import Forbidden, Unauthorized
 from ibishead.headers import Headers, find_header
+from ibishead.ids import KeyDigest
 
-__all__ = ["find_caller", "hash_key", "read_bearer", "require_caller", "require_key"]
+__all__ = [
+    "find_caller",
+    "hash_key",
+    "read_bearer",
+    "read_key",
+    "require_caller",
+    "require_key",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -20,15 +28,24 @@
 _SCHEME = "bearer"
 
 
-def hash_key(key: str) -> str:
+def hash_key(key: str) -> KeyDigest:
     """Return the SHA-256 of a key in hexadecimal, as used in documents and settings."""
-    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    digest = hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
+    return KeyDigest(digest)
 
 
 def read_bearer(headers: Headers) -> str:
     """Return the bearer token of the Authorization header, or an empty string."""
-    scheme, _, key = (find_header(headers, "authorization") or "").partition(" ")
-    return key.strip() if scheme.lower() == _SCHEME else ""
+    return read_key(headers, _SCHEME)
+
+
+def read_key(headers: Headers, scheme: str) -> str:
+    """Return the key of the Authorization header, or an empty string.
+
+    :param scheme: authentication scheme in lower case.
+    """
+    sent, _, key = (find_header(headers, "authorization") or "").partition(" ")
+    return key.strip() if sent.lower() == scheme else ""
 
 
 def find_caller(document: ServiceDocument, key: str) -> Caller | None:
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -30,6 +30,7 @@
 )
 from ibishead.routing.messages import (
     AskFence,
+    AskQuota,
     AskRoutes,
     AskTurn,
     BeginUse,
@@ -41,6 +42,8 @@
     Members,
     PromptDelay,
     PromptRead,
+    QuotaAnswer,
+    QuotaKept,
     RateTold,
     RouteNotice,
     RoutesAnswer,
@@ -620,6 +623,9 @@
     | AskTurn
     | TurnNoted
     | TurnAnswer
+    | AskQuota
+    | QuotaAnswer
+    | QuotaKept
     | BeginUse
     | EndUse
     | EngineReport
--- a/src/ibishead/platform/bodies.py
+++ b/src/ibishead/platform/bodies.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from ibishead.errors import InvalidInput
-from ibishead.ids import FailureDomain, ModelName, ServiceName, TargetId
+from ibishead.ids import CustomerId, FailureDomain, ModelName, ServiceName, TargetId
+from ibishead.keys import hash_key
+from ibishead.routing.customers import Customer, Quota, QuotaUnit
 from ibishead.routing.routes import (
     CallerLimits,
     EngineSpec,
@@ -42,6 +44,7 @@
     "non_idempotent": Repeatability.ONCE,
     "streaming": Repeatability.STREAM,
 }
+_UNITS = {unit.value: unit for unit in QuotaUnit}
 _STATES = {"ready": TargetState.READY, "draining": TargetState.DRAINING}
 
 
@@ -120,6 +123,8 @@
     max_attempts: int = 1
     resumable: bool = False
     target_gap_ms: float = 0
+    # requests need no key
+    public: bool = False
 
 
 class _Model(msgspec.Struct):
@@ -153,6 +158,20 @@
     engine: _Engine | None = None
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    # replaces the priority of the route
+    priority: int | None = None
+    # of rate_per_s and burst
+    unit: str = "requests"
+    # tokens of a request that doesn't say how many it needs
+    plain_tokens: int = 0
+    # zero for no limit, whatever the burst
+    rate_per_s: float = 0
+    burst: float = 0
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
@@ -166,6 +185,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _NewVersion(msgspec.Struct):
@@ -282,6 +302,9 @@
             limits.header_timeout_ms / 1000,
             limits.idle_timeout_ms / 1000,
         ),
+        None
+        if config.tenants is None
+        else tuple(_read_customer(tenant) for tenant in config.tenants),
     )
 
 
@@ -376,6 +399,28 @@
         route.priority,
         route.resumable,
         route.target_gap_ms / 1000,
+        route.public,
+    )
+
+
+def _read_customer(tenant: _Tenant) -> Customer:
+    unit = _UNITS.get(tenant.unit)
+    if unit is None:
+        raise InvalidInput(
+            f"unknown quota unit {tenant.unit!r}", "send requests or tokens"
+        )
+    if not all(tenant.api_keys):
+        raise InvalidInput(
+            f"customer {tenant.name!r} has an empty key", "send keys or no key"
+        )
+    limited = tenant.rate_per_s != 0
+    return Customer(
+        CustomerId(tenant.name),
+        tuple(dict.fromkeys(map(hash_key, tenant.api_keys))),
+        tenant.priority,
+        Quota(unit, tenant.rate_per_s, tenant.burst, tenant.plain_tokens)
+        if limited
+        else None,
     )
 
 
--- a/src/ibishead/platform/callers.py
+++ b/src/ibishead/platform/callers.py
@@ -4,12 +4,16 @@
 from ibishead.gateway.calls import Call, PromptPart
 from ibishead.headers import Headers, drop_hop_by_hop, find_header
 from ibishead.ids import ModelName, RequestId
+from ibishead.keys import read_key
 from ibishead.web import WebRequest, encode_error
 
 __all__ = ["PlatformCallers"]
 
 READY_PATH = "/api/ready"
 
+#: Authentication scheme of API keys.
+_KEY_SCHEME = "token"
+
 #: Headers that only the system itself may set; they are removed from callers' requests.
 _RESERVED_HEADERS = frozenset(
     {
@@ -40,7 +44,8 @@
         """
         headers = request.headers
         model, _, adapter = (find_header(headers, "model") or "").partition("/")
-        prompt, answer = _read_token_counts(find_header(headers, "token-counts"))
+        counts = find_header(headers, "token-counts")
+        prompt, answer = _read_token_counts(counts)
         return Call(
             RequestId(_require(headers, "request-id")),
             request.method,
@@ -56,6 +61,8 @@
             answer,
             _read_prompt_parts(find_header(headers, "prompt-prefix")),
             find_header(headers, "last-event-id"),
+            read_key(headers, _KEY_SCHEME),
+            bool(counts),
         )
 
     def find_request_id(self, request: WebRequest) -> RequestId | None:
--- a/src/ibishead/platform/settings.py
+++ b/src/ibishead/platform/settings.py
@@ -49,6 +49,9 @@
     # retries as a share of the requests for a service, and retries in addition to it
     retry_budget: float = 0.2
     retry_slack: float = 20
+    # period over which quotas are checked, and share by which that may exceed them
+    quota_window_s: float = 8
+    quota_overage: float = 0.1
 
 
 class _Listen(msgspec.Struct):
@@ -95,6 +98,7 @@
                 USED_RETRY_SHARE * bounds.retry_budget,
                 USED_RETRY_SHARE * bounds.retry_slack,
             ),
+            bounds.quota_window_s * bounds.quota_overage,
             max(100, self.limits.max_fds - RESERVED_DESCRIPTORS),
         )
 
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -7,6 +7,10 @@
 
 __all__ = ["PlatformTargets"]
 
+#: Headers that identify a caller to the system. The key is passed to nobody, and the
+#: name of the customer is set by the system.
+_IDENTITY_HEADERS = frozenset({"authorization", "tenant"})
+
 #: Range of the priority header, from most to least urgent.
 _PRIORITIES = range(10)
 
@@ -28,7 +32,11 @@
             headers.append(("request-priority", str(priority)))
         if sending.resume_after is not None:
             headers.append(("last-event-id", sending.resume_after))
-        return (*headers, *call.headers)
+        if sending.customer is not None:
+            headers.append(("tenant", sending.customer))
+        withheld = _IDENTITY_HEADERS if sending.has_customers else frozenset[str]()
+        forwarded = (pair for pair in call.headers if pair[0] not in withheld)
+        return (*headers, *forwarded)
 
     def read_head(self, call: Call, status: int, headers: Headers) -> TargetHead:
         """Return the meaning of an answer's status and headers."""
--- a/src/ibishead/registry/publisher.py
+++ b/src/ibishead/registry/publisher.py
@@ -13,12 +13,14 @@
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
     AskFence,
+    AskQuota,
     AskRoutes,
     FenceAnswer,
     Floors,
     MemberKind,
     MemberRecord,
     Members,
+    QuotaKept,
     RouteNotice,
     RoutesAnswer,
     SignsOfLife,
@@ -84,6 +86,7 @@
     :param take_fence: returns a new fencing number for the host that it is called with.
     :param on_registration: called with each registration received from a steward.
     :param on_subscriber: called with each program that subscribes.
+    :param on_quota_question: called with each `AskQuota`.
     """
 
     def __init__(
@@ -93,12 +96,15 @@
         take_fence: Callable[[str], Awaitable[int]],
         on_registration: Callable[[Registration], None],
         on_subscriber: Callable[[MemberRecord], None],
+        on_quota_question: Callable[[Link, AskQuota], None],
     ) -> None:
         self._state = state
         self._feed = feed
         self._take_fence = take_fence
         self._on_registration = on_registration
         self._on_subscriber = on_subscriber
+        self._on_quota_question = on_quota_question
+        self._quota_term = 0
         self._subscribers: dict[Link, _Subscriber] = {}
         self._pending_members: list[tuple[MemberRecord, bool]] = []
         self._flush_timer: asyncio.TimerHandle | None = None
@@ -126,6 +132,8 @@
                 # A steward registers its engine until the engine does so itself
                 for registration in registrations:
                     self._on_registration(registration)
+            case AskQuota():
+                self._on_quota_question(link, message)
             case AskFence(number):
                 task = asyncio.create_task(self._answer_fence(link, number))
                 self._tasks.add(task)
@@ -191,6 +199,19 @@
             if floors:
                 link.send(Floors(floors, self._floor_index))
 
+    def publish_quota_term(self, term: int) -> None:
+        """Tell the gateways that this registry keeps the accounts of the quotas.
+
+        :param term: 0 if it no longer does, of which no gateway is told.
+        """
+        self._quota_term = term
+        for link, subscriber in self._subscribers.items():
+            self._send_quota_term(link, subscriber)
+
+    def _send_quota_term(self, link: Link, subscriber: _Subscriber) -> None:
+        if self._quota_term and subscriber.member.kind is MemberKind.GATEWAY:
+            link.send(QuotaKept(self._quota_term))
+
     async def run(self) -> None:
         """Send batches of heartbeats until cancelled."""
         while True:
@@ -217,6 +238,7 @@
         known = tuple(filter(subscriber.needs_member, self._feed.members.values()))
         link.send(Members(known))
         _send_registrations(link, subscriber, tuple(self._feed.view))
+        self._send_quota_term(link, subscriber)
         if subscriber.is_registry:
             return
         if self._state.routes is not None:
@@ -245,6 +267,9 @@
     def _answer_routes(self, link: Link, held: int) -> None:
         if self._state.routes is None:
             return
+        if held >= self._state.version:
+            link.send(RoutesAnswer(self._state.version, b"", held))
+            return
         self._history.add(self._state.routes)
         base, encoded = self._history.encode(held)
         link.send(RoutesAnswer(self._state.version, encoded, base))
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -25,6 +25,7 @@
     count_voters,
 )
 from ibishead.registry.publisher import FeedPublisher
+from ibishead.registry.quotas import QuotaKeeper
 from ibishead.registry.service import RegistryService
 from ibishead.registry.settings import RegistrySettings
 from ibishead.registry.state import RouteState
@@ -112,6 +113,10 @@
             lambda holder: self.service.take_fence(holder),
             lambda registration: self.service.announce(registration),
             self._handle_subscriber,
+            lambda link, question: self._quotas.answer(link, question),
+        )
+        self._quotas = QuotaKeeper(
+            self.state, self.replica, clock, self._publisher.publish_quota_term
         )
         self.service = RegistryService(
             self.state, self.replica, self.feed, self._publisher, clock, self.metrics
@@ -137,6 +142,7 @@
         self.feed.start()
         await self._web.start(self._settings.http)
         self._tasks.append(asyncio.create_task(self._publisher.run()))
+        self._tasks.append(asyncio.create_task(self._quotas.run()))
         if self.replica is not None and self._settings.first_start:
             self._tasks.append(asyncio.create_task(self._found_log()))
 
@@ -146,6 +152,7 @@
             "routes_version": self.state.version,
             "subscribers": self._publisher.count,
             "targets_known": sum(1 for _ in self.feed.view),
+            "quota_refusals": self._quotas.refused,
         }
         if self.replica is not None:
             core = self.replica.core
--- a/src/ibishead/routing/changes.py
+++ b/src/ibishead/routing/changes.py
@@ -7,11 +7,15 @@
 
 import zlib
 from collections import OrderedDict
+from collections.abc import Hashable, Mapping
+from typing import TypeVar
 
 import msgspec
 
 from ibishead.errors import InvalidInput
-from ibishead.routing.routes import CallerLimits, Route, RouteSet, ServiceSpec
+from ibishead.ids import CustomerId
+from ibishead.routing.customers import Customer
+from ibishead.routing.routes import Route, RouteSet
 
 __all__ = [
     "RouteChange",
@@ -22,6 +26,9 @@
     "unpack",
 ]
 
+_K = TypeVar("_K", bound=Hashable)
+_V = TypeVar("_V")
+
 #: Number of recent route sets kept, so that a receiver that is a few versions behind
 #: gets a difference.
 MAX_RETAINED_SETS = 4
@@ -43,32 +50,33 @@
     """The difference between a route set and a later one.
 
     :param base: version of the set that it applies to.
-    :param version: version of the resulting set.
-    :param removed: host name and path prefix of each removed route.
-    :param routes: routes that are new, or replace those of the same host name and
-        prefix.
-    :param services: all services of the resulting set.
-    :param limits: limits of the resulting set.
+    :param removed_routes: host name and path prefix of each removed route.
+    :param removed_customers: name of each removed customer.
+    :param result: the resulting set, of whose routes and customers it holds only those
+        that are new or changed. All other fields are complete.
     """
 
     base: int
-    version: int
-    removed: tuple[tuple[str, str], ...]
-    routes: tuple[Route, ...]
-    services: tuple[ServiceSpec, ...]
-    limits: CallerLimits
+    removed_routes: tuple[tuple[str, str], ...]
+    removed_customers: tuple[CustomerId, ...]
+    result: RouteSet
 
 
 def compute_change(base: RouteSet, result: RouteSet) -> RouteChange:
     """Return the change that turns one route set into another."""
-    before, after = _index(base), _index(result)
+    removed_routes, routes = _compare(_index_routes(base), _index_routes(result))
+    removed_customers, customers = _compare(
+        _index_customers(base), _index_customers(result)
+    )
     return RouteChange(
         base.version,
-        result.version,
-        tuple(key for key in before if key not in after),
-        tuple(route for key, route in after.items() if before.get(key) != route),
-        result.services,
-        result.limits,
+        removed_routes,
+        removed_customers,
+        msgspec.structs.replace(
+            result,
+            routes=routes,
+            customers=None if result.customers is None else customers,
+        ),
     )
 
 
@@ -82,12 +90,18 @@
             f"a change to version {change.base} does not apply to {base.version}",
             "request the whole route set",
         )
-    routes = _index(base)
-    for key in change.removed:
-        routes.pop(key, None)
-    routes.update({(route.hostname, route.prefix): route for route in change.routes})
-    return RouteSet(
-        change.version, tuple(routes.values()), change.services, change.limits
+    routes, customers = _index_routes(base), _index_customers(base)
+    for location in change.removed_routes:
+        routes.pop(location, None)
+    for name in change.removed_customers:
+        customers.pop(name, None)
+    routes.update(_index_routes(change.result))
+    customers.update(_index_customers(change.result))
+    has_customers = change.result.customers is not None
+    return msgspec.structs.replace(
+        change.result,
+        routes=tuple(routes.values()),
+        customers=tuple(customers.values()) if has_customers else None,
     )
 
 
@@ -151,5 +165,18 @@
     return unpacked
 
 
-def _index(routes: RouteSet) -> dict[tuple[str, str], Route]:
+def _compare(
+    before: Mapping[_K, _V], after: Mapping[_K, _V]
+) -> tuple[tuple[_K, ...], tuple[_V, ...]]:
+    """Return the keys that were removed, and the values that are new or changed."""
+    removed = tuple(key for key in before if key not in after)
+    changed = tuple(value for key, value in after.items() if before.get(key) != value)
+    return removed, changed
+
+
+def _index_routes(routes: RouteSet) -> dict[tuple[str, str], Route]:
     return {(route.hostname, route.prefix): route for route in routes.routes}
+
+
+def _index_customers(routes: RouteSet) -> dict[CustomerId, Customer]:
+    return {customer.name: customer for customer in routes.customers or ()}
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -32,6 +32,7 @@
 )
 from ibishead.routing.routes import RouteSet, ServiceSpec
 from ibishead.routing.targets import Registration, TargetView, WeightKey
+from ibishead.waiting import wait_for_event
 
 __all__ = ["FEED_PACE", "RegistryFeed"]
 
@@ -51,6 +52,12 @@
 #: Time after which an unanswered request for routes is sent to another registry.
 ROUTES_TIMEOUT_SECONDS = 0.5
 
+#: Time between two checks for a newer route set that requests may cause, and time for
+#: which a request waits for the answer. Requests with invented keys or paths must not
+#: load the registries.
+REFRESH_INTERVAL_SECONDS = 0.25
+REFRESH_TIMEOUT_SECONDS = 0.25
+
 #: Time without a registration or heartbeat after which a ready target is removed.
 TARGET_TIMEOUT_SECONDS = 45.0
 
@@ -107,6 +114,8 @@
         #: Version sent with requests for routes, so that the answer can be a change
         #: to it; 0 requests the whole set, also after a change that failed to apply.
         self._held_version = 0
+        self._refresh: asyncio.Event | None = None
+        self._refreshed_at = -REFRESH_INTERVAL_SECONDS
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -172,6 +181,27 @@
         """Return a service of the route set in force here, or none."""
         return None if self.routes is None else self.routes.service(name)
 
+    async def refresh_routes(self) -> bool:
+        """Ask a registry for a newer route set, and return whether there was one.
+
+        Concurrent calls share one question. Calls that follow the last answer closely
+        ask nothing.
+        """
+        version = self.version
+        if self._refresh is None:
+            now = self._clock.monotonic()
+            links = [link for _, link in self.list_log_registries()]
+            if not links or now - self._refreshed_at < REFRESH_INTERVAL_SECONDS:
+                return False
+            self._refreshed_at = now
+            self._refresh = asyncio.Event()
+            links[int(now * 1000) % len(links)].send(AskRoutes(self._held_version))
+        refresh = self._refresh
+        await wait_for_event(refresh, REFRESH_TIMEOUT_SECONDS)
+        if self._refresh is refresh:
+            self._refresh = None
+        return self.version > version
+
     def broadcast(self, message: Message) -> None:
         """Send a message to every connected registry."""
         for link in self.links.values():
@@ -292,6 +322,8 @@
             self.routes_known.set()
             logger.info("routes in force", extra={"version": answer.version})
             self._on_routes(self.routes)
+        if self._refresh is not None:
+            self._refresh.set()
         self._requested_at = -ROUTES_TIMEOUT_SECONDS
         self._request_routes(self._clock.monotonic())
 
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
-from ibishead.ids import FailureDomain, HostId, ReplicaId, TargetId
+from ibishead.ids import CustomerId, FailureDomain, HostId, ReplicaId, TargetId
 from ibishead.routing.targets import AdapterRef, Holding, Registration, WeightKey
 
 __all__ = [
     "AdapterFloor",
     "AskFence",
+    "AskQuota",
     "AskRoutes",
     "AskTurn",
     "BeginUse",
@@ -26,6 +27,9 @@
     "Members",
     "PromptDelay",
     "PromptRead",
+    "QuotaAnswer",
+    "QuotaKept",
+    "QuotaVerdict",
     "RateTold",
     "RouteNotice",
     "RoutesAnswer",
@@ -120,7 +124,7 @@
 
     :param encoded: msgpack of a `ibishead.routing.routes.RouteSet`, or of a
         `ibishead.routing.changes.RouteChange` if there is a base; compressed by
-        `ibishead.routing.changes.pack`.
+        `ibishead.routing.changes.pack`. Empty if the receiver has this version.
     :param base: version that the change applies to, 0 for a whole set.
     """
 
@@ -166,6 +170,54 @@
     fence: int
 
 
+class QuotaKept(_Message, frozen=True):
+    """The sender keeps the accounts of all quotas, until another registry does.
+
+    :param term: rises each time that another registry takes over.
+    """
+
+    term: int
+
+
+class AskQuota(_Message, frozen=True):
+    """Asks to charge requests to their customers' quotas.
+
+    :param number: identifies the message; the answer repeats it.
+    :param term: term in which the receiver announced that it keeps the accounts.
+    :param demands: customer and cost of each request.
+    :param returned: customer and cost of requests that were charged in this term and
+        have not run.
+    """
+
+    number: int
+    term: int
+    demands: tuple[tuple[CustomerId, float], ...]
+    returned: tuple[tuple[CustomerId, float], ...] = ()
+
+
+class QuotaVerdict(msgspec.Struct, frozen=True, array_like=True):
+    """Whether one request is within its customer's quota.
+
+    :param wait: seconds until the quota admits it, if it was refused.
+    :param balance: units left to the customer, ``None`` if it has no quota.
+    """
+
+    granted: bool
+    wait: float = 0.0
+    balance: float | None = None
+
+
+class QuotaAnswer(_Message, frozen=True):
+    """Answer to `AskQuota`.
+
+    :param verdicts: one for each demand, in their order; ``None`` if the sender doesn't
+        keep the accounts in that term, or isn't certain that it still does.
+    """
+
+    number: int
+    verdicts: tuple[QuotaVerdict, ...] | None
+
+
 class AskTurn(_Message, frozen=True):
     """Asks a steward for permission to send a request to its engine.
 
--- a/src/ibishead/routing/routes.py
+++ b/src/ibishead/routing/routes.py
@@ -1,7 +1,7 @@
 """Routes from host names and path prefixes to services.
 
-Routes and services are versioned together as a `RouteSet`, which replaces the previous
-one atomically; parts of two sets are never combined.
+Routes, services and customers are versioned together as a `RouteSet`, which replaces
+the previous one atomically; parts of two sets are never combined.
 """
 
 from enum import Enum
@@ -10,6 +10,7 @@
 
 from ibishead.errors import InvalidInput
 from ibishead.ids import ModelName, ServiceName
+from ibishead.routing.customers import Customer, check_customers
 
 __all__ = [
     "CallerLimits",
@@ -57,6 +58,7 @@
     :param resumable: whether a stream may be resumed at another target after the last
         event received.
     :param gap_objective: objective for the seconds between two events, 0 for none.
+    :param public: whether requests need no API key.
     """
 
     name: str
@@ -70,6 +72,7 @@
     rank: int = 0
     resumable: bool = False
     gap_objective: float = 0.0
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -156,15 +159,18 @@
 
 
 class RouteSet(msgspec.Struct, frozen=True, array_like=True):
-    """All routes and services that are in force together.
+    """All routes, services and customers that are in force together.
 
     :param version: version number; the highest accepted one is in force.
+    :param customers: ``None`` if the deployment has no customers, and requests need no
+        API key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     limits: CallerLimits = CallerLimits()
+    customers: tuple[Customer, ...] | None = None
 
     def service(self, name: ServiceName) -> ServiceSpec | None:
         """Return a service by its name, or none."""
@@ -172,7 +178,7 @@
 
 
 def check_routes(routes: RouteSet) -> None:
-    """Check that a set routes requests unambiguously and to defined services.
+    """Check that a set routes requests unambiguously and that its parts are valid.
 
     :raises InvalidInput: the set is inconsistent; the message names the first fault.
     """
@@ -192,6 +198,7 @@
         if (location := (route.hostname, route.prefix)) in locations:
             raise _reject(route, "another route has the same host name and prefix")
         locations.add(location)
+    check_customers(routes.customers or ())
 
 
 def find_gap_objective(routes: RouteSet, service: ServiceName) -> float:
--- /dev/null
+++ b/tests/decisions/test_quota.py
@@ -0,0 +1,169 @@
+"""Accounts of quotas: what passes in any window, whoever keeps the accounts."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from ibishead.decisions.quota import MAX_CERTAINTY_AGE_SECONDS, QuotaAccounts
+from ibishead.routing.customers import Quota, QuotaUnit
+
+QUOTA = Quota(QuotaUnit.TOKENS, 100.0, 200.0)
+WINDOW_SECONDS = 8.0
+
+
+def open_accounts(balance_seconds=60.0, quota=QUOTA):
+    accounts = QuotaAccounts(0.0)
+    accounts.set_quotas({"c": quota})
+    accounts.advance(balance_seconds)
+    return accounts
+
+
+def test_requests_below_the_limit_are_never_refused():
+    accounts = open_accounts()
+    for step in range(1000):
+        accounts.advance(60.0 + step)
+        assert accounts.charge("c", QUOTA.rate).granted
+
+
+def test_a_burst_passes_after_a_pause_and_then_the_rate():
+    accounts = open_accounts()
+    granted = sum(accounts.charge("c", 50.0).granted for _ in range(20))
+    assert granted * 50.0 == QUOTA.burst
+    refusal = accounts.charge("c", 50.0)
+    assert (refusal.granted, refusal.wait) == (False, 0.5)
+    accounts.advance(60.5)
+    assert accounts.charge("c", 50.0).granted
+
+
+def test_request_larger_than_the_burst_passes_once():
+    accounts = open_accounts()
+    assert accounts.charge("c", 900.0).granted
+    assert accounts.charge("c", 1.0).wait == pytest.approx(7.01)
+
+
+def test_customer_without_quota_is_not_charged():
+    accounts = open_accounts()
+    assert all(accounts.charge("other", 1e9).granted for _ in range(3))
+
+
+def test_quota_without_burst_admits_its_rate():
+    accounts = open_accounts(quota=Quota(QuotaUnit.REQUESTS, 50.0, 0.0))
+    granted = 0
+    for step in range(800):
+        accounts.advance(60.0 + step / 100)
+        granted += accounts.charge("c", 1.0).granted
+    assert 395 <= granted <= 410
+
+
+def test_a_lowered_quota_binds_at_once():
+    accounts = open_accounts()
+    accounts.set_quotas({"c": Quota(QuotaUnit.TOKENS, 10.0, 20.0)})
+    assert accounts.charge("c", 20.0).granted
+    assert not accounts.charge("c", 1.0).granted
+
+
+def test_given_back_charges_pass_again_but_never_beyond_the_burst():
+    accounts = open_accounts()
+    accounts.charge("c", 200.0)
+    accounts.give_back("c", 150.0)
+    accounts.give_back("c", 150.0)
+    assert accounts.charge("c", 200.0).granted
+    assert not accounts.charge("c", 1.0).granted
+
+
+@pytest.mark.parametrize(
+    ("age", "certain"),
+    [(0.0, True), (0.5, True), (MAX_CERTAINTY_AGE_SECONDS + 1, False)],
+)
+def test_accounts_are_used_only_shortly_after_they_were_certain(age, certain):
+    """A suspended host would use a balance beside the one that replaced it."""
+    assert open_accounts(10.0).is_certain(10.0 + age) is certain
+
+
+@given(st.lists(st.floats(0.0, 3.0), max_size=60), st.floats(1.0, 400.0))
+def test_no_window_holds_more_than_rate_and_burst(pauses, cost):
+    accounts, now, sent = open_accounts(), 60.0, []
+    for pause in pauses:
+        now += pause
+        accounts.advance(now)
+        while accounts.charge("c", cost).granted:
+            sent.append((now, cost))
+    assert measure_worst_window(sent) <= WINDOW_SECONDS * 100 + 200 + cost + 1e-6
+
+
+def measure_worst_window(sent):
+    """Return the largest sum of costs in any window of `WINDOW_SECONDS`."""
+    return max(
+        (
+            sum(cost for at, cost in sent if start <= at <= start + WINDOW_SECONDS)
+            for start, _ in sent
+        ),
+        default=0.0,
+    )
+
+
+class SeveralKeepers(RuleBasedStateMachine):
+    """Keepers that are elected, cut off, suspended and resumed.
+
+    The model follows the log: times at which keepers are certain don't overlap. All
+    keepers, deposed ones too, charge whatever they may.
+    """
+
+    COST = 30.0
+
+    def __init__(self):
+        super().__init__()
+        self.now = 100.0
+        self.sent = []
+        self.elections = 0
+
+    @initialize()
+    def start(self):
+        self.keepers = []
+        self.elect()
+
+    @rule()
+    def elect(self):
+        accounts = QuotaAccounts(self.now)
+        accounts.set_quotas({"c": QUOTA})
+        self.keepers = [*self.keepers[-2:], accounts]
+        self.is_cut = False
+        self.elections += 1
+
+    @rule(cut=st.booleans())
+    def cut(self, cut):
+        self.is_cut = cut
+
+    @rule(seconds=st.floats(0.05, 4.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @precondition(lambda self: not self.is_cut)
+    @rule()
+    def confirm(self):
+        self.keepers[-1].advance(self.now)
+
+    @rule(count=st.integers(1, 40))
+    def ask_all(self, count):
+        for accounts in self.keepers:
+            if accounts.is_certain(self.now):
+                verdicts = [accounts.charge("c", self.COST) for _ in range(count)]
+                granted = sum(verdict.granted for verdict in verdicts)
+                self.sent += [(self.now, self.COST)] * granted
+
+    @invariant()
+    def no_window_exceeds_the_limit(self):
+        """Each keeper may exceed its balance by one request, and nothing else."""
+        allowed = WINDOW_SECONDS * QUOTA.rate + QUOTA.burst
+        assert measure_worst_window(self.sent) <= allowed + self.COST * self.elections
+
+
+TestSeveralKeepers = SeveralKeepers.TestCase
+TestSeveralKeepers.settings = settings(max_examples=60, stateful_step_count=30)
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -14,6 +14,7 @@
 from ibishead.gateway.connection import TargetConnection
 from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.quotas import QuotaClient
 from ibishead.gateway.stewards import StewardLinks, TurnOutcome
 from ibishead.gateway.tracker import TargetTracker
 from ibishead.headers import find_header
@@ -141,12 +142,14 @@
         feed.routes = RouteSet(1, (Route(**{**fields, **route}),), services)
         self.feed = feed
         self.pool, self.tracker = ConnectionPool(clock), TargetTracker()
+        self.quotas = QuotaClient(clock, 0.8, lambda: 0.0)
         self.pipeline = Pipeline(
             HOME,
             feed,
             self.tracker,
             self.pool,
             StewardLinks(HostId("g"), clock, print, print, print, print),
+            self.quotas,
             PlatformCallers(),
             PlatformTargets(),
             clock,
--- a/tests/onplatform/test_bodies.py
+++ b/tests/onplatform/test_bodies.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from ibishead.errors import InvalidInput
+from ibishead.keys import hash_key
 from ibishead.platform.bodies import (
     decode_deregistration,
     decode_heartbeat,
@@ -17,6 +18,7 @@
 )
 from ibishead.platform.callers import PlatformCallers
 from ibishead.platform.targets import PlatformTargets
+from ibishead.routing.customers import Quota, QuotaUnit, check_customers
 from ibishead.routing.routes import Repeatability
 from ibishead.routing.targets import TargetState
 from ibishead.web import WebRequest
@@ -113,6 +115,74 @@
     assert (found.limits.header_bytes, found.limits.idle_time) == (100, 0.5)
 
 
+TENANT = {
+    "name": "loft",
+    "api_keys": ["k1", "k2"],
+    "priority": 1,
+    "unit": "tokens",
+    "plain_tokens": 200,
+    "rate_per_s": 2600,
+    "burst": 5200,
+}
+
+
+def decode_with(*tenants):
+    return decode_routes(json.dumps({**CONFIG, "tenants": tenants}).encode())
+
+
+def test_customers_are_decoded():
+    (found,) = decode_with(TENANT).customers
+    assert (found.name, found.rank) == ("loft", 1)
+    assert found.keys == (hash_key("k1"), hash_key("k2"))
+    assert found.quota == Quota(QuotaUnit.TOKENS, 2600.0, 5200.0, 200)
+
+
+@pytest.mark.parametrize(
+    ("body", "customers"),
+    [(CONFIG, None), ({**CONFIG, "tenants": []}, ())],
+)
+def test_no_customers_differ_from_a_deployment_without_customers(body, customers):
+    assert decode_routes(json.dumps(body).encode()).customers == customers
+
+
+@pytest.mark.parametrize("rate", [{"rate_per_s": 0}, {"rate_per_s": None}])
+def test_customer_without_rate_has_no_quota_whatever_its_burst(rate):
+    tenant = {k: v for k, v in {**TENANT, **rate}.items() if v is not None}
+    assert decode_with(tenant).customers[0].quota is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"name": ""},
+        {"name": None},
+        {"api_keys": ["k1", ""]},
+        {"api_keys": "k1"},
+        {"rate_per_s": -1},
+        {"burst": -1},
+        {"rate_per_s": "many"},
+        {"plain_tokens": -5},
+        {"unit": "loaves"},
+    ],
+)
+def test_malformed_customer_is_refused(change):
+    with pytest.raises(InvalidInput):
+        check_customers(decode_with({**TENANT, **change}).customers)
+
+
+def test_customers_that_share_a_key_are_refused_without_naming_it():
+    other = {**TENANT, "name": "crew", "api_keys": ["secret", "k2"]}
+    with pytest.raises(InvalidInput, match="crew") as caught:
+        check_customers(decode_with(TENANT, other).customers)
+    assert "k2" not in str(caught.value)
+
+
+@given(st.sampled_from(sorted(TENANT)), JUNK)
+def test_customer_with_junk_field_raises_only_invalid_input(field, value):
+    with contextlib.suppress(InvalidInput):
+        decode_with({**TENANT, field: value})
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_raise_only_invalid_input(data):
     for decode in (decode_routes, decode_report, decode_version, decode_deregistration):
--- a/tests/routing/test_changes.py
+++ b/tests/routing/test_changes.py
@@ -16,11 +16,24 @@
     pack,
     unpack,
 )
-from ibishead.routing.routes import Repeatability, Route, RouteSet, ServiceSpec, Share
+from ibishead.routing.customers import Customer, Quota, QuotaUnit
+from ibishead.routing.routes import (
+    CallerLimits,
+    Repeatability,
+    Route,
+    RouteSet,
+    ServiceSpec,
+    Share,
+)
 
 TIMEOUTS = st.dictionaries(st.integers(0, 9), st.integers(1, 3), max_size=10)
 
 
+CUSTOMERS = st.none() | st.dictionaries(st.sampled_from("abcd"), st.integers(1, 3)).map(
+    lambda rates: tuple(make_customer(name, rate) for name, rate in rates.items())
+)
+
+
 def make_set(version, timeouts):
     """Return a set with one route for each number, given their timeouts."""
     routes = tuple(
@@ -38,12 +51,31 @@
     return RouteSet(version, routes, (ServiceSpec("s", "/health", version),))
 
 
+def make_customer(name, rate):
+    return Customer(name, (f"digest-{name}",), 1, Quota(QuotaUnit.TOKENS, rate, 1.0))
+
+
+#: A value that differs from that of `make_set`, for each field of a route set.
+OTHER_VALUES = {
+    "version": 8,
+    "routes": make_set(1, {99: 1}).routes,
+    "services": (ServiceSpec("other", "/h", 1),),
+    "limits": CallerLimits(header_bytes=1),
+    "customers": (make_customer("other", 1.0),),
+}
+
+
 def are_equal(left, right):
-    return set(left.routes) == set(right.routes) and (
-        left.version,
-        left.services,
-        left.limits,
-    ) == (right.version, right.services, right.limits)
+    """Compare all fields; the order of routes and customers has no meaning."""
+
+    def simplify(routes):
+        fields = msgspec.structs.asdict(routes)
+        fields["routes"] = set(routes.routes)
+        if routes.customers is not None:
+            fields["customers"] = set(routes.customers)
+        return fields
+
+    return simplify(left) == simplify(right)
 
 
 def decode(held, base, encoded):
@@ -59,6 +91,27 @@
     assert are_equal(apply_change(base, compute_change(base, expected)), expected)
 
 
+@pytest.mark.parametrize("field", RouteSet.__struct_fields__)
+def test_change_carries_every_field(field):
+    """A field that a change forgets keeps its old value for ever."""
+    base = make_set(1, {1: 1})
+    expected = msgspec.structs.replace(base, **{field: OTHER_VALUES[field]})
+    assert not are_equal(base, expected)
+    assert are_equal(apply_change(base, compute_change(base, expected)), expected)
+
+
+@given(CUSTOMERS, CUSTOMERS)
+def test_applied_change_yields_the_customers(before, after):
+    base, expected = (
+        msgspec.structs.replace(make_set(version, {}), customers=customers)
+        for version, customers in ((1, before), (2, after))
+    )
+    change = compute_change(base, expected)
+    assert are_equal(apply_change(base, change), expected)
+    unchanged = set(before or ()) & set(after or ())
+    assert not unchanged & set(change.result.customers or ())
+
+
 def test_change_to_another_version_is_rejected():
     """Guards against routes of two versions in force together."""
     change = compute_change(make_set(2, {}), make_set(3, {1: 1}))
