Carry quotas over a change of the leader, and ask the leader for newer routes

Change: half of the permitted excess now lets a new keeper credit its accounts in advance, only if it follows directly on a leader that it has seen for longer than a window; the other half remains for charges that wait to be sent. Without a keeper for 2 s a gateway refuses at once and is not ready, so that the balancer sends callers elsewhere.

--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -17,16 +17,70 @@
 from ibishead.ids import CustomerId
 from ibishead.routing.customers import Quota
 
-__all__ = ["QuotaAccounts", "Verdict"]
+__all__ = ["Leadership", "QuotaAccounts", "Tolerance", "Verdict"]
 
 #: Minimum size of an account in seconds of its rate, for quotas without a burst.
 MIN_BURST_SECONDS = 0.1
 
+#: Share of the permitted excess that is used for charges which wait to be sent. The
+#: rest is for initial credits.
+LIFETIME_SHARE = 0.5
+
 #: Maximum time in seconds since the program was last certain to keep the accounts, for
 #: it to charge requests. A program that was suspended must not use its balances.
 MAX_CERTAINTY_AGE_SECONDS = 0.7
 
 
+@dataclass(frozen=True)
+class Tolerance:
+    """By how much the requests sent in a window may exceed the quotas.
+
+    :param window: seconds of a window.
+    :param overage: permitted excess, as a share of what the quota allows in a window.
+    """
+
+    window: float
+    overage: float
+
+    @property
+    def charge_lifetime(self) -> float:
+        """Seconds for which a charge covers a request that has not been sent.
+
+        Requests that are sent in a window were charged in it or in one lifetime before.
+        """
+        return LIFETIME_SHARE * self.window * self.overage
+
+    @property
+    def initial_credit(self) -> float:
+        """Seconds of the rate that a new keeper of the accounts may credit at once."""
+        return (1.0 - LIFETIME_SHARE) * self.window * self.overage
+
+
+@dataclass
+class Leadership:
+    """Leaders of the log as one replica saw them, to bound initial credits.
+
+    While no leader is known, requests wait at the gateways. The initial credit lets
+    them pass when the next one takes over. It is given at most once in a window: only
+    to a leader that directly follows one that has led for longer than a window.
+
+    :param term: the latest term whose leader was seen.
+    :param seen_at: monotonic seconds at which that leader was first seen.
+    """
+
+    term: int = 0
+    seen_at: float = 0.0
+
+    def record(self, term: int, now: float) -> None:
+        """Record the current term of a known leader."""
+        if term != self.term:
+            self.term, self.seen_at = term, now
+
+    def allows_credit(self, term: int, now: float, window: float) -> bool:
+        """Return whether the leader of a new term may credit its accounts at once."""
+        return self.term > 0 and term == self.term + 1 and now - self.seen_at > window
+
+
 @dataclass(frozen=True)
 class Verdict:
     """Whether a request is within its customer's quota.
@@ -63,17 +117,22 @@
     """Token buckets of all customers with a quota.
 
     :param now: monotonic seconds from which this program keeps the accounts.
+    :param initial_seconds: time whose rate is credited in advance, see
+        `Tolerance.initial_credit`.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, initial_seconds: float = 0.0) -> None:
         self._accounts: dict[CustomerId, _Account] = {}
         self._credited_until = now
+        self._initial_seconds = initial_seconds
 
     def set_quotas(self, quotas: Mapping[CustomerId, Quota]) -> None:
         """Replace the quotas; customers whose quota changes keep their balance."""
         accounts = {}
         for name, quota in quotas.items():
-            account = self._accounts.get(name, _Account(quota))
+            account = self._accounts.get(name)
+            if account is None:
+                account = _Account(quota, self._initial_seconds * quota.rate)
             account.quota = quota
             account.credit(0.0)
             accounts[name] = account
--- a/src/ibishead/gateway/directory.py
+++ b/src/ibishead/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from ibishead.errors import NotFound, Unauthorized
 from ibishead.gateway.calls import Call
+from ibishead.gateway.quotas import QuotaClient
 from ibishead.routing.customers import Customer, CustomerKeys
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.routes import Route, RouteSet, find_route
@@ -10,10 +11,14 @@
 
 
 class RouteDirectory:
-    """Looks up calls in the newest route set that a feed has received."""
+    """Looks up calls in the newest route set that a feed has received.
 
-    def __init__(self, feed: RegistryFeed) -> None:
+    :param quotas: knows the leader of the log.
+    """
+
+    def __init__(self, feed: RegistryFeed, quotas: QuotaClient) -> None:
         self._feed = feed
+        self._quotas = quotas
         self._indexed: RouteSet | None = None
         self._keys = CustomerKeys(())
 
@@ -31,7 +36,7 @@
         try:
             return self._look_up(call)
         except (NotFound, Unauthorized):
-            if not await self._feed.refresh_routes():
+            if not await self._feed.refresh_routes(self._quotas.keeper):
                 raise
         return self._look_up(call)
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -89,7 +89,7 @@
         self._chooser = TargetChooser(domain, feed, tracker, stewards, clock, draw)
         self._stewards = stewards
         self._quotas = quotas
-        self._directory = RouteDirectory(feed)
+        self._directory = RouteDirectory(feed, quotas)
         self._callers = callers
         self._tracker = tracker
         self._sender = Sender(
--- a/src/ibishead/gateway/quotas.py
+++ b/src/ibishead/gateway/quotas.py
@@ -29,6 +29,10 @@
 #: Seconds until a question is repeated to a registry that can't answer it now.
 UNCERTAIN_RETRY_SECONDS = 0.05
 
+#: Seconds without a link to a keeper after which requests no longer wait for one. An
+#: election takes less, so this gateway is cut off and others may serve its callers.
+STALL_SECONDS = 2.0
+
 #: Seconds for which charges that are given back are collected.
 RETURN_INTERVAL_SECONDS = 0.1
 
@@ -103,11 +107,23 @@
         self._questions: dict[int, _Question] = {}
         self._returned: list[tuple[CustomerId, float]] = []
         self._timer: asyncio.TimerHandle | None = None
+        self._last_linked = clock.monotonic()
 
     @property
-    def has_keeper(self) -> bool:
-        """Whether a registry is known that keeps the accounts."""
-        return self._keeper is not None and not self._keeper.closed
+    def keeper(self) -> Link | None:
+        """Link to the registry that keeps the accounts, the leader of the log.
+
+        ``None`` while it is unknown or its link doesn't work.
+        """
+        link = self._keeper
+        return None if link is None or link.closed or link.overdue else link
+
+    def is_stalled(self) -> bool:
+        """Return whether there has been no keeper for longer than an election takes."""
+        now = self._clock.monotonic()
+        if self.keeper is not None:
+            self._last_linked = now
+        return now - self._last_linked > STALL_SECONDS
 
     def handle_message(self, link: Link, message: QuotaKept | QuotaAnswer) -> None:
         """Handle a message from a registry."""
@@ -131,7 +147,8 @@
         """Charge a request to its customer's quota.
 
         :param tokens: tokens that it needs, ``None`` if it doesn't say.
-        :param wait: seconds to wait for a registry that keeps the accounts.
+        :param wait: seconds to wait for a registry that keeps the accounts, unless this
+            gateway has had none for long.
         :returns: ``None`` if the customer has no quota.
         :raises Refused: the quota is used up.
         :raises Unavailable: no registry answered.
@@ -143,7 +160,7 @@
         started = self._clock.monotonic()
         self._ask(demand)
         try:
-            async with asyncio.timeout(max(0.0, wait)):
+            async with asyncio.timeout(0.0 if self.is_stalled() else max(0.0, wait)):
                 await self._repeat_until_answered(demand)
         except TimeoutError as error:
             waited = self._clock.monotonic() - started
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -120,7 +120,7 @@
             "targets_known": sum(1 for _ in self.feed.view),
             "connections_opened": self._pool.opened,
             "targets_limited": self._tracker.count_limited(),
-            "quota_keeper_linked": self._quotas.has_keeper,
+            "quota_keeper_linked": self._quotas.keeper is not None,
         }
 
     async def stop(self) -> None:
@@ -159,9 +159,17 @@
         if not self._callers.is_readiness_probe(exchange.request):
             await exchange.respond(404, ())
             return
-        ready = not self._stopping and self.feed.routes is not None
+        ready = not self._stopping and self._can_admit()
         await exchange.respond(200 if ready else 503, ())
 
+    def _can_admit(self) -> bool:
+        """Return whether requests of all customers can be admitted or refused."""
+        routes = self.feed.routes
+        if routes is None:
+            return False
+        limited = any(c.quota is not None for c in routes.customers or ())
+        return not (limited and self._quotas.is_stalled())
+
     def _apply_routes(self, routes: RouteSet) -> None:
         limits = routes.limits
         self._server.limits = Limits(
--- a/src/ibishead/platform/settings.py
+++ b/src/ibishead/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from ibishead.decisions.quota import Tolerance
 from ibishead.decisions.retry import BudgetShare
 from ibishead.errors import SettingsFault
 from ibishead.gateway.settings import GatewaySettings
@@ -98,7 +99,7 @@
                 USED_RETRY_SHARE * bounds.retry_budget,
                 USED_RETRY_SHARE * bounds.retry_slack,
             ),
-            bounds.quota_window_s * bounds.quota_overage,
+            self._quota_tolerance().charge_lifetime,
             max(100, self.limits.max_fds - RESERVED_DESCRIPTORS),
         )
 
@@ -121,6 +122,7 @@
             if tolerance.zones or tolerance.regions
             else tolerance.machines,
             self.bounds.catch_up_s / 2,
+            self._quota_tolerance(),
         )
 
     def steward(self) -> StewardSettings:
@@ -153,6 +155,9 @@
             Endpoint(_parse_endpoint(s, "seeds").address, port) for s in self.seeds
         )
 
+    def _quota_tolerance(self) -> Tolerance:
+        return Tolerance(self.bounds.quota_window_s, self.bounds.quota_overage)
+
     def _port(self, offset: int) -> int:
         first, last = self.port_range[0], self.port_range[-1]
         if first + offset > last:
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -6,7 +6,7 @@
 
 from ibishead.clock import Clock
 from ibishead.control.replica import LogReplica
-from ibishead.decisions.quota import QuotaAccounts
+from ibishead.decisions.quota import Leadership, QuotaAccounts, Tolerance
 from ibishead.links import Link
 from ibishead.registry.state import RouteState
 from ibishead.routing.messages import AskQuota, QuotaAnswer, QuotaVerdict
@@ -25,6 +25,7 @@
 
     :param replica: this registry's log replica; none on a host without a disk, which
         never keeps the accounts.
+    :param tolerance: by how much requests may exceed the quotas.
     :param on_term: called with the term in which this registry begins to keep the
         accounts, and with 0 when it no longer does.
     """
@@ -34,12 +35,15 @@
         state: RouteState,
         replica: LogReplica | None,
         clock: Clock,
+        tolerance: Tolerance,
         on_term: Callable[[int], None],
     ) -> None:
         self._state = state
         self._replica = replica
         self._clock = clock
+        self._tolerance = tolerance
         self._on_term = on_term
+        self._leadership = Leadership()
         self._term = 0
         self._accounts: QuotaAccounts | None = None
         self._quotas_of: RouteSet | None = None
@@ -80,6 +84,8 @@
         led_until = None if replica is None else replica.led_until()
         if replica is None or led_until is None:
             self._end_term()
+            if replica is not None and replica.leader() is not None:
+                self._leadership.record(replica.core.term, self._clock.monotonic())
             return
         if self._accounts is None or self._term != replica.core.term:
             self._begin_term(replica.core.term)
@@ -90,8 +96,14 @@
 
     def _begin_term(self, term: int) -> None:
         self._term, self._quotas_of = term, None
-        self._accounts = QuotaAccounts(self._clock.monotonic())
-        logger.info("quota accounts taken over", extra={"term": term})
+        now = self._clock.monotonic()
+        credited = self._leadership.allows_credit(term, now, self._tolerance.window)
+        credit = self._tolerance.initial_credit if credited else 0.0
+        self._accounts = QuotaAccounts(now, credit)
+        self._leadership.record(term, now)
+        logger.info(
+            "quota accounts taken over", extra={"term": term, "credit_seconds": credit}
+        )
         self._on_term(term)
 
     def _end_term(self) -> None:
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -116,7 +116,11 @@
             lambda link, question: self._quotas.answer(link, question),
         )
         self._quotas = QuotaKeeper(
-            self.state, self.replica, clock, self._publisher.publish_quota_term
+            self.state,
+            self.replica,
+            clock,
+            settings.quota_tolerance,
+            self._publisher.publish_quota_term,
         )
         self.service = RegistryService(
             self.state, self.replica, self.feed, self._publisher, clock, self.metrics
--- a/src/ibishead/registry/settings.py
+++ b/src/ibishead/registry/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from ibishead.decisions.quota import Tolerance
 from ibishead.ids import FailureDomain, HostId
 from ibishead.links import Endpoint
 
@@ -21,6 +22,7 @@
     :param first_start: whether the whole system starts for the first time.
     :param losses: number of hosts with a disk that may be lost at the same time.
     :param repair_after: seconds without contact after which a voter is replaced.
+    :param quota_tolerance: by how much requests may exceed their customers' quotas.
     """
 
     host: HostId
@@ -33,3 +35,4 @@
     first_start: bool
     losses: int
     repair_after: float
+    quota_tolerance: Tolerance
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -114,7 +114,8 @@
         #: Version sent with requests for routes, so that the answer can be a change
         #: to it; 0 requests the whole set, also after a change that failed to apply.
         self._held_version = 0
-        self._refresh: asyncio.Event | None = None
+        self._refresh: asyncio.Task[None] | None = None
+        self._refresh_answered = asyncio.Event()
         self._refreshed_at = -REFRESH_INTERVAL_SECONDS
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -131,6 +132,8 @@
     async def stop(self) -> None:
         """Close all links."""
         tasks = [*self._tasks, *self._link_tasks.values()]
+        if self._refresh is not None:
+            tasks.append(self._refresh)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -181,27 +184,36 @@
         """Return a service of the route set in force here, or none."""
         return None if self.routes is None else self.routes.service(name)
 
-    async def refresh_routes(self) -> bool:
+    async def refresh_routes(self, leader: Link | None = None) -> bool:
         """Ask a registry for a newer route set, and return whether there was one.
 
-        Concurrent calls share one question. Calls that follow the last answer closely
-        ask nothing.
+        All calls that arrive before the next question share its answer.
+
+        :param leader: link to the leader of the log, which is asked if it is known: the
+            other registries learn what was accepted a heartbeat later.
         """
         version = self.version
         if self._refresh is None:
-            now = self._clock.monotonic()
-            links = [link for _, link in self.list_log_registries()]
-            if not links or now - self._refreshed_at < REFRESH_INTERVAL_SECONDS:
-                return False
-            self._refreshed_at = now
-            self._refresh = asyncio.Event()
-            links[int(now * 1000) % len(links)].send(AskRoutes(self._held_version))
-        refresh = self._refresh
-        await wait_for_event(refresh, REFRESH_TIMEOUT_SECONDS)
-        if self._refresh is refresh:
-            self._refresh = None
+            self._refresh = asyncio.create_task(self._ask_for_newer(leader))
+        await asyncio.shield(self._refresh)
         return self.version > version
 
+    async def _ask_for_newer(self, leader: Link | None) -> None:
+        now = self._clock.monotonic()
+        await asyncio.sleep(self._refreshed_at + REFRESH_INTERVAL_SECONDS - now)
+        # a request that arrives from now on needs the answer to a later question
+        self._refresh = None
+        self._refreshed_at = self._clock.monotonic()
+        links = [link for _, link in self.list_log_registries()]
+        if leader is not None and not leader.closed:
+            links = [leader]
+        if not links:
+            return
+        self._refresh_answered.clear()
+        chosen = links[int(self._refreshed_at * 1000) % len(links)]
+        chosen.send(AskRoutes(self._held_version))
+        await wait_for_event(self._refresh_answered, REFRESH_TIMEOUT_SECONDS)
+
     def broadcast(self, message: Message) -> None:
         """Send a message to every connected registry."""
         for link in self.links.values():
@@ -322,8 +334,8 @@
             self.routes_known.set()
             logger.info("routes in force", extra={"version": answer.version})
             self._on_routes(self.routes)
-        if self._refresh is not None:
-            self._refresh.set()
+        if not answer.encoded or answer.version == self.version:
+            self._refresh_answered.set()
         self._requested_at = -ROUTES_TIMEOUT_SECONDS
         self._request_routes(self._clock.monotonic())
 
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -11,7 +11,12 @@
     rule,
 )
 
-from ibishead.decisions.quota import MAX_CERTAINTY_AGE_SECONDS, QuotaAccounts
+from ibishead.decisions.quota import (
+    MAX_CERTAINTY_AGE_SECONDS,
+    Leadership,
+    QuotaAccounts,
+    Tolerance,
+)
 from ibishead.routing.customers import Quota, QuotaUnit
 
 QUOTA = Quota(QuotaUnit.TOKENS, 100.0, 200.0)
@@ -87,6 +92,35 @@
     assert open_accounts(10.0).is_certain(10.0 + age) is certain
 
 
+def test_new_keeper_admits_the_requests_that_waited_for_it():
+    accounts = QuotaAccounts(10.0, Tolerance(8.0, 0.1).initial_credit)
+    accounts.set_quotas({"c": QUOTA})
+    assert accounts.charge("c", 30.0).granted
+    assert accounts.charge("c", 30.0).granted
+    assert not accounts.charge("c", 30.0).granted
+
+
+@pytest.mark.parametrize(
+    ("seen", "term", "now", "allowed"),
+    [
+        ([(3, 0.0)], 4, 9.0, True),
+        ([(3, 0.0), (3, 8.0)], 4, 9.0, True),
+        # its leader has taken over within the window itself
+        ([(3, 2.0)], 4, 9.0, False),
+        # another leader, which this replica has not seen, may have had a credit
+        ([(3, 0.0)], 5, 9.0, False),
+        # this replica has just started
+        ([], 1, 9.0, False),
+    ],
+)
+def test_initial_credit_is_given_once_in_a_window(seen, term, now, allowed):
+    """Leaders in quick succession would each add a credit to the same window."""
+    leadership = Leadership()
+    for number, at in seen:
+        leadership.record(number, at)
+    assert leadership.allows_credit(term, now, 8.0) is allowed
+
+
 @given(st.lists(st.floats(0.0, 3.0), max_size=60), st.floats(1.0, 400.0))
 def test_no_window_holds_more_than_rate_and_burst(pauses, cost):
     accounts, now, sent = open_accounts(), 60.0, []
--- a/tests/gateway/test_customer_requests.py
+++ b/tests/gateway/test_customer_requests.py
@@ -14,7 +14,9 @@
     respond,
 )
 
+from ibishead.decisions.holding import MIN_HOLD_SECONDS
 from ibishead.errors import ErrorCode
+from ibishead.gateway.quotas import STALL_SECONDS
 from ibishead.headers import find_header
 from ibishead.ids import CustomerId
 from ibishead.keys import hash_key
@@ -36,6 +38,7 @@
     """A link to a registry that answers questions about quotas as the test says."""
 
     closed = False
+    overdue = False
 
     def __init__(self, client, *granted: bool) -> None:
         self.client = client
@@ -184,7 +187,7 @@
         feed, questions = fixture.feed, []
         assert (await fixture.ask(**asked))[0] == before
 
-        async def refresh():
+        async def refresh(_):
             questions.append(feed.version)
             routes = feed.routes
             feed.routes = msgspec.structs.replace(
@@ -238,6 +241,21 @@
         assert (await task)[0] == 200
 
 
+@pytest.mark.parametrize("lost", ["closed", "overdue"])
+async def test_gateway_that_is_cut_off_from_the_keeper_refuses_at_once(lost):
+    """Its callers would wait in vain, while other gateways could serve them."""
+    async with make_fixture(SAFE, respond, timeout=5.0) as fixture:
+        keeper = keep_quotas(fixture, True, True)
+        setattr(keeper, lost, True)
+        fixture.quotas._last_linked -= STALL_SECONDS + 0.1
+        assert fixture.quotas.is_stalled()
+        async with asyncio.timeout(MIN_HOLD_SECONDS / 2):
+            assert (await fixture.ask(authorization="Token k3"))[0] == 503
+        setattr(keeper, lost, False)
+        assert not fixture.quotas.is_stalled()
+        assert (await fixture.ask(authorization="Token k3"))[0] == 200
+
+
 @pytest.mark.parametrize(
     ("kind", "behaviours", "attempts", "status", "returned"),
     [
--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -18,7 +18,7 @@
 
 from ibishead.errors import LinkLost
 from ibishead.gateway.connection import TargetConnection
-from ibishead.headers import find_header
+from ibishead.headers import Headers, find_header
 from ibishead.links import Endpoint
 from ibishead.web import Exchange, WebServer
 from ibishead.webclient import ClientConnection
@@ -37,6 +37,8 @@
     """Executions of requests: request ID to the names of the targets that ran it."""
 
     runs: dict[str, list[str]] = field(default_factory=dict)
+    #: Headers of each request that was run.
+    headers: dict[str, Headers] = field(default_factory=dict)
 
     def record(self, request: str, target: str) -> None:
         self.runs.setdefault(request, []).append(target)
@@ -194,6 +196,7 @@
             await exchange.respond(421, refusal)
             return
         self.cluster.ledger.record(request, self.name)
+        self.cluster.ledger.headers[request] = headers
         self.arrivals.append(time.monotonic())
         if self.losing_answers:
             exchange.abort()
--- a/tests/routing/test_feed.py
+++ b/tests/routing/test_feed.py
@@ -8,7 +8,11 @@
 from ibishead.clock import SystemClock
 from ibishead.links import Endpoint
 from ibishead.routing.changes import RouteHistory
-from ibishead.routing.feed import ROUTES_TIMEOUT_SECONDS, RegistryFeed
+from ibishead.routing.feed import (
+    REFRESH_TIMEOUT_SECONDS,
+    ROUTES_TIMEOUT_SECONDS,
+    RegistryFeed,
+)
 from ibishead.routing.messages import (
     AskRoutes,
     MemberKind,
@@ -144,3 +148,42 @@
     feed.near.deliver(RouteNotice(1))
     await asyncio.sleep(2 * ROUTES_TIMEOUT_SECONDS)
     assert feed.near.list_requested_versions()
+
+
+async def test_requests_that_arrive_together_share_one_question_to_the_leader(feed):
+    """Requests with invented keys must not load the registries."""
+    history = RouteHistory()
+    history.add(make_set(1, "/a/"))
+    feed.far.deliver(answer(history, 0, 1))
+    await settle()
+    calls = [asyncio.create_task(feed.feed.refresh_routes(feed.near)) for _ in range(9)]
+    await settle()
+    assert feed.near.list_requested_versions() == [1]
+    history.add(make_set(2, "/b/"))
+    feed.near.deliver(answer(history, 1, 2))
+    assert await asyncio.gather(*calls) == [True] * 9
+    assert feed.far.list_requested_versions() == []
+
+
+async def test_request_that_arrives_during_a_question_waits_for_the_next(feed):
+    """A key that was accepted after the question would be refused by its answer."""
+    history = RouteHistory()
+    history.add(make_set(1, "/a/"))
+    feed.far.deliver(answer(history, 0, 1))
+    await settle()
+    first = asyncio.create_task(feed.feed.refresh_routes(feed.near))
+    await settle()
+    second = asyncio.create_task(feed.feed.refresh_routes(feed.near))
+    feed.near.deliver(RoutesAnswer(1, b"", 1))
+    assert await first is False
+    history.add(make_set(2, "/b/"))
+    while len(feed.near.list_requested_versions()) < 2:
+        await asyncio.sleep(0.01)
+    assert not second.done()
+    feed.near.deliver(answer(history, 1, 2))
+    assert await second is True
+
+
+async def test_unanswered_question_ends_in_time(feed):
+    async with asyncio.timeout(2 * REFRESH_TIMEOUT_SECONDS):
+        assert await feed.feed.refresh_routes(feed.near) is False
