Show quotas from outside: counters by customer, waits, and refusals by the keeper

Operators could not see which customer was refused, by which quota, nor how long requests waited for their charge. Gateways count requests by customer and outcome, with a bounded number of labels, and have a histogram of the wait; the registry that keeps the accounts logs refused customers every 5 s, twenty at most. Tests of the keeper: terms, accounts of an earlier time, newer quotas, returned charges, bounded log lines.

--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -115,6 +115,8 @@
             self._metrics.count_refusal(error.code)
         progress = request.progress
         self._update_metrics(request, outcome == ANSWERED, error)
+        if request.customer is not None:
+            self._metrics.count_customer(request.customer.name, outcome)
         routine = (
             outcome == ANSWERED
             and not request.refusals
@@ -153,6 +155,8 @@
         team, group = TeamId(request.service), ClassName(request.route.name)
         progress = request.progress
         self._metrics.observe(Measure.WAIT, team, group, request.turn_wait)
+        if request.quota_wait:
+            self._metrics.observe(Measure.QUOTA_WAIT, team, group, request.quota_wait)
         if progress.response_started:
             first = progress.response_started - request.started
             self._metrics.observe(Measure.FIRST_TOKEN, team, group, first)
--- a/src/ibishead/metrics.py
+++ b/src/ibishead/metrics.py
@@ -13,7 +13,7 @@
 
 from ibishead.errors import ErrorCode
 from ibishead.headers import Headers
-from ibishead.ids import ClassName, TeamId
+from ibishead.ids import ClassName, CustomerId, TeamId
 from ibishead.messages import Outcome
 
 __all__ = ["Measure", "Metrics"]
@@ -44,6 +44,9 @@
 #: Number of pairs of team and class with metrics of their own; a deployment has tens.
 #: All further pairs share one, so that values sent by callers can't exhaust memory.
 MAX_LABEL_PAIRS = 1000
+
+#: Number of customers with counters of their own; all others share one.
+MAX_CUSTOMERS = 200
 _OVERFLOW_LABEL = "other"
 
 
@@ -51,6 +54,7 @@
     """The histograms that exist for each team and class; values are help texts."""
 
     WAIT = "seconds that a request waited for its turn"
+    QUOTA_WAIT = "seconds that a request waited for its quota to be charged"
     LOAD_STALL = "seconds that a request waited for its adapter"
     FIRST_TOKEN = "seconds from a request to the first byte of its answer"
     BETWEEN_TOKENS = "seconds between two pieces of an answer"
@@ -102,6 +106,10 @@
         self._label_pairs: set[tuple[TeamId, ClassName]] = set()
         self._refusals = self._make_counter("refusals_total", "refusals by code")
         self._requests = self._make_counter("requests_total", "requests by outcome")
+        self._customers: set[CustomerId] = set()
+        self._customer_requests = self._make_counter(
+            "customer_requests_total", "requests by customer and outcome"
+        )
         self._events = self._make_counter(
             "events_total", "events of the program by name"
         )
@@ -132,6 +140,17 @@
             {"team": team, "class": request_class, "outcome": outcome.value}
         )
 
+    def count_customer(self, customer: CustomerId, outcome: str) -> None:
+        """Count a request of a customer that has ended.
+
+        :param outcome: an error code, or a constant of the program.
+        """
+        if customer not in self._customers:
+            if len(self._customers) >= MAX_CUSTOMERS:
+                customer = CustomerId(_OVERFLOW_LABEL)
+            self._customers.add(customer)
+        self._customer_requests.inc({"customer": customer, "outcome": outcome})
+
     def count_event(self, event: str) -> None:
         """Count an event.
 
@@ -197,6 +216,7 @@
 
 _METRIC_NAMES = {
     Measure.WAIT: "wait_seconds",
+    Measure.QUOTA_WAIT: "quota_wait_seconds",
     Measure.LOAD_STALL: "load_stall_seconds",
     Measure.FIRST_TOKEN: "first_token_seconds",
     Measure.BETWEEN_TOKENS: "between_tokens_seconds",
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 
 from ibishead.clock import Clock
 from ibishead.control.replica import LogReplica
 from ibishead.decisions.quota import Leadership, QuotaAccounts, Tolerance
+from ibishead.ids import CustomerId
 from ibishead.links import Link
 from ibishead.registry.state import RouteState
+from ibishead.routing.customers import Quota
 from ibishead.routing.messages import AskQuota, QuotaAnswer, QuotaVerdict
 from ibishead.routing.routes import RouteSet
 
@@ -19,6 +22,11 @@
 #: Seconds between two checks whether this registry leads.
 CHECK_INTERVAL_SECONDS = 0.1
 
+#: Seconds between two log lines about customers that were refused, and maximum number
+#: of customers that they name.
+LOG_INTERVAL_SECONDS = 5.0
+MAX_LOGGED_CUSTOMERS = 20
+
 
 class QuotaKeeper:
     """Charges the gateways' requests to their customers' quotas.
@@ -46,13 +54,18 @@
         self._leadership = Leadership()
         self._term = 0
         self._accounts: QuotaAccounts | None = None
+        self._quotas: dict[CustomerId, Quota] = {}
         self._quotas_of: RouteSet | None = None
+        #: Refused requests, and those of each customer since the last log line.
         self.refused = 0
+        self._refused_since: Counter[CustomerId] = Counter()
+        self._logged_at = clock.monotonic()
 
     async def run(self) -> None:
         """Take over the accounts whenever this registry leads, until cancelled."""
         while True:
             self._follow_leadership()
+            self._log_refusals()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
     def answer(self, link: Link, question: AskQuota) -> None:
@@ -64,13 +77,38 @@
         for customer, cost in question.returned:
             accounts.give_back(customer, cost)
         verdicts = [accounts.charge(*demand) for demand in question.demands]
-        self.refused += sum(1 for verdict in verdicts if not verdict.granted)
+        for (customer, _), verdict in zip(question.demands, verdicts, strict=True):
+            if not verdict.granted:
+                self.refused += 1
+                self._refused_since[customer] += 1
         if verdicts:
             encoded = tuple(
                 QuotaVerdict(v.granted, round(v.wait, 4), v.balance) for v in verdicts
             )
             link.send(QuotaAnswer(question.number, encoded))
 
+    def _log_refusals(self) -> None:
+        now = self._clock.monotonic()
+        if now - self._logged_at < LOG_INTERVAL_SECONDS:
+            return
+        for customer, refused in self._refused_since.most_common(MAX_LOGGED_CUSTOMERS):
+            quota = self._quotas.get(customer)
+            logger.info(
+                "quota used up",
+                extra={
+                    "customer": customer,
+                    "refused": refused,
+                    "seconds": round(now - self._logged_at, 1),
+                    "rate": quota.rate if quota else None,
+                    "burst": quota.burst if quota else None,
+                    "unit": quota.unit.value if quota else None,
+                    "routes": self._state.version,
+                    "term": self._term,
+                },
+            )
+        self._refused_since.clear()
+        self._logged_at = now
+
     def _find_accounts(self, term: int) -> QuotaAccounts | None:
         """Return the accounts, credited up to now, if this registry may use them."""
         self._follow_leadership()
@@ -115,6 +153,5 @@
     def _update_quotas(self, accounts: QuotaAccounts) -> None:
         self._quotas_of = self._state.routes
         customers = self._state.routes.customers if self._state.routes else None
-        accounts.set_quotas(
-            {c.name: c.quota for c in customers or () if c.quota is not None}
-        )
+        self._quotas = {c.name: c.quota for c in customers or () if c.quota is not None}
+        accounts.set_quotas(self._quotas)
--- /dev/null
+++ b/tests/registry/test_quotas.py
@@ -0,0 +1,128 @@
+"""The keeper of the quotas: when it charges, and what it tells."""
+
+import logging
+
+import pytest
+
+from ibishead.clock import ManualClock
+from ibishead.decisions.quota import Tolerance
+from ibishead.registry.quotas import LOG_INTERVAL_SECONDS, QuotaKeeper
+from ibishead.registry.state import RouteState
+from ibishead.routing.customers import Customer, Quota, QuotaUnit
+from ibishead.routing.messages import AskQuota, QuotaAnswer
+from ibishead.routing.routes import RouteSet
+
+TOLERANCE = Tolerance(8.0, 0.1)
+
+
+class FakeReplica:
+    """A replica whose leadership is set by the test."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.term = 1
+        self.leads = True
+        self.age = 0.0
+
+    @property
+    def core(self):
+        return self
+
+    def led_until(self):
+        return self.clock.monotonic() - self.age if self.leads else None
+
+    def leader(self):
+        return "r0" if self.leads else "other"
+
+
+class Scene:
+    """A keeper with one customer of 100 tokens per second and no balance yet."""
+
+    def __init__(self, rate=100.0):
+        self.clock = ManualClock()
+        self.replica = FakeReplica(self.clock)
+        self.state, self.terms, self.sent = RouteState(), [], []
+        self.set_rate(rate)
+        self.keeper = QuotaKeeper(
+            self.state, self.replica, self.clock, TOLERANCE, self.terms.append
+        )
+        self.keeper._follow_leadership()
+
+    def set_rate(self, rate):
+        quota = Quota(QuotaUnit.TOKENS, rate, 2 * rate)
+        version = self.state.version + 1
+        customers = (Customer("c", (), None, quota),)
+        self.state.routes = RouteSet(version, (), (), customers=customers)
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def ask(self, *costs, term=1, returned=()):
+        demands = tuple(("c", cost) for cost in costs)
+        self.keeper.answer(self, AskQuota(7, term, demands, returned))
+        if not self.sent:
+            return None
+        answer = self.sent.pop()
+        assert isinstance(answer, QuotaAnswer)
+        assert answer.number == 7
+        return answer.verdicts and [verdict.granted for verdict in answer.verdicts]
+
+
+def test_the_leader_charges_and_announces_its_term():
+    scene = Scene()
+    scene.clock.step(1.0)
+    assert scene.ask(60.0, 60.0, 60.0) == [True, True, False]
+    assert scene.terms == [1]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"leads": False}, {"age": 5.0}, {"term": 2}],
+    ids=["deposed", "cut off from the quorum", "elected again"],
+)
+def test_accounts_of_an_earlier_time_are_not_used(change):
+    """Two hosts would charge the same quota at the same time."""
+    scene = Scene()
+    scene.clock.step(2.0)
+    assert scene.ask(10.0) == [True]
+    scene.clock.step(2.0)
+    vars(scene.replica).update(change)
+    assert scene.ask(10.0) is None
+
+
+def test_new_term_starts_with_empty_accounts():
+    scene = Scene()
+    scene.clock.step(9.0)
+    assert scene.ask(10.0) == [True]
+    scene.replica.leads = False
+    assert scene.ask(10.0) is None
+    scene.replica.leads, scene.replica.term = True, 3
+    assert scene.ask(10.0, term=3) == [False]
+    assert scene.terms == [1, 0, 3]
+
+
+def test_quota_of_newer_routes_applies_to_the_next_request():
+    scene = Scene()
+    scene.clock.step(2.0)
+    scene.set_rate(1.0)
+    assert scene.ask(2.0, 2.0) == [True, False]
+
+
+def test_charges_that_are_given_back_need_no_answer():
+    scene = Scene()
+    scene.clock.step(2.0)
+    assert scene.ask(200.0) == [True]
+    assert scene.ask(returned=(("c", 200.0),)) is None
+    assert scene.ask(10.0) == [True]
+
+
+def test_refusals_are_logged_by_customer_at_intervals(caplog):
+    scene = Scene()
+    scene.clock.step(LOG_INTERVAL_SECONDS)
+    for _ in range(30):
+        scene.ask(100.0, 100.0)
+    with caplog.at_level(logging.INFO):
+        scene.keeper._log_refusals()
+        scene.keeper._log_refusals()
+    (line,) = [r for r in caplog.records if r.message == "quota used up"]
+    assert (line.customer, line.refused, line.rate) == ("c", 58, 100.0)
