Trace the late refusal of an expired request at a steward

Seen once beside load: the refusal of a request that waits at most 0.02 s was not there after 0.05 s. Cause: on a loop that was blocked meanwhile, asyncio.wait_for needs several turns to end its inner task, so that the test's own timer, due later, woke up first. With asyncio.timeout the loop refuses in the turn in which the time is over.

--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -1,6 +1,7 @@
 """Turns that a steward grants to waiting requests."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -69,10 +70,14 @@
         assert max(harness.delays) > 0
 
 
-async def test_expired_request_is_refused_and_removed():
+@pytest.mark.parametrize("blocked_seconds", [0.0, 0.1])
+async def test_expired_request_is_refused_and_removed(blocked_seconds):
+    """The refusal is the first thing that a loop does which was blocked meanwhile."""
     async with QueueHarness() as harness:
         harness.add(1)
         harness.add(2, wait=0.02)
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.005, time.sleep, blocked_seconds)
         await asyncio.sleep(0.05)
         assert harness.answers == [(1, True), (2, False)]
         assert [waiter.number for waiter in harness.refused] == [2]
