--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ibishead.clock import Clock
-from ibishead.errors import IbisheadError, NotFound, Refused, Unavailable
+from ibishead.errors import ErrorCode, IbisheadError, NotFound, Refused, Unavailable
 from ibishead.gateway.calls import Call, CallerDialect
 from ibishead.gateway.quotas import Charge
 from ibishead.gateway.sending import Progress
@@ -117,11 +117,14 @@
         self._update_metrics(request, outcome == ANSWERED, error)
         if request.customer is not None:
             self._metrics.count_customer(request.customer.name, outcome)
-        routine = (
+        answered = (
             outcome == ANSWERED
             and not request.refusals
             and not progress.uncertain_sends
         )
+        # A customer over its quota may send any number of requests
+        over_quota = outcome == ErrorCode.QUOTA_EXCEEDED.value
+        routine = answered or over_quota
         logger.info(
             "request ended",
             extra=(mark_routine() if routine else {})
