--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -48,7 +48,72 @@
 CLAIMS = "tests/proofs/test_claims.py"
 QUESTIONS = "tests/entry/test_questions.py"
 
+KEEPER = "tests/registry/test_quotas.py"
+CUSTOMERS = "tests/gateway/test_customer_requests.py"
+
 GUARDS = (
+    Guard(
+        "accounts of quotas are not used while another host may keep them",
+        "registry/quotas.py",
+        "return accounts if accounts.is_certain(self._clock.monotonic()) else None",
+        "return accounts",
+        (f"{KEEPER}::test_accounts_of_an_earlier_time_are_not_used",),
+    ),
+    Guard(
+        "accounts of quotas are credited for certain time only",
+        "registry/quotas.py",
+        "self._accounts.advance(led_until)",
+        "self._accounts.advance(self._clock.monotonic())",
+        (f"{KEEPER}::test_accounts_of_an_earlier_time_are_not_used",),
+    ),
+    Guard(
+        "an initial credit is given once in a window",
+        "decisions/quota.py",
+        "term == self.term + 1 and now - self.seen_at > window",
+        "True",
+        (
+            "tests/decisions/test_quota.py"
+            "::test_initial_credit_is_given_once_in_a_window",
+        ),
+    ),
+    Guard(
+        "an expired charge is renewed before the request is sent",
+        "gateway/pipeline.py",
+        "await self._renew_charge(request)",
+        "pass",
+        (f"{CUSTOMERS}::test_expired_charge_is_renewed_before_the_request_is_sent",),
+    ),
+    Guard(
+        "a charge is given back only for a request that has not run",
+        "gateway/pipeline.py",
+        "unsent = not progress.uncertain_sends and not progress.sending",
+        "unsent = True",
+        (
+            f"{CUSTOMERS}"
+            "::test_a_request_is_charged_once_and_given_back_if_it_has_not_run",
+        ),
+    ),
+    Guard(
+        "targets are never sent a key or another customer's name",
+        "platform/targets.py",
+        "forwarded = (pair for pair in call.headers if pair[0] not in withheld)",
+        "forwarded = iter(call.headers)",
+        (f"{CUSTOMERS}::test_target_is_told_the_customer_and_never_the_key",),
+    ),
+    Guard(
+        "newer routes are asked for before a key is refused",
+        "gateway/directory.py",
+        "if not await self._feed.refresh_routes(self._quotas.keeper):",
+        "if True:",
+        (f"{CUSTOMERS}::test_newer_routes_are_asked_for_before_a_request_is_rejected",),
+    ),
+    Guard(
+        "a gateway without the keeper of the quotas refuses at once",
+        "gateway/quotas.py",
+        "0.0 if self.is_stalled() else max(0.0, wait)",
+        "max(0.0, wait)",
+        (f"{CUSTOMERS}::test_gateway_that_is_cut_off_from_the_keeper_refuses_at_once",),
+    ),
     Guard(
         "an order is not sent under a claim grant that was given up",
         "entry/claims.py",
