Split the checks of request framing from the HTTP server

What rejects a request before it is handled, and the errors for it, are in framing.py now; no behaviour changes (tests/test_web.py, test_bad_input.py green).

--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -17,12 +17,15 @@
 import h11
 import msgspec
 
-from ibishead.errors import (
-    ErrorCode,
-    IbisheadError,
-    InvalidInput,
-    LinkLost,
-    TooLarge,
+from ibishead.errors import IbisheadError, InvalidInput, LinkLost
+from ibishead.framing import (
+    check_framing,
+    check_head_size,
+    check_line_ends,
+    check_version,
+    convert_protocol_error,
+    make_body_too_large_error,
+    make_timeout_error,
 )
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
@@ -49,9 +52,6 @@
 #: stop; long enough to read requests that were sent before, even on a slow host.
 LAST_REQUEST_SECONDS = 0.25
 
-#: Bytes of a header line besides name and value; significant with many short headers.
-_HEADER_OVERHEAD = len(": \r\n")
-
 
 @dataclass(frozen=True)
 class Limits:
@@ -374,11 +374,11 @@
                 return None
             body = await self._read_body(head)
         except h11.RemoteProtocolError as error:
-            await self._refuse(_convert_protocol_error(error))
+            await self._refuse(convert_protocol_error(error))
             return None
         except (TimeoutError, IbisheadError) as error:
             await self._refuse(
-                error if isinstance(error, IbisheadError) else _make_timeout_error()
+                error if isinstance(error, IbisheadError) else make_timeout_error()
             )
             return None
         try:
@@ -399,13 +399,13 @@
     async def _read_head(self) -> h11.Request | None:
         timeout = self._limits.idle_seconds
         while True:
-            _check_line_ends(self._state.trailing_data[0])
+            check_line_ends(self._state.trailing_data[0])
             event = self._state.next_event()
             match event:
                 case h11.Request():
-                    _check_version(event)
-                    _check_head_size(event, self._limits)
-                    _check_framing(event)
+                    check_version(event)
+                    check_head_size(event, self._limits.header_bytes)
+                    check_framing(event)
                     return event
                 case h11.ConnectionClosed():
                     return None
@@ -425,7 +425,7 @@
     async def _read_body(self, head: h11.Request) -> bytes:
         length = next((v for k, v in head.headers if k == b"content-length"), b"0")
         if int(length) > self._limits.body_bytes:
-            raise _make_body_too_large_error(self._limits)
+            raise make_body_too_large_error(self._limits.body_bytes)
         if self._state.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         parts: list[bytes] = []
@@ -437,7 +437,7 @@
                     case h11.Data():
                         size += len(event.data)
                         if size > self._limits.body_bytes:
-                            raise _make_body_too_large_error(self._limits)
+                            raise make_body_too_large_error(self._limits.body_bytes)
                         parts.append(bytes(event.data))
                     case h11.EndOfMessage():
                         return b"".join(parts)
@@ -537,74 +537,5 @@
         return ""
 
 
-def _check_version(head: h11.Request) -> None:
-    # h11 accepts any digit, but other major versions have a different message format
-    if not head.http_version.startswith(b"1."):
-        error = InvalidInput("unsupported HTTP version", "send HTTP/1.1 (RFC 9112)")
-        error.status = HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
-        raise error
-
-
-def _check_framing(head: h11.Request) -> None:
-    # Request smuggling: with both headers, another server in the chain may find the end
-    # of the body by the other one, and take a part of the body for a request.
-    names = {name for name, _ in head.headers}
-    if b"content-length" in names and b"transfer-encoding" in names:
-        raise InvalidInput(
-            "content-length and transfer-encoding together", "send only one of them"
-        )
-
-
-def _check_line_ends(data: bytes) -> None:
-    # Request smuggling: h11 ends a line at a bare line feed, stricter servers do not.
-    # The two would see different headers, or only one of them a second request.
-    end = data.find(b"\r\n\r\n")
-    head = data if end < 0 else data[:end]
-    if head.count(b"\n") != head.count(b"\r\n"):
-        raise InvalidInput(
-            "bare line feed in the headers", "end header lines with CR LF"
-        )
-
-
 def _make_caller_lost_error() -> LinkLost:
     return LinkLost("the caller has disconnected", "send the request again")
-
-
-def _check_head_size(head: h11.Request, limits: Limits) -> None:
-    # h11 limits incomplete heads only, not a head that arrives in one read
-    size = len(head.target)
-    size += sum(len(k) + len(v) + _HEADER_OVERHEAD for k, v in head.headers)
-    if size > limits.header_bytes:
-        raise _make_headers_too_large_error()
-
-
-def _convert_protocol_error(error: h11.RemoteProtocolError) -> IbisheadError:
-    if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
-        return _make_headers_too_large_error()
-    return InvalidInput(f"invalid HTTP: {error}", "send HTTP/1.1 (RFC 9112)")
-
-
-def _make_headers_too_large_error() -> IbisheadError:
-    error = TooLarge(
-        "the headers are too large",
-        "send fewer or shorter headers",
-        code=ErrorCode.HEADERS_TOO_LARGE,
-    )
-    error.status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-    return error
-
-
-def _make_timeout_error() -> IbisheadError:
-    error = InvalidInput(
-        "the request was not received in time",
-        "send the request faster or split it into smaller ones",
-        code=ErrorCode.REQUEST_TIMEOUT,
-    )
-    error.status = HTTPStatus.REQUEST_TIMEOUT
-    return error
-
-
-def _make_body_too_large_error(limits: Limits) -> IbisheadError:
-    return TooLarge(
-        f"the request body exceeds {limits.body_bytes} bytes", "send a smaller body"
-    )
