--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/driver.py
@@ -125,6 +125,8 @@
         self.waiters = Waiters()
         self.reads: dict[int, asyncio.Future[LogIndex | None]] = {}
         self.failed: StorageFault | None = None
+        #: Called when the known leader has changed.
+        self.on_leader_change: Callable[[], None] = _do_nothing
         self._machine = machine
         self._files = files
         self._links = links
@@ -251,6 +253,7 @@
                     "commit": self.core.commit,
                 },
             )
+            self.on_leader_change()
 
     def _perform(self, output: Output) -> None:
         match output:
@@ -329,3 +332,7 @@
             self._snapshot_index = applied
             self._applied_bytes = 0
             self.schedule_flush()
+
+
+def _do_nothing() -> None:
+    pass
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/replica.py
@@ -113,6 +113,10 @@
         self._driver.advance()
         return self._driver.core
 
+    def watch_leader(self, on_change: Callable[[], None]) -> None:
+        """Set the callback for changes of the known leader."""
+        self._driver.on_leader_change = on_change
+
     async def start(self) -> None:
         """Start to participate in the consensus."""
         self._links.start()
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -19,8 +19,8 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds between two checks whether this registry leads.
-CHECK_INTERVAL_SECONDS = 0.1
+#: Seconds between two credits.
+CREDIT_INTERVAL_SECONDS = 0.1
 
 #: Seconds between two log lines about customers that were refused, and maximum number
 #: of customers that they name.
@@ -60,13 +60,15 @@
         self.refused = 0
         self._refused_since: Counter[CustomerId] = Counter()
         self._logged_at = clock.monotonic()
+        if replica is not None:
+            replica.watch_leader(self._follow_leadership)
 
     async def run(self) -> None:
-        """Take over the accounts whenever this registry leads, until cancelled."""
+        """Credit the accounts while this registry leads, until cancelled."""
         while True:
             self._follow_leadership()
             self._log_refusals()
-            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
+            await asyncio.sleep(CREDIT_INTERVAL_SECONDS)
 
     def answer(self, link: Link, question: AskQuota) -> None:
         """Charge requests and answer the gateway that asks."""
--- a/tests/registry/test_quotas.py
+++ b/tests/registry/test_quotas.py
@@ -24,6 +24,9 @@
         self.leads = True
         self.age = 0.0
 
+    def watch_leader(self, on_change):
+        self.on_leader_change = on_change
+
     @property
     def core(self):
         return self
@@ -90,6 +93,16 @@
     assert scene.ask(10.0) is None
 
 
+def test_accounts_are_taken_over_as_soon_as_the_replica_leads():
+    """Requests wait at all gateways until they are told of the next keeper."""
+    scene = Scene()
+    scene.replica.leads = False
+    scene.replica.on_leader_change()
+    scene.replica.leads, scene.replica.term = True, 2
+    scene.replica.on_leader_change()
+    assert scene.terms == [1, 0, 2]
+
+
 def test_new_term_starts_with_empty_accounts():
     scene = Scene()
     scene.clock.step(9.0)
