--- a/benchmarks/bench_commits.py
+++ b/benchmarks/bench_commits.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from benchmarks.lone_log import make_command, open_log
-from ibishead.control.replica import LogReplica
+from ibishead.control.log.replica import LogReplica
 
 PROPOSERS = 64
 ROUNDS = 5
--- a/benchmarks/lone_log.py
+++ b/benchmarks/lone_log.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from ibishead.clock import SystemClock
-from ibishead.control.driver import ReplicaOptions
-from ibishead.control.folder import DataFolder
-from ibishead.control.peering import PeerLinks
-from ibishead.control.raftstate import Timing
-from ibishead.control.replica import LogReplica
+from ibishead.control.agreement.raftstate import Timing
+from ibishead.control.log.driver import ReplicaOptions
+from ibishead.control.log.folder import DataFolder
+from ibishead.control.log.peering import PeerLinks
+from ibishead.control.log.replica import LogReplica
 from ibishead.ids import HostId
 from ibishead.messages import Hello, Role
 
--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -130,7 +130,7 @@
     ),
     Guard(
         "an answer to an earlier run of a replica is ignored",
-        "control/replica.py",
+        "control/log/replica.py",
         "PendingQuestions(draw(FIRST_NUMBER_BOUND))",
         "PendingQuestions(0)",
         (
@@ -160,7 +160,7 @@
     ),
     Guard(
         "an early election does not depose a leader",
-        "control/election.py",
+        "control/agreement/election.py",
         "    if _has_live_leader(state) and not request.transfer:",
         "    if False:",
         ("tests/test_consensus.py::test_early_election_keeps_a_working_leader",),
--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -50,7 +50,7 @@
     "refusal": (("gateway.choosing", "REFUSE_FACTOR", 1e6),),
     # voters wait for the full election timeout after a start
     "early-election": (
-        ("control.consensus", "Consensus.campaign_early", lambda *_: None),
+        ("control.agreement.consensus", "Consensus.campaign_early", lambda *_: None),
     ),
     # engines become known only when they register themselves
     "naming": (("steward.naming", "EngineNamer._is_unknown", lambda *_: False),),
--- a/src/ibishead/control/configuration.py
+++ b/src/ibishead/control/agreement/configuration.py
@@ -1,9 +1,9 @@
 """Changes of the replica set, one replica at a time."""
 
-from ibishead.control import replication
-from ibishead.control.peers import Configuration, EntryKind
-from ibishead.control.raftlog import encode_configuration
-from ibishead.control.raftstate import RaftState, Role
+from ibishead.control.agreement import replication
+from ibishead.control.agreement.peers import Configuration, EntryKind
+from ibishead.control.agreement.raftlog import encode_configuration
+from ibishead.control.agreement.raftstate import RaftState, Role
 from ibishead.errors import Conflict, ErrorCode, Unavailable
 from ibishead.ids import LogIndex, ReplicaId
 
--- a/src/ibishead/control/consensus.py
+++ b/src/ibishead/control/agreement/consensus.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from ibishead.control import election, replication
-from ibishead.control.configuration import append_configuration, is_caught_up
-from ibishead.control.peers import (
+from ibishead.control.agreement import election, replication
+from ibishead.control.agreement.configuration import append_configuration, is_caught_up
+from ibishead.control.agreement.peers import (
     Append,
     AppendAnswer,
     Configuration,
@@ -24,8 +24,8 @@
     TakeOver,
     VoteAnswer,
 )
-from ibishead.control.raftlog import EMPTY_SNAPSHOT, RaftLog
-from ibishead.control.raftstate import (
+from ibishead.control.agreement.raftlog import EMPTY_SNAPSHOT, RaftLog
+from ibishead.control.agreement.raftstate import (
     Output,
     RaftState,
     ReadRefused,
--- a/src/ibishead/control/election.py
+++ b/src/ibishead/control/agreement/election.py
@@ -1,8 +1,8 @@
 """Leader election: pre-votes, votes, leadership transfer and stepping down."""
 
-from ibishead.control import replication
-from ibishead.control.peers import RequestVote, TakeOver, VoteAnswer
-from ibishead.control.raftstate import (
+from ibishead.control.agreement import replication
+from ibishead.control.agreement.peers import RequestVote, TakeOver, VoteAnswer
+from ibishead.control.agreement.raftstate import (
     Progress,
     RaftState,
     ReadRefused,
--- a/src/ibishead/control/raftlog.py
+++ b/src/ibishead/control/agreement/raftlog.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ibishead.control.peers import Configuration, Entry, EntryKind, Snapshot
+from ibishead.control.agreement.peers import Configuration, Entry, EntryKind, Snapshot
 from ibishead.errors import StorageFault
 from ibishead.ids import LogIndex, Term
 
--- a/src/ibishead/control/raftstate.py
+++ b/src/ibishead/control/agreement/raftstate.py
@@ -6,8 +6,8 @@
 from enum import Enum
 from typing import TypeAlias
 
-from ibishead.control.peers import Configuration, Entry, PeerMessage, Snapshot
-from ibishead.control.raftlog import RaftLog
+from ibishead.control.agreement.peers import Configuration, Entry, PeerMessage, Snapshot
+from ibishead.control.agreement.raftlog import RaftLog
 from ibishead.ids import LogIndex, ReplicaId, Term
 
 __all__ = [
--- a/src/ibishead/control/replication.py
+++ b/src/ibishead/control/agreement/replication.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ibishead.control.peers import (
+from ibishead.control.agreement.peers import (
     Append,
     AppendAnswer,
     Entry,
@@ -10,7 +10,7 @@
     Install,
     TakeOver,
 )
-from ibishead.control.raftstate import (
+from ibishead.control.agreement.raftstate import (
     LeaseMark,
     PendingRead,
     Progress,
--- a/src/ibishead/control/assembly.py
+++ b/src/ibishead/control/assembly.py
@@ -5,11 +5,11 @@
 from pathlib import Path
 
 from ibishead.clock import Clock
-from ibishead.control.driver import ReplicaOptions
-from ibishead.control.folder import DataFolder
-from ibishead.control.machine import StateMachine
-from ibishead.control.peering import PeerLinks
-from ibishead.control.replica import LogReplica
+from ibishead.control.log.driver import ReplicaOptions
+from ibishead.control.log.folder import DataFolder
+from ibishead.control.log.machine import StateMachine
+from ibishead.control.log.peering import PeerLinks
+from ibishead.control.log.replica import LogReplica
 from ibishead.errors import StorageFault
 from ibishead.ids import HostId, ReplicaId
 from ibishead.links import Endpoint
--- a/src/ibishead/control/granting.py
+++ b/src/ibishead/control/granting.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from ibishead.clock import Clock
-from ibishead.control.machine import Replica
+from ibishead.control.log.machine import Replica
 from ibishead.control.permits import TAKEOVER_PAUSE_SECONDS, LoadId, PermitAllocator
 from ibishead.control.state import ControlState
 from ibishead.errors import ErrorCode, IbisheadError
--- a/src/ibishead/control/liveness.py
+++ b/src/ibishead/control/liveness.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from ibishead.control.agreement.membership import Member
 from ibishead.control.commands import RetireTarget
-from ibishead.control.membership import Member
 from ibishead.ids import LogIndex, TargetId
 
 __all__ = ["REATTACH_GRACE_SECONDS", "OrphanTracker"]
--- a/src/ibishead/control/driver.py
+++ b/src/ibishead/control/log/driver.py
@@ -11,13 +11,9 @@
 from typing import Protocol
 
 from ibishead.clock import Clock
-from ibishead.control.consensus import Consensus
-from ibishead.control.folder import Files
-from ibishead.control.identity import Identity
-from ibishead.control.machine import StateMachine
-from ibishead.control.peering import ReplicaMessage
-from ibishead.control.peers import Entry, EntryKind, PeerMessage, Snapshot
-from ibishead.control.raftstate import (
+from ibishead.control.agreement.consensus import Consensus
+from ibishead.control.agreement.peers import Entry, EntryKind, PeerMessage, Snapshot
+from ibishead.control.agreement.raftstate import (
     Apply,
     Output,
     ReadReady,
@@ -27,8 +23,12 @@
     Timing,
     Write,
 )
-from ibishead.control.storage import Storage
-from ibishead.control.waiters import Waiters
+from ibishead.control.log.folder import Files
+from ibishead.control.log.identity import Identity
+from ibishead.control.log.machine import StateMachine
+from ibishead.control.log.peering import ReplicaMessage
+from ibishead.control.log.storage import Storage
+from ibishead.control.log.waiters import Waiters
 from ibishead.errors import ErrorCode, StorageFault
 from ibishead.ids import HostId, LogIndex, ReplicaId, Term
 
--- a/src/ibishead/control/force.py
+++ b/src/ibishead/control/log/force.py
@@ -7,7 +7,7 @@
 from collections import deque
 
 from ibishead.clock import Clock
-from ibishead.control.machine import Replica
+from ibishead.control.log.machine import Replica
 from ibishead.control.publish import LEASE_SECONDS, Publisher
 from ibishead.control.relay import Relay
 from ibishead.control.state import ControlState
--- a/src/ibishead/control/founding.py
+++ b/src/ibishead/control/log/founding.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ibishead.control.identity import Identity, replica_host
+from ibishead.control.log.identity import Identity, replica_host
 from ibishead.ids import HostId, ReplicaId
 
 __all__ = ["Founding", "KnownReplica"]
--- a/src/ibishead/control/identity.py
+++ b/src/ibishead/control/log/identity.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from ibishead.control.folder import Files
-from ibishead.control.records import (
+from ibishead.control.log.folder import Files
+from ibishead.control.log.records import (
     DamagedRecord,
     Record,
     decode_records,
--- a/src/ibishead/control/peering.py
+++ b/src/ibishead/control/log/peering.py
@@ -13,8 +13,7 @@
 import msgspec
 
 from ibishead.clock import Clock
-from ibishead.control.identity import Identity, replica_host
-from ibishead.control.peers import (
+from ibishead.control.agreement.peers import (
     Append,
     AppendAnswer,
     Install,
@@ -22,6 +21,7 @@
     TakeOver,
     VoteAnswer,
 )
+from ibishead.control.log.identity import Identity, replica_host
 from ibishead.errors import ErrorCode, LinkLost
 from ibishead.ids import HostId, LogIndex, ReplicaId
 from ibishead.links import Endpoint, HeartbeatTiming, Link, dial
--- a/src/ibishead/control/repair.py
+++ b/src/ibishead/control/log/repair.py
@@ -5,13 +5,13 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
-from ibishead.control import configuration
-from ibishead.control.identity import replica_host
+from ibishead.control.agreement import configuration
+from ibishead.control.log.identity import replica_host
 from ibishead.errors import Conflict, ErrorCode, IbisheadError, Unavailable
 from ibishead.ids import HostId, ReplicaId
 
 if TYPE_CHECKING:
-    from ibishead.control.replica import LogReplica
+    from ibishead.control.log.replica import LogReplica
 
 __all__ = ["REPLACE_TIMEOUT_SECONDS", "RepairMonitor", "replace"]
 
--- a/src/ibishead/control/replica.py
+++ b/src/ibishead/control/log/replica.py
@@ -8,18 +8,20 @@
 from typing import Any, TypeVar
 
 from ibishead.clock import Clock
-from ibishead.control import repair
-from ibishead.control.consensus import Consensus
-from ibishead.control.driver import DataFiles, LogDriver, PeerSender, ReplicaOptions
-from ibishead.control.founding import Founding
-from ibishead.control.identity import (
+from ibishead.control.agreement.consensus import Consensus
+from ibishead.control.agreement.peers import Configuration
+from ibishead.control.agreement.raftstate import Role, has_quorum
+from ibishead.control.log import repair
+from ibishead.control.log.driver import DataFiles, LogDriver, PeerSender, ReplicaOptions
+from ibishead.control.log.founding import Founding
+from ibishead.control.log.identity import (
     Identity,
     load_identity,
     replica_host,
     save_identity,
 )
-from ibishead.control.machine import ReplicaSet, StateMachine
-from ibishead.control.peering import (
+from ibishead.control.log.machine import ReplicaSet, StateMachine
+from ibishead.control.log.peering import (
     AskRead,
     AskReplace,
     Forward,
@@ -31,9 +33,7 @@
     Replaced,
     ReplicaMessage,
 )
-from ibishead.control.peers import Configuration
-from ibishead.control.raftstate import Role, has_quorum
-from ibishead.control.waiters import (
+from ibishead.control.log.waiters import (
     FIRST_NUMBER_BOUND,
     PendingQuestions,
     make_no_quorum_error,
--- a/src/ibishead/control/storage.py
+++ b/src/ibishead/control/log/storage.py
@@ -9,12 +9,12 @@
 
 import msgspec
 
-from ibishead.control.consensus import PersistentState
-from ibishead.control.folder import Files
-from ibishead.control.identity import Identity, read_checked, write_atomically
-from ibishead.control.peers import Configuration, Entry, Snapshot
-from ibishead.control.raftstate import Write
-from ibishead.control.records import (
+from ibishead.control.agreement.consensus import PersistentState
+from ibishead.control.agreement.peers import Configuration, Entry, Snapshot
+from ibishead.control.agreement.raftstate import Write
+from ibishead.control.log.folder import Files
+from ibishead.control.log.identity import Identity, read_checked, write_atomically
+from ibishead.control.log.records import (
     DamagedRecord,
     Record,
     TornTail,
--- a/src/ibishead/control/operators.py
+++ b/src/ibishead/control/operators.py
@@ -18,7 +18,7 @@
     StaleBase,
     SubmitDocument,
 )
-from ibishead.control.machine import Replica
+from ibishead.control.log.machine import Replica
 from ibishead.control.publish import Publisher
 from ibishead.control.service import propose_command
 from ibishead.control.state import ControlState
--- a/src/ibishead/control/server.py
+++ b/src/ibishead/control/server.py
@@ -7,9 +7,9 @@
 
 from ibishead.clock import Clock
 from ibishead.control.commands import AnnounceReplica
-from ibishead.control.force import InForceTracker
 from ibishead.control.granting import PermitService
-from ibishead.control.machine import Replica
+from ibishead.control.log.force import InForceTracker
+from ibishead.control.log.machine import Replica
 from ibishead.control.operators import OperatorApi
 from ibishead.control.publish import Publisher
 from ibishead.control.relay import Relay
--- a/src/ibishead/control/service.py
+++ b/src/ibishead/control/service.py
@@ -22,7 +22,7 @@
     encode_command,
 )
 from ibishead.control.granting import PermitService
-from ibishead.control.machine import Replica
+from ibishead.control.log.machine import Replica
 from ibishead.control.publish import Publisher, Subscriber
 from ibishead.control.state import ControlState
 from ibishead.errors import ErrorCode, IbisheadError, LinkLost, Unavailable
--- a/src/ibishead/control/state.py
+++ b/src/ibishead/control/state.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ibishead.control.agreement.membership import SavedTargets, TargetTable
 from ibishead.control.claims import ClaimTable, SavedClaims
 from ibishead.control.commands import (
     Accepted,
@@ -32,7 +33,6 @@
     decode_command,
     encode_result,
 )
-from ibishead.control.membership import SavedTargets, TargetTable
 from ibishead.control.submissions import DocumentTable, SavedDocuments
 from ibishead.errors import ErrorCode, IbisheadError, StorageFault
 from ibishead.ids import Incarnation, LogIndex, ReplicaId, ServiceName, TargetId
--- a/src/ibishead/control/upkeep.py
+++ b/src/ibishead/control/upkeep.py
@@ -5,17 +5,17 @@
 from collections.abc import Callable
 
 from ibishead.clock import Clock
+from ibishead.control.agreement.membership import Member
 from ibishead.control.commands import (
     AdvanceTime,
     AnnounceReplica,
     Command,
     RetireTarget,
 )
-from ibishead.control.force import InForceTracker
 from ibishead.control.granting import PermitService
 from ibishead.control.liveness import OrphanTracker
-from ibishead.control.machine import Replica
-from ibishead.control.membership import Member
+from ibishead.control.log.force import InForceTracker
+from ibishead.control.log.machine import Replica
 from ibishead.control.relay import Relay
 from ibishead.control.service import ControlService, propose_command
 from ibishead.control.state import ControlState
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ibishead.clock import Clock
-from ibishead.control.replica import LogReplica
+from ibishead.control.log.replica import LogReplica
 from ibishead.decisions.quota import Leadership, QuotaAccounts, Tolerance
 from ibishead.ids import CustomerId
 from ibishead.links import Link
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -7,12 +7,12 @@
 from pathlib import Path
 
 from ibishead.clock import Clock
-from ibishead.control.driver import ReplicaOptions
-from ibishead.control.folder import DataFolder
-from ibishead.control.identity import load_identity, replica_host
-from ibishead.control.peering import PeerLinks
-from ibishead.control.raftstate import Timing
-from ibishead.control.replica import LogReplica
+from ibishead.control.agreement.raftstate import Timing
+from ibishead.control.log.driver import ReplicaOptions
+from ibishead.control.log.folder import DataFolder
+from ibishead.control.log.identity import load_identity, replica_host
+from ibishead.control.log.peering import PeerLinks
+from ibishead.control.log.replica import LogReplica
 from ibishead.errors import StorageFault
 from ibishead.ids import ReplicaId
 from ibishead.links import Endpoint, Link, LinkServer
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ibishead.clock import Clock
-from ibishead.control.machine import Replica
+from ibishead.control.log.machine import Replica
 from ibishead.errors import ErrorCode, IbisheadError, InvalidInput, Unavailable
 from ibishead.ids import TargetId
 from ibishead.metrics import Metrics
--- a/tests/control/group.py
+++ b/tests/control/group.py
@@ -3,7 +3,7 @@
 import asyncio
 from datetime import timedelta
 
-from ibishead.control.machine import ReplicaSet
+from ibishead.control.log.machine import ReplicaSet
 from ibishead.control.state import ControlState
 from ibishead.errors import ErrorCode, Unavailable
 from ibishead.ids import ReplicaId
--- a/tests/control/lone.py
+++ b/tests/control/lone.py
@@ -1,6 +1,6 @@
 """A single replica without a log or disk, for tests."""
 
-from ibishead.control.machine import ReplicaSet, StateMachine
+from ibishead.control.log.machine import ReplicaSet, StateMachine
 from ibishead.errors import Unavailable
 from ibishead.ids import HostId, ReplicaId
 from ibishead.messages import PeerFrame
--- a/tests/control/replica_fakes.py
+++ b/tests/control/replica_fakes.py
@@ -10,11 +10,11 @@
 from tests.fake_files import FakeFiles
 
 from ibishead.clock import SystemClock
-from ibishead.control.driver import ReplicaOptions
-from ibishead.control.identity import Identity, replica_host
-from ibishead.control.peering import Introduce, ReplicaMessage
-from ibishead.control.raftstate import Timing
-from ibishead.control.replica import LogReplica
+from ibishead.control.agreement.raftstate import Timing
+from ibishead.control.log.driver import ReplicaOptions
+from ibishead.control.log.identity import Identity, replica_host
+from ibishead.control.log.peering import Introduce, ReplicaMessage
+from ibishead.control.log.replica import LogReplica
 from ibishead.ids import HostId, ReplicaId
 from ibishead.messages import PeerFrame
 
--- a/tests/control/support.py
+++ b/tests/control/support.py
@@ -10,7 +10,7 @@
     decode_result,
     encode_command,
 )
-from ibishead.control.machine import ReplicaSet
+from ibishead.control.log.machine import ReplicaSet
 from ibishead.control.state import ControlState
 from ibishead.ids import (
     FailureDomain,
--- a/tests/control/test_force.py
+++ b/tests/control/test_force.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ibishead.clock import ManualClock
-from ibishead.control.force import LEASE_LIMIT_SECONDS, InForceTracker
+from ibishead.control.log.force import LEASE_LIMIT_SECONDS, InForceTracker
 from ibishead.control.publish import Publisher
 from ibishead.messages import Holders
 
--- a/tests/control/test_replica.py
+++ b/tests/control/test_replica.py
@@ -11,11 +11,11 @@
 from tests.fake_files import FakeFiles
 
 from ibishead.clock import SystemClock
-from ibishead.control import configuration
-from ibishead.control.folder import DataFolder
-from ibishead.control.identity import Identity, replica_host
-from ibishead.control.peering import Forward, FrameReader, PeerLinks
-from ibishead.control.replica import LogReplica
+from ibishead.control.agreement import configuration
+from ibishead.control.log.folder import DataFolder
+from ibishead.control.log.identity import Identity, replica_host
+from ibishead.control.log.peering import Forward, FrameReader, PeerLinks
+from ibishead.control.log.replica import LogReplica
 from ibishead.errors import Conflict, ErrorCode, StorageFault, Unavailable
 from ibishead.ids import HostId, ReplicaId
 from ibishead.links import Endpoint, Link, LinkServer
--- a/tests/raft_fakes.py
+++ b/tests/raft_fakes.py
@@ -8,15 +8,15 @@
 import random
 from dataclasses import dataclass, field
 
-from ibishead.control.consensus import Consensus, PersistentState
-from ibishead.control.peers import (
+from ibishead.control.agreement.consensus import Consensus, PersistentState
+from ibishead.control.agreement.peers import (
     Configuration,
     Entry,
     EntryKind,
     PeerMessage,
     Snapshot,
 )
-from ibishead.control.raftstate import (
+from ibishead.control.agreement.raftstate import (
     Apply,
     Output,
     ReadReady,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -4,9 +4,9 @@
 import pytest
 from tests.raft_fakes import TIMING, Replicas
 
-from ibishead.control import configuration as changes
-from ibishead.control.consensus import Consensus, PersistentState
-from ibishead.control.peers import (
+from ibishead.control.agreement import configuration as changes
+from ibishead.control.agreement.consensus import Consensus, PersistentState
+from ibishead.control.agreement.peers import (
     Append,
     AppendAnswer,
     Configuration,
@@ -16,7 +16,7 @@
     Snapshot,
     VoteAnswer,
 )
-from ibishead.control.raftstate import ReadReady, Role, Send, Timing, Write
+from ibishead.control.agreement.raftstate import ReadReady, Role, Send, Timing, Write
 from ibishead.errors import Conflict, Unavailable
 from ibishead.ids import LogIndex, ReplicaId, Term
 
--- a/tests/test_consensus_schedules.py
+++ b/tests/test_consensus_schedules.py
@@ -14,8 +14,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from tests.raft_fakes import TIMING, Replicas
 
-from ibishead.control import configuration as changes
-from ibishead.control.peers import Configuration
+from ibishead.control.agreement import configuration as changes
+from ibishead.control.agreement.peers import Configuration
 from ibishead.ids import ReplicaId
 
 
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from ibishead.control.consensus import Consensus, PersistentState
-from ibishead.control.peers import Configuration, Snapshot
-from ibishead.control.raftstate import Role, Send, Timing, Write
+from ibishead.control.agreement.consensus import Consensus, PersistentState
+from ibishead.control.agreement.peers import Configuration, Snapshot
+from ibishead.control.agreement.raftstate import Role, Send, Timing, Write
 from ibishead.ids import LogIndex, ReplicaId, Term
 
 #: Duration of a tick in seconds, and the timing of a registry's log.
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -10,18 +10,18 @@
 from hypothesis import strategies as st
 from tests.fake_files import Crash, FakeFiles
 
-from ibishead.control.folder import DataFolder
-from ibishead.control.identity import Identity, load_identity, save_identity
-from ibishead.control.peers import Configuration, Entry, EntryKind, Snapshot
-from ibishead.control.raftstate import Write
-from ibishead.control.records import (
+from ibishead.control.agreement.peers import Configuration, Entry, EntryKind, Snapshot
+from ibishead.control.agreement.raftstate import Write
+from ibishead.control.log.folder import DataFolder
+from ibishead.control.log.identity import Identity, load_identity, save_identity
+from ibishead.control.log.records import (
     DamagedRecord,
     Record,
     TornTail,
     decode_records,
     encode_record,
 )
-from ibishead.control.storage import Storage
+from ibishead.control.log.storage import Storage
 from ibishead.errors import ErrorCode, StorageFault
 from ibishead.ids import HostId, LogIndex, ReplicaId, Term
 
@@ -198,7 +198,7 @@
 def test_missing_segment_stops_the_replica(
     missing: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr("ibishead.control.storage._SEGMENT_BYTES", 100)
+    monkeypatch.setattr("ibishead.control.log.storage._SEGMENT_BYTES", 100)
     files = FakeFiles()
     storage = open_storage(files)
     for index in range(1, 9):
@@ -231,7 +231,7 @@
 
     After a hundred changes with snapshots, only the last segments remain.
     """
-    monkeypatch.setattr("ibishead.control.storage._SEGMENT_BYTES", 200)
+    monkeypatch.setattr("ibishead.control.log.storage._SEGMENT_BYTES", 200)
     files = FakeFiles()
     storage = open_storage(files)
     storage.write(write(term=7, vote="b"))
