Read the quota client again: shorter waits in code, spread retry times

Callers whose quota could not be checked were all told to come back after 0.5 s, so that they returned together; now after 0.5 to 1 s. Charges that are given back survive a link that is opened again in the same term. The wait for an answer uses wait_for_event.

--- a/src/ibishead/gateway/quotas.py
+++ b/src/ibishead/gateway/quotas.py
@@ -18,6 +18,7 @@
 from ibishead.links import Link
 from ibishead.routing.customers import Customer
 from ibishead.routing.messages import AskQuota, QuotaAnswer, QuotaKept, QuotaVerdict
+from ibishead.waiting import wait_for_event
 
 __all__ = ["Charge", "QuotaClient"]
 
@@ -40,8 +41,9 @@
 MIN_RETRY_AFTER_SECONDS = 0.3
 MAX_RETRY_AFTER_SECONDS = 10.0
 
-#: Retry delay for callers whose quota could not be checked.
-UNKNOWN_RETRY_AFTER = timedelta(seconds=0.5)
+#: Minimum time after which a caller is told to come back whose quota could not be
+#: checked.
+UNKNOWN_RETRY_AFTER_SECONDS = 0.5
 
 
 @dataclass(frozen=True)
@@ -133,8 +135,10 @@
                     "quota keeper changed",
                     extra={"peer": link.peer.host, "term": term},
                 )
+                if term > self._term:
+                    # charges of an earlier term are in no account
+                    self._returned.clear()
                 self._keeper, self._term = link, term
-                self._returned.clear()
                 self._repeat_all()
             case QuotaAnswer(number, verdicts):
                 question = self._questions.pop(number, None)
@@ -168,7 +172,7 @@
                 f"not run: no registry has confirmed the quota for {waited:.1f} s",
                 "retry after the given time",
                 code=ErrorCode.NO_QUORUM,
-                retry_after=UNKNOWN_RETRY_AFTER,
+                retry_after=self._spread(UNKNOWN_RETRY_AFTER_SECONDS),
             ) from error
         except asyncio.CancelledError:
             if demand.verdict is not None and demand.verdict.granted:
@@ -198,15 +202,7 @@
             self._timer.cancel()
 
     async def _repeat_until_answered(self, demand: _Demand) -> None:
-        while True:
-            with_timeout = asyncio.timeout(REPEAT_SECONDS)
-            try:
-                async with with_timeout:
-                    await demand.answered.wait()
-                return
-            except TimeoutError:
-                if not with_timeout.expired():
-                    raise
+        while not await wait_for_event(demand.answered, REPEAT_SECONDS):
             self._ask(demand)
 
     def _ask(self, demand: _Demand) -> None:
@@ -283,17 +279,22 @@
         assert quota is not None
         unit = quota.unit.value
         wait = min(MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, verdict.wait))
-        # all callers of the customer are refused while it is over its quota
-        wait *= 1 + self._draw()
         return Refused(
             f"not run: customer {demand.customer.name} has used up its quota of "
             f"{quota.rate:g} {unit} per second (balance {verdict.balance:.0f}, "
             f"request {demand.cost:g} {unit})",
             "send fewer requests, or retry after the given time",
             code=ErrorCode.QUOTA_EXCEEDED,
-            retry_after=timedelta(seconds=wait),
+            retry_after=self._spread(wait),
         )
 
+    def _spread(self, seconds: float) -> timedelta:
+        """Return a random time from a minimum to twice that.
+
+        Many callers are refused within moments, and would return together.
+        """
+        return timedelta(seconds=seconds * (1 + self._draw()))
+
 
 def _make_charge(demand: _Demand) -> Charge:
     return Charge(demand.customer.name, demand.cost, demand.asked_at, demand.term)
