Relay questions about quotas through stewards

Change: a gateway whose keeper is unreachable, or silent for 0.25 s, asks through a steward. Stewards hear who keeps the quotas and pass questions on under numbers of their own. Charges keep the time at which the gateway asked, so that the bound on what is sent doesn't change.

--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -107,11 +107,18 @@
         "if True:",
         (f"{CUSTOMERS}::test_newer_routes_are_asked_for_before_a_request_is_rejected",),
     ),
+    Guard(
+        "a gateway that is cut off from the keeper asks through a steward",
+        "gateway/quotas.py",
+        "return self._find_relay() or keeper",
+        "return keeper",
+        (f"{CUSTOMERS}::test_gateway_that_is_cut_off_asks_through_a_steward",),
+    ),
     Guard(
         "a gateway without the keeper of the quotas refuses at once",
         "gateway/quotas.py",
-        "0.0 if self.is_stalled() else max(0.0, wait)",
-        "max(0.0, wait)",
+        "wait = min(wait, STALLED_WAIT_SECONDS if self._find_relay() else 0.0)",
+        "pass",
         (f"{CUSTOMERS}::test_gateway_that_is_cut_off_from_the_keeper_refuses_at_once",),
     ),
     Guard(
--- a/src/ibishead/gateway/quotas.py
+++ b/src/ibishead/gateway/quotas.py
@@ -1,7 +1,8 @@
 """Charges requests to their customers' quotas, at the registry that keeps them.
 
 All requests that arrive in one iteration of the event loop are charged with one
-message. A request waits for the answer, about one round trip.
+message. A request waits for the answer, about one round trip. A gateway that can't
+reach the registry asks through a steward.
 """
 
 import asyncio
@@ -24,15 +25,19 @@
 
 logger = logging.getLogger(__name__)
 
-#: Seconds without an answer after which a question is repeated.
+#: Seconds without an answer after which a question is repeated, and for which questions
+#: are then relayed by stewards.
 REPEAT_SECONDS = 0.25
+RELAY_SECONDS = 1.0
 
-#: Seconds until a question is repeated to a registry that can't answer it now.
-UNCERTAIN_RETRY_SECONDS = 0.05
+#: Seconds until a question is repeated that can't be answered now.
+UNCERTAIN_RETRY_SECONDS = 0.1
 
-#: Seconds without a link to a keeper after which requests no longer wait for one. An
-#: election takes less, so this gateway is cut off and others may serve its callers.
+#: Seconds without a link to a keeper and without its answers after which requests no
+#: longer wait for one, but for an answer that a steward may relay. An election takes
+#: less, so this gateway is cut off and others may serve its callers.
 STALL_SECONDS = 2.0
+STALLED_WAIT_SECONDS = 0.3
 
 #: Seconds for which charges that are given back are collected.
 RETURN_INTERVAL_SECONDS = 0.1
@@ -91,6 +96,7 @@
         not been sent. It bounds by how much the requests sent in some period exceed
         those charged in it.
     :param draw: returns a random number in [0, 1), for retry-after times.
+    :param find_relay: returns a link to a steward, or ``None``.
     """
 
     def __init__(
@@ -98,10 +104,13 @@
         clock: Clock,
         lifetime: float,
         draw: Callable[[], float] = random.random,
+        find_relay: Callable[[], Link | None] = lambda: None,
     ) -> None:
         self._clock = clock
         self._lifetime = lifetime
         self._draw = draw
+        self._find_relay = find_relay
+        self._relay_until = 0.0
         self._numbers = itertools.count(1)
         self._keeper: Link | None = None
         self._term = 0
@@ -127,6 +136,17 @@
             self._last_linked = now
         return now - self._last_linked > STALL_SECONDS
 
+    def handle_relayed(self, message: QuotaKept | QuotaAnswer) -> None:
+        """Handle a message from a steward that relays questions."""
+        match message:
+            case QuotaKept(term) if term > self._term:
+                # the keeper of this term can't be reached directly
+                self._keeper, self._term = None, term
+                self._returned.clear()
+                self._repeat_all()
+            case QuotaAnswer(number, verdicts):
+                self._handle_answer(number, verdicts)
+
     def handle_message(self, link: Link, message: QuotaKept | QuotaAnswer) -> None:
         """Handle a message from a registry."""
         match message:
@@ -139,11 +159,11 @@
                     # charges of an earlier term are in no account
                     self._returned.clear()
                 self._keeper, self._term = link, term
+                self._relay_until = 0.0
                 self._repeat_all()
             case QuotaAnswer(number, verdicts):
-                question = self._questions.pop(number, None)
-                if question is not None:
-                    self._handle_verdicts(question, verdicts)
+                self._relay_until = 0.0
+                self._handle_answer(number, verdicts)
 
     async def charge(
         self, customer: Customer, tokens: int | None, wait: float
@@ -162,9 +182,11 @@
             return None
         demand = _Demand(customer, quota.cost(tokens))
         started = self._clock.monotonic()
+        if self.is_stalled():
+            wait = min(wait, STALLED_WAIT_SECONDS if self._find_relay() else 0.0)
         self._ask(demand)
         try:
-            async with asyncio.timeout(0.0 if self.is_stalled() else max(0.0, wait)):
+            async with asyncio.timeout(max(0.0, wait)):
                 await self._repeat_until_answered(demand)
         except TimeoutError as error:
             waited = self._clock.monotonic() - started
@@ -203,6 +225,7 @@
 
     async def _repeat_until_answered(self, demand: _Demand) -> None:
         while not await wait_for_event(demand.answered, REPEAT_SECONDS):
+            self._relay_until = self._clock.monotonic() + RELAY_SECONDS
             self._ask(demand)
 
     def _ask(self, demand: _Demand) -> None:
@@ -221,8 +244,8 @@
 
     def _flush(self) -> None:
         self._timer = None
-        keeper = self._keeper
-        if keeper is None or keeper.closed:
+        link = self._choose_link()
+        if link is None:
             # the demands are sent once a registry announces that it keeps the accounts
             return
         demands, self._waiting = self._waiting, []
@@ -230,11 +253,33 @@
         if not demands and not returned:
             return
         number = next(self._numbers)
+        sent_at = self._clock.monotonic()
+        self._forget_questions(sent_at - self._lifetime)
         if demands:
-            sent_at = self._clock.monotonic()
             self._questions[number] = _Question(demands, sent_at, self._term)
         asked = tuple((demand.customer.name, demand.cost) for demand in demands)
-        keeper.send(AskQuota(number, self._term, asked, tuple(returned)))
+        link.send(AskQuota(number, self._term, asked, tuple(returned)))
+
+    def _choose_link(self) -> Link | None:
+        keeper = self.keeper
+        if keeper is not None and self._clock.monotonic() >= self._relay_until:
+            return keeper
+        return self._find_relay() or keeper
+
+    def _forget_questions(self, before: float) -> None:
+        """Forget old questions: a charge that they lead to can't be given back."""
+        self._questions = {
+            number: question
+            for number, question in self._questions.items()
+            if question.sent_at >= before
+        }
+
+    def _handle_answer(
+        self, number: int, verdicts: tuple[QuotaVerdict, ...] | None
+    ) -> None:
+        question = self._questions.pop(number, None)
+        if question is not None:
+            self._handle_verdicts(question, verdicts)
 
     def _handle_verdicts(
         self, question: _Question, verdicts: tuple[QuotaVerdict, ...] | None
@@ -244,6 +289,7 @@
                 self._waiting.extend(_list_unanswered(question.demands, self._waiting))
                 self._schedule_flush(UNCERTAIN_RETRY_SECONDS)
             return
+        self._last_linked = self._clock.monotonic()
         for demand, verdict in zip(question.demands, verdicts, strict=False):
             if demand.answered.is_set():
                 # the answer to an earlier or later question about the same request
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 
 from ibishead.clock import Clock
 from ibishead.gateway.calls import CallerDialect, TargetDialect
@@ -67,11 +68,16 @@
             lambda delay: self._tracker.record_delay(delay, clock.monotonic()),
             lambda report: self._tracker.record_failures(report, clock.monotonic()),
             lambda limit: self._pipeline.apply_limit(limit),
+            on_quota=lambda message: self._quotas.handle_relayed(message),
         )
         member = MemberRecord(
             settings.host, MemberKind.GATEWAY, "", 0, settings.failure_domain
         )
-        self._quotas = QuotaClient(clock, settings.charge_lifetime)
+        self._quotas = QuotaClient(
+            clock,
+            settings.charge_lifetime,
+            find_relay=lambda: self._stewards.pick_link(random.random),
+        )
         self.feed = RegistryFeed(
             member,
             settings.registries,
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -31,6 +31,8 @@
     MemberRecord,
     PromptDelay,
     PromptRead,
+    QuotaAnswer,
+    QuotaKept,
     RateTold,
     TurnAnswer,
     TurnNoted,
@@ -93,6 +95,7 @@
     :param on_failures: called when the share of failures of an engine has changed.
     :param on_limit: called when the rate limit that a steward enforces has changed or
         was removed.
+    :param on_quota: called with each message about quotas that a steward relays.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         on_failures: Callable[[FailuresTold], None],
         on_limit: Callable[[RateTold], None],
         dialer: Dialer = dial,
+        on_quota: Callable[[QuotaKept | QuotaAnswer], None] = lambda _: None,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -111,6 +115,7 @@
         self._on_delay = on_delay
         self._on_failures = on_failures
         self._on_limit = on_limit
+        self._on_quota = on_quota
         self._dial = dialer
         self._links: dict[str, Link] = {}
         self._link_tasks: dict[Endpoint, asyncio.Task[None]] = {}
@@ -146,6 +151,14 @@
             return address in self._timed_out
         return self._clock.monotonic() < self._unresponsive_until.get(address, 0.0)
 
+    def pick_link(self, draw: Callable[[], float]) -> Link | None:
+        """Return the link to a random steward that responds, or ``None``.
+
+        :param draw: returns a random number in [0, 1).
+        """
+        links = [x for x in self._links.values() if not x.closed and not x.overdue]
+        return links[int(draw() * len(links))] if links else None
+
     async def request_turn(
         self,
         address: str,
@@ -292,6 +305,8 @@
                 self._on_failures(message)
             case RateTold():
                 self._on_limit(message)
+            case QuotaKept() | QuotaAnswer():
+                self._on_quota(message)
             case TurnNoted(number):
                 turn = self._pending.get(number)
                 if turn is not None:
--- a/src/ibishead/registry/publisher.py
+++ b/src/ibishead/registry/publisher.py
@@ -200,16 +200,16 @@
                 link.send(Floors(floors, self._floor_index))
 
     def publish_quota_term(self, term: int) -> None:
-        """Tell the gateways that this registry keeps the accounts of the quotas.
+        """Tell gateways and stewards that this registry keeps the quotas' accounts.
 
-        :param term: 0 if it no longer does, of which no gateway is told.
+        :param term: 0 if it no longer does, of which nobody is told.
         """
         self._quota_term = term
         for link, subscriber in self._subscribers.items():
             self._send_quota_term(link, subscriber)
 
     def _send_quota_term(self, link: Link, subscriber: _Subscriber) -> None:
-        if self._quota_term and subscriber.member.kind is MemberKind.GATEWAY:
+        if self._quota_term and not subscriber.is_registry:
             link.send(QuotaKept(self._quota_term))
 
     async def run(self) -> None:
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -28,6 +28,7 @@
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
     AskFence,
+    AskQuota,
     AskTurn,
     BeginUse,
     EndUse,
@@ -36,6 +37,8 @@
     FenceAnswer,
     PromptDelay,
     PromptRead,
+    QuotaAnswer,
+    QuotaKept,
     RateTold,
     TurnNoted,
 )
@@ -54,6 +57,7 @@
 from ibishead.steward.engine import Engine, EngineState, OrderOutcome, WeightOrder
 from ibishead.steward.ledger import OrderLedger
 from ibishead.steward.naming import EngineNamer
+from ibishead.steward.quotarelay import QuotaRelay
 from ibishead.steward.turns import TurnQueue, Waiter
 from ibishead.steward.uses import AdapterUses
 from ibishead.waiting import wait_for_event
@@ -120,6 +124,7 @@
         self._failures = FailureShare()
         self._published_failures = FailureShare()
         self._ledger = OrderLedger()
+        self._quota_relay = QuotaRelay()
         self._namer = EngineNamer(domain, service, address, engine, feed, clock)
         self._order_timeout = OrderTimeout()
         self._unreachable = False
@@ -150,7 +155,7 @@
             self._turns.remove_link(link)
             self._uses.remove_link(link, self._clock.monotonic())
 
-    def handle_registry_message(self, _: Link, message: Message) -> None:
+    def handle_registry_message(self, link: Link, message: Message) -> None:
         """Handle a message that a registry has sent to this steward only."""
         match message:
             case FenceAnswer(number, fence) if number == self._fence_request and fence:
@@ -159,6 +164,8 @@
                 self._wake.set()
             case FenceAnswer():
                 pass
+            case QuotaKept() | QuotaAnswer():
+                self._quota_relay.handle_message(link, message)
             case _:
                 logger.warning(
                     "unexpected message", extra={"kind": type(message).__name__}
@@ -190,6 +197,8 @@
             case AskTurn(number, key, version, wait, tokens, due):
                 waiter = Waiter(link, number, key, now + wait, tokens, now + due)
                 self._handle_turn_request(waiter, version, now)
+            case AskQuota():
+                self._quota_relay.ask(link, message)
             case BeginUse(key, tokens):
                 self._uses.record_request(key, now)
                 self._uses.begin(link, key)
--- a/tests/gateway/test_customer_requests.py
+++ b/tests/gateway/test_customer_requests.py
@@ -16,7 +16,7 @@
 
 from ibishead.decisions.holding import MIN_HOLD_SECONDS
 from ibishead.errors import ErrorCode
-from ibishead.gateway.quotas import STALL_SECONDS
+from ibishead.gateway.quotas import REPEAT_SECONDS, STALL_SECONDS
 from ibishead.headers import find_header
 from ibishead.ids import CustomerId
 from ibishead.keys import hash_key
@@ -40,7 +40,8 @@
     closed = False
     overdue = False
 
-    def __init__(self, client, *granted: bool) -> None:
+    def __init__(self, client, *granted: bool, relayed: bool = False) -> None:
+        self._deliver = client.handle_relayed if relayed else self._deliver_directly
         self.client = client
         self.granted = list(granted)
         self.asked: list[AskQuota] = []
@@ -54,7 +55,10 @@
             )
             answer = QuotaAnswer(message.number, verdicts)
             loop = asyncio.get_running_loop()
-            loop.call_soon(self.client.handle_message, self, answer)
+            loop.call_soon(self._deliver, answer)
+
+    def _deliver_directly(self, answer: QuotaAnswer) -> None:
+        self.client.handle_message(self, answer)
 
     @property
     def demands(self):
@@ -311,6 +315,61 @@
         assert silent.demands == keeper.demands == [("small", 50.0)]
 
 
+@pytest.mark.parametrize("cut", ["silent", "closed", "overdue"])
+async def test_gateway_that_is_cut_off_asks_through_a_steward(cut):
+    """It would refuse callers although it reaches the engines that can serve them."""
+    async with make_fixture(SAFE, respond, respond, timeout=5.0) as fixture:
+        client = fixture.quotas
+        keeper = keep_quotas(fixture)
+        setattr(keeper, cut, True)
+        steward = FakeKeeper(client, True, True, relayed=True)
+        client._find_relay = lambda: steward
+        assert (await fixture.ask(authorization="Token k3"))[0] == 200
+        assert len(steward.demands) == 1
+        # while the keeper is silent, the next request doesn't wait for it
+        async with asyncio.timeout(REPEAT_SECONDS / 2):
+            assert (await fixture.ask(authorization="Token k3"))[0] == 200
+        assert len(keeper.demands) == (cut == "silent")
+
+
+async def test_gateway_that_was_cut_off_for_long_still_asks_through_a_steward():
+    async with make_fixture(SAFE, respond, timeout=5.0) as fixture:
+        keep_quotas(fixture).closed = True
+        fixture.quotas._last_linked -= STALL_SECONDS + 0.1
+        steward = FakeKeeper(fixture.quotas, True, relayed=True)
+        fixture.quotas._find_relay = lambda: steward
+        assert (await fixture.ask(authorization="Token k3"))[0] == 200
+        assert not fixture.quotas.is_stalled()
+
+
+async def test_gateway_that_is_cut_off_learns_of_a_new_term_from_a_steward():
+    async with make_fixture(SAFE, respond) as fixture:
+        keep_quotas(fixture).closed = True
+        steward = FakeKeeper(fixture.quotas, relayed=True)
+        fixture.quotas._find_relay = lambda: steward
+        task = asyncio.create_task(fixture.quotas.charge(LIMITED, 50, 1.0))
+        await asyncio.sleep(0.02)
+        steward.granted = [True]
+        fixture.quotas.handle_relayed(QuotaKept(2))
+        assert (await task).term == 2
+        assert [message.term for message in steward.asked] == [1, 2]
+
+
+async def test_keeper_that_answers_again_is_asked_directly():
+    async with make_fixture(SAFE, respond) as fixture:
+        client = fixture.quotas
+        steward = FakeKeeper(client, True, relayed=True)
+        keeper = keep_quotas(fixture)
+        client._find_relay = lambda: steward
+        await client.charge(LIMITED, 50, 1.0)
+        late = QuotaAnswer(keeper.asked[0].number, (QuotaVerdict(True),))
+        client.handle_message(keeper, late)
+        keeper.granted = [True]
+        await client.charge(LIMITED, 60, 1.0)
+        assert [cost for _, cost in keeper.demands] == [50.0, 60.0]
+        assert [cost for _, cost in steward.demands] == [50.0]
+
+
 async def test_deposed_keeper_does_not_replace_the_newer_one():
     async with make_fixture(SAFE, respond) as fixture:
         keeper = FakeKeeper(fixture.quotas, True)
