Reject negative token counts

A caller that sent a negative Token-Counts would have had a negative cost, which raises the balance of its customer's quota without end, and takes prompts out of an engine's window. Counts below zero are malformed now (400). Two cases of the table of malformed calls, red before. Found by reading.

--- a/src/ibishead/platform/callers.py
+++ b/src/ibishead/platform/callers.py
@@ -133,6 +133,8 @@
         prompt, answer = (int(part) for part in text.split(","))
     except ValueError as error:
         raise InvalidInput(f"invalid token counts: {text!r}", "send IN,OUT") from error
+    if prompt < 0 or answer < 0:
+        raise InvalidInput(f"negative token counts: {text!r}", "send IN,OUT")
     return prompt, answer
 
 
--- a/tests/onplatform/test_bodies.py
+++ b/tests/onplatform/test_bodies.py
@@ -254,6 +254,9 @@
         {"request_id": "r", "deadline_ms": "soon"},
         {"request_id": "r", "deadline_ms": "-1"},
         {"request_id": "r", "token_counts": "1"},
+        # a negative cost would raise the balance of a quota
+        {"request_id": "r", "token_counts": "-900,10"},
+        {"request_id": "r", "token_counts": "900,-10"},
         {"request_id": "r", "prompt_prefix": "ab"},
     ],
 )
