Give the credit of a new keeper once, also if a customer is added again

A customer that was removed and added again under a keeper with a credit in advance got it each time, so that repeated changes could add up beyond the quota's bound. Test red before. Found by reading.

--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -137,6 +137,8 @@
             account.credit(0.0)
             accounts[name] = account
         self._accounts = accounts
+        # a customer that is removed and added again gets no second credit
+        self._initial_seconds = 0.0
 
     def advance(self, certain_until: float) -> None:
         """Credit all accounts for the time up to a moment.
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -100,6 +100,14 @@
     assert not accounts.charge("c", 30.0).granted
 
 
+def test_customer_that_is_added_again_gets_no_second_credit():
+    """Repeated changes of the customers would add up to any amount."""
+    accounts = QuotaAccounts(10.0, Tolerance(8.0, 0.1).initial_credit)
+    for customers in ({"c": QUOTA}, {}, {"c": QUOTA}):
+        accounts.set_quotas(customers)
+    assert not accounts.charge("c", 30.0).granted
+
+
 @pytest.mark.parametrize(
     ("seen", "term", "now", "allowed"),
     [
