Keep a grant that comes as the wait for it ends

A charge that was granted in the moment in which the wait for it ended was lost, and its request refused. The verdict decides now, not the time-out; the error is made in one place. The pipeline asks once whether a request was resolved. Found by reading; no test.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -138,11 +138,10 @@
                 self._return_charge(request)
                 self._recorder.record_end(request, CALLER_LEFT)
         except IbisheadError as error:
-            if request is not None:
-                self._return_charge(request)
             if request is None:
                 self._recorder.record_refusal(exchange.request, error)
             else:
+                self._return_charge(request)
                 self._recorder.record_end(request, error.code.value, error)
             if exchange.started:
                 exchange.abort()
--- a/src/ibishead/gateway/quotas.py
+++ b/src/ibishead/gateway/quotas.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import random
@@ -186,16 +187,9 @@
             wait = min(wait, STALLED_WAIT_SECONDS if self._find_relay() else 0.0)
         self._ask(demand)
         try:
-            async with asyncio.timeout(max(0.0, wait)):
-                await self._repeat_until_answered(demand)
-        except TimeoutError as error:
-            waited = self._clock.monotonic() - started
-            raise Unavailable(
-                f"not run: no registry has confirmed the quota for {waited:.1f} s",
-                "retry after the given time",
-                code=ErrorCode.NO_QUORUM,
-                retry_after=self._spread(UNKNOWN_RETRY_AFTER_SECONDS),
-            ) from error
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.0, wait)):
+                    await self._repeat_until_answered(demand)
         except asyncio.CancelledError:
             if demand.verdict is not None and demand.verdict.granted:
                 self.give_back(_make_charge(demand))
@@ -203,7 +197,14 @@
         finally:
             self._withdraw(demand)
         verdict = demand.verdict
-        assert verdict is not None
+        if verdict is None:
+            waited = self._clock.monotonic() - started
+            raise Unavailable(
+                f"not run: no registry has confirmed the quota for {waited:.1f} s",
+                "retry after the given time",
+                code=ErrorCode.NO_QUORUM,
+                retry_after=self._spread(UNKNOWN_RETRY_AFTER_SECONDS),
+            )
         if not verdict.granted:
             raise self._make_refusal(demand, verdict)
         return _make_charge(demand)
