Credit new keepers of quotas with all of the permitted excess

Cause: a new keeper's accounts start empty, with a credit of 0.4 s of the rate, while 1.15 s of requests had waited. The credit used half of the excess of the rate only; the tenth of the burst and the slack that a deployment permits were left unused.

Change: the credit is the other half of the rate's excess, the burst's excess and half of the slack. The other half stays for the last request that each keeper grants.

--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -11,7 +11,7 @@
 times the period plus its burst.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from ibishead.ids import CustomerId
@@ -22,10 +22,14 @@
 #: Minimum size of an account in seconds of its rate, for quotas without a burst.
 MIN_BURST_SECONDS = 0.1
 
-#: Share of the permitted excess that is used for charges which wait to be sent. The
+#: Share of the excess of the rate that is used for charges which wait to be sent. The
 #: rest is for initial credits.
 LIFETIME_SHARE = 0.5
 
+#: Share of the slack that is used for initial credits. The rest is for the last request
+#: that each keeper grants, which may cost more than the balance.
+CREDIT_SLACK_SHARE = 0.5
+
 #: Maximum time in seconds since the program was last certain to keep the accounts, for
 #: it to charge requests. A program that was suspended must not use its balances.
 MAX_CERTAINTY_AGE_SECONDS = 0.7
@@ -37,10 +41,12 @@
 
     :param window: seconds of a window.
     :param overage: permitted excess, as a share of what the quota allows in a window.
+    :param slack: permitted excess on top, in the unit of the quota.
     """
 
     window: float
     overage: float
+    slack: float = 0.0
 
     @property
     def charge_lifetime(self) -> float:
@@ -50,10 +56,13 @@
         """
         return LIFETIME_SHARE * self.window * self.overage
 
-    @property
-    def initial_credit(self) -> float:
-        """Seconds of the rate that a new keeper of the accounts may credit at once."""
-        return (1.0 - LIFETIME_SHARE) * self.window * self.overage
+    def compute_credit(self, quota: Quota) -> float:
+        """Return the units that a new keeper of the accounts may credit at once."""
+        excess_of_rate = (1.0 - LIFETIME_SHARE) * self.window * quota.rate
+        return (
+            self.overage * (excess_of_rate + quota.burst)
+            + CREDIT_SLACK_SHARE * self.slack
+        )
 
 
 @dataclass
@@ -113,18 +122,24 @@
         self.balance = min(self.size, self.balance + units)
 
 
+def _give_no_credit(quota: Quota) -> float:
+    return 0.0
+
+
 class QuotaAccounts:
     """Token buckets of all customers with a quota.
 
     :param now: monotonic seconds from which this program keeps the accounts.
-    :param initial_seconds: time whose rate is credited in advance, see
-        `Tolerance.initial_credit`.
+    :param compute_credit: returns the units that an account holds at first, see
+        `Tolerance.compute_credit`.
     """
 
-    def __init__(self, now: float, initial_seconds: float = 0.0) -> None:
+    def __init__(
+        self, now: float, compute_credit: Callable[[Quota], float] = _give_no_credit
+    ) -> None:
         self._accounts: dict[CustomerId, _Account] = {}
         self._credited_until = now
-        self._initial_seconds = initial_seconds
+        self._compute_credit = compute_credit
 
     def set_quotas(self, quotas: Mapping[CustomerId, Quota]) -> None:
         """Replace the quotas; customers whose quota changes keep their balance."""
@@ -132,13 +147,13 @@
         for name, quota in quotas.items():
             account = self._accounts.get(name)
             if account is None:
-                account = _Account(quota, self._initial_seconds * quota.rate)
+                account = _Account(quota, self._compute_credit(quota))
             account.quota = quota
             account.credit(0.0)
             accounts[name] = account
         self._accounts = accounts
         # a customer that is removed and added again gets no second credit
-        self._initial_seconds = 0.0
+        self._compute_credit = _give_no_credit
 
     def advance(self, certain_until: float) -> None:
         """Credit all accounts for the time up to a moment.
--- a/src/ibishead/platform/settings.py
+++ b/src/ibishead/platform/settings.py
@@ -53,6 +53,8 @@
     # period over which quotas are checked, and share by which that may exceed them
     quota_window_s: float = 8
     quota_overage: float = 0.1
+    # units of the quota by which they may exceed it in addition
+    quota_slack: float = 0
 
 
 class _Listen(msgspec.Struct):
@@ -156,7 +158,10 @@
         )
 
     def _quota_tolerance(self) -> Tolerance:
-        return Tolerance(self.bounds.quota_window_s, self.bounds.quota_overage)
+        bounds = self.bounds
+        return Tolerance(
+            bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+        )
 
     def _port(self, offset: int) -> int:
         first, last = self.port_range[0], self.port_range[-1]
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -138,11 +138,14 @@
         self._term, self._quotas_of = term, None
         now = self._clock.monotonic()
         credited = self._leadership.allows_credit(term, now, self._tolerance.window)
-        credit = self._tolerance.initial_credit if credited else 0.0
-        self._accounts = QuotaAccounts(now, credit)
+        self._accounts = (
+            QuotaAccounts(now, self._tolerance.compute_credit)
+            if credited
+            else QuotaAccounts(now)
+        )
         self._leadership.record(term, now)
         logger.info(
-            "quota accounts taken over", extra={"term": term, "credit_seconds": credit}
+            "quota accounts taken over", extra={"term": term, "credited": credited}
         )
         self._on_term(term)
 
