Leave the request's text out of errors about invalid HTTP

What callers saw: a request with a typing error in its Authorization header was answered with a 400 that quotes the whole line, key included, so that the key could end up in logs of the caller or of a load balancer. Cause: h11's message was passed on. Its part after the colon is left out. Test red before (both rows).

--- a/src/ibishead/framing.py
+++ b/src/ibishead/framing.py
@@ -78,10 +78,15 @@
 
 
 def convert_protocol_error(error: h11.RemoteProtocolError) -> IbisheadError:
-    """Return the error to answer for what h11 could not parse."""
+    """Return the error to answer for what h11 could not parse.
+
+    The details of h11's message are left out, as they quote the request, which may
+    contain a key.
+    """
     if error.error_status_hint == HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE:
         return _make_headers_too_large_error()
-    return InvalidInput(f"invalid HTTP: {error}", "send HTTP/1.1 (RFC 9112)")
+    fault = str(error).partition(":")[0]
+    return InvalidInput(f"invalid HTTP: {fault}", "send HTTP/1.1 (RFC 9112)")
 
 
 def _make_headers_too_large_error() -> IbisheadError:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -104,6 +104,17 @@
     assert b"remedy" in received
 
 
+@pytest.mark.parametrize(
+    "line", [b"Authorization Token secret", b"Authorization: Token secret\x00"]
+)
+async def test_error_answer_does_not_quote_a_key(server, line):
+    """A key with a typing error next to it would appear in logs of callers."""
+    data = b"GET /echo HTTP/1.1\r\nHost: x\r\n" + line + b"\r\n\r\n"
+    received = await _send_raw(server, data)
+    assert b"illegal header line" in received
+    assert b"secret" not in received
+
+
 async def test_pipelined_requests_are_answered_in_order(server):
     first = b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1"
     last = (
