Send a command that may have run to no second server

What operators saw: 'ibishead replace' tried the next server after any 5xx, also after 502, 500, or an error that says that the outcome is unknown, so a replacement could be started twice. Cause: every status of 500 and above was decoded as Unavailable. Now only 503 is, unless its code says that the outcome is unknown. Three of four rows of the test are red before.

--- a/src/ibishead/operator/client.py
+++ b/src/ibishead/operator/client.py
@@ -44,6 +44,7 @@
     409: Conflict,
     413: TooLarge,
     429: Refused,
+    503: Unavailable,
 }
 _T = TypeVar("_T")
 
@@ -107,11 +108,12 @@
     async def request_once(self, method: str, target: str, body: bytes = b"") -> bytes:
         """Send a request that must not be repeated, and return the response body.
 
-        The next server is tried if a server can't be reached or responds with a status
-        of 500 or above.
+        The next server is tried if a server can't be reached or is
+        unable to decide.
 
         :raises LinkLost: no server could be reached; nothing was sent.
-        :raises OutcomeUnknown: the response was lost after the request was sent.
+        :raises OutcomeUnknown: the response was lost after the request was sent, or the
+            server failed.
         :raises IbisheadError: a server refused the request.
         """
         for server in self.servers:
@@ -127,7 +129,8 @@
         """Send a request to one server, and return the body of the response.
 
         :raises LinkLost: the server can't be reached; nothing was sent.
-        :raises OutcomeUnknown: the response was lost after the request was sent.
+        :raises OutcomeUnknown: the response was lost after the request was sent, or the
+            server failed.
         :raises IbisheadError: the server refused the request.
         """
         connection = await ClientConnection.open(server, self.tls)
@@ -184,8 +187,10 @@
     retry_after = find_header(headers, "retry-after") or ""
     code = next((c for c in ErrorCode if c.value == body.code), ErrorCode.INTERNAL)
     error_class = _ERROR_CLASSES.get(
-        status, Unavailable if status >= 500 else InvalidInput
+        status, OutcomeUnknown if status >= 500 else InvalidInput
     )
+    if code is ErrorCode.OUTCOME_UNKNOWN:
+        error_class = OutcomeUnknown
     return error_class(
         body.message or f"{server} responded with status {status}",
         body.remedy or "check that this is an operators' port of ibishead",
--- a/tests/operator/test_client.py
+++ b/tests/operator/test_client.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ibishead.clock import SystemClock
-from ibishead.errors import InvalidInput, OutcomeUnknown
+from ibishead.errors import IbisheadError, InvalidInput, OutcomeUnknown, Unavailable
 from ibishead.links import Endpoint
 from ibishead.operator.client import HttpClient, decode_response
 from ibishead.operator.options import Command
@@ -38,6 +38,35 @@
         await server.stop(grace=0.0)
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "error", "calls"),
+    [
+        (500, b"{}", OutcomeUnknown, 1),
+        (502, b"{}", OutcomeUnknown, 1),
+        (503, b"{}", Unavailable, 2),
+        (503, b'{"error": {"code": "outcome_unknown"}}', OutcomeUnknown, 1),
+    ],
+)
+async def test_request_that_may_have_run_is_not_sent_to_the_next_server(
+    status, body, error, calls
+):
+    """A second `ibishead replace` would replace the replacement."""
+    received = []
+
+    async def refuse(exchange):
+        received.append(exchange.request)
+        await exchange.respond(status, (), body)
+
+    servers = [WebServer(refuse), WebServer(refuse)]
+    endpoints = tuple([await server.start(LOOPBACK) for server in servers])
+    client = HttpClient(endpoints, SystemClock())
+    with pytest.raises(IbisheadError) as raised:
+        await client.request_once("POST", "/")
+    assert (type(raised.value), len(received)) == (error, calls)
+    for server in servers:
+        await server.stop(grace=0.0)
+
+
 def test_response_of_unexpected_type_is_rejected():
     with pytest.raises(InvalidInput, match="same version"):
         decode_response(b"[]", StatusView)
