Hand the quotas' accounts over when their keeper is stopped as planned

What callers saw: whenever the leader of the log was restarted as planned, requests below the quotas were refused for up to a second, as the accounts of the next leader start empty; with three changes in a window, as in a rolling update, without a credit.

Cause: accounts were treated alike after a failure, where the former keeper may still charge, and after a planned stop, where it certainly doesn't.

Change: before the lead is transferred, the keeper ends its accounts for the rest of its term and sends their balances to the other registries. The leader of the next term adds them once. The state machine hands over as well.

--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -76,6 +76,23 @@
             "::test_initial_credit_is_given_once_in_a_window",
         ),
     ),
+    Guard(
+        "a keeper that has handed its accounts over charges no more",
+        "registry/quotas.py",
+        "or replica.core.term == self._ended_term",
+        "or False",
+        (
+            f"{KEEPER}"
+            "::test_keeper_that_hands_over_charges_no_more_and_sends_its_balances",
+        ),
+    ),
+    Guard(
+        "balances are handed over once, to the direct successor",
+        "registry/quotas.py",
+        "received.term == self._term - 1",
+        "True",
+        (f"{KEEPER}::test_next_keeper_begins_with_the_balances_that_were_handed_over",),
+    ),
     Guard(
         "an expired charge is renewed before the request is sent",
         "gateway/pipeline.py",
--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -186,6 +186,16 @@
         account.balance -= cost
         return Verdict(True, balance=account.balance)
 
+    def list_balances(self) -> dict[CustomerId, float]:
+        """Return the balance of each customer."""
+        return {name: account.balance for name, account in self._accounts.items()}
+
+    def add_balances(self, balances: Mapping[CustomerId, float]) -> None:
+        """Add balances that another program has handed over and uses no more."""
+        for name, balance in balances.items():
+            if name in self._accounts:
+                self._accounts[name].credit(balance)
+
     def give_back(self, customer: CustomerId, cost: float) -> None:
         """Return the charge of a request that has not run."""
         account = self._accounts.get(customer)
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -43,6 +43,7 @@
     PromptDelay,
     PromptRead,
     QuotaAnswer,
+    QuotaHandover,
     QuotaKept,
     RateTold,
     RouteNotice,
@@ -625,6 +626,7 @@
     | TurnAnswer
     | AskQuota
     | QuotaAnswer
+    | QuotaHandover
     | QuotaKept
     | BeginUse
     | EndUse
--- a/src/ibishead/registry/publisher.py
+++ b/src/ibishead/registry/publisher.py
@@ -20,6 +20,7 @@
     MemberKind,
     MemberRecord,
     Members,
+    QuotaHandover,
     QuotaKept,
     RouteNotice,
     RoutesAnswer,
@@ -208,6 +209,12 @@
         for link, subscriber in self._subscribers.items():
             self._send_quota_term(link, subscriber)
 
+    def publish_handover(self, handover: QuotaHandover) -> None:
+        """Send the balances of the quotas' accounts to the other registries."""
+        for link, subscriber in self._subscribers.items():
+            if subscriber.is_registry:
+                link.send(handover)
+
     def _send_quota_term(self, link: Link, subscriber: _Subscriber) -> None:
         if self._quota_term and not subscriber.is_registry:
             link.send(QuotaKept(self._quota_term))
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -12,7 +12,12 @@
 from ibishead.links import Link
 from ibishead.registry.state import RouteState
 from ibishead.routing.customers import Quota
-from ibishead.routing.messages import AskQuota, QuotaAnswer, QuotaVerdict
+from ibishead.routing.messages import (
+    AskQuota,
+    QuotaAnswer,
+    QuotaHandover,
+    QuotaVerdict,
+)
 from ibishead.routing.routes import RouteSet
 
 __all__ = ["QuotaKeeper"]
@@ -36,6 +41,7 @@
     :param tolerance: by how much requests may exceed the quotas.
     :param on_term: called with the term in which this registry begins to keep the
         accounts, and with 0 when it no longer does.
+    :param on_handover: called with the balances that this registry hands over.
     """
 
     def __init__(
@@ -45,14 +51,19 @@
         clock: Clock,
         tolerance: Tolerance,
         on_term: Callable[[int], None],
+        on_handover: Callable[[QuotaHandover], None],
     ) -> None:
         self._state = state
         self._replica = replica
         self._clock = clock
         self._tolerance = tolerance
         self._on_term = on_term
+        self._on_handover = on_handover
         self._leadership = Leadership()
         self._term = 0
+        self._ended_term = 0
+        self._received_term = 0
+        self._received: QuotaHandover | None = None
         self._accounts: QuotaAccounts | None = None
         self._quotas: dict[CustomerId, Quota] = {}
         self._quotas_of: RouteSet | None = None
@@ -89,6 +100,26 @@
             )
             link.send(QuotaAnswer(question.number, encoded))
 
+    def hand_over(self) -> None:
+        """Stop keeping the accounts, and send their balances to the next leader.
+
+        It begins with them instead of empty accounts if it directly follows. This
+        registry charges no more requests, even if its leadership is not transferred.
+        """
+        self._follow_leadership()
+        if self._accounts is None:
+            return
+        self._ended_term = self._term
+        handover = QuotaHandover(self._term, self._accounts.list_balances())
+        self._end_term()
+        self._on_handover(handover)
+
+    def handle_handover(self, handover: QuotaHandover) -> None:
+        """Store the balances of a former leader, in case this registry follows it."""
+        if handover.term > self._received_term:
+            self._received_term, self._received = handover.term, handover
+            self._follow_leadership()
+
     def _log_refusals(self) -> None:
         now = self._clock.monotonic()
         if now - self._logged_at < LOG_INTERVAL_SECONDS:
@@ -122,7 +153,11 @@
     def _follow_leadership(self) -> None:
         replica = self._replica
         led_until = None if replica is None else replica.led_until()
-        if replica is None or led_until is None:
+        if (
+            replica is None
+            or led_until is None
+            or replica.core.term == self._ended_term
+        ):
             self._end_term()
             if replica is not None and replica.leader() is not None:
                 self._leadership.record(replica.core.term, self._clock.monotonic())
@@ -132,8 +167,19 @@
         assert self._accounts is not None
         if self._quotas_of is not self._state.routes:
             self._update_quotas(self._accounts)
+        self._add_received(self._accounts)
         self._accounts.advance(led_until)
 
+    def _add_received(self, accounts: QuotaAccounts) -> None:
+        """Add the balances of the leader of the last term, once."""
+        received = self._received
+        is_for_this_term = received is not None and received.term == self._term - 1
+        if received is None or not is_for_this_term or not self._quotas:
+            return
+        self._received = None
+        accounts.add_balances(received.balances)
+        logger.info("quota balances received", extra={"term": received.term})
+
     def _begin_term(self, term: int) -> None:
         self._term, self._quotas_of = term, None
         now = self._clock.monotonic()
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -16,7 +16,7 @@
 from ibishead.errors import StorageFault
 from ibishead.ids import ReplicaId
 from ibishead.links import Endpoint, Link, LinkServer
-from ibishead.messages import Hello, PeerFrame, Role
+from ibishead.messages import Hello, Message, PeerFrame, Role
 from ibishead.metrics import Metrics
 from ibishead.registry.founders import (
     FULL_SET_TIMEOUT_SECONDS,
@@ -30,7 +30,7 @@
 from ibishead.registry.settings import RegistrySettings
 from ibishead.registry.state import RouteState
 from ibishead.routing.feed import FEED_PACE, RegistryFeed
-from ibishead.routing.messages import MemberKind, MemberRecord
+from ibishead.routing.messages import MemberKind, MemberRecord, QuotaHandover
 from ibishead.web import Exchange, Limits, WebServer
 
 __all__ = ["Registry"]
@@ -106,6 +106,7 @@
             clock,
             on_registrations=lambda fresh: self._publisher.relay_registrations(fresh),
             on_members=self._handle_members,
+            on_message=self._handle_message,
         )
         self._publisher = FeedPublisher(
             self.state,
@@ -121,6 +122,7 @@
             clock,
             settings.quota_tolerance,
             self._publisher.publish_quota_term,
+            self._publisher.publish_handover,
         )
         self.service = RegistryService(
             self.state, self.replica, self.feed, self._publisher, clock, self.metrics
@@ -171,6 +173,7 @@
         """Transfer leadership, finish exchanges in progress and close all links."""
         self._web.begin_stop()
         if self.replica is not None:
+            self._quotas.hand_over()
             try:
                 await self.replica.transfer()
             except Exception as error:
@@ -236,6 +239,11 @@
         self._add_peers(members)
         self._publisher.publish_members(members, relayed=True)
 
+    def _handle_message(self, link: Link, message: Message) -> None:
+        """Handle a message from another registry."""
+        if isinstance(message, QuotaHandover):
+            self._quotas.handle_handover(message)
+
     def _add_peers(self, members: list[MemberRecord]) -> None:
         for member in members:
             if member.kind is MemberKind.REGISTRY and member.replica:
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -28,6 +28,7 @@
     "PromptDelay",
     "PromptRead",
     "QuotaAnswer",
+    "QuotaHandover",
     "QuotaKept",
     "QuotaVerdict",
     "RateTold",
@@ -179,6 +180,17 @@
     term: int
 
 
+class QuotaHandover(_Message, frozen=True):
+    """The sender has stopped keeping the accounts, for whoever directly follows it.
+
+    :param term: term in which it kept them.
+    :param balances: units left to each customer.
+    """
+
+    term: int
+    balances: dict[CustomerId, float]
+
+
 class AskQuota(_Message, frozen=True):
     """Asks to charge requests to their customers' quotas.
 
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -212,6 +212,12 @@
         self.keepers = [*self.keepers[-2:], accounts]
         self.is_cut = False
 
+    @rule()
+    def hand_over(self):
+        stopped = self.keepers.pop()
+        self.elect()
+        self.keepers[-1].add_balances(stopped.list_balances())
+
     @rule(cut=st.booleans())
     def cut(self, cut):
         self.is_cut = cut
--- a/tests/onplatform/test_customers.py
+++ b/tests/onplatform/test_customers.py
@@ -125,6 +125,23 @@
     assert len(served) >= (0.75 if fault else 0.9) * RATE * 6.0
 
 
+async def test_planned_stop_of_the_keeper_refuses_no_request_below_the_quota(cluster):
+    """With empty accounts, each restart of the leader would refuse some callers."""
+    customers = make_customers(unit="requests", rate_per_s=RATE, burst=BURST)
+    assert await put_customers(cluster, 2, customers) == 200
+    await wait_for_status(cluster, 200, **KEY)
+    await asyncio.sleep(1.0)
+    tasks = []
+    for number in range(60):
+        if number == 20:
+            find_keeper(cluster).send(signal.SIGTERM)
+        gateway = cluster.gateways[number % 2]
+        tasks.append(asyncio.create_task(cluster.request("look", gateway, **KEY)))
+        await asyncio.sleep(1.0 / (0.75 * RATE))
+    answers = await asyncio.gather(*tasks)
+    assert [status for status, _, _ in answers] == [200] * 60
+
+
 def find_keeper(cluster):
     keepers = [
         program
--- a/tests/registry/test_quotas.py
+++ b/tests/registry/test_quotas.py
@@ -9,7 +9,7 @@
 from ibishead.registry.quotas import LOG_INTERVAL_SECONDS, QuotaKeeper
 from ibishead.registry.state import RouteState
 from ibishead.routing.customers import Customer, Quota, QuotaUnit
-from ibishead.routing.messages import AskQuota, QuotaAnswer
+from ibishead.routing.messages import AskQuota, QuotaAnswer, QuotaHandover
 from ibishead.routing.routes import RouteSet
 
 TOLERANCE = Tolerance(8.0, 0.1)
@@ -46,8 +46,14 @@
         self.replica = FakeReplica(self.clock)
         self.state, self.terms, self.sent = RouteState(), [], []
         self.set_rate(rate)
+        self.handovers = []
         self.keeper = QuotaKeeper(
-            self.state, self.replica, self.clock, TOLERANCE, self.terms.append
+            self.state,
+            self.replica,
+            self.clock,
+            TOLERANCE,
+            self.terms.append,
+            self.handovers.append,
         )
         self.keeper._follow_leadership()
 
@@ -114,6 +120,57 @@
     assert scene.terms == [1, 0, 3]
 
 
+def follow(term):
+    """Return a scene whose keeper has seen no leader before it leads in a term."""
+    scene = Scene()
+    scene.replica.leads, scene.replica.term = False, term - 1
+    scene.replica.on_leader_change()
+    scene.replica.leads, scene.replica.term = True, term
+    return scene
+
+
+def test_keeper_that_hands_over_charges_no_more_and_sends_its_balances():
+    """Its balances would be used twice."""
+    scene = Scene()
+    scene.clock.step(9.0)
+    assert scene.ask(60.0) == [True]
+    scene.keeper.hand_over()
+    assert scene.handovers == [QuotaHandover(1, {"c": 140.0})]
+    scene.clock.step(1.0)
+    assert scene.ask(1.0) is None
+    scene.keeper.hand_over()
+    assert len(scene.handovers) == 1
+
+
+@pytest.mark.parametrize("begins_first", [False, True])
+@pytest.mark.parametrize(
+    ("received", "granted"),
+    [
+        ([(1, 140.0)], 140.0),
+        ([(1, 999.0)], 200.0),
+        ([(1, 140.0), (1, 140.0)], 140.0),
+        # balances of another leader than the last one may have been used since
+        ([(0, 140.0)], 0.0),
+        ([], 0.0),
+    ],
+    ids=["direct successor", "at most the burst", "twice", "not the last", "none"],
+)
+def test_next_keeper_begins_with_the_balances_that_were_handed_over(
+    received, granted, begins_first
+):
+    """Each planned stop of a leader would refuse requests below the quotas."""
+    scene = follow(2)
+    if begins_first:
+        scene.replica.on_leader_change()
+    for term, balance in received:
+        scene.keeper.handle_handover(QuotaHandover(term, {"c": balance}))
+    scene.replica.on_leader_change()
+    passed = 0.0
+    while scene.ask(20.0, term=2) == [True]:
+        passed += 20.0
+    assert passed == granted
+
+
 def test_quota_of_newer_routes_applies_to_the_next_request():
     scene = Scene()
     scene.clock.step(2.0)
