Test that only the direct successor takes balances over

The guard's red run was green: the earlier balances of its test row were never stored. The row now hands over the balances of the leader before the last one.

--- a/tests/registry/test_quotas.py
+++ b/tests/registry/test_quotas.py
@@ -146,11 +146,11 @@
 @pytest.mark.parametrize(
     ("received", "granted"),
     [
-        ([(1, 140.0)], 140.0),
-        ([(1, 999.0)], 200.0),
-        ([(1, 140.0), (1, 140.0)], 140.0),
+        ([(2, 140.0)], 140.0),
+        ([(2, 999.0)], 200.0),
+        ([(2, 140.0), (2, 140.0)], 140.0),
         # balances of another leader than the last one may have been used since
-        ([(0, 140.0)], 0.0),
+        ([(1, 140.0)], 0.0),
         ([], 0.0),
     ],
     ids=["direct successor", "at most the burst", "twice", "not the last", "none"],
@@ -159,14 +159,14 @@
     received, granted, begins_first
 ):
     """Each planned stop of a leader would refuse requests below the quotas."""
-    scene = follow(2)
+    scene = follow(3)
     if begins_first:
         scene.replica.on_leader_change()
     for term, balance in received:
         scene.keeper.handle_handover(QuotaHandover(term, {"c": balance}))
     scene.replica.on_leader_change()
     passed = 0.0
-    while scene.ask(20.0, term=2) == [True]:
+    while scene.ask(20.0, term=3) == [True]:
         passed += 20.0
     assert passed == granted
 
