Mark the credit of new quota keepers in the log, so that restarts know of it

Cause: a credit must not fall twice into a window. Only a registry that had itself seen the former leader for a window could know; one that has just started couldn't.

Change: the log keeps a mark from before a credit is given until a leader has seen the mark for a window and a charge's lifetime by its own monotonic clock. No clock of the calendar, no memory of former leaders. It replaces the rule 'directly follows a leader seen for a window', whose test is replaced by those of the mark; a window was too short by a charge's lifetime there.

--- a/benchmarks/bench_quota.py
+++ b/benchmarks/bench_quota.py
@@ -193,16 +193,15 @@
             return Decision(False, MAX_WAIT_SECONDS)
         if asked >= KEEPER_LOST_UNTIL and not self._replaced:
             self._replaced = True
-            tolerance = Tolerance(WINDOW_SECONDS, OVERAGE)
-            self._accounts = QuotaAccounts(KEEPER_LOST_UNTIL, tolerance.compute_credit)
-            self._accounts.set_quotas(self._quotas)
+            self._accounts = self._open(KEEPER_LOST_UNTIL)
+            self._accounts.give_credit(Tolerance(WINDOW_SECONDS, OVERAGE))
         self.messages += 2
         self._accounts.advance(asked)
         verdict = self._accounts.charge(arrival.customer, arrival.tokens)
         return Decision(verdict.granted, wait + ROUND_TRIP_SECONDS)
 
-    def _open(self, now: float, credit: float = 0.0) -> QuotaAccounts:
-        accounts = QuotaAccounts(now, credit)
+    def _open(self, now: float) -> QuotaAccounts:
+        accounts = QuotaAccounts(now)
         accounts.set_quotas(self._quotas)
         return accounts
 
--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -67,15 +67,29 @@
         (f"{KEEPER}::test_accounts_of_an_earlier_time_are_not_used",),
     ),
     Guard(
-        "an initial credit is given once in a window",
-        "decisions/quota.py",
-        "term == self.term + 1 and now - self.seen_at > window",
-        "True",
+        "a credit is marked once until the mark is removed",
+        "registry/state.py",
+        "granted = self.credit_term == 0 and self._has_quotas()",
+        "granted = self._has_quotas()",
         (
-            "tests/decisions/test_quota.py"
-            "::test_initial_credit_is_given_once_in_a_window",
+            "tests/registry/test_state.py"
+            "::test_credit_is_granted_only_while_none_is_marked",
         ),
     ),
+    Guard(
+        "the mark of a credit is kept while a window may hold it",
+        "registry/quotas.py",
+        "age > self._tolerance.credit_pause",
+        "age > 0",
+        (f"{KEEPER}::test_mark_of_a_credit_is_removed_once_no_window_holds_it",),
+    ),
+    Guard(
+        "requests are charged only after the log has answered about the credit",
+        "registry/quotas.py",
+        "accounts is None or not self._is_open or term",
+        "accounts is None or term",
+        (f"{KEEPER}::test_keeper_charges_nothing_before_the_log_has_answered",),
+    ),
     Guard(
         "a keeper that has handed its accounts over charges no more",
         "registry/quotas.py",
--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -11,13 +11,13 @@
 times the period plus its burst.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from ibishead.ids import CustomerId
 from ibishead.routing.customers import Quota
 
-__all__ = ["Leadership", "QuotaAccounts", "Tolerance", "Verdict"]
+__all__ = ["QuotaAccounts", "Tolerance", "Verdict"]
 
 #: Minimum size of an account in seconds of its rate, for quotas without a burst.
 MIN_BURST_SECONDS = 0.1
@@ -56,6 +56,14 @@
         """
         return LIFETIME_SHARE * self.window * self.overage
 
+    @property
+    def credit_pause(self) -> float:
+        """Seconds that must pass between two credits.
+
+        A keeper may give its credit as late as it may charge requests.
+        """
+        return self.window + self.charge_lifetime + MAX_CERTAINTY_AGE_SECONDS
+
     def compute_credit(self, quota: Quota) -> float:
         """Return the units that a new keeper of the accounts may credit at once."""
         excess_of_rate = (1.0 - LIFETIME_SHARE) * self.window * quota.rate
@@ -65,31 +73,6 @@
         )
 
 
-@dataclass
-class Leadership:
-    """Leaders of the log as one replica saw them, to bound initial credits.
-
-    While no leader is known, requests wait at the gateways. The initial credit lets
-    them pass when the next one takes over. It is given at most once in a window: only
-    to a leader that directly follows one that has led for longer than a window.
-
-    :param term: the latest term whose leader was seen.
-    :param seen_at: monotonic seconds at which that leader was first seen.
-    """
-
-    term: int = 0
-    seen_at: float = 0.0
-
-    def record(self, term: int, now: float) -> None:
-        """Record the current term of a known leader."""
-        if term != self.term:
-            self.term, self.seen_at = term, now
-
-    def allows_credit(self, term: int, now: float, window: float) -> bool:
-        """Return whether the leader of a new term may credit its accounts at once."""
-        return self.term > 0 and term == self.term + 1 and now - self.seen_at > window
-
-
 @dataclass(frozen=True)
 class Verdict:
     """Whether a request is within its customer's quota.
@@ -122,24 +105,15 @@
         self.balance = min(self.size, self.balance + units)
 
 
-def _give_no_credit(quota: Quota) -> float:
-    return 0.0
-
-
 class QuotaAccounts:
     """Token buckets of all customers with a quota.
 
     :param now: monotonic seconds from which this program keeps the accounts.
-    :param compute_credit: returns the units that an account holds at first, see
-        `Tolerance.compute_credit`.
     """
 
-    def __init__(
-        self, now: float, compute_credit: Callable[[Quota], float] = _give_no_credit
-    ) -> None:
+    def __init__(self, now: float) -> None:
         self._accounts: dict[CustomerId, _Account] = {}
         self._credited_until = now
-        self._compute_credit = compute_credit
 
     def set_quotas(self, quotas: Mapping[CustomerId, Quota]) -> None:
         """Replace the quotas; customers whose quota changes keep their balance."""
@@ -147,13 +121,16 @@
         for name, quota in quotas.items():
             account = self._accounts.get(name)
             if account is None:
-                account = _Account(quota, self._compute_credit(quota))
+                account = _Account(quota)
             account.quota = quota
             account.credit(0.0)
             accounts[name] = account
         self._accounts = accounts
-        # a customer that is removed and added again gets no second credit
-        self._compute_credit = _give_no_credit
+
+    def give_credit(self, tolerance: Tolerance) -> None:
+        """Credit all accounts in advance; at most once in `Tolerance.credit_pause`."""
+        for account in self._accounts.values():
+            account.credit(tolerance.compute_credit(account.quota))
 
     def advance(self, certain_until: float) -> None:
         """Credit all accounts for the time up to a moment.
--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -7,9 +7,10 @@
 
 from ibishead.clock import Clock
 from ibishead.control.log.replica import LogReplica
-from ibishead.decisions.quota import Leadership, QuotaAccounts, Tolerance
+from ibishead.decisions.quota import QuotaAccounts, Tolerance
 from ibishead.ids import CustomerId
 from ibishead.links import Link
+from ibishead.registry.credits import CreditLog
 from ibishead.registry.state import RouteState
 from ibishead.routing.customers import Quota
 from ibishead.routing.messages import (
@@ -39,6 +40,8 @@
     :param replica: this registry's log replica; none on a host without a disk, which
         never keeps the accounts.
     :param tolerance: by how much requests may exceed the quotas.
+    :param credits: marks in the log that the accounts were credited in advance; none
+        without a replica.
     :param on_term: called with the term in which this registry begins to keep the
         accounts, and with 0 when it no longer does.
     :param on_handover: called with the balances that this registry hands over.
@@ -50,6 +53,7 @@
         replica: LogReplica | None,
         clock: Clock,
         tolerance: Tolerance,
+        credits: CreditLog | None,
         on_term: Callable[[int], None],
         on_handover: Callable[[QuotaHandover], None],
     ) -> None:
@@ -57,14 +61,17 @@
         self._replica = replica
         self._clock = clock
         self._tolerance = tolerance
+        self._credits = credits
         self._on_term = on_term
         self._on_handover = on_handover
-        self._leadership = Leadership()
+        self._credit_term = 0
+        self._credit_seen_at = clock.monotonic()
         self._term = 0
         self._ended_term = 0
         self._received_term = 0
         self._received: QuotaHandover | None = None
         self._accounts: QuotaAccounts | None = None
+        self._is_open = False
         self._quotas: dict[CustomerId, Quota] = {}
         self._quotas_of: RouteSet | None = None
         #: Refused requests, and those of each customer since the last log line.
@@ -146,29 +153,44 @@
         """Return the accounts, credited up to now, if this registry may use them."""
         self._follow_leadership()
         accounts = self._accounts
-        if accounts is None or term != self._term:
+        if accounts is None or not self._is_open or term != self._term:
             return None
         return accounts if accounts.is_certain(self._clock.monotonic()) else None
 
     def _follow_leadership(self) -> None:
-        replica = self._replica
-        led_until = None if replica is None else replica.led_until()
-        if (
-            replica is None
-            or led_until is None
-            or replica.core.term == self._ended_term
-        ):
+        replica, credits = self._replica, self._credits
+        if replica is None or credits is None:
+            return
+        self._watch_credit()
+        led_until = replica.led_until()
+        if led_until is None or replica.core.term == self._ended_term:
             self._end_term()
-            if replica is not None and replica.leader() is not None:
-                self._leadership.record(replica.core.term, self._clock.monotonic())
             return
         if self._accounts is None or self._term != replica.core.term:
-            self._begin_term(replica.core.term)
-        assert self._accounts is not None
+            self._begin_term(replica.core.term, credits)
+        if self._accounts is not None and self._is_open:
+            self._update_accounts(self._accounts)
+            self._accounts.advance(led_until)
+            self._release_old_credit(credits)
+
+    def _watch_credit(self) -> None:
+        """Observe for how long a credit has been marked in the log."""
+        if self._credit_term != self._state.credit_term:
+            self._credit_term = self._state.credit_term
+            self._credit_seen_at = self._clock.monotonic()
+
+    def _release_old_credit(self, credits: CreditLog) -> None:
+        now = self._clock.monotonic()
+        age = now - self._credit_seen_at
+        if self._credit_term and age > self._tolerance.credit_pause:
+            # repeated after another pause if the log doesn't accept it
+            self._credit_seen_at = now
+            credits.release(self._credit_term)
+
+    def _update_accounts(self, accounts: QuotaAccounts) -> None:
         if self._quotas_of is not self._state.routes:
-            self._update_quotas(self._accounts)
-        self._add_received(self._accounts)
-        self._accounts.advance(led_until)
+            self._update_quotas(accounts)
+        self._add_received(accounts)
 
     def _add_received(self, accounts: QuotaAccounts) -> None:
         """Add the balances of the leader of the last term, once."""
@@ -180,16 +202,20 @@
         accounts.add_balances(received.balances)
         logger.info("quota balances received", extra={"term": received.term})
 
-    def _begin_term(self, term: int) -> None:
+    def _begin_term(self, term: int, credits: CreditLog) -> None:
         self._term, self._quotas_of = term, None
-        now = self._clock.monotonic()
-        credited = self._leadership.allows_credit(term, now, self._tolerance.window)
-        self._accounts = (
-            QuotaAccounts(now, self._tolerance.compute_credit)
-            if credited
-            else QuotaAccounts(now)
-        )
-        self._leadership.record(term, now)
+        self._accounts, self._is_open = QuotaAccounts(self._clock.monotonic()), False
+        credits.claim(term, lambda granted: self._open(term, granted))
+
+    def _open(self, term: int, credited: bool) -> None:
+        """Begin to charge requests, unless the lead has been lost meanwhile."""
+        accounts = self._accounts
+        if accounts is None or term != self._term:
+            return
+        self._is_open = True
+        self._update_accounts(accounts)
+        if credited:
+            accounts.give_credit(self._tolerance)
         logger.info(
             "quota accounts taken over", extra={"term": term, "credited": credited}
         )
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -18,6 +18,7 @@
 from ibishead.links import Endpoint, Link, LinkServer
 from ibishead.messages import Hello, Message, PeerFrame, Role
 from ibishead.metrics import Metrics
+from ibishead.registry.credits import CreditLog
 from ibishead.registry.founders import (
     FULL_SET_TIMEOUT_SECONDS,
     SETTLE_SECONDS,
@@ -116,11 +117,13 @@
             self._handle_subscriber,
             lambda link, question: self._quotas.answer(link, question),
         )
+        self._credits = CreditLog(self.replica) if self.replica else None
         self._quotas = QuotaKeeper(
             self.state,
             self.replica,
             clock,
             settings.quota_tolerance,
+            self._credits,
             self._publisher.publish_quota_term,
             self._publisher.publish_handover,
         )
@@ -186,6 +189,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.feed.stop()
+        if self._credits is not None:
+            await self._credits.stop()
         if self.replica is not None:
             await self.replica.stop()
         await self._links.stop()
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -1,7 +1,7 @@
 """The registry's replicated state, and the commands that change it.
 
-The state is the route set, the floors (minimum versions) of adapters, and the fencing
-numbers.
+The state is the route set, the floors (minimum versions) of adapters, the fencing
+numbers, and whether the accounts of quotas have lately been credited in advance.
 """
 
 import logging
@@ -17,13 +17,16 @@
 from ibishead.routing.targets import WeightKey
 
 __all__ = [
+    "CreditMarked",
     "FenceTaken",
     "FloorRaised",
     "PutRoutes",
     "RaiseFloor",
     "Rejected",
+    "ReleaseCredit",
     "RoutesPut",
     "RouteState",
+    "TakeCredit",
     "TakeFence",
     "decode_result",
     "encode_command",
@@ -62,6 +65,26 @@
     holder: str
 
 
+class TakeCredit(_LogRecord, frozen=True):
+    """Marks that the keeper of quotas credits its accounts in advance.
+
+    It must not unless the result says that no earlier credit was marked.
+
+    :param term: term of the leader that keeps the accounts.
+    """
+
+    term: int
+
+
+class ReleaseCredit(_LogRecord, frozen=True):
+    """Removes the mark of a credit that no longer counts in any window.
+
+    :param term: term of the leader that took it.
+    """
+
+    term: int
+
+
 class RoutesPut(_LogRecord, frozen=True):
     """Result of `PutRoutes`.
 
@@ -89,6 +112,15 @@
     fence: int
 
 
+class CreditMarked(_LogRecord, frozen=True):
+    """Result of `TakeCredit` and `ReleaseCredit`.
+
+    :param granted: whether the credit may be given.
+    """
+
+    granted: bool
+
+
 class Rejected(_LogRecord, frozen=True):
     """Result of a command that could not be applied.
 
@@ -98,8 +130,8 @@
     reason: str
 
 
-Command: TypeAlias = PutRoutes | RaiseFloor | TakeFence
-Result: TypeAlias = RoutesPut | FloorRaised | FenceTaken | Rejected
+Command: TypeAlias = PutRoutes | RaiseFloor | TakeFence | TakeCredit | ReleaseCredit
+Result: TypeAlias = RoutesPut | FloorRaised | FenceTaken | CreditMarked | Rejected
 
 
 class _SavedState(msgspec.Struct, frozen=True, array_like=True):
@@ -107,6 +139,7 @@
     document: bytes
     floors: tuple[AdapterFloor, ...]
     applied: int
+    credit_term: int = 0
 
 
 class RouteState:
@@ -115,6 +148,8 @@
     :ivar on_change: called after each command that changed routes or floors.
     :ivar document: the route set in force as submitted; empty if there is none.
     :ivar applied: log index of the last applied command.
+    :ivar credit_term: term of the leader that was the last to credit the accounts of
+        quotas in advance, 0 if no such credit counts any more.
     """
 
     def __init__(self) -> None:
@@ -123,6 +158,7 @@
         self.document = b""
         self.floors: dict[WeightKey, AdapterFloor] = {}
         self.applied = 0
+        self.credit_term = 0
 
     @property
     def version(self) -> int:
@@ -146,7 +182,9 @@
     def capture(self) -> bytes:
         """Return the encoded state for a snapshot."""
         floors = tuple(self.floors.values())
-        saved = _SavedState(self.routes, self.document, floors, self.applied)
+        saved = _SavedState(
+            self.routes, self.document, floors, self.applied, self.credit_term
+        )
         return pack(msgspec.msgpack.encode(saved))
 
     def restore(self, data: bytes) -> None:
@@ -165,6 +203,7 @@
         self.document = saved.document
         self.floors = {floor.key: floor for floor in saved.floors}
         self.applied = saved.applied
+        self.credit_term = saved.credit_term
         self.on_change()
 
     def list_floors(self, index: int) -> tuple[AdapterFloor, ...]:
@@ -187,6 +226,19 @@
             case TakeFence():
                 # The log index rises with every command, also across restarts
                 return FenceTaken(index)
+            case TakeCredit(term):
+                granted = self.credit_term == 0 and self._has_quotas()
+                if granted:
+                    self.credit_term = term
+                return CreditMarked(granted)
+            case ReleaseCredit(term):
+                if self.credit_term == term:
+                    self.credit_term = 0
+                return CreditMarked(False)
+
+    def _has_quotas(self) -> bool:
+        customers = self.routes.customers if self.routes is not None else None
+        return any(customer.quota is not None for customer in customers or ())
 
 
 _COMMAND_DECODER: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -14,7 +14,6 @@
 from ibishead.decisions.quota import (
     CREDIT_SLACK_SHARE,
     MAX_CERTAINTY_AGE_SECONDS,
-    Leadership,
     QuotaAccounts,
     Tolerance,
 )
@@ -95,8 +94,9 @@
 
 
 def test_new_keeper_admits_the_requests_that_waited_for_it():
-    accounts = QuotaAccounts(10.0, Tolerance(8.0, 0.1).compute_credit)
+    accounts = QuotaAccounts(10.0)
     accounts.set_quotas({"c": QUOTA})
+    accounts.give_credit(Tolerance(8.0, 0.1))
     assert accounts.charge("c", 30.0).granted
     assert accounts.charge("c", 30.0).granted
     assert not accounts.charge("c", 30.0).granted
@@ -104,9 +104,11 @@
 
 def test_customer_that_is_added_again_gets_no_second_credit():
     """Repeated changes of the customers would add up to any amount."""
-    accounts = QuotaAccounts(10.0, Tolerance(8.0, 0.1).compute_credit)
-    for customers in ({"c": QUOTA}, {}, {"c": QUOTA}):
-        accounts.set_quotas(customers)
+    accounts = QuotaAccounts(10.0)
+    accounts.set_quotas({"c": QUOTA})
+    accounts.give_credit(Tolerance(8.0, 0.1))
+    accounts.set_quotas({})
+    accounts.set_quotas({"c": QUOTA})
     assert not accounts.charge("c", 30.0).granted
 
 
@@ -123,35 +125,15 @@
 )
 def test_initial_credit_uses_the_permitted_excess(tolerance, quota, credit):
     """A small customer's slack is worth seconds of its rate, and was left unused."""
-    accounts = QuotaAccounts(10.0, tolerance.compute_credit)
+    accounts = QuotaAccounts(10.0)
     accounts.set_quotas({"c": quota})
+    accounts.give_credit(tolerance)
     granted = 0
     while accounts.charge("c", 1.0).granted:
         granted += 1
     assert granted == min(credit, max(quota.burst, 10.0))
 
 
-@pytest.mark.parametrize(
-    ("seen", "term", "now", "allowed"),
-    [
-        ([(3, 0.0)], 4, 9.0, True),
-        ([(3, 0.0), (3, 8.0)], 4, 9.0, True),
-        # its leader has taken over within the window itself
-        ([(3, 2.0)], 4, 9.0, False),
-        # another leader, which this replica has not seen, may have had a credit
-        ([(3, 0.0)], 5, 9.0, False),
-        # this replica has just started
-        ([], 1, 9.0, False),
-    ],
-)
-def test_initial_credit_is_given_once_in_a_window(seen, term, now, allowed):
-    """Leaders in quick succession would each add a credit to the same window."""
-    leadership = Leadership()
-    for number, at in seen:
-        leadership.record(number, at)
-    assert leadership.allows_credit(term, now, 8.0) is allowed
-
-
 @given(st.lists(st.floats(0.0, 3.0), max_size=60), st.floats(1.0, 400.0))
 def test_no_window_holds_more_than_rate_and_burst(pauses, cost):
     accounts, now, sent = open_accounts(), 60.0, []
@@ -179,7 +161,8 @@
 
     The model follows the log: times at which keepers are certain don't overlap. All
     keepers, deposed ones too, charge whatever they may. Requests are sent up to a
-    lifetime after they were charged.
+    lifetime after they were charged. A credit is marked, and another one given only
+    after the mark has been removed.
     """
 
     COST = 30.0
@@ -189,7 +172,7 @@
         self.now = 100.0
         self.sent = []
         self.elections = 0
-        self.leadership = Leadership()
+        self.marked_at = None
 
     @initialize()
     def start(self):
@@ -198,19 +181,20 @@
 
     @rule()
     def elect(self):
-        self.elections += 1
-        credited = self.leadership.allows_credit(
-            self.elections, self.now, WINDOW_SECONDS
-        )
-        self.leadership.record(self.elections, self.now)
-        accounts = (
-            QuotaAccounts(self.now, TOLERANCE.compute_credit)
-            if credited
-            else QuotaAccounts(self.now)
-        )
+        accounts = QuotaAccounts(self.now)
         accounts.set_quotas({"c": QUOTA})
+        if self.marked_at is None:
+            self.marked_at = self.now
+            accounts.give_credit(TOLERANCE)
         self.keepers = [*self.keepers[-2:], accounts]
         self.is_cut = False
+        self.elections += 1
+
+    @rule()
+    def remove_mark(self):
+        age = 0.0 if self.marked_at is None else self.now - self.marked_at
+        if age > TOLERANCE.credit_pause:
+            self.marked_at = None
 
     @rule()
     def hand_over(self):
--- a/tests/onplatform/test_customers.py
+++ b/tests/onplatform/test_customers.py
@@ -1,11 +1,13 @@
 """Customers over the whole path: real processes, stand-in targets."""
 
 import asyncio
+import contextlib
 import itertools
 import random
 import signal
 
 import pytest
+from tests.processes.programs import TIMEOUT_SECONDS
 
 from ibishead.errors import LinkLost
 from ibishead.headers import find_header
@@ -142,6 +144,29 @@
     assert [status for status, _, _ in answers] == [200] * 60
 
 
+async def test_callers_that_return_after_all_programs_were_killed_are_served(cluster):
+    """The accounts of the first keeper after a power failure would all be empty."""
+    customers = make_customers(unit="requests", rate_per_s=RATE, burst=BURST)
+    assert await put_customers(cluster, 2, customers) == 200
+    await wait_for_status(cluster, 200, **KEY)
+    for program in cluster.programs.values():
+        program.kill()
+    for program in cluster.programs.values():
+        program.start()
+
+    async def call_until_charged(gateway):
+        while True:
+            with contextlib.suppress(LinkLost):
+                status, _, _ = await cluster.request("look", gateway, **KEY)
+                if status != 503:
+                    return status
+            await asyncio.sleep(0.05)
+
+    callers = [call_until_charged(cluster.gateways[n % 2]) for n in range(8)]
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        assert await asyncio.gather(*callers) == [200] * 8
+
+
 def find_keeper(cluster):
     keepers = [
         program
--- a/tests/registry/test_quotas.py
+++ b/tests/registry/test_quotas.py
@@ -38,6 +38,21 @@
         return "r0" if self.leads else "other"
 
 
+class FakeCredits:
+    """Records the marks of credits, and answers at once."""
+
+    def __init__(self):
+        self.granted = False
+        self.claimed, self.released = [], []
+
+    def claim(self, term, on_result):
+        self.claimed.append(term)
+        on_result(self.granted)
+
+    def release(self, term):
+        self.released.append(term)
+
+
 class Scene:
     """A keeper with one customer of 100 tokens per second and no balance yet."""
 
@@ -46,12 +61,13 @@
         self.replica = FakeReplica(self.clock)
         self.state, self.terms, self.sent = RouteState(), [], []
         self.set_rate(rate)
-        self.handovers = []
+        self.handovers, self.credits = [], FakeCredits()
         self.keeper = QuotaKeeper(
             self.state,
             self.replica,
             self.clock,
             TOLERANCE,
+            self.credits,
             self.terms.append,
             self.handovers.append,
         )
@@ -171,6 +187,60 @@
     assert passed == granted
 
 
+@pytest.mark.parametrize(("granted", "passed"), [(False, 0.0), (True, 60.0)])
+def test_new_keeper_gives_a_credit_only_if_the_log_grants_it(granted, passed):
+    """Leaders in quick succession would each add a credit to the same window."""
+    scene = Scene()
+    scene.credits.granted = granted
+    scene.replica.term = 2
+    scene.replica.on_leader_change()
+    assert scene.credits.claimed == [1, 2]
+    admitted = 0.0
+    while scene.ask(20.0, term=2) == [True]:
+        admitted += 20.0
+    assert admitted == passed
+
+
+def test_keeper_charges_nothing_before_the_log_has_answered():
+    """Waiting requests would find empty accounts a moment before the credit."""
+    scene = Scene()
+    scene.credits.claim = lambda term, on_result: setattr(scene, "open", on_result)
+    scene.replica.term = 2
+    scene.clock.step(1.0)
+    assert scene.ask(20.0, term=2) is None
+    assert scene.terms == [1]
+    scene.open(False)
+    scene.clock.step(1.0)
+    assert scene.ask(20.0, term=2) == [True]
+    assert scene.terms == [1, 2]
+
+
+def test_answer_of_the_log_to_a_former_leader_opens_nothing():
+    scene = Scene()
+    scene.credits.claim = lambda term, on_result: setattr(scene, "open", on_result)
+    scene.replica.term = 2
+    scene.replica.on_leader_change()
+    scene.replica.leads = False
+    scene.replica.on_leader_change()
+    scene.open(True)
+    assert scene.terms == [1, 0]
+    assert scene.ask(20.0, term=2) is None
+
+
+def test_mark_of_a_credit_is_removed_once_no_window_holds_it():
+    """An early removal would let two credits fall into a window."""
+    scene = Scene()
+    scene.state.credit_term = 1
+    scene.replica.on_leader_change()
+    scene.clock.step(TOLERANCE.credit_pause)
+    scene.replica.on_leader_change()
+    assert scene.credits.released == []
+    scene.clock.step(0.1)
+    scene.replica.on_leader_change()
+    scene.replica.on_leader_change()
+    assert scene.credits.released == [1]
+
+
 def test_quota_of_newer_routes_applies_to_the_next_request():
     scene = Scene()
     scene.clock.step(2.0)
--- a/tests/registry/test_state.py
+++ b/tests/registry/test_state.py
@@ -7,17 +7,21 @@
 from ibishead.errors import StorageFault
 from ibishead.ids import ModelName
 from ibishead.registry.state import (
+    CreditMarked,
     FenceTaken,
     FloorRaised,
     PutRoutes,
     RaiseFloor,
     Rejected,
+    ReleaseCredit,
     RoutesPut,
     RouteState,
+    TakeCredit,
     TakeFence,
     decode_result,
     encode_command,
 )
+from ibishead.routing.customers import Customer, Quota, QuotaUnit
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import WeightKey
 
@@ -91,3 +95,43 @@
     restored.restore(partial.capture())
     apply_all(restored, commands[cut:], cut + 1)
     assert restored.capture() == complete.capture() or not versions
+
+
+def put_customer(quota: Quota | None) -> bytes:
+    customers = (Customer("c", (), None, quota),)
+    return encode_command(PutRoutes(RouteSet(1, (), (), customers=customers), b""))
+
+
+QUOTA = Quota(QuotaUnit.REQUESTS, 1.0, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("commands", "granted"),
+    [
+        ([TakeCredit(3)], [True]),
+        ([TakeCredit(3), TakeCredit(4)], [True, False]),
+        ([TakeCredit(3), ReleaseCredit(3), TakeCredit(4)], [True, False, True]),
+        # a late release of a former leader
+        ([TakeCredit(3), ReleaseCredit(2), TakeCredit(4)], [True, False, False]),
+    ],
+)
+def test_credit_is_granted_only_while_none_is_marked(commands, granted):
+    """Also across a restart of all registries, which then know of no earlier leader."""
+    state = RouteState()
+    apply_all(state, [put_customer(QUOTA)])
+    results = []
+    for index, command in enumerate(commands, 2):
+        results += apply_all(state, [encode_command(command)], index)
+        restarted = RouteState()
+        restarted.restore(state.capture())
+        state = restarted
+    assert results == [CreditMarked(value) for value in granted]
+
+
+def test_no_credit_is_marked_without_a_quota():
+    """The mark of the first start would keep the next keeper from its credit."""
+    state = RouteState()
+    first, second = encode_command(TakeCredit(1)), encode_command(TakeCredit(2))
+    results = apply_all(state, [first, put_customer(None), second])
+    assert results == [CreditMarked(False), RoutesPut(1), CreditMarked(False)]
+    assert state.credit_term == 0
