--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -51,10 +51,14 @@
 #: a small part of the disk.
 SNAPSHOT_BYTES = 4 * 1024 * 1024
 
-#: Election timeout after a start, in ticks of 0.1 s. Hosts that start together do so
-#: within 0.3 s. After all programs were killed, service resumes 0.6 s sooner than with
-#: the regular election timeout.
-FIRST_ELECTION_TICKS = 3
+#: Duration of a tick of the log in seconds.
+TICK_SECONDS = 0.1
+
+#: Elections of the log. Hosts that start together do so within 0.3 s; the shorter
+#: timeout of the first election lets service resume sooner after all programs were
+#: killed. Quotas can't be charged while there is no leader, so the regular one is
+#: short, but longer than usual stalls of a disk.
+ELECTION_TIMING = Timing(heartbeat=2, election=6, first_election=3)
 
 #: Interval between two checks whether this host is to found the log.
 FOUNDING_CHECK_SECONDS = 0.2
@@ -204,8 +208,8 @@
             return secrets.token_hex(_ID_BYTES)
 
         pace = ReplicaOptions(
-            tick_seconds=0.1,
-            timing=Timing(heartbeat=2, election=9, first_election=FIRST_ELECTION_TICKS),
+            tick_seconds=TICK_SECONDS,
+            timing=ELECTION_TIMING,
             answer_timeout=0.8,
             repair_after=self._settings.repair_after,
             replace_emptied=True,
--- a/tests/test_elections.py
+++ b/tests/test_elections.py
@@ -9,12 +9,9 @@
 
 from ibishead.control.agreement.consensus import Consensus, PersistentState
 from ibishead.control.agreement.peers import Configuration, Snapshot
-from ibishead.control.agreement.raftstate import Role, Send, Timing, Write
+from ibishead.control.agreement.raftstate import Role, Send, Write
 from ibishead.ids import LogIndex, ReplicaId, Term
-
-#: Duration of a tick in seconds, and the timing of a registry's log.
-TICK_SECONDS = 0.1
-TIMING = Timing(heartbeat=2, election=9, first_election=3)
+from ibishead.registry.server import ELECTION_TIMING, TICK_SECONDS
 
 #: Maximum phase difference in seconds between the ticks of voters founded together.
 SKEW_SECONDS = 0.002
@@ -22,6 +19,14 @@
 #: Seconds after which the leader stops; the first election has ended by then.
 CALM_SECONDS = 5.0
 
+#: Longest stall of a disk or program in seconds that may not cost the lead, and average
+#: time between two of them on a host.
+TOLERATED_STALL_SECONDS = 0.3
+STALL_INTERVAL_SECONDS = 4.0
+
+#: Average time without a leader in seconds; objective of the requests that wait for it.
+MEAN_OUTAGE_SECONDS = 0.8
+
 #: Seconds without a leader that callers tolerate: their deadline is 4 s, of which the
 #: attempt at the former leader takes 1 s.
 MAX_OUTAGE_SECONDS = 3.0
@@ -39,7 +44,10 @@
         founding = Snapshot(LogIndex(0), Term(0), Configuration(names))
         self.nodes = {
             name: Consensus(
-                name, PersistentState(snapshot=founding), TIMING, self.draw.randrange
+                name,
+                PersistentState(snapshot=founding),
+                ELECTION_TIMING,
+                self.draw.randrange,
             )
             for name in names
         }
@@ -86,13 +94,43 @@
         heapq.heappush(self._events, (at, next(self._numbers), name, event, payload))
 
 
+class StallingTimeline(Timeline):
+    """Timeline on which each replica stands still for moments."""
+
+    def __init__(self, count: int, delay: float, seed: int) -> None:
+        self._stalled_until = {ReplicaId(f"r{n}"): 0.0 for n in range(count)}
+        self._next_stall = dict.fromkeys(self._stalled_until, CALM_SECONDS)
+        super().__init__(count, delay, seed)
+
+    def _schedule(
+        self, at: float, name: ReplicaId, event: str, payload: object
+    ) -> None:
+        if at >= self._next_stall[name]:
+            ends = at + self.draw.uniform(0, TOLERATED_STALL_SECONDS)
+            pause = self.draw.expovariate(1 / STALL_INTERVAL_SECONDS)
+            self._stalled_until[name], self._next_stall[name] = ends, ends + pause
+        super()._schedule(max(at, self._stalled_until[name]), name, event, payload)
+
+
+@pytest.mark.parametrize("count", [3, 5, 8])
+def test_leader_survives_short_stalls(count: int) -> None:
+    """Each change of the leader stops commands and quotas for most of a second."""
+    for seed in range(5):
+        timeline = StallingTimeline(count, 0.0015, seed)
+        times = timeline.run()
+        next(t for t in times if t > CALM_SECONDS)
+        first = max(node.term for node in timeline.nodes.values())
+        next(t for t in times if t > 60.0)
+        assert max(node.term for node in timeline.nodes.values()) == first
+
+
 @pytest.mark.parametrize(
     ("count", "lost", "delay"),
     [(3, 1, 0.0015), (5, 1, 0.0015), (5, 2, 0.0015), (3, 1, 0.06), (5, 2, 0.06)],
 )
 def test_lost_leader_is_replaced_in_time(count: int, lost: int, delay: float) -> None:
     """Guards against repeated split votes of voters with synchronous ticks."""
-    longest = 0.0
+    outages = []
     for seed in range(100):
         timeline = Timeline(count, delay, seed)
         times = timeline.run()
@@ -102,5 +140,7 @@
         for name in removed[:lost]:
             del timeline.nodes[name]
         elected = next(t for t in times if timeline.leaders())
-        longest = max(longest, elected - stopped)
-    assert longest <= MAX_OUTAGE_SECONDS
+        outages.append(elected - stopped)
+    assert max(outages) <= MAX_OUTAGE_SECONDS
+    if delay < 0.01:
+        assert sum(outages) / len(outages) <= MEAN_OUTAGE_SECONDS
