--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -30,6 +30,9 @@
 #: that each keeper grants, which may cost more than the balance.
 CREDIT_SLACK_SHARE = 0.5
 
+#: Maximum time after which refused callers are told to return.
+MAX_RETURN_SECONDS = 5.0
+
 #: Maximum time in seconds since the program was last certain to keep the accounts, for
 #: it to charge requests. A program that was suspended must not use its balances.
 MAX_CERTAINTY_AGE_SECONDS = 0.7
@@ -77,7 +80,7 @@
 class Verdict:
     """Whether a request is within its customer's quota.
 
-    :param wait: seconds until the quota admits the request, if it was refused.
+    :param wait: seconds after which the request may return, if it was refused.
     :param balance: units that the customer may use at once, negative if it has used
         more; ``None`` if it has no quota.
     """
@@ -92,10 +95,13 @@
     """Balance of one customer in the unit of its quota.
 
     It may become negative by one request, since a request can cost more than the burst.
+
+    :ivar returns_until: monotonic seconds at which the last refused caller returns.
     """
 
     quota: Quota
     balance: float = 0.0
+    returns_until: float = 0.0
 
     @property
     def size(self) -> float:
@@ -104,6 +110,18 @@
     def credit(self, units: float) -> None:
         self.balance = min(self.size, self.balance + units)
 
+    def plan_return(self, cost: float, now: float) -> float:
+        """Return the seconds after which a refused caller should return.
+
+        Callers who return as soon as a single request fits again take the place of new
+        ones, and both are late or refused again. So each refused caller is given the
+        time that the quota needs for those before it as well.
+        """
+        ready_at = now + (cost - self.balance) / self.quota.rate
+        planned = self.returns_until + cost / self.quota.rate
+        self.returns_until = max(ready_at, min(planned, now + MAX_RETURN_SECONDS))
+        return self.returns_until - now
+
 
 class QuotaAccounts:
     """Token buckets of all customers with a quota.
@@ -158,8 +176,8 @@
         if account is None:
             return Verdict(True)
         if account.balance <= 0:
-            missing = cost - account.balance
-            return Verdict(False, missing / account.quota.rate, account.balance)
+            wait = account.plan_return(cost, self._credited_until)
+            return Verdict(False, wait, account.balance)
         account.balance -= cost
         return Verdict(True, balance=account.balance)
 
--- a/src/ibishead/gateway/quotas.py
+++ b/src/ibishead/gateway/quotas.py
@@ -45,7 +45,7 @@
 
 #: Minimum and maximum time after which a refused caller is told to come back.
 MIN_RETRY_AFTER_SECONDS = 0.3
-MAX_RETRY_AFTER_SECONDS = 10.0
+MAX_RETRY_AFTER_SECONDS = 5.0
 
 #: Minimum time after which a caller is told to come back whose quota could not be
 #: checked.
