Watch the mark of a credit by the keeper's timer, not with each question

The timer of 0.1 s does it now, and the two methods that observed and removed the mark are one. A mark may be seen 0.1 s later than before, so it is never removed earlier.

--- a/src/ibishead/registry/quotas.py
+++ b/src/ibishead/registry/quotas.py
@@ -85,6 +85,7 @@
         """Credit the accounts while this registry leads, until cancelled."""
         while True:
             self._follow_leadership()
+            self._watch_credit()
             self._log_refusals()
             await asyncio.sleep(CREDIT_INTERVAL_SECONDS)
 
@@ -160,7 +161,6 @@
         replica, credits = self._replica, self._credits
         if replica is None or credits is None:
             return
-        self._watch_credit()
         led_until = replica.led_until()
         if led_until is None or replica.core.term == self._ended_term:
             self._end_term()
@@ -170,21 +170,18 @@
         if self._accounts is not None and self._is_open:
             self._update_quotas(self._accounts)
             self._accounts.advance(led_until)
-            self._release_old_credit(credits)
 
     def _watch_credit(self) -> None:
-        """Observe for how long a credit has been marked in the log."""
-        if self._credit_term != self._state.credit_term:
-            self._credit_term = self._state.credit_term
-            self._credit_seen_at = self._clock.monotonic()
-
-    def _release_old_credit(self, credits: CreditLog) -> None:
+        """Remove the mark of a credit once no window can hold that credit."""
         now = self._clock.monotonic()
+        if self._credit_term != self._state.credit_term:
+            self._credit_term, self._credit_seen_at = self._state.credit_term, now
         age = now - self._credit_seen_at
-        if self._credit_term and age > self._tolerance.credit_pause:
+        is_old = self._credit_term and age > self._tolerance.credit_pause
+        if is_old and self._accounts is not None and self._is_open and self._credits:
             # repeated after another pause if the log doesn't accept it
             self._credit_seen_at = now
-            credits.release(self._credit_term)
+            self._credits.release(self._credit_term)
 
     def _add_received(self, accounts: QuotaAccounts) -> None:
         """Add the balances of the leader of the last term, if it has stopped by now.
--- a/tests/registry/test_quotas.py
+++ b/tests/registry/test_quotas.py
@@ -250,13 +250,13 @@
     """An early removal would let two credits fall into a window."""
     scene = Scene()
     scene.state.credit_term = 1
-    scene.replica.on_leader_change()
+    scene.keeper._watch_credit()
     scene.clock.step(TOLERANCE.credit_pause)
-    scene.replica.on_leader_change()
+    scene.keeper._watch_credit()
     assert scene.credits.released == []
     scene.clock.step(0.1)
-    scene.replica.on_leader_change()
-    scene.replica.on_leader_change()
+    scene.keeper._watch_credit()
+    scene.keeper._watch_credit()
     assert scene.credits.released == [1]
 
 
