--- a/src/ibishead/sockets.py
+++ b/src/ibishead/sockets.py
@@ -36,15 +36,13 @@
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
     connecting = socket.socket(family, socket.SOCK_STREAM)
     connecting.setblocking(False)
+    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
-            await asyncio.get_running_loop().sock_connect(connecting, (address, port))
-    except TimeoutError:
         try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                await loop.sock_connect(connecting, (address, port))
+        except TimeoutError:
             _check_connected(connecting)
-        except OSError:
-            connecting.close()
-            raise
     except BaseException:
         connecting.close()
         raise
