Say in the docstrings what new accounts start with

The module still said that accounts start empty; since handovers and credits they may not. One docstring of the operators' client was wrapped in mid-sentence.

--- a/src/ibishead/decisions/quota.py
+++ b/src/ibishead/decisions/quota.py
@@ -6,9 +6,10 @@
 program charges every request, at the moment at which it arrives.
 
 Only one program may do so at a time. A program's accounts are credited only for time in
-which it was certain to be the one, and start empty. The certain times of two programs
-never overlap, so that in any period all charges together stay below the quota's rate
-times the period plus its burst.
+which it was certain to be the one, and start with what the one before has handed over,
+if anything. The certain times of two programs never overlap, so that in any period all
+charges together stay below the quota's rate times the period plus its burst, and at
+most one credit in advance.
 """
 
 from collections.abc import Mapping
--- a/src/ibishead/operator/client.py
+++ b/src/ibishead/operator/client.py
@@ -108,8 +108,7 @@
     async def request_once(self, method: str, target: str, body: bytes = b"") -> bytes:
         """Send a request that must not be repeated, and return the response body.
 
-        The next server is tried if a server can't be reached or is
-        unable to decide.
+        The next server is tried if a server can't be reached or is unable to decide.
 
         :raises LinkLost: no server could be reached; nothing was sent.
         :raises OutcomeUnknown: the response was lost after the request was sent, or the
