Stewards log what ran at an engine when it ended; gateways log prompt parts

Requests for turns now name the parts of their prompts, and the notes on a prompt that was read and on a request that ended name the request, so the steward knows what ran, what had begun and for how long. Counters: engine_ends, prompts_running.

--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -150,6 +150,7 @@
             stats = self._tracker.stats(target)
             if not adapter.resident:
                 self._tracker.begin_wait(stats, key)
+            request.progress.use_number = self._stewards.take_number()
             try:
                 outcome = await self._stewards.request_turn(
                     target.address,
@@ -158,6 +159,8 @@
                     wait=timeout,
                     tokens=call.prompt_tokens,
                     due=request.selection_started + request.route.objective - now,
+                    number=request.progress.use_number,
+                    keys=request.keys,
                 )
             finally:
                 if not adapter.resident:
@@ -175,7 +178,10 @@
             if send_rate.wait(now := self._clock.monotonic()) > 0:
                 return TurnOutcome.LATE
             send_rate.take(now)
-            self._stewards.begin_use(target.address, key, call.prompt_tokens)
+            number = request.progress.use_number = self._stewards.take_number()
+            self._stewards.begin_use(
+                target.address, key, call.prompt_tokens, number, request.keys
+            )
             return TurnOutcome.GRANTED
         return outcome
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -53,6 +53,7 @@
 from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, RateTold
+from ibishead.routing.prompts import make_prompt_keys
 from ibishead.routing.routes import Repeatability, Route, pick_service
 from ibishead.routing.targets import Registration, StreamOrigin
 from ibishead.web import Exchange
@@ -216,6 +217,9 @@
             started,
             Progress(exchange, call.resume_after),
             customer,
+            make_prompt_keys(
+                [part.name for part in call.parts], customer.name if customer else None
+            ),
         )
 
     async def _run_until_deadline(
@@ -260,10 +264,14 @@
             finally:
                 if key is not None:
                     if not request.progress.response_delay:
-                        self._notify_prompt_read(request.call, target, 0.0)
+                        self._notify_prompt_read(request.call, target, request.progress)
                     progress = request.progress
                     self._stewards.end_use(
-                        target.address, key, progress.max_gap, progress.failed
+                        target.address,
+                        key,
+                        progress.max_gap,
+                        progress.failed,
+                        progress.use_number,
                     )
             match outcome:
                 case Answered():
@@ -358,11 +366,14 @@
         )
 
     def _notify_prompt_read(
-        self, call: Call, target: Registration, seconds: float
+        self, call: Call, target: Registration, progress: Progress
     ) -> None:
         if call.engine_key is not None:
             self._stewards.notify_prompt_read(
-                target.address, call.prompt_tokens, seconds
+                target.address,
+                call.prompt_tokens,
+                progress.response_delay,
+                progress.use_number,
             )
 
     def _handle_limit(
--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -14,6 +14,7 @@
 from ibishead.metrics import Measure, Metrics
 from ibishead.routing.customers import Customer
 from ibishead.routing.feed import RegistryFeed
+from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.routes import Route
 from ibishead.web import WebRequest
 
@@ -36,6 +37,7 @@
     :ivar selection_started: monotonic seconds at which the selection of a target began;
         reset after each failed send.
     :ivar customer: customer that the request is for, or ``None`` if it is anonymous.
+    :ivar keys: the parts of its prompt, ``None`` if it names none.
     :ivar avoid: targets that are not selected again for this request.
     :ivar refusals: number of sends that targets refused or that did not reach them.
     :ivar last_reason: reason of the last unsuccessful send or wait.
@@ -54,6 +56,7 @@
     selection_started: float
     progress: Progress
     customer: Customer | None = None
+    keys: PromptKeys | None = None
     avoid: set[TargetId] = field(default_factory=set)
     refusals: int = 0
     last_reason: str = ""
@@ -134,6 +137,9 @@
                 "service": request.service,
                 "customer": request.customer.name if request.customer else None,
                 "adapter": request.call.adapter,
+                "parts": ",".join(part.name for part in request.call.parts)
+                if not routine
+                else None,
                 "target": progress.target,
                 "software": progress.software,
                 "origin": progress.origin.software if progress.origin else None,
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -101,6 +101,7 @@
     :ivar failed: whether the current target failed; ``None`` while its response is
         incomplete.
     :ivar software: software version of the current target.
+    :ivar use_number: identifies the current use of an engine at its steward.
     :ivar origin: what began the stream, ``None`` before its first event.
     :ivar framing: how the end of the last response is marked, ``None`` before the
         first one.
@@ -118,6 +119,7 @@
     failed: bool | None = None
     target: TargetId = TargetId("")
     software: SoftwareVersion = SoftwareVersion("")
+    use_number: int = 0
     origin: StreamOrigin | None = None
     framing: BodyFraming | None = None
     partial_bytes: int = 0
@@ -126,7 +128,7 @@
 class Sender:
     """Sends calls over pooled connections.
 
-    :param on_response: called when a response begins, with the seconds since the send.
+    :param on_response: called when a response begins; the progress has its delay.
     :param on_limit: called with the rate limit that a response names, or ``None``.
     :param on_stream: called before the first event of a stream is relayed.
     """
@@ -137,7 +139,7 @@
         pool: ConnectionPool,
         dialect: TargetDialect,
         clock: Clock,
-        on_response: Callable[[Call, Registration, float], None],
+        on_response: Callable[[Call, Registration, Progress], None],
         on_limit: Callable[[Call, Registration, float | None], None],
         on_stream: Callable[[Call, Route, StreamOrigin], None],
     ) -> None:
@@ -336,7 +338,7 @@
             state.responding = True
             self._tracker.begin_response(state.stats, state.call.prompt_tokens)
             progress.response_delay = self._clock.monotonic() - state.started
-            self._on_response(state.call, state.target, progress.response_delay)
+            self._on_response(state.call, state.target, progress)
         progress.response_started = progress.response_started or self._clock.monotonic()
 
     def _release(self, state: "_SendState") -> None:
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -38,6 +38,7 @@
     TurnAnswer,
     TurnNoted,
 )
+from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import Registration, WeightKey
 from ibishead.waiting import wait_for_event
 
@@ -76,6 +77,7 @@
     :ivar finished: set when the steward has answered or its link was lost.
     """
 
+    number: int
     address: str
     key: WeightKey
     acknowledged: asyncio.Event = field(default_factory=asyncio.Event)
@@ -178,29 +180,36 @@
         if host in self._hosts:
             self._hosts[host][0].send(message)
 
+    def take_number(self) -> int:
+        """Return a number for the next use of an engine by a request."""
+        return next(self._turn_numbers)
+
     async def request_turn(
         self,
         address: str,
         key: WeightKey,
         version: int,
         *,
+        number: int,
         wait: float,
         tokens: int = 0,
         due: float = 0.0,
+        keys: PromptKeys | None = None,
     ) -> TurnOutcome:
         """Wait until a request may be sent to an engine.
 
         :param version: lowest adapter version that the request may begin on.
+        :param number: from `take_number`; identifies this use of the engine.
         :param wait: seconds after which the turn is no longer needed.
         :param tokens: length of the prompt in tokens.
         :param due: seconds until the response should begin.
+        :param keys: the parts of the prompt, if it names any.
         """
         link = self._links.get(address)
         if link is None or link.closed:
             return TurnOutcome.UNRESPONSIVE
-        number = next(self._turn_numbers)
-        turn = self._pending[number] = _PendingTurn(address, key)
-        link.send(AskTurn(number, key, version, wait, tokens, due))
+        turn = self._pending[number] = _PendingTurn(number, address, key)
+        link.send(AskTurn(number, key, version, wait, tokens, due, keys))
         try:
             if not await _wait_for_ack(
                 turn.acknowledged, min(ACK_TIMEOUT_SECONDS, wait)
@@ -220,14 +229,23 @@
                 self._abandoned[number] = turn
         return TurnOutcome.GRANTED if turn.granted else TurnOutcome.LATE
 
-    def begin_use(self, address: str, key: WeightKey, tokens: int = 0) -> None:
+    def begin_use(
+        self,
+        address: str,
+        key: WeightKey,
+        tokens: int = 0,
+        number: int = 0,
+        keys: PromptKeys | None = None,
+    ) -> None:
         """Notify a steward that a request is sent without a turn.
 
         :param tokens: length of the prompt in tokens.
+        :param number: from `take_number`; identifies this use of the engine.
+        :param keys: the parts of the prompt, if it names any.
         """
         link = self._links.get(address)
         if link is not None:
-            link.send(BeginUse(key, tokens))
+            link.send(BeginUse(key, tokens, number, keys))
 
     def end_use(
         self,
@@ -235,26 +253,31 @@
         key: WeightKey,
         max_gap: float = 0.0,
         failed: bool | None = None,
+        number: int = 0,
     ) -> None:
         """Notify a steward that a request has ended.
 
         :param max_gap: longest gap in seconds between events of the response.
         :param failed: whether the engine failed, or ``None`` if the request ended for
             another reason.
+        :param number: number under which the use began.
         """
         link = self._links.get(address)
         if link is not None:
-            link.send(EndUse(key, round(max_gap, 3), failed))
+            link.send(EndUse(key, round(max_gap, 3), failed, number))
 
-    def notify_prompt_read(self, address: str, tokens: int, seconds: float) -> None:
+    def notify_prompt_read(
+        self, address: str, tokens: int, seconds: float, number: int = 0
+    ) -> None:
         """Notify a steward that its engine has read a prompt.
 
         :param tokens: length of the prompt in tokens.
         :param seconds: time from the send to the first event, 0 if there was none.
+        :param number: number under which the use began.
         """
         link = self._links.get(address)
         if link is not None:
-            link.send(PromptRead(tokens, round(seconds, 4)))
+            link.send(PromptRead(tokens, round(seconds, 4), number))
 
     def notify_limit(self, target: Registration, rate: float | None) -> None:
         """Notify a steward of the rate limit in a response of its engine.
@@ -355,8 +378,8 @@
     def _return_turn(self, turn: _PendingTurn) -> None:
         # The turn is no longer needed, but the steward counts the adapter and a slot as
         # in use and the prompt as unread.
-        self.notify_prompt_read(turn.address, 0, 0.0)
-        self.end_use(turn.address, turn.key)
+        self.notify_prompt_read(turn.address, 0, 0.0, turn.number)
+        self.end_use(turn.address, turn.key, number=turn.number)
 
     def _cancel_turns(self, address: str) -> None:
         for turn in self._pending.values():
--- a/src/ibishead/ids.py
+++ b/src/ibishead/ids.py
@@ -15,6 +15,7 @@
     "Incarnation",
     "LogIndex",
     "ModelName",
+    "PartKey",
     "ReplicaId",
     "RequestId",
     "Revision",
@@ -45,6 +46,8 @@
 SoftwareVersion = NewType("SoftwareVersion", str)
 #: Identifies one run of an engine process; changes with every restart.
 BootId = NewType("BootId", str)
+#: Identifies a part of a prompt; equal parts have equal keys.
+PartKey = NewType("PartKey", str)
 RequestId = NewType("RequestId", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 SubmissionId = NewType("SubmissionId", str)
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -15,6 +15,7 @@
     RequestId,
     TargetId,
 )
+from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import (
     AdapterRef,
     Holding,
@@ -258,6 +259,7 @@
     :param wait: seconds that the request can still wait.
     :param tokens: length of the prompt.
     :param due: seconds until its answer should begin, negative if it is late.
+    :param keys: the parts of its prompt, if it names any.
     """
 
     number: int
@@ -266,6 +268,7 @@
     wait: float
     tokens: int = 0
     due: float = 0.0
+    keys: PromptKeys | None = None
 
 
 class TurnNoted(_Message, frozen=True):
@@ -289,10 +292,14 @@
     """A request is being sent to the engine without an `AskTurn` before it.
 
     :param tokens: length of the prompt.
+    :param number: identifies the request, like that of an `AskTurn`.
+    :param keys: the parts of its prompt, if it names any.
     """
 
     key: WeightKey
     tokens: int = 0
+    number: int = 0
+    keys: PromptKeys | None = None
 
 
 class EndUse(_Message, frozen=True):
@@ -301,11 +308,13 @@
     :param pause: longest pause in its answer in seconds, 0 if there was none.
     :param failed: whether the engine failed; none if the request ended for reasons
         other than the engine's answer or failure.
+    :param number: number of the request, 0 if it has none.
     """
 
     key: WeightKey
     pause: float = 0.0
     failed: bool | None = None
+    number: int = 0
 
 
 class StreamBegan(_Message, frozen=True):
@@ -365,10 +374,12 @@
 
     :param tokens: length of the prompt.
     :param seconds: time from the send to the first event, 0 if there was no event.
+    :param number: number of the request, 0 if it has none.
     """
 
     tokens: int
     seconds: float
+    number: int = 0
 
 
 class PromptDelay(_Message, frozen=True):
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -62,6 +62,7 @@
 from ibishead.steward.ledger import OrderLedger
 from ibishead.steward.naming import EngineNamer
 from ibishead.steward.quotarelay import QuotaRelay
+from ibishead.steward.runs import RunTable
 from ibishead.steward.turns import TurnQueue, Waiter
 from ibishead.steward.uses import AdapterUses
 from ibishead.waiting import wait_for_event
@@ -86,6 +87,9 @@
 #: once.
 MODEL_WAIT_STEP_SECONDS = 0.3
 
+#: Maximum number of runs that are logged when the engine ends.
+MAX_LOGGED_RUNS = 20
+
 #: Seconds until a fencing number is requested again.
 FENCE_RETRY_SECONDS = 0.5
 
@@ -123,7 +127,10 @@
         #: Requests per second, as named by the engine's latest answer.
         self._rate_limit: float | None = None
         self._uses = AdapterUses()
-        self._turns = TurnQueue(clock, self._publish_delay, self._release_waiter)
+        self._runs = RunTable()
+        self._turns = TurnQueue(
+            clock, self._publish_delay, self._release_waiter, self._begin_run
+        )
         self._demands = AdapterDemands()
         self._failures = FailureShare()
         self._published_failures = FailureShare()
@@ -133,6 +140,7 @@
         self._namer = EngineNamer(domain, service, address, engine, feed, clock)
         self._order_timeout = OrderTimeout()
         self._unreachable = False
+        self._engine_ends = 0
         self._fencing_number = 0
         self._fence_requested_at = 0.0
         self._fence_request = 0
@@ -159,6 +167,7 @@
             self._links.discard(link)
             self._turns.remove_link(link)
             self._uses.remove_link(link, self._clock.monotonic())
+            self._runs.remove_link(link, self._clock.monotonic())
 
     def handle_registry_message(self, link: Link, message: Message) -> None:
         """Handle a message that a registry has sent to this steward only."""
@@ -184,6 +193,8 @@
             "adapters_wished": len(self._demands),
             "adapters_coming": len(self._ledger.list_loading()),
             "prompts_waiting": self._turns.count,
+            "prompts_running": len(self._runs),
+            "engine_ends": self._engine_ends,
             "prompt_limit": self._turns.window.limit,
             "read_rate": self._turns.window.speed.rate,
             "rate_limit": self._rate_limit or 0.0,
@@ -200,8 +211,8 @@
     def _handle_gateway_message(self, link: Link, message: Message) -> None:
         now = self._clock.monotonic()
         match message:
-            case AskTurn(number, key, version, wait, tokens, due):
-                waiter = Waiter(link, number, key, now + wait, tokens, now + due)
+            case AskTurn(number, key, version, wait, tokens, due, keys):
+                waiter = Waiter(link, number, key, now + wait, tokens, now + due, keys)
                 self._handle_turn_request(waiter, version, now)
             case AskQuota():
                 self._quota_relay.ask(link, message)
@@ -209,17 +220,21 @@
                 self._origins.record(stream, origin, now + lifetime, now)
             case AskOrigin(number, stream):
                 link.send(OriginAnswer(number, self._origins.find(stream, now)))
-            case BeginUse(key, tokens):
+            case BeginUse(key, tokens, number, keys):
                 self._uses.record_request(key, now)
                 self._uses.begin(link, key)
+                self._runs.begin(link, number, keys, now)
                 self._turns.record_sent(link, tokens)
             case RateTold(target, rate):
                 known = self._feed.view.find_by_address(self._address)
                 if known is not None and known.target == target:
                     self._set_rate_limit(rate)
-            case PromptRead(tokens, seconds):
+            case PromptRead(tokens, seconds, number):
                 self._turns.record_read(link, tokens, seconds)
-            case EndUse(key, pause, failed):
+                if seconds:
+                    self._runs.begin_answer(link, number, now)
+            case EndUse(key, pause, failed, number):
+                self._runs.end(link, number, failed, now)
                 if failed is not None:
                     self._record_request_outcome(failed, now)
                 if pause:
@@ -256,6 +271,10 @@
         self._uses.begin(waiter.link, waiter.key)
         self._turns.add(waiter)
 
+    def _begin_run(self, waiter: Waiter) -> None:
+        now = self._clock.monotonic()
+        self._runs.begin(waiter.link, waiter.number, waiter.keys, now)
+
     def _release_waiter(self, waiter: Waiter) -> None:
         self._uses.end(waiter.link, waiter.key, self._clock.monotonic())
 
@@ -340,6 +359,8 @@
         except LinkLost as error:
             if not self._unreachable:
                 logger.warning("engine unreachable", extra={"reason": error.message})
+                if self._last_report is not None:
+                    self._record_engine_end(self._last_report)
             self._handle_engine_loss()
             return
         self._unreachable = False
@@ -377,6 +398,29 @@
             )
             self._send_report(lost)
 
+    def _record_engine_end(self, report: EngineReport) -> None:
+        """Log what ran at the engine when it ended."""
+        now = self._clock.monotonic()
+        runs = self._runs.take_all(now)
+        suspects = [run for run in runs if not run.is_settled(now)]
+        self._engine_ends += 1
+        logger.info(
+            "engine ended",
+            extra={
+                "target": report.target,
+                "runs": len(runs),
+                "suspects": [
+                    {
+                        "parts": run.keys.shared,
+                        "own": run.keys.own,
+                        "sent": round(now - run.sent_at, 3),
+                        "begun": round(now - run.begun_at, 3) if run.begun_at else None,
+                    }
+                    for run in suspects[:MAX_LOGGED_RUNS]
+                ],
+            },
+        )
+
     def _send_report(self, report: EngineReport) -> None:
         self._last_report, self._last_report_at = report, self._clock.monotonic()
         self._send_to_gateways(report)
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -15,6 +15,7 @@
 from ibishead.decisions.turns import PromptWindow, Turn, choose_turn
 from ibishead.links import Link
 from ibishead.routing.messages import TurnAnswer, TurnNoted
+from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import WeightKey
 from ibishead.waiting import wait_for_event
 
@@ -42,6 +43,7 @@
     :param expires_at: monotonic seconds after which the request is refused.
     :param tokens: length of its prompt.
     :param due: monotonic seconds at which its answer should begin.
+    :param keys: the parts of its prompt, if it names any.
     """
 
     link: Link
@@ -50,6 +52,7 @@
     expires_at: float
     tokens: int
     due: float
+    keys: PromptKeys | None = None
 
     def answer(self, granted: bool) -> None:
         """Tell the gateway whether it may send the request."""
@@ -62,6 +65,7 @@
     :param on_delay: called with the seconds that a new prompt would wait, when these
         have changed; sends them to the gateways.
     :param on_refused: called with each request that was refused a turn.
+    :param on_granted: called with each request that is granted a turn.
     :ivar window: limits the prompt tokens sent to the engine over time.
     :ivar slots: limits the requests in the engine's batch.
     :ivar rate: applies the engine's rate limit.
@@ -72,6 +76,7 @@
         clock: Clock,
         on_delay: Callable[[float], None],
         on_refused: Callable[[Waiter], None],
+        on_granted: Callable[[Waiter], None],
     ) -> None:
         self.window = PromptWindow()
         self.slots = BatchSlots()
@@ -79,6 +84,7 @@
         self._clock = clock
         self._on_delay = on_delay
         self._on_refused = on_refused
+        self._on_granted = on_granted
         self._waiting: dict[Turn, Waiter] = {}
         self._count = 0
         self._wake = asyncio.Event()
@@ -212,6 +218,7 @@
                 break
             waiter = self._waiting.pop(turn)
             self.record_sent(waiter.link, waiter.tokens)
+            self._on_granted(waiter)
             waiter.answer(True)
         self._publish_delay(now)
         if not self._waiting:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -537,6 +537,9 @@
     def is_available(self, address: str) -> bool:
         return address != self._address
 
+    def take_number(self) -> int:
+        return 1
+
     async def request_turn(self, address: str, *_, **__) -> TurnOutcome:
         return TurnOutcome.GRANTED
 
--- a/tests/gateway/test_stewards.py
+++ b/tests/gateway/test_stewards.py
@@ -95,7 +95,8 @@
         await self.links.stop()
 
     async def request_turn(self, wait: float = 0.4) -> TurnOutcome:
-        return await self.links.request_turn(ADDRESS, KEY, 0, wait=wait)
+        number = self.links.take_number()
+        return await self.links.request_turn(ADDRESS, KEY, 0, number=number, wait=wait)
 
 
 @pytest.mark.parametrize(
@@ -124,8 +125,8 @@
         request = next(m for m in fixture.link.sent if isinstance(m, AskTurn))
         fixture.link.inbox.put_nowait(TurnAnswer(request.number, True))
         await asyncio.sleep(0.01)
-        assert PromptRead(0, 0.0) in fixture.link.sent
-        assert EndUse(KEY) in fixture.link.sent
+        assert PromptRead(0, 0.0, request.number) in fixture.link.sent
+        assert EndUse(KEY, number=request.number) in fixture.link.sent
 
 
 async def test_a_lost_link_ends_the_wait_for_a_turn():
@@ -157,7 +158,7 @@
         turn_task.cancel()
         with pytest.raises(asyncio.CancelledError):
             await turn_task
-        assert EndUse(KEY) in fixture.link.sent
+        assert EndUse(KEY, number=request.number) in fixture.link.sent
 
 
 @pytest.mark.parametrize(
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -32,7 +32,10 @@
         self.clock, self.link = SystemClock(), FakeLink()
         self.delays: list[float] = []
         self.refused: list[Waiter] = []
-        self.queue = TurnQueue(self.clock, self.delays.append, self.refused.append)
+        self.granted: list[Waiter] = []
+        self.queue = TurnQueue(
+            self.clock, self.delays.append, self.refused.append, self.granted.append
+        )
         self.queue.window.gap = GAP
 
     async def __aenter__(self) -> "QueueHarness":
