Failing test: a prompt part that crashes engines goes on to reach them

What callers saw: requests with one part crash one engine after the other, and all that runs there ends with it.

--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -39,6 +39,11 @@
     runs: dict[str, list[str]] = field(default_factory=dict)
     #: Headers of each request that was run.
     headers: dict[str, Headers] = field(default_factory=dict)
+    #: Loop time and prompt part of each request with a part that crashes engines, as it
+    #: reaches an engine.
+    crashing_sends: list[tuple[float, str]] = field(default_factory=list)
+    #: Loop time and prompt part of each crash.
+    crashes: list[tuple[float, str]] = field(default_factory=list)
 
     def record(self, request: str, target: str) -> None:
         self.runs.setdefault(request, []).append(target)
@@ -72,6 +77,7 @@
         self.arrivals: list[float] = []
         self._server = WebServer(self._serve)
         self._announcer: asyncio.Task[None] | None = None
+        self._crash: asyncio.Task[None] | None = None
 
     def _reset(self) -> None:
         """Become a new instance with no weights loaded."""
@@ -91,6 +97,18 @@
         self._reset()
         self._server = WebServer(self._serve)
 
+    async def crash(self, part: str = "") -> None:
+        """Lose power, and start again after `Cluster.restart_seconds`."""
+        self.cluster.ledger.crashes.append((asyncio.get_running_loop().time(), part))
+        await self.lose_power()
+        await asyncio.sleep(self.cluster.restart_seconds)
+        await self.start()
+
+    def begin_crash(self, part: str = "") -> None:
+        """Crash in the background, unless it has crashed already."""
+        if self._crash is None or self._crash.done():
+            self._crash = asyncio.create_task(self.crash(part))
+
     async def start(self) -> None:
         await self._server.start(self.endpoint)
         self._announcer = asyncio.create_task(self._announce_periodically())
@@ -100,6 +118,13 @@
             self._announcer.cancel()
         await self._server.stop(0.0)
 
+    async def end(self) -> None:
+        """Stop for good."""
+        if self._crash is not None:
+            self._crash.cancel()
+            await asyncio.gather(self._crash, return_exceptions=True)
+        await self.stop()
+
     def describe(self) -> dict:
         models = []
         if self.engine:
@@ -218,11 +243,19 @@
             body = b"done " + request.encode() + b" " + exchange.request.body
             await exchange.respond(200, own, body)
             return
+        bad = self.cluster.find_crashing_part(headers)
+        if bad is not None:
+            now = asyncio.get_running_loop().time()
+            self.cluster.ledger.crashing_sends.append((now, bad))
         first = int(find_header(headers, "last-event-id") or 0) + 1
         kind = (("content-type", "text/event-stream"),)
         await exchange.start(200, own + kind)
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.event_interval)
+            if bad is not None and number == first + 1:
+                self.begin_crash(bad)
+                await exchange.disconnected.wait()
+                return
             mark = f" {self.software}" if self.names_software else ""
             event = f"id: {number}\ndata: t{number}{mark}\n\n"
             await exchange.send(event.encode())
@@ -238,6 +271,10 @@
         self._prefix = f"127.{50 + net % 200}.{random.randrange(1, 250)}"
         self.ledger = Ledger()
         self.newest_versions: dict[str, int] = {}
+        #: Parts of prompts that crash each engine that begins to write on them.
+        self.crashing_parts: set[str] = set()
+        #: Seconds until a crashed engine runs again.
+        self.restart_seconds = 1.0
         self.edge_hosts = [f"{self._prefix}.{n}" for n in (1, 2, 3, 4)]
         self.side_hosts = [f"{self._prefix}.{11 + n}" for n in range(engines)]
         self.registries = [Endpoint(a, CONTROL) for a in self.edge_hosts]
@@ -266,7 +303,16 @@
         for program in self.programs.values():
             program.clean_up()
         for target in self.engines + self.plain:
-            await target.stop()
+            await target.end()
+
+    def find_crashing_part(self, headers: Headers) -> str | None:
+        """Return the part of a request's prompt that crashes engines, if there is one.
+
+        The last part belongs to the request alone and never does.
+        """
+        entries = (find_header(headers, "prompt-prefix") or "").split(",")
+        names = [entry.rpartition(":")[0] for entry in entries[:-1]]
+        return next((name for name in names if name in self.crashing_parts), None)
 
     def make_program(self, kind: str, address: str, first: bool = False) -> Program:
         host = f"{'side' if kind == 'steward' else 'edge'}-{address.rpartition('.')[2]}"
--- /dev/null
+++ b/tests/onplatform/test_crashing_parts.py
@@ -0,0 +1,223 @@
+"""Prompt parts that crash each engine which writes on them, with real programs.
+
+By hand, more seeds: ``PART_SEEDS=50 pytest tests/onplatform/test_crashing_parts.py``.
+"""
+
+import asyncio
+import os
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import pytest
+from tests.onplatform.standin import MODEL, Cluster
+
+from ibishead.errors import LinkLost
+from ibishead.gateway.connection import TargetConnection
+from ibishead.links import Endpoint
+
+SEEDS = range(int(os.environ.get("PART_SEEDS", "1")))
+#: Time within which each gateway in touch has to know of a crashing part.
+CONTACT_SECONDS = 3.0
+#: Crashes after which a part has to be known, and sends allowed after that.
+CRASHES, MAX_SENDS = 5, 3
+CALM_SECONDS, SECONDS = 3.0, 14.0
+SOUND_CALLERS, BAD_CALLERS = 8, 3
+HEAD = "5c1e07a2"
+
+
+@dataclass
+class Traffic:
+    """What callers have seen.
+
+    :ivar begun: loop time of each sound request, and whether its answer began.
+    """
+
+    cluster: Cluster
+    draw: random.Random
+    begun: list[tuple[float, bool]] = field(default_factory=list)
+
+    async def call(self, parts: list[str]) -> bool:
+        """Send one request; return whether its answer began."""
+        own = f"{self.draw.getrandbits(32):08x}"
+        prefix = ",".join(f"{name}:10" for name in [*parts, own])
+        adapter = self.draw.randrange(4)
+        headers = (
+            ("host", "nets.example"),
+            ("request-id", own),
+            ("deadline-ms", "4000"),
+            ("model", f"{MODEL}/a{adapter}"),
+            ("token-counts", "30,10"),
+            ("prompt-prefix", prefix),
+        )
+        route = self.draw.choice(("plan", "advice"))
+        gateways = self._list_gateways()
+        if not gateways:
+            return False
+        try:
+            connection = await TargetConnection.open(self.draw.choice(gateways))
+        except LinkLost:
+            return False
+        try:
+            async with asyncio.timeout(5.0):
+                status, _ = await connection.request(
+                    "POST", f"/{route}/x", headers, b"body"
+                )
+                first = await connection.read()
+                while await connection.read() is not None:
+                    pass
+            return status == 200 and bool(first)
+        except (LinkLost, TimeoutError):
+            return False
+        finally:
+            connection.close()
+
+    def _list_gateways(self) -> list[Endpoint]:
+        return [
+            gateway
+            for gateway in self.cluster.gateways
+            if self.cluster.programs["gateway", gateway.address].running
+        ]
+
+    async def send_sound(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < end:
+            started = loop.time()
+            parts = [HEAD, f"{self.draw.randrange(40):08x}"]
+            self.begun.append((started, await self.call(parts)))
+            await asyncio.sleep(self.draw.uniform(0.0, 0.1))
+
+    async def send_bad(self, end: float, make_parts) -> None:
+        loop = asyncio.get_running_loop()
+        while loop.time() < end:
+            if not await self.call(make_parts(self.draw)):
+                await self.call(make_parts(self.draw))
+            await asyncio.sleep(self.draw.uniform(0.1, 0.5))
+
+    def share_begun(self, since: float, until: float) -> float:
+        found = [ok for at, ok in self.begun if since <= at < until]
+        assert len(found) >= 20
+        return sum(found) / len(found)
+
+
+async def leave_alone(cluster: Cluster, draw: random.Random) -> None:
+    pass
+
+
+async def kill_gateways(cluster: Cluster, draw: random.Random) -> None:
+    """Kill one gateway after the other, and its registry with the first."""
+    await wait_for_crashes(cluster)
+    for host in cluster.edge_hosts[:2]:
+        for kind in ("gateway", "registry"):
+            cluster.programs[kind, host].kill()
+        await asyncio.sleep(0.2)
+        for kind in ("registry", "gateway"):
+            cluster.programs[kind, host].start()
+        await asyncio.sleep(1.5)
+
+
+async def kill_stewards(cluster: Cluster, draw: random.Random) -> None:
+    await wait_for_crashes(cluster, 2)
+    for host in draw.sample(cluster.side_hosts, 2):
+        cluster.programs["steward", host].kill()
+        await asyncio.sleep(0.3)
+        cluster.programs["steward", host].start()
+
+
+async def kill_core(cluster: Cluster, draw: random.Random) -> None:
+    """Kill all gateways and registries at once."""
+    await wait_for_crashes(cluster)
+    await asyncio.sleep(CONTACT_SECONDS)
+    ended = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
+    for program in ended:
+        program.kill()
+    await asyncio.sleep(0.3)
+    for program in ended:
+        program.start()
+
+
+async def wait_for_crashes(cluster: Cluster, count: int = CRASHES) -> None:
+    while len(cluster.ledger.crashes) < count:
+        await asyncio.sleep(0.05)
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """One way in which crashing parts come.
+
+    :param bad: the parts.
+    :param position: their position in a prompt.
+    :param disturb: what happens besides.
+    """
+
+    engines: int = 5
+    bad: tuple[str, ...] = ("bad00001",)
+    position: int = 1
+    disturb: Callable[[Cluster, random.Random], Awaitable[None]] = leave_alone
+
+    def make_parts(self, draw: random.Random) -> list[str]:
+        """Return the shared parts of a prompt that crashes its engine."""
+        parts = [HEAD, f"{draw.randrange(40):08x}"]
+        parts[self.position] = draw.choice(self.bad)
+        return parts
+
+
+SCENARIOS = {
+    "middle": Scenario(),
+    "first": Scenario(position=0),
+    "few engines": Scenario(engines=2),
+    "several parts": Scenario(bad=("bad00001", "bad00002", "bad00003")),
+    "gateways killed": Scenario(disturb=kill_gateways),
+    "stewards killed": Scenario(disturb=kill_stewards),
+    "core killed": Scenario(disturb=kill_core),
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", SCENARIOS)
+async def test_a_crashing_part_stops_reaching_engines(tmp_path, name, seed):
+    """Requests of one kind would end one engine after the other."""
+    scenario, draw = SCENARIOS[name], random.Random(seed)
+    loop = asyncio.get_running_loop()
+    async with Cluster(tmp_path, engines=scenario.engines) as cluster:
+        await cluster.wait_ready()
+        cluster.crashing_parts.update(scenario.bad)
+        traffic, started = Traffic(cluster, draw), loop.time()
+        calm_until = started + CALM_SECONDS
+        end = calm_until + SECONDS
+        sound = [
+            asyncio.create_task(traffic.send_sound(end)) for _ in range(SOUND_CALLERS)
+        ]
+        await asyncio.sleep(CALM_SECONDS)
+        disturbance = asyncio.create_task(scenario.disturb(cluster, draw))
+        await asyncio.gather(
+            *(traffic.send_bad(end, scenario.make_parts) for _ in range(BAD_CALLERS)),
+            *sound,
+        )
+        disturbance.cancel()
+        await asyncio.gather(disturbance, return_exceptions=True)
+    calm = traffic.share_begun(started, calm_until)
+    for bad in scenario.bad:
+        check_sends(cluster, bad)
+    known_at = find_known_at(cluster, scenario.bad)
+    later = traffic.share_begun(known_at + CONTACT_SECONDS, end)
+    print(f"crashes {len(cluster.ledger.crashes)}, begun {calm:.2f} and {later:.2f}")
+    assert later >= 0.5 * calm
+
+
+def check_sends(cluster: Cluster, bad: str) -> None:
+    """Check how often a part was sent after each gateway should have known it."""
+    crashes = [at for at, part in cluster.ledger.crashes if part == bad]
+    if len(crashes) >= CRASHES:
+        since = crashes[CRASHES - 1] + CONTACT_SECONDS
+        sends = [at for at, part in cluster.ledger.crashing_sends if part == bad]
+        assert sum(at > since for at in sends) <= MAX_SENDS
+
+
+def find_known_at(cluster: Cluster, bad: tuple[str, ...]) -> float:
+    """Return when each gateway should have known all parts."""
+    last = []
+    for part in bad:
+        crashes = [at for at, found in cluster.ledger.crashes if found == part]
+        last += crashes[:CRASHES][-1:]
+    return max(last) + CONTACT_SECONDS
