Weigh all suspected parts in one pass; tests of each stage of the blocks

An engine that names no start is told by its id alone. Answers of requests without a model speak for their parts too.

--- a/src/ibishead/decisions/crashes.py
+++ b/src/ibishead/decisions/crashes.py
@@ -52,7 +52,7 @@
 
 #: Seconds for which crashes are kept, and maximum number of suspected requests kept.
 KEPT_SECONDS = 3600.0
-MAX_SUSPECTS = 20_000
+MAX_SUSPECTS = 10_000
 
 #: Tolerance in seconds for the order of a crash and of a send after it.
 ORDER_TOLERANCE_SECONDS = 0.05
@@ -83,10 +83,6 @@
     at: float
     suspects: tuple[Suspect, ...]
 
-    def list_with(self, part: PartKey) -> list[Suspect]:
-        """Return the suspects that share a part with other requests."""
-        return [s for s in self.suspects if part in s.keys.shared]
-
 
 @dataclass
 class Suspicion:
@@ -176,9 +172,13 @@
 
 
 class CrashHistory:
-    """The crashes of the last hour and their suspects."""
+    """The crashes of the last hour and their suspects.
+
+    :ivar changes: rises with each change of what speaks against some part.
+    """
 
     def __init__(self) -> None:
+        self.changes = 0
         self._crashes: deque[Crash] = deque()
         self._sound_until: dict[PartKey, float] = {}
         self._suspects = 0
@@ -190,6 +190,7 @@
         """Record a crash; return whether it was not known."""
         if any((c.target, c.born) == (crash.target, crash.born) for c in self._crashes):
             return False
+        self.changes += 1
         self._crashes.append(crash)
         self._suspects += len(crash.suspects)
         while self._crashes and (
@@ -205,6 +206,7 @@
 
         :param at: monotonic seconds; no earlier crash counts against it.
         """
+        self.changes += 1
         self._sound_until[part] = max(at, self._sound_until.get(part, at))
 
     def list_suspicions(
@@ -219,45 +221,62 @@
         """
         crashes = [c for c in self._crashes if not _is_explained(c, blocked)]
         crashes.sort(key=lambda crash: crash.at)
-        counts = Counter(
-            part
-            for crash in crashes
-            for part in {p for s in crash.suspects for p in s.keys.shared}
-        )
         found = (
-            self._weigh(part, crashes)
-            for part, count in counts.items()
-            if count >= MIN_ROUNDS
+            self._weigh(part, crashes, suspects)
+            for part, suspects in _index_parts(crashes).items()
+            if len(suspects) >= MIN_ROUNDS
         )
         serious = [suspicion for suspicion in found if suspicion.is_serious]
         return sorted(serious, key=lambda s: (-s.rounds, s.part))
 
-    def _weigh(self, part: PartKey, crashes: Sequence[Crash]) -> Suspicion:
-        suspicion, without = Suspicion(part), 0
-        sound_until = self._sound_until.get(part, float("-inf"))
-        for crash in crashes:
-            suspects = crash.list_with(part) if crash.at > sound_until else []
-            if not suspects:
-                without += suspicion.rounds > 0
+    def _weigh(
+        self,
+        part: PartKey,
+        crashes: Sequence[Crash],
+        found: Mapping[int, Sequence[Suspect]],
+    ) -> Suspicion:
+        """Return what speaks against a part.
+
+        :param found: suspects with the part, by position of their crash.
+        """
+        suspicion, first, count = Suspicion(part), 0, 0
+        sound_until = self._sound_until.get(part, -math.inf)
+        for position, suspects in found.items():
+            crash = crashes[position]
+            if crash.at <= sound_until:
                 continue
             newest = max(suspects, key=lambda suspect: suspect.sent_at)
             suspicion.prompts.update(suspect.keys.own for suspect in suspects)
+            count += 1
             if not suspicion.rounds:
-                suspicion.first_at = crash.at
+                suspicion.first_at, first = crash.at, position
             elif newest.sent_at < suspicion.last_at - ORDER_TOLERANCE_SECONDS:
                 continue
             suspicion.rounds += 1
             suspicion.customers[newest.keys.customer] += 1
-            suspicion.last_at, suspicion.other_crashes = crash.at, without
+            suspicion.last_at = crash.at
+            suspicion.other_crashes = position - first + 1 - count
         return suspicion
 
     def _forget_innocence(self) -> None:
-        oldest = self._crashes[0].at if self._crashes else float("inf")
+        oldest = self._crashes[0].at if self._crashes else math.inf
         self._sound_until = {
             part: at for part, at in self._sound_until.items() if at >= oldest
         }
 
 
+def _index_parts(
+    crashes: Sequence[Crash],
+) -> dict[PartKey, dict[int, list[Suspect]]]:
+    """Return the suspects with each part, by position of their crash."""
+    found: dict[PartKey, dict[int, list[Suspect]]] = {}
+    for position, crash in enumerate(crashes):
+        for suspect in crash.suspects:
+            for part in suspect.keys.shared:
+                found.setdefault(part, {}).setdefault(position, []).append(suspect)
+    return found
+
+
 def _is_explained(
     crash: Crash, blocked: Mapping[PartKey, Collection[CustomerId] | None]
 ) -> bool:
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -275,11 +275,11 @@
                     self._identify(request),
                 )
             finally:
+                self._record_answer(request)
                 if key is not None:
                     if not request.progress.response_delay:
                         self._notify_prompt_read(request.call, target, request.progress)
                     progress = request.progress
-                    self._record_answer(request)
                     self._stewards.end_use(
                         target.address,
                         key,
--- a/src/ibishead/registry/crashes.py
+++ b/src/ibishead/registry/crashes.py
@@ -106,6 +106,8 @@
         self._question: _Question | None = None
         #: Rounds of each part at its last judgement.
         self._judged: dict[PartKey, int] = {}
+        #: State of crashes and blocked parts in which nothing was left to decide.
+        self._settled: tuple[int, int] | None = None
         #: Blocked parts with the monotonic seconds at which they were first seen so.
         self._seen_blocked: dict[BlockedPart, float] = {}
         self._sound: set[PartKey] = set()
@@ -185,10 +187,14 @@
         return await self._block(gravest, customer)
 
     def _list_suspicions(self) -> list[Suspicion]:
+        current = self._history.changes, self._state.blocked.index
+        if current == self._settled:
+            return []
         blocked = {b.part: b.customers for b in self._state.blocked.parts}
         found = self._history.list_suspicions(blocked)
         self._judged = {s.part: self._judged.get(s.part, 0) for s in found}
         fresh = [s for s in found if s.rounds > self._judged[s.part]]
+        self._settled = None if fresh else current
         return fresh[:MAX_ASKED_PARTS]
 
     async def _ask(self, parts: tuple[PartKey, ...]) -> list[PartUse]:
--- a/src/ibishead/steward/ends.py
+++ b/src/ibishead/steward/ends.py
@@ -51,7 +51,7 @@
         if self._born and state.born != self._born:
             self.record_gone()
         self._born, self._draining = state.born, state.draining
-        if engine is not None and engine.born == state.born:
+        if engine is not None and state.born in (0, engine.born):
             self._engine = engine
 
     def record_gone(self) -> None:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -1,6 +1,7 @@
 """Requests through a gateway's pipeline to targets that fail in various ways."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -26,6 +27,7 @@
     FailureDomain,
     HostId,
     ModelName,
+    PartKey,
     RequestId,
     ServiceName,
     SoftwareVersion,
@@ -36,7 +38,7 @@
 from ibishead.platform.callers import PlatformCallers
 from ibishead.platform.targets import PlatformTargets
 from ibishead.routing.feed import RegistryFeed
-from ibishead.routing.messages import MemberKind, MemberRecord
+from ibishead.routing.messages import BlockedPart, MemberKind, MemberRecord
 from ibishead.routing.routes import Repeatability, Route, RouteSet, ServiceSpec, Share
 from ibishead.routing.targets import (
     AdapterRef,
@@ -723,3 +725,61 @@
         headers = {"last-event-id": "2", "resumes": "r0"}
         assert (await fixture.ask(**headers))[0] == status
         assert fixture.services == (["s"] if status == 200 else [])
+
+
+PARTS = {"prompt-prefix": "head:10,bad:5,own:5"}
+
+
+def block_part(fixture: Fixture, part: str = "bad") -> None:
+    """Block a part as if the registries had announced it."""
+    key = PartKey(part)
+    fixture.feed.blocked = {key: BlockedPart(key, None)}
+    fixture.blocks.apply()
+
+
+@pytest.mark.parametrize(
+    ("part", "headers", "status"),
+    [
+        ("bad", PARTS, 503),
+        ("head", PARTS, 503),
+        ("own", PARTS, 200),
+        ("other", PARTS, 200),
+        ("bad", {}, 200),
+    ],
+)
+async def test_a_request_with_a_blocked_part_is_refused_unsent(part, headers, status):
+    """It would crash one more engine."""
+    async with Fixture(STREAM, stream_completely) as fixture:
+        block_part(fixture, part)
+        assert (await fixture.ask(**headers))[0] == status
+        assert len(fixture.arrivals) == (status == 200)
+
+
+async def test_a_part_that_is_blocked_during_a_send_prevents_the_resend():
+    """The resend would crash a second engine, and could not be told as not run."""
+    changes = {"resumable": True, "attempts": 2, "timeout": 9.0}
+
+    async def block_and_reset(exchange: Exchange, request: str) -> None:
+        block_part(fixture)
+        await reset(exchange, request)
+
+    async with Fixture(
+        STREAM, block_and_reset, stream_completely, **changes
+    ) as fixture:
+        status, body = await fixture.ask(**PARTS, **{"deadline-ms": "8000"})
+        assert status == 502
+        assert b"prompt_blocked" in body
+        assert len(fixture.arrivals) == 1
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "sound"),
+    [(stream_completely, True), (stream_and_reset, False), (fail, False)],
+)
+async def test_which_answers_speak_for_the_parts_of_their_prompt(behaviour, sound):
+    async with Fixture(STREAM, behaviour) as fixture:
+        with contextlib.suppress(LinkLost):
+            await fixture.ask(**PARTS)
+        await asyncio.sleep(0.01)
+        use = fixture.part_uses.read(PartKey("bad"))
+        assert (use.count, use.sound_at is not None) == (1, sound)
--- a/tests/onplatform/test_crashing_parts.py
+++ b/tests/onplatform/test_crashing_parts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 import pytest
-from tests.onplatform.standin import MODEL, Cluster
+from tests.onplatform.standin import FRONT, MODEL, Cluster
 
 from ibishead.errors import LinkLost
 from ibishead.gateway.connection import TargetConnection
@@ -137,6 +137,31 @@
         program.start()
 
 
+async def join_gateway(cluster: Cluster, draw: random.Random) -> None:
+    """Add a gateway that has seen none of the crashes."""
+    await wait_for_crashes(cluster)
+    await asyncio.sleep(CONTACT_SECONDS)
+    address = cluster.edge_hosts[2]
+    cluster.make_program("gateway", address).start()
+    cluster.gateways.append(Endpoint(address, FRONT))
+
+
+async def suspend_gateways(cluster: Cluster, draw: random.Random) -> None:
+    """Suspend each gateway in turn, so that one hears of the crashes only later."""
+    for host in cluster.edge_hosts[:2]:
+        program = cluster.programs["gateway", host]
+        program.suspend()
+        await asyncio.sleep(2.0)
+        program.resume()
+
+
+async def crash_engines(cluster: Cluster, draw: random.Random) -> None:
+    """Crash engines besides, for no reason."""
+    while True:
+        await asyncio.sleep(draw.uniform(0.5, 1.5))
+        draw.choice(cluster.engines).begin_crash()
+
+
 async def wait_for_crashes(cluster: Cluster, count: int = 3) -> None:
     while len(cluster.ledger.crashes) < count:
         await asyncio.sleep(0.05)
@@ -171,6 +196,9 @@
     "gateways killed": Scenario(disturb=kill_gateways),
     "stewards killed": Scenario(disturb=kill_stewards),
     "core killed": Scenario(disturb=kill_core),
+    "gateway joins": Scenario(disturb=join_gateway),
+    "gateways suspended": Scenario(disturb=suspend_gateways),
+    "engines crash as well": Scenario(disturb=crash_engines),
 }
 
 
@@ -222,3 +250,25 @@
         crashes = [at for at, found in cluster.ledger.crashes if found == part]
         last += crashes[:CRASHES][-1:]
     return max(last) + CONTACT_SECONDS
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_engines_that_crash_by_themselves_cost_sound_callers_nothing(
+    tmp_path, seed
+):
+    """The parts that ran at engines which crashed anyway would be refused."""
+    draw, loop = random.Random(seed), asyncio.get_running_loop()
+    async with Cluster(tmp_path, engines=5) as cluster:
+        await cluster.wait_ready()
+        traffic, started = Traffic(cluster, draw), loop.time()
+        end = started + CALM_SECONDS + SECONDS
+        disturbance = asyncio.create_task(crash_engines(cluster, draw))
+        await asyncio.gather(
+            *(traffic.send_sound(end) for _ in range(SOUND_CALLERS)),
+        )
+        disturbance.cancel()
+        await asyncio.gather(disturbance, return_exceptions=True)
+        logs = [p.log for (kind, _), p in cluster.programs.items() if kind == "gateway"]
+    print(f"begun {traffic.share_begun(started, end):.2f}")
+    assert len(cluster.ledger.crashes) >= 5
+    assert not any("prompt_blocked" in log for log in logs)
--- a/tests/registry/test_publisher.py
+++ b/tests/registry/test_publisher.py
@@ -6,11 +6,19 @@
 import pytest
 
 from ibishead.clock import ManualClock
+from ibishead.ids import PartKey
 from ibishead.registry.publisher import MEMBERS_BATCH_SECONDS, FeedPublisher
-from ibishead.registry.state import PutRoutes, RouteState, encode_command
+from ibishead.registry.state import (
+    BlockPart,
+    PutRoutes,
+    ReleasePart,
+    RouteState,
+    encode_command,
+)
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
     AskRoutes,
+    BlockedParts,
     MemberKind,
     MemberRecord,
     Members,
@@ -161,3 +169,26 @@
     assert [notice.version for notice in link.list_of(RouteNotice)] == [3, 5]
     (answer,) = link.list_of(RoutesAnswer)
     assert (answer.version, answer.base) == (5, base)
+
+
+async def test_a_gateway_knows_blocked_parts_before_it_has_routes(scene):
+    """A gateway that starts would send requests with them to engines."""
+    scene.put_routes(1)
+    command = encode_command(BlockPart(PartKey("bad"), None))
+    early = scene.subscribe("g0", MemberKind.GATEWAY)
+    steward = scene.subscribe("s0", MemberKind.STEWARD, target="10.0.0.9:80")
+    scene.state.apply(2, command)
+    late = scene.subscribe("g1", MemberKind.GATEWAY)
+    kinds = [type(m) for m in late.sent if isinstance(m, BlockedParts | RouteNotice)]
+    assert kinds == [BlockedParts, RouteNotice]
+    for link, count in ((early, 1), (late, 1), (steward, 0)):
+        assert [m.index for m in link.list_of(BlockedParts)] == [2] * count
+
+
+async def test_blocked_parts_are_sent_when_they_change(scene):
+    gateway = scene.subscribe("g0", MemberKind.GATEWAY)
+    scene.state.apply(1, encode_command(BlockPart(PartKey("bad"), None)))
+    scene.put_routes(2)
+    scene.state.apply(3, encode_command(ReleasePart(PartKey("bad"))))
+    sent = [(m.index, len(m.parts)) for m in gateway.list_of(BlockedParts)]
+    assert sent == [(1, 1), (3, 0)]
--- a/tests/registry/test_state.py
+++ b/tests/registry/test_state.py
@@ -1,12 +1,15 @@
 """The registry's replicated state: versions only rise, in any order of commands."""
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ibishead.errors import StorageFault
-from ibishead.ids import ModelName
+from ibishead.ids import HostId, ModelName, PartKey
 from ibishead.registry.state import (
+    MAX_BLOCKED_PARTS,
+    BlockPart,
     CreditMarked,
     FenceTaken,
     FloorRaised,
@@ -14,13 +17,16 @@
     RaiseFloor,
     Rejected,
     ReleaseCredit,
+    ReleasePart,
     RoutesPut,
     RouteState,
     TakeCredit,
     TakeFence,
+    TryPart,
     decode_result,
     encode_command,
 )
+from ibishead.routing.changes import pack
 from ibishead.routing.customers import Customer, Quota, QuotaUnit
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import WeightKey
@@ -135,3 +141,57 @@
     results = apply_all(state, [first, put_customer(None), second])
     assert results == [CreditMarked(False), RoutesPut(1), CreditMarked(False)]
     assert state.credit_term == 0
+
+
+def block(part: str, customer: str | None = None) -> bytes:
+    return encode_command(BlockPart(PartKey(part), customer))
+
+
+def describe_blocked(state: RouteState) -> list:
+    return [(found.part, found.customers) for found in state.blocked.parts]
+
+
+@pytest.mark.parametrize(
+    ("commands", "blocked"),
+    [
+        ([block("x")], [("x", None)]),
+        ([block("x", "a")], [("x", ("a",))]),
+        ([block("x", "b"), block("x", "a")], [("x", ("a", "b"))]),
+        ([block("x", "a"), block("x")], [("x", None)]),
+        ([block("x"), block("x", "a")], [("x", None)]),
+        ([block("x"), encode_command(ReleasePart(PartKey("x")))], []),
+        ([encode_command(ReleasePart(PartKey("x")))], []),
+        ([encode_command(TryPart(PartKey("x"), HostId("g")))], []),
+    ],
+)
+def test_blocked_parts_outlive_a_snapshot(commands, blocked):
+    """Each engine would have to crash again after a restart of all registries."""
+    state, restored = RouteState(), RouteState()
+    apply_all(state, commands)
+    restored.restore(state.capture())
+    assert describe_blocked(restored) == describe_blocked(state) == blocked
+    assert restored.blocked == state.blocked
+
+
+def test_a_trial_keeps_the_block():
+    state = RouteState()
+    apply_all(state, [block("x"), encode_command(TryPart(PartKey("x"), HostId("g")))])
+    (found,) = state.blocked.parts
+    assert (found.customers, found.trials, found.tester) == (None, 1, "g")
+    assert state.blocked.index == 2
+
+
+def test_blocked_parts_are_limited():
+    """A caller with endless bad parts would fill the memory of all programs."""
+    state = RouteState()
+    apply_all(state, [block(f"x{n}") for n in range(MAX_BLOCKED_PARTS + 5)])
+    assert len(state.blocked.parts) == MAX_BLOCKED_PARTS
+    assert state.blocked.parts[0].part == "x5"
+
+
+def test_a_snapshot_without_blocked_parts_is_read():
+    """A registry would not start on the data of the version before."""
+    saved = [None, b"", [], 7, 0]
+    state = RouteState()
+    state.restore(pack(msgspec.msgpack.encode(saved)))
+    assert state.blocked.parts == ()
