Close new connections unread while a gateway is overloaded

What callers would see: a load balancer that hands most new connections to one gateway overloads its processor or its link, and requests that were read there wait until their deadlines, although other gateways are idle. A gateway now measures by how much its event loop is late and how much it sends; above an average of 0.4 s, or 80% of its link, it closes new connections before anything is read, so that callers can retry elsewhere, and still accepts one in half a second.

--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -7,6 +7,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.partuses import PartUses
+from ibishead.decisions.shedding import ConnectionShedder
 from ibishead.gateway.blocking import PromptBlocks
 from ibishead.gateway.calls import CallerDialect, TargetDialect
 from ibishead.gateway.origins import StreamOrigins
@@ -49,6 +50,9 @@
 #: requests that are still in progress.
 ABORT_MARGIN_SECONDS = 0.3
 
+#: Seconds between two measurements of the load.
+MEASURING_INTERVAL_SECONDS = 0.1
+
 #: Seconds between two removals of expired connections and of deregistered targets.
 CLEANUP_INTERVAL_SECONDS = 0.5
 
@@ -119,18 +123,24 @@
         self._running = 0
         self._idle_since = clock.monotonic()
         self._stopping = False
-        self._server = WebServer(self._serve, Limits(connections=settings.connections))
+        self._shedder = ConnectionShedder(settings.link_rate)
+        self._server = WebServer(
+            self._serve,
+            Limits(connections=settings.connections),
+            accept=lambda: self._shedder.accept(clock.monotonic()),
+        )
         self._readiness_server = WebServer(
             self._answer_readiness, Limits(connections=64)
         )
-        self._cleanup_task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """Start the links to the registries and the listeners."""
         self.feed.start()
         await self._readiness_server.start(self._settings.readiness)
         await self._server.start(self._settings.callers)
-        self._cleanup_task = asyncio.create_task(self._clean_up())
+        self._tasks.append(asyncio.create_task(self._clean_up()))
+        self._tasks.append(asyncio.create_task(self._measure_load()))
 
     def list_gauges(self) -> dict[str, float]:
         """Return the current values of the gauges by name."""
@@ -140,6 +150,7 @@
             "registries_linked": len(self.feed.links),
             "targets_known": sum(1 for _ in self.feed.view),
             "connections_opened": self._pool.opened,
+            "connections_shed": self._shedder.count,
             "targets_limited": self._tracker.count_limited(),
             "quota_keeper_linked": self._quotas.keeper is not None,
             "prompt_parts_known": len(self._part_uses),
@@ -161,9 +172,9 @@
             await asyncio.sleep(0.05)
         logger.info("gateway stopping", extra={"running": self._running})
         await self._server.stop(max(0.0, stop_at - self._clock.monotonic()))
-        if self._cleanup_task is not None:
-            self._cleanup_task.cancel()
-            await asyncio.gather(self._cleanup_task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._stewards.stop()
         self._quotas.stop()
         await self.feed.stop()
@@ -255,3 +266,26 @@
                 await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
                 self._pool.close_expired()
                 self._tracker.retain({found.target for found in self.feed.view})
+
+    async def _measure_load(self) -> None:
+        measured_at, sent = self._clock.monotonic(), self._server.bytes_sent
+        while True:
+            await asyncio.sleep(MEASURING_INTERVAL_SECONDS)
+            now, total = self._clock.monotonic(), self._server.bytes_sent
+            seconds = now - measured_at
+            before = self._shedder.overloaded
+            self._shedder.record(
+                seconds, seconds - MEASURING_INTERVAL_SECONDS, total - sent
+            )
+            if self._shedder.overloaded != before:
+                logger.warning(
+                    "gateway no longer overloaded" if before else "gateway overloaded",
+                    extra={
+                        "running": self._running,
+                        "connections": self._server.connection_count,
+                        "connections_shed": self._shedder.count,
+                        "late": round(seconds - MEASURING_INTERVAL_SECONDS, 3),
+                        "sent_a_second": round((total - sent) / seconds),
+                    },
+                )
+            measured_at, sent = now, total
--- a/src/ibishead/gateway/settings.py
+++ b/src/ibishead/gateway/settings.py
@@ -22,6 +22,7 @@
     :param charge_lifetime: seconds for which a charge to a customer's quota covers a
         request that has not been sent yet.
     :param connections: maximum number of callers' connections.
+    :param link_rate: bytes per second that the host can send, ``None`` if unknown.
     """
 
     host: HostId
@@ -33,3 +34,4 @@
     retries: BudgetShare
     charge_lifetime: float
     connections: int = 3000
+    link_rate: float | None = None
--- a/src/ibishead/platform/settings.py
+++ b/src/ibishead/platform/settings.py
@@ -34,6 +34,8 @@
 
 class _Limits(msgspec.Struct):
     max_fds: int = 4096
+    # capacity of the host's link in megabits per second
+    link_mbps: float | None = None
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -103,6 +105,7 @@
             ),
             self._quota_tolerance().charge_lifetime,
             max(100, self.limits.max_fds - RESERVED_DESCRIPTORS),
+            self.limits.link_mbps * 1e6 / 8 if self.limits.link_mbps else None,
         )
 
     def registry(self) -> RegistrySettings:
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -46,6 +46,9 @@
 #: Bytes that may wait in the write buffer of a connection before `send` blocks.
 MAX_UNSENT_BYTES = 64 * 1024
 
+#: Bytes of the headers of a packet on Ethernet.
+PACKET_HEADER_BYTES = 66
+
 #: Length of the listening socket's queue of connections that are not yet accepted.
 BACKLOG = 1024
 
@@ -176,6 +179,9 @@
     :param handler: answers each exchange. An exception becomes an error answer if none
         was started, and closes the connection otherwise.
     :param tls: context for HTTPS; without it, the server speaks plain HTTP.
+    :param accept: called with each new connection; one for which it returns false is
+        closed before anything is read from it.
+    :ivar bytes_sent: bytes sent so far, with an estimate for the packets' headers.
     :ivar closing: whether answers ask callers to close their connections.
     :ivar stopping: whether connections are closed after their current request.
     """
@@ -185,8 +191,11 @@
         handler: Callable[[Exchange], Awaitable[None]],
         limits: Limits | None = None,
         tls: ssl.SSLContext | None = None,
+        accept: Callable[[], bool] = lambda: True,
     ) -> None:
         self.handler = handler
+        self._accept = accept
+        self.bytes_sent = 0
         self.limits = limits or Limits()
         self._tls = tls
         self._listener: socket.socket | None = None
@@ -270,7 +279,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = _ServerConnection(self, reader, writer)
-        if len(self._connections) >= self.limits.connections:
+        if len(self._connections) >= self.limits.connections or not self._accept():
             connection.abort()
             return
         self._connections.add(connection)
@@ -360,6 +369,7 @@
         if transport.is_closing():
             raise _make_caller_lost_error()
         self._writer.write(data)
+        self._server.bytes_sent += len(data) + PACKET_HEADER_BYTES
         # Data that the kernel takes at once needs neither a wait nor a timer
         if transport.get_write_buffer_size() <= MAX_UNSENT_BYTES:
             return
