Suspect what had written for up to two seconds when its engine ended

An overloaded engine takes a third of a second from the first event of an answer to its end in the record (request, first event 0.075 s, end 0.373 s); one second left little for slower ones, whose parts would have been cleared by the very answers that ended the engines. decisions, steward, routing and the ten cases with real programs green.

--- a/src/ibishead/decisions/crashes.py
+++ b/src/ibishead/decisions/crashes.py
@@ -48,7 +48,7 @@
 MIN_OTHER_ROUNDS = 2
 
 #: Seconds of writing after which an answer shows that its prompt crashes no engine.
-SETTLED_SECONDS = 1.0
+SETTLED_SECONDS = 2.0
 
 #: Seconds for which crashes are kept, and maximum number of suspected requests kept.
 KEPT_SECONDS = 3600.0
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -60,6 +60,9 @@
 REFRESH_INTERVAL_SECONDS = 0.25
 REFRESH_TIMEOUT_SECONDS = 0.25
 
+#: Maximum number of blocked prompt parts that a log line names.
+MAX_LOGGED_PARTS = 20
+
 #: Time without a registration or heartbeat after which a ready target is removed.
 TARGET_TIMEOUT_SECONDS = 45.0
 
@@ -381,16 +384,13 @@
 
     def _apply_blocked(self, index: int, parts: tuple[BlockedPart, ...]) -> None:
         self._blocked_index = index
-        before, self.blocked = (
-            self.blocked,
-            {blocked.part: blocked for blocked in parts},
-        )
+        before, self.blocked = self.blocked, {found.part: found for found in parts}
         logger.info(
             "prompt parts blocked",
             extra={
                 "count": len(parts),
-                "new": [part for part in self.blocked if part not in before],
-                "removed": [part for part in before if part not in self.blocked],
+                "new": sorted(self.blocked.keys() - before)[:MAX_LOGGED_PARTS],
+                "removed": sorted(before.keys() - self.blocked)[:MAX_LOGGED_PARTS],
             },
         )
         self._on_blocked()
