--- a/tests/onplatform/test_crashing_parts.py
+++ b/tests/onplatform/test_crashing_parts.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import os
 import random
 from collections.abc import Awaitable, Callable
@@ -23,6 +24,8 @@
 CRASHES, MAX_SENDS = 5, 3
 CALM_SECONDS, SECONDS = 3.0, 14.0
 SOUND_CALLERS, BAD_CALLERS = 8, 3
+#: Length of the failures of a soak.
+DISTURBED_SECONDS = 5.0
 HEAD = "5c1e07a2"
 
 
@@ -206,7 +209,48 @@
 @pytest.mark.parametrize("name", SCENARIOS)
 async def test_a_crashing_part_stops_reaching_engines(tmp_path, name, seed):
     """Requests of one kind would end one engine after the other."""
-    scenario, draw = SCENARIOS[name], random.Random(seed)
+    await run_scenario(tmp_path, SCENARIOS[name], random.Random(seed))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_soak_of_crashing_parts(tmp_path, seed):
+    """What each scenario guards against, with failures that overlap."""
+    draw = random.Random(seed)
+    scenario = Scenario(
+        engines=draw.randrange(2, 7),
+        bad=tuple(f"bad{n:05x}" for n in range(draw.choice((1, 1, 2, 3)))),
+        position=draw.randrange(2),
+        disturb=disturb,
+    )
+    await run_scenario(tmp_path, scenario, draw)
+
+
+async def disturb(cluster: Cluster, draw: random.Random) -> None:
+    """Kill and suspend programs in series that overlap, and crash engines besides."""
+    series = draw.sample((restart_programs, suspend_gateways, crash_engines), 2)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DISTURBED_SECONDS):
+            await asyncio.gather(*(each(cluster, draw) for each in series))
+    for program in cluster.programs.values():
+        if not program.running:
+            program.start()
+        program.resume()
+
+
+async def restart_programs(cluster: Cluster, draw: random.Random) -> None:
+    while True:
+        await asyncio.sleep(draw.uniform(0.3, 1.5))
+        chosen = draw.sample(list(cluster.programs.values()), draw.randrange(1, 4))
+        for program in chosen:
+            if program.running:
+                program.kill()
+        await asyncio.sleep(draw.uniform(0.1, 0.5))
+        for program in chosen:
+            if not program.running:
+                program.start()
+
+
+async def run_scenario(tmp_path, scenario: Scenario, draw: random.Random) -> None:
     loop = asyncio.get_running_loop()
     async with Cluster(tmp_path, engines=scenario.engines) as cluster:
         await cluster.wait_ready()
@@ -219,6 +263,9 @@
         ]
         await asyncio.sleep(CALM_SECONDS)
         disturbance = asyncio.create_task(scenario.disturb(cluster, draw))
+        disturbed_until = calm_until
+        if scenario.disturb is disturb:
+            disturbed_until += DISTURBED_SECONDS
         await asyncio.gather(
             *(traffic.send_bad(end, scenario.make_parts) for _ in range(BAD_CALLERS)),
             *sound,
@@ -227,25 +274,27 @@
         await asyncio.gather(disturbance, return_exceptions=True)
     calm = traffic.share_begun(started, calm_until)
     for bad in scenario.bad:
-        check_sends(cluster, bad)
-    known_at = find_known_at(cluster, scenario.bad)
+        check_sends(cluster, bad, disturbed_until)
+    known_at = find_known_at(cluster, scenario.bad, disturbed_until)
     later = traffic.share_begun(known_at + CONTACT_SECONDS, end)
     print(f"crashes {len(cluster.ledger.crashes)}, begun {calm:.2f} and {later:.2f}")
     assert later >= 0.5 * calm
 
 
-def check_sends(cluster: Cluster, bad: str) -> None:
+def check_sends(cluster: Cluster, bad: str, disturbed_until: float) -> None:
     """Check how often a part was sent after each gateway should have known it."""
     crashes = [at for at, part in cluster.ledger.crashes if part == bad]
     if len(crashes) >= CRASHES:
-        since = crashes[CRASHES - 1] + CONTACT_SECONDS
+        since = max(crashes[CRASHES - 1], disturbed_until) + CONTACT_SECONDS
         sends = [at for at, part in cluster.ledger.crashing_sends if part == bad]
         assert sum(at > since for at in sends) <= MAX_SENDS
 
 
-def find_known_at(cluster: Cluster, bad: tuple[str, ...]) -> float:
+def find_known_at(
+    cluster: Cluster, bad: tuple[str, ...], disturbed_until: float
+) -> float:
     """Return when each gateway should have known all parts."""
-    last = []
+    last = [disturbed_until]
     for part in bad:
         crashes = [at for at, found in cluster.ledger.crashes if found == part]
         last += crashes[:CRASHES][-1:]
--- a/tests/proofs/world.py
+++ b/tests/proofs/world.py
@@ -258,11 +258,16 @@
         if node.agent is not None and node.stopping is None:
             node.stopping = asyncio.create_task(self._stop_agent(node))
 
-    def call_model(self, entry: int, adapter: str, version: str, stream: bool) -> Call:
-        """Send a model call."""
+    def call_model(
+        self, entry: int, adapter: str, version: str, stream: bool, **more: object
+    ) -> Call:
+        """Send a model call.
+
+        :param more: further fields of its body.
+        """
         prompt = f"p{len(self.calls)}"
         model = f"mester/{adapter}" + (f"@{version}" if version else "")
-        body = {"model": model, "prompt": prompt, "stream": stream}
+        body = {"model": model, "prompt": prompt, "stream": stream, **more}
         request = WebRequest(
             "POST", "/v1/completions", "", (), msgspec.json.encode(body)
         )
