Decide about a prompt part only with the answers of half of the gateways

Now at least half of the gateways have to answer, the blamed part with the largest share of crashes among its requests goes first, not the one in most crashes, and of two that nothing tells apart none is blocked before the sixth round. Also: the crashes that blocked a part no longer count once it is removed; with more blocked parts than are kept, the two that took turns would have been blocked for ever (a test of the own wire hung on it).

--- a/src/ibishead/decisions/crashes.py
+++ b/src/ibishead/decisions/crashes.py
@@ -24,6 +24,7 @@
     "Suspicion",
     "Undecided",
     "Verdict",
+    "choose_gravest",
     "judge_part",
 ]
 
@@ -94,6 +95,7 @@
     :ivar first_at: monotonic seconds of the first crash.
     :ivar last_at: monotonic seconds of the last round.
     :ivar other_crashes: crashes without the part from its first to its last round.
+    :ivar depth: largest number of parts before it in a suspected prompt.
     """
 
     part: PartKey
@@ -103,6 +105,7 @@
     first_at: float = 0.0
     last_at: float = 0.0
     other_crashes: int = 0
+    depth: int = 0
 
     @property
     def is_serious(self) -> bool:
@@ -171,6 +174,32 @@
     return Blame(None if others >= MIN_OTHER_ROUNDS else most)
 
 
+def choose_gravest(
+    blamed: Sequence[tuple[Suspicion, PartUse]],
+) -> Suspicion | None:
+    """Return the blamed part that is to be blocked first, or none yet.
+
+    A part that merely came with a bad one had requests of its own as well, and was at
+    engines that crashed for other reasons. While nothing tells two parts apart, a
+    further crash may.
+    """
+
+    def find_share(suspicion: Suspicion, use: PartUse) -> float:
+        # may exceed 1, as not all requests are known
+        return suspicion.rounds / max(1, use.count)
+
+    ranked = sorted(
+        ((find_share(s, use), s.depth, s.rounds, s.part, s) for s, use in blamed),
+        key=lambda found: found[:4],
+        reverse=True,
+    )
+    if not ranked:
+        return None
+    gravest = ranked[0][-1]
+    is_tied = len(ranked) > 1 and ranked[0][0] == ranked[1][0]
+    return None if is_tied and gravest.rounds < MAX_ROUNDS else gravest
+
+
 class CrashHistory:
     """The crashes of the last hour and their suspects.
 
@@ -212,7 +241,7 @@
     def list_suspicions(
         self, blocked: Mapping[PartKey, Collection[CustomerId] | None]
     ) -> list[Suspicion]:
-        """Return the serious suspicions, the gravest first.
+        """Return the serious suspicions.
 
         A crash that a blocked part explains doesn't count against another part.
 
@@ -226,8 +255,7 @@
             for part, suspects in _index_parts(crashes).items()
             if len(suspects) >= MIN_ROUNDS
         )
-        serious = [suspicion for suspicion in found if suspicion.is_serious]
-        return sorted(serious, key=lambda s: (-s.rounds, s.part))
+        return [suspicion for suspicion in found if suspicion.is_serious]
 
     def _weigh(
         self,
@@ -247,6 +275,8 @@
                 continue
             newest = max(suspects, key=lambda suspect: suspect.sent_at)
             suspicion.prompts.update(suspect.keys.own for suspect in suspects)
+            depth = max(suspect.keys.shared.index(part) for suspect in suspects)
+            suspicion.depth = max(suspicion.depth, depth)
             count += 1
             if not suspicion.rounds:
                 suspicion.first_at, first = crash.at, position
--- a/src/ibishead/registry/crashes.py
+++ b/src/ibishead/registry/crashes.py
@@ -23,6 +23,7 @@
     PartUse,
     Suspect,
     Suspicion,
+    choose_gravest,
     judge_part,
 )
 from ibishead.errors import IbisheadError
@@ -55,6 +56,9 @@
 #: Seconds to wait for the answers of the gateways.
 ANSWER_TIMEOUT_SECONDS = 0.25
 
+#: Share of the gateways whose answers are needed for a decision.
+MIN_ANSWERED_SHARE = 0.5
+
 #: Time within which a change of the blocked parts has to be committed.
 COMMIT_TIMEOUT_SECONDS = 1.0
 
@@ -168,23 +172,23 @@
             return False
         parts = tuple(suspicion.part for suspicion in suspicions)
         uses = await self._ask(parts)
-        blamed: list[tuple[int, Suspicion, CustomerId | None]] = []
+        if uses is None:
+            return False
+        blamed: list[tuple[Suspicion, PartUse]] = []
+        customers: dict[PartKey, CustomerId | None] = {}
         for suspicion, use in zip(suspicions, uses, strict=True):
             self._judged[suspicion.part] = suspicion.rounds
             match judge_part(suspicion, use):
                 case Blame(customer):
-                    blamed.append((use.count, suspicion, customer))
+                    blamed.append((suspicion, use))
+                    customers[suspicion.part] = customer
                 case Innocent() if use.sound_at is not None:
                     self._history.clear(suspicion.part, use.sound_at)
                     del self._judged[suspicion.part]
-        if not blamed:
+        gravest = choose_gravest(blamed)
+        if gravest is None:
             return False
-        # Of parts with equal evidence, the one with the fewest requests: a part that
-        # merely came with it also had requests of its own.
-        _, gravest, customer = min(
-            blamed, key=lambda found: (-found[1].rounds, found[0], found[1].part)
-        )
-        return await self._block(gravest, customer)
+        return await self._block(gravest, customers[gravest.part])
 
     def _list_suspicions(self) -> list[Suspicion]:
         current = self._history.changes, self._state.blocked.index
@@ -197,7 +201,11 @@
         self._settled = None if fresh else current
         return fresh[:MAX_ASKED_PARTS]
 
-    async def _ask(self, parts: tuple[PartKey, ...]) -> list[PartUse]:
+    async def _ask(self, parts: tuple[PartKey, ...]) -> list[PartUse] | None:
+        """Return how requests with some parts fared, or none if too few answer.
+
+        The others may have seen answers on a part that all of these missed.
+        """
         question = self._question = _Question(next(self._numbers), len(parts))
         question.expected = self._gateways.ask_gateways(
             AskPartUses(question.number, parts)
@@ -205,12 +213,20 @@
         if question.expected:
             await wait_for_event(question.answered, ANSWER_TIMEOUT_SECONDS)
         self._question = None
+        if question.answers < max(1, MIN_ANSWERED_SHARE * question.expected):
+            logger.info(
+                "too few gateways answer whether prompt parts are sound",
+                extra={"asked": question.expected, "answers": question.answers},
+            )
+            return None
         return question.uses
 
     async def _block(self, suspicion: Suspicion, customer: CustomerId | None) -> bool:
         if not await self._propose(BlockPart(suspicion.part, customer)):
             self._judged.pop(suspicion.part, None)
             return False
+        # the same crashes must not block it again once it has been removed
+        self._history.clear(suspicion.part, self._clock.monotonic())
         self._metrics.count_event("prompt_part_blocked")
         logger.warning(
             "prompt part blocked",
@@ -273,6 +289,7 @@
     """A question to all gateways about some parts.
 
     :ivar answered: set when all gateways have answered.
+    :ivar answers: number of those that have.
     :ivar uses: what they said together, one for each part.
     """
 
@@ -281,7 +298,7 @@
         self.expected = 0
         self.answered = asyncio.Event()
         self.uses = [PartUse()] * parts
-        self._answers = 0
+        self.answers = 0
 
     def add(self, answer: PartUsesAnswer, now: float) -> None:
         """Add a gateway's answer.
@@ -297,6 +314,6 @@
             )
             for known, use in zip(self.uses, answer.uses, strict=False)
         ]
-        self._answers += 1
-        if self._answers >= self.expected:
+        self.answers += 1
+        if self.answers >= self.expected:
             self.answered.set()
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -13,6 +13,7 @@
     PartUse,
     Suspect,
     Undecided,
+    choose_gravest,
     judge_part,
 )
 from ibishead.ids import CustomerId, PartKey, TargetId
@@ -130,6 +131,30 @@
     assert verdict == Blame(blamed)
 
 
+@pytest.mark.parametrize(
+    ("rounds", "bad_count", "head_count", "chosen"),
+    [
+        (3, 3, 9, BAD),
+        (3, 9, 3, HEAD),
+        (3, 3, 3, None),
+        (5, 3, 3, None),
+        (6, 3, 3, BAD),
+        (3, 0, 40, BAD),
+    ],
+)
+def test_which_of_two_parts_in_the_same_crashes_is_blocked(
+    rounds, bad_count, head_count, chosen
+):
+    """The first part of all prompts would be refused instead of the bad one."""
+    history = make_history([bad(float(n)) for n in range(rounds)])
+    blamed = [
+        (find(history, HEAD), PartUse(head_count)),
+        (find(history, BAD), PartUse(bad_count)),
+    ]
+    gravest = choose_gravest(blamed)
+    assert (gravest.part if gravest else None) == chosen
+
+
 def test_crashes_of_a_blocked_part_count_against_no_other():
     """A part that merely came with a bad one would be refused after it."""
     history = make_history([bad(float(n)) for n in range(1, 9)])
