Block messages that crash engines on the own wire, too

What callers saw: a message in calls, such as a system message, that crashes each engine which writes on it ended one engine after the other: 20 calls, 20 engines (tests/proofs/test_crashing_messages.py, red before). Cause: as on the platform's wire, nothing remembers what an engine was doing when it ended.

The messages of a conversation are its prompt's parts, the team its customer. An agent reports the end of its engine with what ran there and with what answers were written on those messages; each entry host decides with the same rules as the registries, refuses such calls at once, cancels attempts that wait and makes no further attempt. Agents repeat their reports of two minutes to entry hosts that are linked later. Run table and reports are shared with the stewards. Six cases in virtual time: 3 to 5 engines end, at least 15 of 20 sound calls with the same message complete.

--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -67,6 +68,7 @@
     :param requeue_count: number of times that the attempt was queued again because the
         target did not hold the adapter or had restarted.
     :param tail: end of a model's event stream, none for any other answer.
+    :param on_begin: called when its answer begins.
     """
 
     dispatch: Dispatch
@@ -88,6 +90,7 @@
     sent: bool = False
     requeue_count: int = 0
     tail: StreamTail | None = None
+    on_begin: Callable[[], None] = lambda: None
     _acknowledged: int = 0
 
     @property
@@ -111,6 +114,7 @@
 
         :param waited: seconds in the queue, and seconds until the adapter was resident.
         """
+        self.on_begin()
         adapter, version = self.dispatch.adapter, self.dispatch.version
         queued, stall = waited
         self._emit(
--- a/src/ibishead/agent/reception.py
+++ b/src/ibishead/agent/reception.py
@@ -21,6 +21,7 @@
     Outcome,
     Resume,
 )
+from ibishead.routing.messages import EngineEnded
 
 __all__ = ["Reception"]
 
@@ -51,11 +52,14 @@
         self._is_own = is_own
         self._clock = clock
         self._links: set[Link] = set()
+        scheduler.on_crash = self._report_crash
 
     async def serve(self, link: Link) -> None:
         """Serve one link until it closes; its attempts continue to run without it."""
         self._links.add(link)
         link.send(self._scheduler.report())
+        for report in self._scheduler.crashes.list_recent(self._clock.monotonic()):
+            link.send(report)
         try:
             async for message in link.receive():
                 self._handle(message, link)
@@ -78,6 +82,10 @@
                 link.send(report)
             await asyncio.sleep(REPORT_INTERVAL_SECONDS)
 
+    def _report_crash(self, report: EngineEnded) -> None:
+        for link in self._links:
+            link.send(report)
+
     def _handle(self, message: Message, link: Link) -> None:
         match message:
             case Dispatch():
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -8,9 +8,12 @@
 import contextlib
 import logging
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+import xxhash
+
 from ibishead.agent.attempts import Attempt, AttemptState, AttemptTable
 from ibishead.agent.gate import Gate
 from ibishead.agent.loader import LoadAuthority, Loader
@@ -20,11 +23,15 @@
 from ibishead.agent.watcher import TargetWatcher
 from ibishead.clock import Clock
 from ibishead.decisions.loading import INITIAL_BACKOFF_SECONDS, LoadBackoff
+from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.queueing import FairQueue, QueuedRequest, choose_next, list_late
+from ibishead.decisions.runs import RunTable
 from ibishead.errors import ErrorCode, IbisheadError
 from ibishead.ids import BootId, TargetId
 from ibishead.messages import LoadReport, Outcome
 from ibishead.metrics import Measure, Metrics
+from ibishead.routing.crashreports import CrashReports
+from ibishead.routing.messages import EngineEnded
 
 __all__ = ["Registrar", "Scheduler", "TargetConfig"]
 
@@ -96,6 +103,8 @@
     :ivar attempts: attempts whose frames may still be requested.
     :ivar draining: no new attempts are admitted.
     :ivar changed: set when the load has changed since it was last reported.
+    :ivar crashes: reports of the crashes of the engine.
+    :ivar on_crash: called with each report of a crash.
     """
 
     def __init__(
@@ -110,6 +119,8 @@
         self.attempts = AttemptTable()
         self.draining = False
         self.changed = asyncio.Event()
+        self.crashes = CrashReports()
+        self.on_crash: Callable[[EngineEnded], None] = lambda _: None
         self._slots = SlotTable(config.slots)
         self._loader = Loader(
             self._slots,
@@ -127,7 +138,10 @@
             clock,
             self._notify_change,
             self._check_runs,
+            self._report_end,
         )
+        self._runs = RunTable()
+        self._part_uses = PartUses()
         self._config = config
         self._client = client
         self._registrar = registrar
@@ -294,6 +308,7 @@
         self._observe(attempt, Measure.BATCH_FILL, size / self._config.batch)
         self._fair_queue.observe_run(attempt.dispatch.team, now)
         attempt.state = AttemptState.RUNNING
+        self._record_run(attempt, now)
         attempt.task = asyncio.create_task(self._run(attempt, pin, now))
         self.changed.set()
 
@@ -325,12 +340,12 @@
         self._observe(attempt, Measure.WAIT, waited[0])
         self._observe(attempt, Measure.LOAD_STALL, waited[1])
         boot = self._slots.boot if self._config.is_engine else None
-        ended = False
+        ended, failed = False, None
         try:
             end = await run_attempt(
                 attempt, self._client, boot, waited, self._config.target
             )
-            ended = True
+            ended, failed = True, end is not RunEnd.COMPLETED
             await self._handle_run_end(attempt, end)
         except TargetRestarted:
             ended = True
@@ -345,13 +360,41 @@
                 reason = "the caller disconnected"
                 self._end(attempt, Outcome.UNKNOWN, ErrorCode.CANCELLED, reason)
         except IbisheadError as error:
-            ended = not attempt.sent
+            ended, failed = not attempt.sent, attempt.sent
             await self._handle_error(attempt, error)
         finally:
+            self._end_run(attempt, failed)
             if pin is not None:
                 self._slots.unpin(pin, ended)
             self._notify_change()
 
+    def _record_run(self, attempt: Attempt, now: float) -> None:
+        key = attempt.key
+        self._runs.begin(key.request, key.attempt, attempt.dispatch.keys, now)
+        attempt.on_begin = lambda: self._runs.begin_answer(
+            key.request, key.attempt, self._clock.monotonic()
+        )
+
+    def _end_run(self, attempt: Attempt, failed: bool | None) -> None:
+        key, now = attempt.key, self._clock.monotonic()
+        run = self._runs.end(key.request, key.attempt, failed, now)
+        if run is not None and run.begun_at is not None:
+            complete = failed is False
+            self._part_uses.record_answer(run.keys, run.begun_at, complete, now)
+
+    def _report_end(self, boot: BootId) -> None:
+        """Report what ran at the engine when it ended, unless its end was planned."""
+        now = self._clock.monotonic()
+        runs = self._runs.take_all(now)
+        if self.draining:
+            return
+        born = xxhash.xxh64_intdigest(boot.encode())
+        report = self.crashes.make_report(
+            self._config.target, born, runs, now, self._part_uses
+        )
+        if report.suspects:
+            self.on_crash(report)
+
     def _observe(self, attempt: Attempt, measure: Measure, value: float) -> None:
         dispatch = attempt.dispatch
         self._metrics.observe(measure, dispatch.team, dispatch.request_class, value)
--- a/src/ibishead/agent/watcher.py
+++ b/src/ibishead/agent/watcher.py
@@ -9,6 +9,7 @@
 from ibishead.agent.target import TargetClient
 from ibishead.clock import Clock
 from ibishead.errors import LinkLost
+from ibishead.ids import BootId
 
 __all__ = ["TargetWatcher"]
 
@@ -28,6 +29,7 @@
     :param changed: called when the target's health has changed.
     :param check_runs: called after each probe with the adapters that have requests in
         the engine, an empty set for a plain service.
+    :param on_end: called with a boot of the engine that has ended.
     :ivar healthy: the target responded to the last probe.
     """
 
@@ -40,6 +42,7 @@
         clock: Clock,
         changed: Callable[[], None],
         check_runs: Callable[[frozenset[AdapterKey]], None],
+        on_end: Callable[[BootId], None],
     ) -> None:
         self.healthy = False
         self._client = client
@@ -49,6 +52,9 @@
         self._clock = clock
         self._changed = changed
         self._check_runs = check_runs
+        self._on_end = on_end
+        #: Boot of the last sample, empty once its end has been noticed.
+        self._boot = BootId("")
         self._last_seen = clock.monotonic()
 
     async def watch(self) -> None:
@@ -60,6 +66,8 @@
                 self._set_health(True)
             except LinkLost as error:
                 logger.debug("target probe failed", extra={"reason": error.message})
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    self._end_boot()
                 self._set_health(False)
             uncertain = (
                 self._slots.has_orphaned_pins
@@ -86,6 +94,9 @@
             self._check_runs(frozenset())
             return
         sample = await self._client.sample()
+        if sample.boot != self._boot:
+            self._end_boot()
+            self._boot = sample.boot
         if sample.boot != self._slots.boot:
             resident = await self._client.list_adapters(sample.boot)
             extra = {"boot": sample.boot, "resident": len(resident)}
@@ -99,6 +110,11 @@
             resident = await self._client.list_adapters(sample.boot)
             self._slots.reconcile(resident, self._clock.monotonic())
 
+    def _end_boot(self) -> None:
+        ended, self._boot = self._boot, BootId("")
+        if ended:
+            self._on_end(ended)
+
     def _set_health(self, healthy: bool) -> None:
         if healthy != self.healthy:
             self.healthy = healthy
--- a/src/ibishead/decisions/partuses.py
+++ b/src/ibishead/decisions/partuses.py
@@ -44,6 +44,13 @@
             self._add(part, PartUse(0, sound_at))
         return True
 
+    def record_sound(self, part: PartKey, at: float) -> None:
+        """Record that an answer was written on a part elsewhere.
+
+        :param at: monotonic seconds.
+        """
+        self._add(part, PartUse(0, at))
+
     def read(self, part: PartKey) -> PartUse:
         """Return the use of a part."""
         return self._known.get(part, PartUse())
--- a/src/ibishead/steward/runs.py
+++ b/src/ibishead/decisions/runs.py
@@ -1,9 +1,9 @@
 """Requests that run at an engine, and those that had just begun when it ended."""
 
+from collections.abc import Hashable
 from dataclasses import dataclass
 
 from ibishead.decisions.crashes import SETTLED_SECONDS
-from ibishead.links import Link
 from ibishead.routing.prompts import PromptKeys
 
 __all__ = ["Run", "RunTable"]
@@ -35,43 +35,49 @@
 
 
 class RunTable:
-    """The runs at one engine, by the gateway that sent them and its number for each."""
+    """The runs at one engine, by their owner and its number for each.
+
+    An owner is whatever tells apart those that give the numbers, such as a link.
+    """
 
     def __init__(self) -> None:
-        self._running: dict[tuple[Link, int], Run] = {}
+        self._running: dict[tuple[Hashable, int], Run] = {}
         self._lost: list[Run] = []
 
     def __len__(self) -> int:
         return len(self._running)
 
     def begin(
-        self, link: Link, number: int, keys: PromptKeys | None, now: float
+        self, owner: Hashable, number: int, keys: PromptKeys | None, now: float
     ) -> None:
         """Record that a request is sent; one without parts is not recorded."""
         if number and keys is not None:
-            self._running[link, number] = Run(keys, now)
+            self._running[owner, number] = Run(keys, now)
 
-    def begin_answer(self, link: Link, number: int, now: float) -> None:
+    def begin_answer(self, owner: Hashable, number: int, now: float) -> None:
         """Record that the first event of an answer has been received."""
-        run = self._running.get((link, number))
+        run = self._running.get((owner, number))
         if run is not None and run.begun_at is None:
             run.begun_at = now
 
-    def end(self, link: Link, number: int, failed: bool | None, now: float) -> None:
-        """Record that a request has ended.
+    def end(
+        self, owner: Hashable, number: int, failed: bool | None, now: float
+    ) -> Run | None:
+        """Record that a request has ended, and return its run if it was recorded.
 
         :param failed: whether the engine failed.
         """
-        run = self._running.pop((link, number), None)
+        run = self._running.pop((owner, number), None)
         if run is not None and failed:
             self._add_lost([run], now)
+        return run
 
-    def remove_link(self, link: Link, now: float) -> None:
-        """Record that a gateway's link is closed.
+    def remove_owner(self, owner: Hashable, now: float) -> None:
+        """Record that an owner is gone.
 
         Its requests end with it, or run for a moment without being reported.
         """
-        numbers = [key for key in self._running if key[0] is link]
+        numbers = [key for key in self._running if key[0] == owner]
         self._add_lost([self._running.pop(key) for key in numbers], now)
 
     def take_all(self, now: float) -> list[Run]:
--- a/src/ibishead/entry/agents.py
+++ b/src/ibishead/entry/agents.py
@@ -30,6 +30,7 @@
     Resume,
     TargetRecord,
 )
+from ibishead.routing.messages import EngineEnded
 from ibishead.session import Frame, FrameSequence
 
 __all__ = ["AgentLink", "AgentPool", "AttemptChannel", "AttemptEvent", "AttemptLost"]
@@ -74,6 +75,9 @@
         """Mark a target unreachable because the link to its agent is down."""
 
 
+CrashHandler: TypeAlias = Callable[[EngineEnded], None]
+
+
 class AttemptChannel:
     """Receives the events of one open attempt on behalf of its request."""
 
@@ -139,8 +143,10 @@
         tls: ssl.SSLContext | None,
         dialer: Dialer,
         observer: LinkObserver,
+        on_crash: CrashHandler,
     ) -> None:
         self._observer = observer
+        self._on_crash = on_crash
         self.record = record
         self._hello = hello
         self._clock = clock
@@ -283,6 +289,8 @@
             case LoadReport():
                 if not self._retired:
                     self._observer.observe(message)
+            case EngineEnded():
+                self._on_crash(message)
             case AnswerHead() | AnswerBody() | AnswerEnd() | NotRun():
                 key = (message.request, message.attempt)
                 for channel in self._channels.get(key, []):
@@ -298,7 +306,10 @@
 
 
 class AgentPool:
-    """The links to the agents of all targets in the catalog."""
+    """The links to the agents of all targets in the catalog.
+
+    :param on_crash: called with each report of an engine's crash.
+    """
 
     def __init__(
         self,
@@ -308,8 +319,10 @@
         dialer: Dialer = dial,
         *,
         observer: LinkObserver,
+        on_crash: CrashHandler = lambda _: None,
     ) -> None:
         self._observer = observer
+        self._on_crash = on_crash
         self._hello = hello
         self._clock = clock
         self._tls = tls
@@ -341,6 +354,7 @@
                     self._tls,
                     self._dial,
                     self._observer,
+                    self._on_crash,
                 )
 
     def find(self, target: TargetId) -> AgentLink | None:
--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -18,7 +19,9 @@
     decide_retry,
 )
 from ibishead.entry.agents import AgentLink, AgentPool, AttemptChannel, AttemptLost
+from ibishead.entry.blocking import MessageBlocks
 from ibishead.entry.placing import Placer
+from ibishead.entry.prompts import find_prompt_keys
 from ibishead.entry.relay import Relay
 from ibishead.entry.resolution import ResolvedCall, resolve
 from ibishead.entry.trace import Trace
@@ -32,6 +35,7 @@
 )
 from ibishead.ids import Generation, IdempotencyKey, TargetId
 from ibishead.messages import AnswerEnd, AnswerHead, Dispatch, NotRun, Outcome
+from ibishead.routing.prompts import PromptKeys
 from ibishead.session import SILENCE_LIMIT
 
 __all__ = ["AttemptResult", "Dispatcher", "Grant", "Job"]
@@ -77,6 +81,11 @@
     admitted: bool = False
     may_have_run: bool = False
 
+    @functools.cached_property
+    def keys(self) -> PromptKeys | None:
+        """The messages of its prompt, or none if it hasn't several."""
+        return find_prompt_keys(self.resolved)
+
 
 @dataclass(frozen=True)
 class Grant:
@@ -120,7 +129,9 @@
         catalog: Catalog,
         clock: Clock,
         placer: Placer,
+        blocks: MessageBlocks,
     ) -> None:
+        self._blocks = blocks
         self._pool = pool
         self._catalog = catalog
         self._clock = clock
@@ -168,9 +179,13 @@
     def admit(self, job: Job, placed: Placed | None) -> IbisheadError | None:
         """Decide admission by the load at the chosen target, unless already admitted.
 
+        A call with a message that crashes engines is never admitted.
+
         :returns: the refusal, to be raised once the request is known not to have run,
             or ``None`` when the request is admitted.
         """
+        if (blocked := self._find_block(job)) is not None:
+            return blocked
         if job.admitted:
             return None
         try:
@@ -183,6 +198,12 @@
         self._trace(job, "admit", "admitted", wait)
         return None
 
+    def _find_block(self, job: Job) -> IbisheadError | None:
+        error = self._blocks.find_error(job.keys, job.may_have_run)
+        if error is not None:
+            self._trace(job, "admit", error.code.value, error.message)
+        return error
+
     async def run(self, job: Job) -> None:
         """Answer an idempotent request, with retries as far as they are permitted.
 
@@ -214,6 +235,8 @@
                     )
                 placed = await self.choose(job, avoid)
                 continue
+            if (refusal := self._find_block(job)) is not None:
+                raise refusal
             decision = self._decide_retry(job, result)
             self._trace(job, "retry", type(decision).__name__, decision.reason)
             match decision:
@@ -264,6 +287,9 @@
 
     async def follow(self, job: Job, channel: AttemptChannel) -> AttemptResult:
         """Relay an attempt's frames until it ends, is lost or exceeds the deadline."""
+        if job.keys is not None:
+            self._blocks.record_sent(job.keys)
+            self._blocks.begin_wait(channel, job.keys)
         try:
             return await self._follow(job, channel)
         except TimeoutError:
@@ -276,6 +302,7 @@
             channel.cancel()
             raise
         finally:
+            self._blocks.end_wait(channel)
             channel.close()
 
     async def _await_cancel_reply(self, channel: AttemptChannel) -> AttemptResult:
@@ -293,6 +320,7 @@
         )
 
     async def _follow(self, job: Job, channel: AttemptChannel) -> AttemptResult:
+        begun_at: float | None = None
         async with asyncio.timeout(job.deadline - self._clock.monotonic()) as timeout:
             while True:
                 event = await channel.next_event()
@@ -307,10 +335,15 @@
                     case AnswerHead():
                         # An answer that has started is completed despite the deadline
                         timeout.reschedule(None)
+                        begun_at = self._clock.monotonic()
+                        self._blocks.end_wait(channel)
                         self._trace(job, "run", event.target, _format_waits(event))
                 await job.relay.handle_frame(event)
                 channel.acknowledge(event)
                 if isinstance(event, AnswerEnd):
+                    if job.keys is not None and begun_at is not None:
+                        complete = event.outcome is Outcome.COMPLETED
+                        self._blocks.record_answer(job.keys, begun_at, complete)
                     self._trace(job, "relay", event.outcome.value, event.reason)
                     return AttemptResult(event.outcome, event.code, event.reason)
 
@@ -370,6 +403,7 @@
             confirmed=self._catalog.is_current(now),
             share=resolved.share,
             stall_weight=resolved.document.stall_weight,
+            keys=job.keys,
         )
 
     def _trace(self, job: Job, stage: str, decision: str, reason: str) -> None:
--- a/src/ibishead/entry/host.py
+++ b/src/ibishead/entry/host.py
@@ -4,6 +4,7 @@
 
 from ibishead.clock import Clock
 from ibishead.entry.agents import AgentPool
+from ibishead.entry.blocking import MessageBlocks
 from ibishead.entry.dispatching import Dispatcher
 from ibishead.entry.pages import OperatorPages
 from ibishead.entry.pipeline import Pipeline
@@ -34,7 +35,15 @@
         hello = Hello(Role.ENTRY, settings.host)
         tls = make_client_context(settings.peer_tls) if settings.peer_tls else None
         placer = Placer(clock, settings.failure_domain, rng)
-        self._pool = AgentPool(lambda: hello, clock, tls, dialer, observer=placer)
+        blocks = MessageBlocks(clock, rng.random)
+        self._pool = AgentPool(
+            lambda: hello,
+            clock,
+            tls,
+            dialer,
+            observer=placer,
+            on_crash=blocks.record_crash,
+        )
         self.subscription = Subscription(
             settings.control,
             lambda: hello,
@@ -46,7 +55,7 @@
         )
         metrics = Metrics("entry")
         catalog = self.subscription.catalog
-        dispatcher = Dispatcher(self._pool, catalog, clock, placer)
+        dispatcher = Dispatcher(self._pool, catalog, clock, placer, blocks)
         self.pipeline = Pipeline(self.subscription, dispatcher, placer, clock, metrics)
         self.pages = OperatorPages(self.subscription, self.pipeline.traces, metrics)
 
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -62,6 +62,7 @@
     TurnAnswer,
     TurnNoted,
 )
+from ibishead.routing.prompts import PromptKeys
 
 __all__ = [
     "Acknowledge",
@@ -180,6 +181,7 @@
     :param source: location from which the engine loads the adapter's weights.
     :param confirmed: whether the entry host held a valid document lease when it
         dispatched the attempt.
+    :param keys: the messages of its prompt, if it has several.
     """
 
     request: RequestId
@@ -204,6 +206,7 @@
     confirmed: bool = True
     share: float = 1.0
     stall_weight: float = 0.5
+    keys: PromptKeys | None = None
 
 
 class Cancel(_Message, frozen=True):
--- a/src/ibishead/routing/crashreports.py
+++ b/src/ibishead/routing/crashreports.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
+from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.runs import Run
-from ibishead.ids import TargetId
+from ibishead.ids import PartKey, TargetId
 from ibishead.routing.messages import EngineEnded, SuspectRun
 
 __all__ = ["CrashReports"]
@@ -34,13 +35,19 @@
         self._kept: deque[tuple[float, EngineEnded]] = deque(maxlen=MAX_KEPT)
 
     def make_report(
-        self, target: TargetId, born: int, runs: list[Run], now: float
+        self,
+        target: TargetId,
+        born: int,
+        runs: list[Run],
+        now: float,
+        uses: PartUses | None = None,
     ) -> EngineEnded:
         """Return the report of a crash, and keep it if it names suspects.
 
         :param born: distinguishes the starts of the target.
         :param runs: what ran there when it ended.
         :param now: monotonic seconds.
+        :param uses: how prompt parts have fared at the engine, if that is known.
         """
         self.count += 1
         suspects = [run for run in runs if not run.is_settled(now)]
@@ -64,6 +71,7 @@
                 SuspectRun(run.keys, round(now - run.sent_at, 3))
                 for run in suspects[:MAX_SUSPECTS]
             ),
+            _list_sound(suspects[:MAX_SUSPECTS], uses, now) if uses else (),
         )
         if suspects:
             self._kept.append((now, report))
@@ -86,7 +94,16 @@
         SuspectRun(run.keys, round(run.age + seconds, 3)) for run in report.suspects
     )
     age = round(report.age + seconds, 3)
-    return msgspec.structs.replace(report, age=age, suspects=suspects)
+    sound = tuple((part, round(at + seconds, 3)) for part, at in report.sound)
+    return msgspec.structs.replace(report, age=age, suspects=suspects, sound=sound)
+
+
+def _list_sound(
+    suspects: list[Run], uses: PartUses, now: float
+) -> tuple[tuple[PartKey, float], ...]:
+    parts = {part for run in suspects for part in run.keys.shared}
+    known = ((part, uses.read(part).sound_at) for part in sorted(parts))
+    return tuple((part, round(now - at, 3)) for part, at in known if at is not None)
 
 
 def _describe_run(run: Run, now: float) -> dict[str, object]:
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -215,16 +215,19 @@
 
 
 class EngineEnded(_Message, frozen=True):
-    """An engine has ended without having announced it, sent by its steward.
+    """An engine has ended without having announced it, sent by its steward or agent.
 
-    :param born: start of the engine, in milliseconds since 1970.
+    :param born: distinguishes the starts of the engine.
     :param age: seconds since it ended.
+    :param sound: parts of the suspects' prompts on which answers were written at this
+        engine, with the seconds since the last one.
     """
 
     target: TargetId
     born: int
     age: float
     suspects: tuple[SuspectRun, ...]
+    sound: tuple[tuple[PartKey, float], ...] = ()
 
 
 class AskPartUses(_Message, frozen=True):
--- a/src/ibishead/routing/prompts.py
+++ b/src/ibishead/routing/prompts.py
@@ -15,11 +15,11 @@
 
 
 class PromptKeys(msgspec.Struct, frozen=True, array_like=True):
-    """The parts of one prompt.
+    """The parts of one prompt, such as the messages of a conversation.
 
     :param own: the last part, which belongs to the request or to its session.
     :param shared: the parts before it, in order; other prompts may have them too.
-    :param customer: customer that the request is for; empty if it is anonymous.
+    :param customer: customer or team that the request is for; empty if it is anonymous.
     """
 
     own: PartKey
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -170,7 +170,7 @@
             self._links.discard(link)
             self._turns.remove_link(link)
             self._uses.remove_link(link, self._clock.monotonic())
-            self._ends.runs.remove_link(link, self._clock.monotonic())
+            self._ends.runs.remove_owner(link, self._clock.monotonic())
 
     def greet_registry(self, link: Link) -> None:
         """Send a registry that has just been linked what it may have missed."""
--- a/tests/steward/test_runs.py
+++ b/tests/decisions/test_runs.py
@@ -3,9 +3,9 @@
 import pytest
 from tests.fake_links import FakeLink
 
+from ibishead.decisions.runs import RunTable
 from ibishead.ids import PartKey
 from ibishead.routing.prompts import PromptKeys
-from ibishead.steward.runs import RunTable
 
 KEYS = PromptKeys(PartKey("own"), (PartKey("a"), PartKey("b")))
 SENT_AT = 100.0
@@ -37,7 +37,7 @@
 
 def lose_gateway(link, table):
     begin(link, table)
-    table.remove_link(link, SENT_AT + 2.2)
+    table.remove_owner(link, SENT_AT + 2.2)
 
 
 def begin_without_parts(link, table):
--- a/tests/entry/test_attempts.py
+++ b/tests/entry/test_attempts.py
@@ -7,6 +7,7 @@
 from ibishead.catalog import Catalog
 from ibishead.clock import SystemClock
 from ibishead.decisions.placement import Placed
+from ibishead.entry.blocking import MessageBlocks
 from ibishead.entry.call import parse_call
 from ibishead.entry.dispatching import AttemptResult, Dispatcher, Job
 from ibishead.entry.resolution import resolve
@@ -40,7 +41,8 @@
 
     def __init__(self, results):
         clock = SystemClock()
-        super().__init__(_FakeAgentPool(), Catalog(), clock, None)
+        blocks = MessageBlocks(clock)
+        super().__init__(_FakeAgentPool(), Catalog(), clock, None, blocks)
         self.results = list(results)
 
     async def choose(self, job, avoid):
--- a/tests/entry/test_refusals.py
+++ b/tests/entry/test_refusals.py
@@ -9,6 +9,7 @@
 from ibishead.catalog import Catalog
 from ibishead.clock import SystemClock
 from ibishead.entry.agents import AgentPool
+from ibishead.entry.blocking import MessageBlocks
 from ibishead.entry.dispatching import Dispatcher
 from ibishead.entry.pipeline import Pipeline
 from ibishead.entry.placing import Placer
@@ -57,7 +58,8 @@
     clock, subscription = SystemClock(), ConfirmedSubscription()
     placer = Placer(clock, FailureDomain("szeged-a"), random.Random(1))
     pool = AgentPool(lambda: None, clock, observer=placer)
-    dispatcher = Dispatcher(pool, subscription.catalog, clock, placer)
+    blocks = MessageBlocks(clock)
+    dispatcher = Dispatcher(pool, subscription.catalog, clock, placer, blocks)
     pipeline = Pipeline(subscription, dispatcher, placer, clock, metrics)
     server = WebServer(pipeline.handle)
     server.pipeline = pipeline
--- a/tests/proofs/test_crashing_messages.py
+++ b/tests/proofs/test_crashing_messages.py
@@ -2,14 +2,18 @@
 
 import asyncio
 
+import pytest
 from tests.proofs.targets import FakeEngine
 from tests.proofs.virtual import run_virtual
 from tests.proofs.world import World
 
+from ibishead.messages import Outcome
+
 #: Crashes after which the message should be known, and further ones that are tolerated.
 CRASHES, MORE_CRASHES = 5, 3
 CALLS, INTERVAL_SECONDS = 20, 1.0
 CRASHING = {"role": "system", "content": "crash"}
+SYSTEM = {"role": "system", "content": "advise menders"}
 
 
 class CrashingEngine(FakeEngine):
@@ -23,23 +27,59 @@
                 self.restart()
 
 
-async def call_with_crashing_message() -> World:
+def make_messages(*shared: dict, text: str) -> list[dict]:
+    return [*shared, {"role": "user", "content": text}]
+
+
+async def call_engines(shared: tuple[dict, ...], disturb=None) -> World:
+    """Call with messages that may crash engines, and with sound ones besides."""
     world = World(engines=0)
     await world.start()
     for number in range(5):
         await world._add_target(f"engine-{number}", "mester", CrashingEngine())
     await asyncio.sleep(2.0)
     for number in range(CALLS):
-        user = {"role": "user", "content": f"question {number}"}
-        world.call_model(number % 2, "tisza", "1", True, messages=[CRASHING, user])
+        entry = number % 2
+        for messages in (
+            make_messages(*shared, text=f"question {number}"),
+            make_messages(SYSTEM, text=f"sound {number}"),
+        ):
+            world.call_model(entry, "tisza", "1", True, messages=messages)
         await asyncio.sleep(INTERVAL_SECONDS)
+        if disturb is not None:
+            await disturb(world, number)
     await world.wait_answered()
     await world.stop()
     return world
 
 
-def test_a_crashing_message_stops_reaching_engines():
+def list_sound(world: World) -> list[Outcome | None]:
+    return [call.outcome for call in world.calls[1::2]]
+
+
+async def restart_entries(world: World, number: int) -> None:
+    if number in (6, 10):
+        await world.kill_entry(number % 4 // 2)
+
+
+async def restart_engine(world: World, number: int) -> None:
+    world.nodes[2 + number % 5].fake.restart()
+
+
+@pytest.mark.parametrize(
+    "shared", [(CRASHING,), (SYSTEM, CRASHING), (CRASHING, SYSTEM)], ids=str
+)
+@pytest.mark.parametrize("disturb", [None, restart_entries])
+def test_a_crashing_message_stops_reaching_engines(shared, disturb):
     """Calls of one kind would end one engine after the other."""
-    world = run_virtual(call_with_crashing_message)
+    world = run_virtual(lambda: call_engines(shared, disturb))
     crashes = sum(node.fake.boot - 1 for node in world.nodes)
     assert crashes <= CRASHES + MORE_CRASHES
+    assert list_sound(world).count(Outcome.COMPLETED) >= 0.75 * CALLS
+    assert any(b"prompt_blocked" in call.body for call in world.calls[0::2])
+
+
+def test_engines_that_crash_by_themselves_get_no_message_refused():
+    """Sound calls that share a message would be refused."""
+    world = run_virtual(lambda: call_engines((SYSTEM, SYSTEM), restart_engine))
+    assert not any(b"prompt_blocked" in call.body for call in world.calls)
--- a/tests/steward/test_ends.py
+++ b/tests/steward/test_ends.py
@@ -7,10 +7,11 @@
 
 from ibishead.clock import ManualClock
 from ibishead.ids import FailureDomain, PartKey, ServiceName, TargetId
+from ibishead.routing.crashreports import KEPT_SECONDS, MAX_SUSPECTS
 from ibishead.routing.messages import EngineEnded
 from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import Registration, TargetState, TargetView
-from ibishead.steward.ends import KEPT_SECONDS, MAX_SUSPECTS, EngineEnds
+from ibishead.steward.ends import EngineEnds
 from ibishead.steward.engine import EngineState
 
 ADDRESS = "127.0.0.1:9"
