--- a/src/ibishead/registry/crashes.py
+++ b/src/ibishead/registry/crashes.py
@@ -26,6 +26,7 @@
     choose_gravest,
     judge_part,
 )
+from ibishead.decisions.partuses import PartUses
 from ibishead.errors import IbisheadError
 from ibishead.ids import CustomerId, HostId, PartKey
 from ibishead.metrics import Metrics
@@ -105,6 +106,8 @@
         self._metrics = metrics
         self._draw = draw
         self._history = CrashHistory()
+        #: Parts on which answers were written, as told by the stewards.
+        self._told_uses = PartUses()
         self._wake = asyncio.Event()
         self._numbers = itertools.count(1)
         self._question: _Question | None = None
@@ -149,6 +152,8 @@
     def _record(self, message: EngineEnded) -> None:
         now = self._clock.monotonic()
         suspects = tuple(Suspect(run.keys, now - run.age) for run in message.suspects)
+        for part, age in message.sound:
+            self._told_uses.record_sound(part, now - age)
         crash = Crash(message.target, message.born, now - message.age, suspects)
         if self._history.record(crash):
             logger.info(
@@ -176,7 +181,8 @@
             return False
         blamed: list[tuple[Suspicion, PartUse]] = []
         customers: dict[PartKey, CustomerId | None] = {}
-        for suspicion, use in zip(suspicions, uses, strict=True):
+        for suspicion, answered in zip(suspicions, uses, strict=True):
+            use = answered.add(self._told_uses.read(suspicion.part))
             self._judged[suspicion.part] = suspicion.rounds
             match judge_part(suspicion, use):
                 case Blame(customer):
--- a/src/ibishead/routing/crashreports.py
+++ b/src/ibishead/routing/crashreports.py
@@ -40,14 +40,14 @@
         born: int,
         runs: list[Run],
         now: float,
-        uses: PartUses | None = None,
+        uses: PartUses,
     ) -> EngineEnded:
         """Return the report of a crash, and keep it if it names suspects.
 
         :param born: distinguishes the starts of the target.
         :param runs: what ran there when it ended.
         :param now: monotonic seconds.
-        :param uses: how prompt parts have fared at the engine, if that is known.
+        :param uses: how prompt parts have fared at the engine.
         """
         self.count += 1
         suspects = [run for run in runs if not run.is_settled(now)]
@@ -71,7 +71,7 @@
                 SuspectRun(run.keys, round(now - run.sent_at, 3))
                 for run in suspects[:MAX_SUSPECTS]
             ),
-            _list_sound(suspects[:MAX_SUSPECTS], uses, now) if uses else (),
+            _list_sound(suspects[:MAX_SUSPECTS], uses, now),
         )
         if suspects:
             self._kept.append((now, report))
--- a/src/ibishead/steward/ends.py
+++ b/src/ibishead/steward/ends.py
@@ -1,6 +1,7 @@
 """Notices the unplanned end of an engine, and tells the registries what ran there."""
 
 from ibishead.clock import Clock
+from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.runs import Run, RunTable
 from ibishead.links import Link
 from ibishead.routing.crashreports import CrashReports
@@ -14,13 +15,14 @@
 class EngineEnds:
     """Watches one engine address for the end of the engine there.
 
-    :ivar runs: the requests at the engine.
+    :ivar runs: the requests at the engine; `end_run` ends one.
     """
 
     def __init__(self, feed: RegistryFeed, clock: Clock) -> None:
         self._feed = feed
         self._clock = clock
         self.runs = RunTable()
+        self._part_uses = PartUses()
         self._reports = CrashReports()
         self._engine: Registration | None = None
         self._born = 0
@@ -31,6 +33,17 @@
         """Number of unplanned ends."""
         return self._reports.count
 
+    def end_run(self, link: Link, number: int, failed: bool | None, now: float) -> None:
+        """Record that a request has ended.
+
+        :param number: number that the gateway at the link gave it.
+        :param failed: whether the engine failed.
+        :param now: monotonic seconds.
+        """
+        run = self.runs.end(link, number, failed, now)
+        if run is not None and run.begun_at is not None:
+            self._part_uses.record_answer(run.keys, run.begun_at, failed is False, now)
+
     def record_state(self, state: EngineState, engine: Registration | None) -> None:
         """Record a report of the engine.
 
@@ -61,6 +74,8 @@
 
     def _tell(self, engine: Registration, runs: list[Run]) -> None:
         now = self._clock.monotonic()
-        report = self._reports.make_report(engine.target, engine.born, runs, now)
+        report = self._reports.make_report(
+            engine.target, engine.born, runs, now, self._part_uses
+        )
         if report.suspects:
             self._feed.broadcast(report)
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -241,7 +241,7 @@
                 if seconds:
                     self._ends.runs.begin_answer(link, number, now)
             case EndUse(key, pause, failed, number):
-                self._ends.runs.end(link, number, failed, now)
+                self._ends.end_run(link, number, failed, now)
                 if failed is not None:
                     self._record_request_outcome(failed, now)
                 if failed:
--- a/tests/registry/test_crashes.py
+++ b/tests/registry/test_crashes.py
@@ -86,14 +86,16 @@
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
 
-    def crash(self, shared=(HEAD, BAD), times=3):
+    def crash(self, shared=(HEAD, BAD), times=3, sound=()):
         """Crash engines one after the other, the last one just now."""
         for number in range(times):
             self.crashed += 1
             age = 0.3 * (times - number)
             keys = PromptKeys(PartKey(f"own{self.crashed}"), shared)
             runs = (SuspectRun(keys, age + 0.2),)
-            self.watch.handle_message(EngineEnded(f"t{self.crashed}", 1, age, runs))
+            self.watch.handle_message(
+                EngineEnded(f"t{self.crashed}", 1, age, runs, sound)
+            )
 
     @property
     def blocked(self):
@@ -217,3 +219,13 @@
         scene.crash(shared=(BAD,), times=2)
         await settle()
         assert scene.blocked == set()
+
+
+@pytest.mark.parametrize("age", [0.1, 30.0])
+async def test_what_stewards_saw_counts_after_all_gateways_have_restarted(age):
+    """The first part of all prompts would be blocked, as no gateway remembers it."""
+    async with Scene() as scene:
+        scene.crash(shared=(HEAD,), times=2, sound=((HEAD, age),))
+        scene.crash(sound=((HEAD, age),))
+        await settle()
+        assert scene.blocked == {BAD}
--- a/tests/steward/test_ends.py
+++ b/tests/steward/test_ends.py
@@ -91,7 +91,7 @@
 
 
 def end_with_nothing_running(scene):
-    scene.ends.runs.end(scene.link, 1, False, scene.clock.monotonic())
+    scene.ends.end_run(scene.link, 1, False, scene.clock.monotonic())
     scene.ends.record_gone()
 
 
@@ -120,7 +120,7 @@
 def test_the_end_is_dated_by_the_first_lost_answer():
     """A resend right after the crash would seem to come before it."""
     scene = Scene()
-    scene.ends.runs.end(scene.link, 1, True, scene.clock.monotonic())
+    scene.ends.end_run(scene.link, 1, True, scene.clock.monotonic())
     scene.clock.step(0.25)
     scene.ends.record_gone()
     (message,) = scene.feed.sent
@@ -151,3 +151,17 @@
     ages = [run.age for run in message.suspects]
     assert len(ages) == MAX_SUSPECTS
     assert ages == sorted(ages)
+
+
+@pytest.mark.parametrize(
+    ("failed", "seconds", "sound"), [(False, 0.1, True), (True, 0.1, False)]
+)
+def test_answers_that_were_written_at_the_engine_are_told(failed, seconds, sound):
+    """Gateways that have restarted remember none of them."""
+    scene = Scene()
+    scene.ends.end_run(scene.link, 1, failed, scene.clock.monotonic())
+    scene.clock.step(seconds)
+    scene.ends.runs.begin(scene.link, 2, KEYS, scene.clock.monotonic())
+    scene.ends.record_gone()
+    (message,) = scene.feed.sent
+    assert [part for part, _ in message.sound] == (["bad"] if sound else [])
