Notice the overload of a gateway at the first long delay

Cause: the average of the event loop's lateness took half a second to rise, in which 150 connections were accepted that then waited longer than their deadlines.

--- a/src/ibishead/decisions/shedding.py
+++ b/src/ibishead/decisions/shedding.py
@@ -4,12 +4,14 @@
 
 __all__ = ["ConnectionShedder"]
 
-#: Time constant in seconds of the moving averages.
-AVERAGING_SECONDS = 0.5
+#: Time constants in seconds of the moving averages, while the value rises and while it
+#: falls. Each connection that is accepted too late adds to what waits already.
+RISING_SECONDS = 0.15
+FALLING_SECONDS = 0.5
 
 #: Average lateness of the event loop in seconds from which the processor is overloaded.
 #: A core that is stopped for parts of each tenth of a second stays below it.
-MAX_LATENESS_SECONDS = 0.4
+MAX_LATENESS_SECONDS = 0.3
 
 #: Share of the link's capacity from which the link is overloaded.
 MAX_LINK_SHARE = 0.8
@@ -53,9 +55,8 @@
         """
         if seconds <= 0:
             return
-        weight = 1.0 - math.exp(-seconds / AVERAGING_SECONDS)
-        self._lateness += weight * (lateness - self._lateness)
-        self._send_rate += weight * (sent / seconds - self._send_rate)
+        self._lateness = _average(self._lateness, lateness, seconds)
+        self._send_rate = _average(self._send_rate, sent / seconds, seconds)
 
     def accept(self, now: float) -> bool:
         """Return whether to accept a new connection.
@@ -67,3 +68,8 @@
             return False
         self._accepted_at = now
         return True
+
+
+def _average(average: float, value: float, seconds: float) -> float:
+    constant = RISING_SECONDS if value > average else FALLING_SECONDS
+    return average + (1.0 - math.exp(-seconds / constant)) * (value - average)
