--- a/src/ibishead/decisions/crashes.py
+++ b/src/ibishead/decisions/crashes.py
@@ -75,7 +75,7 @@
     """The unplanned end of an engine.
 
     :param target: the engine.
-    :param born: start of its incarnation, in milliseconds since 1970.
+    :param born: distinguishes its starts.
     :param at: monotonic seconds.
     """
 
--- a/src/ibishead/registry/crashes.py
+++ b/src/ibishead/registry/crashes.py
@@ -66,7 +66,6 @@
 #: Maximum number of parts about which gateways are asked at once.
 MAX_ASKED_PARTS = 200
 
-
 #: Seconds until the first trial of a blocked part, and their maximum. They double with
 #: each trial. A trial that fails ends one engine.
 TRIAL_SECONDS = 600.0
