Log what refusals ask for, and whether their target was selected in a rest

What callers saw: nothing new; no decision is changed.

The log line and the gauges targets_resting and refused_in_rest tell the hypotheses apart: a refusal within a rest is of a request that was selected in it (nobody keeps the rest) or before it (it was under way).

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -135,6 +135,9 @@
         ``None`` if it names none.
     :param rate_limit: requests per second that the target accepts from all callers
         together, or ``None`` if it names no limit.
+    :param retry_after: seconds for which the target asks for no requests from this
+        host, unchecked, or ``None`` if it names no number.
+    :param leaving: the target says that it will end soon.
     """
 
     status: int
@@ -146,6 +149,8 @@
     load: TargetLoad | None = None
     idle_time: float | None = None
     rate_limit: float | None = None
+    retry_after: float | None = None
+    leaving: bool = False
 
     @property
     def success(self) -> bool:
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -88,6 +88,7 @@
         await self._wait_for_discovery(request)
         while True:
             chosen = self._select(request, self._clock.monotonic())
+            request.progress.selected_at = self._clock.monotonic()
             target = self._feed.view.get(chosen.candidate.target)
             if target is None:
                 raise self.make_refusal(request, "the selected target has deregistered")
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -40,6 +40,9 @@
 #: Lowest status code that reports a failure of the target itself.
 MIN_FAILURE_STATUS = 500
 
+#: Status code of a target that is overloaded.
+REFUSAL_STATUS = 503
+
 
 @dataclass(frozen=True)
 class Identity:
@@ -103,6 +106,7 @@
         incomplete.
     :ivar succeeded: the current target's response is complete, and a success.
     :ivar software: software version of the current target.
+    :ivar selected_at: monotonic seconds at which the current target was selected.
     :ivar use_number: identifies the current use of an engine at its steward.
     :ivar origin: what began the stream, ``None`` before its first event.
     :ivar framing: how the end of the last response is marked, ``None`` before the
@@ -124,6 +128,7 @@
     target: TargetId = TargetId("")
     software: SoftwareVersion = SoftwareVersion("")
     use_number: int = 0
+    selected_at: float = 0.0
     origin: StreamOrigin | None = None
     framing: BodyFraming | None = None
     partial_bytes: int = 0
@@ -239,6 +244,13 @@
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
         if head.genuine or (head.not_run and not head.misdirected):
             self._on_limit(call, state.target, head.rate_limit)
+            if status == REFUSAL_STATUS:
+                self._tracker.record_rest(
+                    state.target,
+                    head.retry_after,
+                    progress.selected_at,
+                    self._clock.monotonic(),
+                )
         if head.not_run:
             return await self._handle_refusal(state, head)
         if not head.genuine or head.encoded:
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -152,6 +152,8 @@
             "connections_opened": self._pool.opened,
             "connections_shed": self._shedder.count,
             "targets_limited": self._tracker.count_limited(),
+            "targets_resting": self._tracker.rests.count(self._clock.monotonic()),
+            "refused_in_rest": self._tracker.refused_in_rest,
             "quota_keeper_linked": self._quotas.keeper is not None,
             "prompt_parts_known": len(self._part_uses),
             "prompt_parts_blocked": len(self.feed.blocked),
@@ -266,6 +268,7 @@
                 await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
                 self._pool.close_expired()
                 self._tracker.retain({found.target for found in self.feed.view})
+                self._tracker.remove_ended_rests(self._clock.monotonic())
 
     async def _measure_load(self) -> None:
         measured_at, sent = self._clock.monotonic(), self._server.bytes_sent
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -9,6 +9,7 @@
 from ibishead.decisions.health import FailureShare
 from ibishead.decisions.modelwait import estimate_start_wait
 from ibishead.decisions.readspeed import INITIAL_RATE
+from ibishead.decisions.resting import RestTable, is_valid_rest
 from ibishead.decisions.sendrate import SendRate
 from ibishead.gateway.calls import TargetLoad
 from ibishead.gateway.stewards import ACK_TIMEOUT_SECONDS
@@ -98,9 +99,15 @@
 
 
 class TargetTracker:
-    """Tracks the state of all targets of this gateway."""
+    """Tracks the state of all targets of this gateway.
+
+    :ivar rests: the rests that targets have asked this gateway for.
+    :ivar refused_in_rest: number of requests that targets have refused in a rest.
+    """
 
     def __init__(self) -> None:
+        self.rests = RestTable()
+        self.refused_in_rest = 0
         self._stats: dict[TargetId, TargetStats] = {}
         self._mean_durations: dict[str, float] = {}
 
@@ -176,6 +183,42 @@
             },
         )
 
+    def record_rest(
+        self,
+        target: Registration,
+        seconds: float | None,
+        selected_at: float,
+        now: float,
+    ) -> bool:
+        """Record the rest that a refusal asks for.
+
+        :param seconds: length of the rest, or ``None`` if the refusal asks for none.
+        :param selected_at: monotonic seconds at which the target was selected for the
+            refused request.
+        :returns: whether the target rests from now on.
+        """
+        rest = self.rests.find(target.target, target.born)
+        left = rest.left(now) if rest is not None else 0.0
+        self.refused_in_rest += left > 0
+        valid = seconds is not None and is_valid_rest(seconds)
+        if seconds is not None and valid:
+            self.rests.begin(target.target, target.born, seconds, now)
+        if seconds is not None or left:
+            logger.info(
+                "target asked for rest" if valid else "request for rest ignored",
+                extra={
+                    "target": target.target,
+                    "service": target.service,
+                    "seconds": seconds,
+                    "rest_left": round(left, 3),
+                    "selected_in_rest": bool(
+                        left and rest is not None and selected_at > rest.began
+                    ),
+                    "since_selection": round(now - selected_at, 4),
+                },
+            )
+        return valid
+
     def count_limited(self) -> int:
         """Return the number of targets that name a rate limit."""
         return sum(1 for s in self._stats.values() if s.rate_limit is not None)
@@ -284,6 +327,10 @@
         for target in self._stats.keys() - known:
             del self._stats[target]
 
+    def remove_ended_rests(self, now: float) -> None:
+        """Discard the rests that have ended."""
+        self.rests.remove_ended(now)
+
     def _find_stats(self, target: TargetId, incarnation: int) -> TargetStats:
         found = self._stats.get(target)
         if found is None or found.incarnation != incarnation:
--- a/src/ibishead/headers.py
+++ b/src/ibishead/headers.py
@@ -10,6 +10,7 @@
     "drop_hop_by_hop",
     "find_body_framing",
     "find_header",
+    "read_retry_after",
 ]
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
@@ -47,6 +48,18 @@
     return next((value for key, value in headers if key == name), None)
 
 
+def read_retry_after(headers: Iterable[tuple[str, str]]) -> float | None:
+    """Return the seconds in a ``Retry-After`` header, which may be out of range.
+
+    :returns: ``None`` without such a header, or if it holds no number.
+    """
+    text = find_header(headers, "retry-after")
+    try:
+        return float(text) if text is not None else None
+    except ValueError:
+        return None
+
+
 def find_body_framing(headers: Iterable[tuple[str, str]]) -> BodyFraming:
     """Return how the end of a response's body is marked.
 
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -3,7 +3,12 @@
 import math
 
 from ibishead.gateway.calls import Call, SendParameters, TargetHead, TargetLoad
-from ibishead.headers import Headers, drop_hop_by_hop, find_header
+from ibishead.headers import (
+    Headers,
+    drop_hop_by_hop,
+    find_header,
+    read_retry_after,
+)
 
 __all__ = ["PlatformTargets"]
 
@@ -54,6 +59,8 @@
             load=_read_load(find_header(headers, "server-load")),
             idle_time=_read_idle_timeout(find_header(headers, "keep-alive")),
             rate_limit=_read_rate_limit(find_header(headers, "server-limit")),
+            retry_after=read_retry_after(headers) if status == 503 else None,
+            leaving=find_header(headers, "server-leaving") == "1",
         )
 
 
