--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -29,6 +29,9 @@
 SLOTS = 4
 
 _START_TIMEOUT_SECONDS = 20.0
+
+#: Seconds after a request for rest from which requests count against it.
+REST_GRACE_SECONDS = 0.5
 _networks = itertools.count(os.getpid() % 200)
 
 
@@ -49,6 +52,30 @@
         self.runs.setdefault(request, []).append(target)
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached a target, whether or not the target ran it.
+
+    :param at: monotonic seconds.
+    """
+
+    at: float
+    request: str
+    gateway: Endpoint
+
+
+@dataclass(frozen=True)
+class RestAsked:
+    """A target has asked a gateway for no requests.
+
+    :param at: monotonic seconds.
+    """
+
+    at: float
+    seconds: float
+    gateway: Endpoint
+
+
 class Target:
     """One target: a plain service, or a model engine with adapter slots."""
 
@@ -75,6 +102,18 @@
         self.rate_limit: float | None = None
         #: Arrival times of requests, monotonic seconds.
         self.arrivals: list[float] = []
+        #: Retry-after headers of its refusals, in turn; none if empty.
+        self.retry_afters: list[str] = []
+        #: Seconds until it refuses a request.
+        self.refusal_delay = 0.0
+        #: Whether its answers say that it leaves.
+        self.leaving = False
+        self.announces = True
+        #: Every request for this instance or an earlier one of this target.
+        self.sends: list[Arrival] = []
+        self.rests: list[RestAsked] = []
+        #: Monotonic seconds of the first answer to each gateway that said so.
+        self.leaving_answers: dict[Endpoint, float] = {}
         self._server = WebServer(self._serve)
         self._announcer: asyncio.Task[None] | None = None
         self._crash: asyncio.Task[None] | None = None
@@ -143,7 +182,35 @@
             "born": self.born,
         }
 
+    def count_sends_in_rests(self) -> int:
+        """Return the most requests of a gateway within a rest that it was asked for."""
+        return max(
+            (
+                sum(
+                    send.gateway == rest.gateway
+                    and REST_GRACE_SECONDS <= send.at - rest.at <= rest.seconds
+                    for send in self.sends
+                )
+                for rest in self.rests
+            ),
+            default=0,
+        )
+
+    def list_late_sends(self, seconds: float) -> list[Arrival]:
+        """Return the requests that callers sent too late for this leaving target.
+
+        :param seconds: time after the first answer, to the same gateway, that said so.
+        """
+        return [
+            send
+            for send in self.sends
+            if self.cluster.sent_at[send.request]
+            > self.leaving_answers.get(send.gateway, float("inf")) + seconds
+        ]
+
     async def announce(self) -> bool:
+        if not self.announces:
+            return False
         self.sequence += 1
         path = f"/api/instances/{self.name}/heartbeat"
         for registry in random.sample(self.cluster.registries, 3):
@@ -213,6 +280,27 @@
         if name in self.pending:
             self.adapters[name] = self.pending.pop(name)
 
+    def _record_send(self, request: str) -> None:
+        gateway, now = self.cluster.senders.get(request), time.monotonic()
+        if gateway is None:
+            return
+        self.sends.append(Arrival(now, request, gateway))
+        if self.leaving:
+            self.leaving_answers.setdefault(gateway, now)
+
+    async def _refuse(self, exchange: Exchange, request: str, headers: Headers) -> None:
+        await asyncio.sleep(self.refusal_delay)
+        if self.retry_afters:
+            text = self.retry_afters[len(self.rests) % len(self.retry_afters)]
+            headers += (("retry-after", text),)
+            with contextlib.suppress(ValueError):
+                self.rests.append(
+                    RestAsked(
+                        time.monotonic(), float(text), self.cluster.senders[request]
+                    )
+                )
+        await exchange.respond(503, headers)
+
     async def _run(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
         request = find_header(headers, "request-id") or ""
@@ -221,8 +309,12 @@
         if expected is not None and expected != self.name:
             await exchange.respond(421, refusal)
             return
+        self._record_send(request)
+        own: Headers = (("request-id", request),)
+        if self.leaving:
+            own += (("server-leaving", "1"),)
         if self.refusing:
-            await exchange.respond(503, refusal)
+            await self._refuse(exchange, request, (*own, *refusal))
             return
         adapter = (find_header(headers, "model") or "").partition("/")[2]
         if adapter and adapter not in self.adapters:
@@ -235,7 +327,7 @@
             exchange.abort()
             return
         stamp = f"{self.name}.{adapter}@{self.adapters.get(adapter, 0)}"
-        own = (("request-id", request), ("response-stamp", stamp))
+        own += (("response-stamp", stamp),)
         if self.rate_limit is not None:
             own += (("server-limit", str(self.rate_limit)),)
         if not self.engine:
@@ -271,6 +363,11 @@
         self._prefix = f"127.{50 + net % 200}.{random.randrange(1, 250)}"
         self.ledger = Ledger()
         self.newest_versions: dict[str, int] = {}
+        #: Gateway to which each request of a caller was sent, and monotonic seconds.
+        self.senders: dict[str, Endpoint] = {}
+        self.sent_at: dict[str, float] = {}
+        #: Headers of the answer to each of them.
+        self.answers: dict[str, Headers] = {}
         #: Parts of prompts that crash each engine that begins to write on them.
         self.crashing_parts: set[str] = set()
         #: Seconds until a crashed engine runs again.
@@ -439,9 +536,11 @@
         if model:
             sent += [("model", model), ("token-counts", "10,10")]
         sent += [(k.replace("_", "-"), v) for k, v in headers.items()]
-        connection = await TargetConnection.open(gateway or self.gateways[0])
+        gateway = gateway or self.gateways[0]
+        connection = await TargetConnection.open(gateway)
+        self.senders[request], self.sent_at[request] = gateway, time.monotonic()
         try:
-            status, _ = await connection.request(
+            status, self.answers[request] = await connection.request(
                 "POST", f"/{route}/x", (("host", "nets.example"), *sent), b"body"
             )
             body = b""
