Send nothing to a target that has asked this gateway for rest

A refusal was booked on the request, which avoids the target, and the next one found the target idle with its adapter loaded. Class: what a peer says about later requests, heard as if it concerned one.

Change: the gateway keeps the rest of each incarnation of a target: not a candidate until its end; waits for turns there are withdrawn; a request that has its connection is checked last before it is written. Where all targets rest, callers are refused at once with the time that is left. Values that are no number, not above 0 or above 60 s ask for no rest.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -141,6 +141,8 @@
     :param read_rate: prompt tokens per second that it reads.
     :param rate_limit_wait: seconds until this gateway's share of the target's rate
         limit admits a request.
+    :param resting: the target has asked this gateway for no requests.
+    :param return_wait: seconds until a request may be sent after such a rest.
     """
 
     target: TargetId
@@ -155,6 +157,8 @@
     prompt_wait: float = 0.0
     read_rate: float = INITIAL_RATE
     rate_limit_wait: float = 0.0
+    resting: bool = False
+    return_wait: float = 0.0
     adapter: AdapterState = AdapterState(resident=True)
 
 
@@ -198,7 +202,7 @@
     :param draw: returns a random number in [0, 1).
     """
     ranks = _rank_by_hash(need.weights, candidates)
-    usable = [c for c in candidates if c.target not in need.avoid]
+    usable = [c for c in candidates if not c.resting and c.target not in need.avoid]
     copy_exists = any(c.adapter.held for c in usable)
     best: Chosen | None = None
     for candidate in usable:
@@ -221,7 +225,8 @@
     """
     fill = candidate.busy / max(1, candidate.slots)
     delay = candidate.prompt_wait + candidate.prompt_backlog / candidate.read_rate
-    delay += BATCHED_REQUEST_DELAY * fill * 10 + candidate.rate_limit_wait
+    delay += BATCHED_REQUEST_DELAY * fill * 10
+    delay += candidate.rate_limit_wait + candidate.return_wait
     if need.weights is None:
         # An engine runs the requests of a batch concurrently, so none waits for another
         # run to end. Run time counts only where requests are not batched.
@@ -247,7 +252,8 @@
     """
     adapter = candidate.adapter
     model_wait = adapter.model_wait * (not adapter.serving)
-    return candidate.prompt_wait + candidate.rate_limit_wait + model_wait
+    pace_wait = max(candidate.rate_limit_wait, candidate.return_wait)
+    return candidate.prompt_wait + pace_wait + model_wait
 
 
 def _estimate_adapter_delay(adapter: AdapterState, rank: int) -> float:
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -56,6 +56,9 @@
 MIN_RETRY_AFTER_SECONDS = 0.5
 RETRY_AFTER_SHARE = 0.7
 
+#: Seconds after the end of a rest within which callers may return.
+REST_SPREAD_SECONDS = 0.5
+
 
 class TargetChooser:
     """Selects targets by the registries' feed, the tracker and the stewards.
@@ -92,6 +95,8 @@
             target = self._feed.view.get(chosen.candidate.target)
             if target is None:
                 raise self.make_refusal(request, "the selected target has deregistered")
+            if not await self._wait_for_return(request, target):
+                continue
             if request.call.engine_key is None:
                 if await self._wait_for_rate_limit(request, target, chosen):
                     return target
@@ -114,6 +119,21 @@
             await asyncio.sleep(DISCOVERY_POLL_SECONDS)
             now = self._clock.monotonic()
 
+    async def _wait_for_return(
+        self, request: RequestState, target: Registration
+    ) -> bool:
+        """Wait until a target that has rested takes the request.
+
+        :returns: whether the target doesn't rest again.
+        """
+        now = self._clock.monotonic()
+        wait = self._tracker.take_return(target, now)
+        if wait > max(0.0, self._find_remaining(request, now)):
+            raise self.make_refusal(request, "no target takes it in time after a rest")
+        if wait > 0:
+            await asyncio.sleep(wait)
+        return not self._tracker.find_rest(target, self._clock.monotonic())
+
     async def _wait_for_rate_limit(
         self, request: RequestState, target: Registration, chosen: Chosen
     ) -> bool:
@@ -292,8 +312,18 @@
         # During an outage many callers are refused within moments of each other. A
         # random retry-after time keeps them from retrying simultaneously.
         wait = max(MIN_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * request.expected_wait)
+        wait *= 0.5 + self._draw()
+        if rest := self._find_rest(request):
+            reason = "all targets have asked for rest"
+            wait = rest + REST_SPREAD_SECONDS * self._draw()
         return Refused(
             f"not run: {reason}",
             "retry after the given time",
-            retry_after=timedelta(seconds=wait * (0.5 + self._draw())),
+            retry_after=timedelta(seconds=wait),
         )
+
+    def _find_rest(self, request: RequestState) -> float:
+        """Return the seconds until a target ends its rest, 0 if one doesn't rest."""
+        now = self._clock.monotonic()
+        rests = (self._tracker.find_rest(t, now) for t in self._list_targets(request))
+        return min(rests, default=0.0)
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -23,7 +23,12 @@
     Unavailable,
 )
 from ibishead.gateway.blocking import PromptBlocks
-from ibishead.gateway.calls import Call, CallerDialect, TargetDialect
+from ibishead.gateway.calls import (
+    Call,
+    CallerDialect,
+    TargetDialect,
+    TargetHead,
+)
 from ibishead.gateway.choosing import (
     DISCOVERY_SECONDS,
     MIN_RETRY_AFTER_SECONDS,
@@ -66,6 +71,9 @@
 #: encounter the same load.
 MAX_REFUSALS = 3
 
+#: Status code with which an overloaded target refuses requests.
+OVERLOADED_STATUS = 503
+
 #: Retry-after time in seconds of a resumed stream whose origin is unknown, varied
 #: randomly by half. It stays unknown, unless no host that keeps it could be reached.
 ORIGIN_RETRY_SECONDS = 1.0
@@ -115,7 +123,7 @@
             targets,
             clock,
             self._notify_prompt_read,
-            self._handle_limit,
+            self._handle_head,
             self._record_origin,
         )
         self._origins = origins
@@ -401,6 +409,21 @@
                 progress.use_number,
             )
 
+    def _handle_head(
+        self, call: Call, target: Registration, head: TargetHead, progress: Progress
+    ) -> None:
+        """Apply what a target's response says about the target itself."""
+        self._handle_limit(call, target, head.rate_limit)
+        if head.status == OVERLOADED_STATUS:
+            self._handle_rest(target, head.retry_after, progress.selected_at)
+
+    def _handle_rest(
+        self, target: Registration, seconds: float | None, selected_at: float
+    ) -> None:
+        now = self._clock.monotonic()
+        if self._tracker.record_rest(target, seconds, selected_at, now, self._draw()):
+            self._stewards.withdraw_turns(target.address)
+
     def _handle_limit(
         self, call: Call, target: Registration, rate: float | None
     ) -> None:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -40,9 +40,6 @@
 #: Lowest status code that reports a failure of the target itself.
 MIN_FAILURE_STATUS = 500
 
-#: Status code of a target that is overloaded.
-REFUSAL_STATUS = 503
-
 
 @dataclass(frozen=True)
 class Identity:
@@ -144,7 +141,7 @@
     """Sends calls over pooled connections.
 
     :param on_response: called when a response begins; the progress has its delay.
-    :param on_limit: called with the rate limit that a response names, or ``None``.
+    :param on_head: called with the headers of each response of the target itself.
     :param on_stream: called before the first event of a stream is relayed.
     """
 
@@ -155,12 +152,12 @@
         dialect: TargetDialect,
         clock: Clock,
         on_response: Callable[[Call, Registration, Progress], None],
-        on_limit: Callable[[Call, Registration, float | None], None],
+        on_head: Callable[[Call, Registration, TargetHead, Progress], None],
         on_stream: Callable[[Call, Route, StreamOrigin], None],
     ) -> None:
         self._on_stream = on_stream
         self._on_response = on_response
-        self._on_limit = on_limit
+        self._on_head = on_head
         self._tracker = tracker
         self._pool = pool
         self._dialect = dialect
@@ -187,6 +184,10 @@
         except LinkLost as error:
             self._tracker.mark_unreachable(stats, self._clock.monotonic())
             return NotRun(error.message, received=False)
+        if self._tracker.find_rest(target, self._clock.monotonic()):
+            # The rest began while the request waited for its turn or connection.
+            self._pool.release(target.address, connection)
+            return NotRun("the target has asked for rest", received=False)
         progress.sending = True
         self._tracker.begin_request(stats, call.prompt_tokens)
         started = self._clock.monotonic()
@@ -243,14 +244,7 @@
         if head.load is not None:
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
         if head.genuine or (head.not_run and not head.misdirected):
-            self._on_limit(call, state.target, head.rate_limit)
-            if status == REFUSAL_STATUS:
-                self._tracker.record_rest(
-                    state.target,
-                    head.retry_after,
-                    progress.selected_at,
-                    self._clock.monotonic(),
-                )
+            self._on_head(call, state.target, head, progress)
         if head.not_run:
             return await self._handle_refusal(state, head)
         if not head.genuine or head.encoded:
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -229,6 +229,13 @@
                 self._abandoned[number] = turn
         return TurnOutcome.GRANTED if turn.granted else TurnOutcome.LATE
 
+    def withdraw_turns(self, address: str) -> None:
+        """End the waits for turns at an engine; the turns are returned when granted."""
+        for number, turn in self._pending.items():
+            if turn.address == address and not turn.finished.is_set():
+                self._abandoned[number] = turn
+                turn.finish(False)
+
     def begin_use(
         self,
         address: str,
@@ -367,13 +374,14 @@
                 )
 
     def _finish_turn(self, number: int, granted: bool) -> None:
+        abandoned = self._abandoned.pop(number, None)
+        if abandoned is not None:
+            if granted:
+                self._return_turn(abandoned)
+            return
         turn = self._pending.get(number)
         if turn is not None:
             turn.finish(granted)
-            return
-        abandoned = self._abandoned.pop(number, None)
-        if granted and abandoned is not None:
-            self._return_turn(abandoned)
 
     def _return_turn(self, turn: _PendingTurn) -> None:
         # The turn is no longer needed, but the steward counts the adapter and a slot as
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -189,12 +189,14 @@
         seconds: float | None,
         selected_at: float,
         now: float,
+        offset: float = 0.0,
     ) -> bool:
         """Record the rest that a refusal asks for.
 
         :param seconds: length of the rest, or ``None`` if the refusal asks for none.
         :param selected_at: monotonic seconds at which the target was selected for the
             refused request.
+        :param offset: random number in [0, 1) that spreads the ends of rests.
         :returns: whether the target rests from now on.
         """
         rest = self.rests.find(target.target, target.born)
@@ -202,7 +204,7 @@
         self.refused_in_rest += left > 0
         valid = seconds is not None and is_valid_rest(seconds)
         if seconds is not None and valid:
-            self.rests.begin(target.target, target.born, seconds, now)
+            self.rests.begin(target.target, target.born, seconds, now, offset)
         if seconds is not None or left:
             logger.info(
                 "target asked for rest" if valid else "request for rest ignored",
@@ -219,6 +221,19 @@
             )
         return valid
 
+    def find_rest(self, target: Registration, now: float) -> float:
+        """Return the seconds for which a target rests, 0 if it doesn't."""
+        rest = self.rests.find(target.target, target.born)
+        return rest.left(now) if rest is not None else 0.0
+
+    def take_return(self, target: Registration, now: float) -> float:
+        """Count a request to a target that may have rested.
+
+        :returns: seconds until the request may be sent.
+        """
+        rest = self.rests.find(target.target, target.born)
+        return rest.take(now) if rest is not None else 0.0
+
     def count_limited(self) -> int:
         """Return the number of targets that name a rate limit."""
         return sum(1 for s in self._stats.values() if s.rate_limit is not None)
@@ -293,6 +308,7 @@
             stats.mean_duration / mean if mean > 0 and stats.mean_duration > 0 else 1.0
         )
         read_rate = stats.report.read_rate if stats.report is not None else 0.0
+        rest = self.rests.find(target.target, target.born)
         place = self._find_place(target, stats, weights, min_version, manageable)
         if not place.serving:
             place = replace(place, model_wait=_find_model_wait(stats, spec, now))
@@ -314,6 +330,8 @@
             rate_limit_wait=0.0
             if weights is not None and manageable
             else stats.send_rate.wait(now),
+            resting=rest is not None and rest.left(now) > 0,
+            return_wait=rest.wait(now) if rest is not None else 0.0,
             adapter=place,
         )
 
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -36,6 +36,9 @@
         ((make("a", 0, prompt_backlog=20_000), make("b", 4)), "b"),
         ((make("a", 0, domain=THERE), make("b", 0)), "b"),
         ((make("a", 0, rate_limit_wait=1.0), make("b", 9)), "b"),
+        ((make("a", 0, resting=True), make("b", 40)), "b"),
+        ((make("a", 0, resting=True),), None),
+        ((make("a", 0, return_wait=1.0), make("b", 9)), "b"),
         ((), None),
     ],
 )
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -95,6 +95,16 @@
     )
 
 
+def refuse_and_ask(text: str) -> Behaviour:
+    """Return a target that refuses and asks for rest."""
+
+    async def refuse_with_header(exchange: Exchange, request: str) -> None:
+        headers = (("request-id", request), ("not-executed", "1"))
+        await exchange.respond(503, (*headers, ("retry-after", text)))
+
+    return refuse_with_header
+
+
 async def never_respond(exchange: Exchange, request: str) -> None:
     await exchange.disconnected.wait()
 
@@ -315,6 +325,32 @@
         assert len(fixture.arrivals) == arrivals
 
 
+async def test_a_request_that_waits_for_a_connection_as_a_rest_begins_is_not_sent():
+    """Requests that were under way would reach a target that rests."""
+    async with Fixture(ONCE, respond) as fixture:
+        acquire, target = fixture.pool.acquire, fixture.feed.view.get(TargetId("t0"))
+
+        async def begin_rest(address: str) -> TargetConnection:
+            fixture.tracker.record_rest(target, 3.0, 0.0, SystemClock().monotonic())
+            return await acquire(address)
+
+        fixture.pool.acquire = begin_rest
+        assert (await fixture.ask())[0] == 429
+        assert fixture.arrivals == []
+
+
+@pytest.mark.parametrize(
+    ("text", "arrivals"),
+    [("2", 1), ("0.9", 1), ("0", 2), ("-3", 2), ("nan", 2), ("1e12", 2), ("soon", 2)],
+)
+async def test_a_refusal_closes_its_target_if_it_asks_for_a_valid_rest(text, arrivals):
+    behaviours = (refuse_and_ask(text), respond)
+    async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
+        assert (await fixture.ask())[0] == 429
+        assert (await fixture.ask())[0] == (429 if arrivals == 1 else 200)
+        assert len(fixture.arrivals) == arrivals
+
+
 @pytest.mark.parametrize("failing", [stream_and_reset, stream_and_stall])
 async def test_a_resumable_stream_continues_at_another_target(failing):
     """A stream must continue at another target after the last complete event.
--- a/tests/gateway/test_stewards.py
+++ b/tests/gateway/test_stewards.py
@@ -129,6 +129,21 @@
         assert EndUse(KEY, number=request.number) in fixture.link.sent
 
 
+async def test_a_withdrawn_turn_ends_its_wait_and_is_returned_once_granted():
+    """A request would wait for an engine that rests, and the turn would be lost."""
+    async with Fixture(lambda n: [TurnNoted(n)]) as fixture:
+        waiting = asyncio.create_task(fixture.request_turn(wait=30.0))
+        await asyncio.sleep(0.01)
+        request = next(m for m in fixture.link.sent if isinstance(m, AskTurn))
+        fixture.links.withdraw_turns("127.0.0.1:8")
+        assert not waiting.done()
+        fixture.links.withdraw_turns(ADDRESS)
+        fixture.link.inbox.put_nowait(TurnAnswer(request.number, True))
+        assert await waiting is TurnOutcome.LATE
+        await asyncio.sleep(0.01)
+        assert fixture.link.sent.count(EndUse(KEY, number=request.number)) == 1
+
+
 async def test_a_lost_link_ends_the_wait_for_a_turn():
     async with Fixture(lambda n: [TurnNoted(n)]) as fixture:
         turn_task = asyncio.create_task(fixture.request_turn(wait=30.0))
--- a/tests/onplatform/test_leaving.py
+++ b/tests/onplatform/test_leaving.py
@@ -27,7 +27,8 @@
 
 
 def list_targets(cluster: Cluster, model: str) -> list[Target]:
-    return cluster.engines if model else cluster.plain
+    targets = cluster.engines if model else cluster.plain
+    return sorted(targets, key=lambda target: not target.adapters)
 
 
 @pytest.mark.parametrize("announces", [True, False], ids=["ready", "silent"])
--- a/tests/onplatform/test_rests.py
+++ b/tests/onplatform/test_rests.py
@@ -59,7 +59,9 @@
 
 
 def list_targets(cluster: Cluster, case: Case) -> list[Target]:
-    return cluster.engines if case.model else cluster.plain
+    """Return the targets of a service; first those that hold the adapter."""
+    targets = cluster.engines if case.model else cluster.plain
+    return sorted(targets, key=lambda target: not target.adapters)
 
 
 async def call(cluster: Cluster, case: Case, number: int) -> Call:
@@ -90,7 +92,11 @@
         target.refusing = False
 
 
-def stop_stewards(cluster: Cluster) -> None:
+async def stop_stewards(cluster: Cluster) -> None:
+    """End all stewards once each engine has reported the adapter as loaded."""
+    for engine in cluster.engines:
+        engine.adapters["warm"] = 1
+    await asyncio.sleep(1.0)
     for side in cluster.side_hosts:
         cluster.programs["steward", side].kill()
 
@@ -112,7 +118,7 @@
 async def test_a_target_that_asks_for_rest_gets_hardly_any_request(cluster, case):
     """An overloaded target would get as many requests from a gateway as before."""
     if not case.stewards:
-        stop_stewards(cluster)
+        await stop_stewards(cluster)
     asking = list_targets(cluster, case)[: case.targets]
     refusing = asyncio.create_task(refuse_for(asking, case, REFUSE_SECONDS))
     calls = await send_calls(cluster, case, SEND_SECONDS)
