Stop sending to a target whose answers say that it leaves

What callers would see: answers broken off by engines that had said in each answer that they leave, while their statements were lost, late or still said ready (DRAIN).

Class: as for the rests, what an answer says about its target beyond the one request.

Change: a gateway that reads it marks the incarnation as draining in its own view, at once and whether it has links or not, and tells all registries, which tell everybody. An incarnation that has left the ready state stays so whatever the order of sequence numbers: a host that learns it from an answer knows an old one, and a deregistration numbered by one registry's view was refused by a host that had heard more. A draining record is kept for 600 s without contact and for as long as its target speaks; after 60 s its next statement would have made it ready again.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -414,6 +414,8 @@
     ) -> None:
         """Apply what a target's response says about the target itself."""
         self._handle_limit(call, target, head.rate_limit)
+        if head.leaving:
+            self._feed.report_leaving(target.target, target.born)
         if head.status == OVERLOADED_STATUS:
             self._handle_rest(target, head.retry_after, progress.selected_at)
 
--- a/src/ibishead/routing/feed.py
+++ b/src/ibishead/routing/feed.py
@@ -13,7 +13,7 @@
 
 from ibishead.clock import Clock
 from ibishead.errors import IbisheadError, LinkLost
-from ibishead.ids import HostId, PartKey, ServiceName
+from ibishead.ids import HostId, PartKey, ServiceName, TargetId
 from ibishead.links import Dialer, Endpoint, HeartbeatTiming, Link, dial
 from ibishead.messages import Hello, Message, Role
 from ibishead.routing.changes import RouteChange, apply_change, unpack
@@ -198,6 +198,20 @@
         """Return a service of the route set in force here, or none."""
         return None if self.routes is None else self.routes.service(name)
 
+    def report_leaving(self, target: TargetId, born: int) -> None:
+        """Mark a target that has said that it leaves, and tell all registries.
+
+        :param born: start of the incarnation that leaves.
+        """
+        leaving = self.view.mark_leaving(target, born)
+        if leaving is not None:
+            logger.info(
+                "target leaves, by its own answer",
+                extra={"target": target, "service": leaving.service, "born": born},
+            )
+            self.broadcast(Statements((leaving,)))
+            self._on_registrations((leaving,))
+
     async def refresh_routes(self, leader: Link | None = None) -> bool:
         """Ask a registry for a newer route set, and return whether there was one.
 
--- a/src/ibishead/routing/targets.py
+++ b/src/ibishead/routing/targets.py
@@ -29,9 +29,11 @@
     "list_adapters",
 ]
 
-#: Time for which the record of a target that left is kept. It exceeds the delay of any
-#: late registration of the target's last incarnation.
+#: Seconds without contact after which the record of a target that is gone, and of one
+#: that drains, is removed. They exceed the delay of any late registration of the
+#: target's last incarnation, and the time for which a draining target may go on.
 GONE_RETENTION_SECONDS = 60.0
+DRAINING_RETENTION_SECONDS = 600.0
 
 
 class TargetState(Enum):
@@ -149,18 +151,26 @@
     def merge(self, registration: Registration, now: float) -> bool:
         """Merge a registration.
 
+        An incarnation that has left the ready state never returns to it, whatever its
+        own registrations say and in whichever order they arrive.
+
         :param now: monotonic seconds.
         :returns: whether it replaced the known registration of its target.
         """
         known = self._known.get(registration.target)
+        same_incarnation = known is not None and known.born == registration.born
+        leaving = _is_leaving(registration)
+        if same_incarnation and known is not None and _is_leaving(known) != leaving:
+            self._last_seen[registration.target] = now
+            if leaving:
+                self._known[registration.target] = msgspec.structs.replace(
+                    registration, sequence=max(known.sequence, registration.sequence)
+                )
+            return leaving
         if known is not None and registration.age <= known.age:
             if registration.age == known.age:
                 self._last_seen[registration.target] = now
             return False
-        same_incarnation = known is not None and known.born == registration.born
-        if same_incarnation and _is_leaving(known) and not _is_leaving(registration):
-            # An incarnation that left the ready state never returns to it
-            return False
         self._known[registration.target] = registration
         self._last_seen[registration.target] = now
         return True
@@ -203,6 +213,19 @@
         self._last_seen[target] = now
         return gone
 
+    def mark_leaving(self, target: TargetId, born: int) -> Registration | None:
+        """Mark a ready target as draining.
+
+        :param born: start of the incarnation that leaves.
+        :returns: the resulting registration; none if no such incarnation is ready.
+        """
+        known = self._known.get(target)
+        if known is None or known.born != born or _is_leaving(known):
+            return None
+        leaving = msgspec.structs.replace(known, state=TargetState.DRAINING)
+        self._known[target] = leaving
+        return leaving
+
     def list_ready_targets(self, service: ServiceName) -> list[Registration]:
         """Return the ready targets of a service.
 
@@ -250,13 +273,18 @@
         expired = [
             name
             for name, found in self._known.items()
-            if now - self._last_seen[name]
-            > (GONE_RETENTION_SECONDS if _is_leaving(found) else silence)
+            if now - self._last_seen[name] > _RETENTIONS.get(found.state, silence)
         ]
         for name in expired:
             del self._known[name], self._last_seen[name]
         return expired
 
 
-def _is_leaving(registration: Registration | None) -> bool:
-    return registration is not None and registration.state is not TargetState.READY
+_RETENTIONS = {
+    TargetState.GONE: GONE_RETENTION_SECONDS,
+    TargetState.DRAINING: DRAINING_RETENTION_SECONDS,
+}
+
+
+def _is_leaving(registration: Registration) -> bool:
+    return registration.state is not TargetState.READY
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -51,6 +51,40 @@
     assert list_ready(view) == []
 
 
+def test_a_late_statement_that_a_target_leaves_counts():
+    """A host that learns from an answer that a target leaves knows an old sequence."""
+    view = TargetView()
+    view.merge(make_registration(sequence=60), 1.0)
+    assert view.merge(make_registration(sequence=5, state=DRAINING), 1.1)
+    assert list_ready(view) == []
+    assert not view.merge(make_registration(sequence=61), 1.2)
+    assert list_ready(view) == []
+
+
+@pytest.mark.parametrize("announces", [True, False])
+def test_a_leaving_target_is_not_forgotten_while_it_goes_on(announces):
+    """Its next statement would make it ready again."""
+    view = TargetView()
+    view.merge(make_registration(sequence=1), 0.0)
+    assert view.mark_leaving(TargetId("t1"), 100) is not None
+    for second in range(1, 300):
+        if announces:
+            view.merge(make_registration(sequence=1 + second), float(second))
+        view.remove_expired(float(second), 45.0)
+    view.merge(make_registration(sequence=1000), 300.0)
+    assert list_ready(view) == []
+
+
+@pytest.mark.parametrize(
+    ("born", "state", "marked"),
+    [(100, READY, True), (99, READY, False), (100, DRAINING, False)],
+)
+def test_only_the_incarnation_that_leaves_is_marked(born, state, marked):
+    view = TargetView()
+    view.merge(make_registration(born=100, state=state), 0.0)
+    assert (view.mark_leaving(TargetId("t1"), born) is not None) is marked
+
+
 def test_restart_under_the_same_name_is_a_new_incarnation():
     view = TargetView()
     view.merge(make_registration(born=100, sequence=50, state=DRAINING), 1.0)
