Read in an engine's report that it leaves

What callers would see: an engine that gets no request just now, whose statements are lost, would get requests again until its end.

Change: it tells all registries as a gateway does, if the report is of the start that is registered. A state that isn't known is not a leave.

--- a/src/ibishead/platform/bodies.py
+++ b/src/ibishead/platform/bodies.py
@@ -284,6 +284,7 @@
         report.kv_used,
         report.kv_total,
         _STATES.get(report.state) is not TargetState.READY,
+        _STATES.get(report.state) is TargetState.DRAINING,
         frozenset(map(ModelName, report.at_hand.in_memory)),
         frozenset(map(ModelName, report.at_hand.on_disk)),
     )
--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import logging
+from dataclasses import replace
 
 from ibishead.errors import InvalidInput, LinkLost
 from ibishead.headers import Headers, find_header
 from ibishead.ids import TargetId
 from ibishead.links import Endpoint
 from ibishead.platform.bodies import decode_report, encode_order
+from ibishead.platform.targets import is_leaving
 from ibishead.steward.engine import (
     EngineGone,
     EngineState,
@@ -48,7 +50,7 @@
         :raises EngineGone: the engine has ended.
         :raises LinkLost: the engine doesn't answer, or its answer can't be decoded.
         """
-        status, body, _ = await self._request(
+        status, body, headers = await self._request(
             "GET", "/api/report", (), b"", ANSWER_TIMEOUT_SECONDS
         )
         if status != 200:
@@ -57,11 +59,14 @@
                 "check the engine's log",
             )
         try:
-            return decode_report(body)
+            state = decode_report(body)
         except InvalidInput as error:
             raise LinkLost(
                 f"invalid engine report: {error.message}", error.remedy
             ) from error
+        if is_leaving(headers):
+            return replace(state, draining=True, leaving=True)
+        return state
 
     async def read_target_id(self, health_path: str) -> TargetId | None:
         """Return the ID of the running engine instance, None if it isn't healthy.
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -10,7 +10,7 @@
     read_retry_after,
 )
 
-__all__ = ["PlatformTargets"]
+__all__ = ["PlatformTargets", "is_leaving"]
 
 #: Headers that identify a caller to the system. The key is passed to nobody, and the
 #: name of the customer is set by the system.
@@ -60,10 +60,15 @@
             idle_time=_read_idle_timeout(find_header(headers, "keep-alive")),
             rate_limit=_read_rate_limit(find_header(headers, "server-limit")),
             retry_after=read_retry_after(headers) if status == 503 else None,
-            leaving=find_header(headers, "server-leaving") == "1",
+            leaving=is_leaving(headers),
         )
 
 
+def is_leaving(headers: Headers) -> bool:
+    """Return whether an answer says that its target will end soon."""
+    return find_header(headers, "server-leaving") == "1"
+
+
 def _read_load(text: str | None) -> TargetLoad | None:
     parts = (text or "").split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
--- a/src/ibishead/steward/engine.py
+++ b/src/ibishead/steward/engine.py
@@ -31,7 +31,8 @@
     :param queued: requests that are queued in the engine.
     :param cache_used: key-value cache in use that can't be evicted, in tokens.
     :param cache_total: capacity of the key-value cache in tokens.
-    :param draining: the engine will soon accept no new requests.
+    :param draining: the engine doesn't accept new requests, or soon won't.
+    :param leaving: the engine says that it will end soon.
     :param in_memory: models with a copy in host memory, whether loaded or not.
     :param on_disk: models with a copy on the local disk, whether loaded or not.
     """
@@ -46,6 +47,7 @@
     cache_used: int = 0
     cache_total: int = 0
     draining: bool = False
+    leaving: bool = False
     in_memory: frozenset[ModelName] = frozenset()
     on_disk: frozenset[ModelName] = frozenset()
 
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -380,7 +380,10 @@
             self._handle_engine_loss()
             return
         self._unreachable = False
-        self._ends.record_state(state, self._feed.view.find_by_address(self._address))
+        target = self._feed.view.find_by_address(self._address)
+        self._ends.record_state(state, target)
+        if state.leaving and target is not None and state.born in (0, target.born):
+            self._feed.report_leaving(target.target, target.born)
         self._turns.record_report(state.running + state.queued)
         if self._ledger.record_report(state, self._clock.monotonic()):
             logger.info("engine reachable", extra={"born": state.born})
--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -248,7 +248,8 @@
             "born": self.born,
             "pending": [f"{MODEL}/{n}@{v}" for n, v in self.pending.items()],
         }
-        await exchange.respond(200, (), json.dumps(body).encode())
+        leaving = (("server-leaving", "1"),) if self.leaving else ()
+        await exchange.respond(200, leaving, json.dumps(body).encode())
 
     async def _take_order(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
--- /dev/null
+++ b/tests/onplatform/test_engine_client.py
@@ -0,0 +1,58 @@
+"""The steward's client of an engine: what the engine's answers say of the engine."""
+
+import asyncio
+import json
+
+import pytest
+
+from ibishead.headers import Headers
+from ibishead.links import Endpoint
+from ibishead.platform.engines import PlatformEngine
+from ibishead.web import Exchange, WebServer
+
+REPORT = {"models": [], "busy": False, "seq": 3, "born": 7}
+
+
+class Fixture:
+    """An engine whose answers are set by the test, and its client.
+
+    :ivar paths: paths of the requests that the engine has received.
+    """
+
+    def __init__(self) -> None:
+        self.status, self.headers, self.body = 200, (), json.dumps(REPORT).encode()
+        self.paths: list[str] = []
+        self._server = WebServer(self._serve)
+
+    async def __aenter__(self) -> "Fixture":
+        endpoint = await self._server.start(Endpoint("127.0.0.1", 0))
+        self.client = PlatformEngine(endpoint)
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        await self._server.stop(0.0)
+
+    async def _serve(self, exchange: Exchange) -> None:
+        self.paths.append(exchange.request.path)
+        await exchange.respond(self.status, self.headers, self.body)
+
+
+@pytest.mark.parametrize(
+    ("headers", "state", "leaving"),
+    [
+        ((), "ready", False),
+        ((("server-leaving", "1"),), "ready", True),
+        ((("server-leaving", "0"),), "ready", False),
+        ((), "draining", True),
+        ((), "warming", False),
+    ],
+)
+async def test_a_report_says_that_its_engine_leaves(
+    headers: Headers, state: str, leaving: bool
+):
+    """Only its statements were read, and these can be lost or late."""
+    async with Fixture() as fixture:
+        fixture.headers = headers
+        fixture.body = json.dumps({**REPORT, "state": state}).encode()
+        assert (await fixture.client.read_state()).leaving is leaving
+        await asyncio.sleep(0)
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -347,6 +347,33 @@
             assert harness.engine.orders[0].target == name
 
 
+@pytest.mark.parametrize(
+    ("state", "told"),
+    [
+        ({"leaving": True}, True),
+        ({"leaving": True, "born": 0}, True),
+        # of a start that isn't registered yet
+        ({"leaving": True, "born": 2}, False),
+        ({"draining": True}, False),
+    ],
+)
+async def test_a_steward_tells_that_its_engine_leaves(state, told):
+    """An engine whose statements are lost would get requests until its end."""
+
+    class LeavingEngine(FakeEngine):
+        async def read_state(self) -> EngineState:
+            return replace(await super().read_state(), **state)
+
+    harness = StewardHarness(LeavingEngine())
+    sent = []
+    harness.feed.broadcast = sent.append
+    async with harness:
+        await asyncio.sleep(0.1)
+        known = harness.feed.view.find_by_address(ADDRESS)
+        assert (known.state is TargetState.DRAINING) == told
+        assert [message.registrations for message in sent] == [(known,)] * told
+
+
 async def test_announcement_of_engine_supersedes_registration_by_steward():
     harness = StewardHarness(FakeEngine())
     announced = harness.feed.view.find_by_address(ADDRESS)
