--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -4,8 +4,10 @@
 import logging
 from dataclasses import replace
 
+from ibishead.clock import Clock
+from ibishead.decisions.resting import RestPeriod, is_valid_rest
 from ibishead.errors import InvalidInput, LinkLost
-from ibishead.headers import Headers, find_header
+from ibishead.headers import Headers, find_header, read_retry_after
 from ibishead.ids import TargetId
 from ibishead.links import Endpoint
 from ibishead.platform.bodies import decode_report, encode_order
@@ -38,11 +40,20 @@
 
 
 class PlatformEngine:
-    """Client of the engine at one address, over one persistent connection."""
+    """Client of the engine at one address, over one persistent connection.
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    While the engine has asked this host for no requests, none is sent.
+    """
+
+    def __init__(self, endpoint: Endpoint, clock: Clock) -> None:
         self._endpoint = endpoint
+        self._clock = clock
         self._connection: ClientConnection | None = None
+        self._rest = RestPeriod()
+
+    def find_rest(self) -> float:
+        """Return the seconds for which the engine has asked for no requests."""
+        return self._rest.left(self._clock.monotonic())
 
     async def read_state(self) -> EngineState:
         """Return the engine's report.
@@ -98,6 +109,12 @@
             return OrderOutcome.UNKNOWN
         return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
 
+    def _record_rest(self, status: int, headers: Headers) -> None:
+        seconds = read_retry_after(headers) if status == 503 else None
+        if seconds is not None and is_valid_rest(seconds):
+            logger.info("engine asked for rest", extra={"seconds": seconds})
+            self._rest.begin(seconds, self._clock.monotonic())
+
     async def _open(self, timeout: float) -> ClientConnection:
         try:
             return await ClientConnection.open(self._endpoint, timeout=timeout)
@@ -109,6 +126,11 @@
     async def _request(
         self, method: str, path: str, headers: Headers, body: bytes, timeout: float
     ) -> tuple[int, bytes, Headers]:
+        if self.find_rest():
+            raise LinkLost(
+                f"the engine at {self._endpoint} has asked for rest",
+                "wait until the rest ends",
+            )
         connection = self._connection
         self._connection = None
         try:
@@ -126,4 +148,5 @@
             if connection is not None and not connection.idle:
                 connection.close()
         self._connection = connection
+        self._record_rest(answer.status, answer.headers)
         return answer.status, content, answer.headers
--- a/src/ibishead/platform/programs.py
+++ b/src/ibishead/platform/programs.py
@@ -75,7 +75,7 @@
 
     steward_settings = settings.steward()
     host, _, port = steward_settings.engine.rpartition(":")
-    engine = PlatformEngine(Endpoint(host, int(port)))
+    engine = PlatformEngine(Endpoint(host, int(port)), BootClock())
     server = StewardServer(steward_settings, BootClock(), engine)
     metrics_server = MetricsServer(Metrics("steward"), server.list_gauges)
     async with _serve_metrics(metrics_server, settings, metrics_port):
--- a/src/ibishead/steward/engine.py
+++ b/src/ibishead/steward/engine.py
@@ -94,6 +94,9 @@
 class Engine(Protocol):
     """Client of the model engine on this host."""
 
+    def find_rest(self) -> float:
+        """Return the seconds for which the engine has asked for no requests."""
+
     async def read_state(self) -> EngineState:
         """Return the engine's report.
 
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -272,6 +272,9 @@
         if self._ledger.holds(key, version):
             self._enqueue(waiter)
             return
+        if now + self._engine.find_rest() > waiter.expires_at:
+            waiter.answer(False)
+            return
         self._demands.add(waiter, version)
         waiter.link.send(TurnNoted(waiter.number))
         self._wake.set()
@@ -346,6 +349,10 @@
         while True:
             now = self._clock.monotonic()
             self._demands.refuse_expired(now)
+            if rest := self._engine.find_rest():
+                # Turns are granted meanwhile: the rest concerns this host alone.
+                await asyncio.sleep(min(rest, IDLE_INTERVAL_SECONDS))
+                continue
             if (
                 self._report_due
                 or self._ledger.report_needed
@@ -373,6 +380,8 @@
         try:
             state = await self._read_state_with_retry()
         except LinkLost as error:
+            if self._engine.find_rest():
+                return
             if not self._unreachable:
                 logger.warning("engine unreachable", extra={"reason": error.message})
             if isinstance(error, EngineGone):
@@ -434,6 +443,8 @@
         order = self._choose_order(now)
         if order is None:
             return False
+        if self._engine.find_rest():
+            return False
         outcome = await self._engine.send_order(order, self._order_timeout.seconds)
         if outcome is OrderOutcome.UNKNOWN:
             self._order_timeout.record_timeout()
--- a/tests/onplatform/test_engine_client.py
+++ b/tests/onplatform/test_engine_client.py
@@ -1,10 +1,13 @@
 """The steward's client of an engine: what the engine's answers say of the engine."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
 
+from ibishead.clock import SystemClock
+from ibishead.errors import LinkLost
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
 from ibishead.platform.engines import PlatformEngine
@@ -26,7 +29,7 @@
 
     async def __aenter__(self) -> "Fixture":
         endpoint = await self._server.start(Endpoint("127.0.0.1", 0))
-        self.client = PlatformEngine(endpoint)
+        self.client = PlatformEngine(endpoint, SystemClock())
         return self
 
     async def __aexit__(self, *_) -> None:
@@ -55,4 +58,35 @@
         fixture.headers = headers
         fixture.body = json.dumps({**REPORT, "state": state}).encode()
         assert (await fixture.client.read_state()).leaving is leaving
-        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "requests"),
+    [
+        (503, "0.4", 1),
+        (503, "0", 3),
+        (503, "-3", 3),
+        (503, "nan", 3),
+        (503, "1e12", 3),
+        (503, "soon", 3),
+        (200, "0.4", 3),
+    ],
+)
+async def test_the_steward_sends_nothing_to_its_engine_in_a_rest(
+    status: int, text: str, requests: int
+):
+    """A report was read again at once, and a health check three times a second."""
+    async with Fixture() as fixture:
+        fixture.status, fixture.headers = status, (("retry-after", text),)
+        await ask(fixture.client.read_state())
+        await ask(fixture.client.read_state())
+        await ask(fixture.client.read_target_id("/healthz"))
+        assert len(fixture.paths) == requests
+        await asyncio.sleep(fixture.client.find_rest())
+        fixture.status = 200
+        assert (await fixture.client.read_state()).born == REPORT["born"]
+
+
+async def ask(answer) -> None:
+    with contextlib.suppress(LinkLost):
+        await answer
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -65,6 +65,9 @@
         self._lose, self._late = lose, late
         self._random = random.Random(seed)
 
+    def find_rest(self) -> float:
+        return 0.0
+
     async def read_state(self) -> EngineState:
         refs = tuple(AdapterRef(n, v) for n, v in self.adapters.items())
         return EngineState(self.born, self.count, False, (Holding(MODEL, 1, refs),))
@@ -374,6 +377,45 @@
         assert [message.registrations for message in sent] == [(known,)] * told
 
 
+class RestingEngine(FakeEngine):
+    """An engine that asks its steward for rest in the answer to a report.
+
+    :ivar reads: number of reports read.
+    """
+
+    reads = 0
+    rest = 0.0
+
+    def find_rest(self) -> float:
+        return self.rest
+
+    async def read_state(self) -> EngineState:
+        self.reads += 1
+        if self.rest:
+            raise LinkLost("it rests", "wait")
+        return await super().read_state()
+
+
+async def test_a_rest_of_the_steward_neither_loses_the_engine_nor_ends_its_turns():
+    """Gateways would be told that an engine that only rests has lost its models."""
+    engine = RestingEngine()
+    harness = StewardHarness(engine)
+    async with harness:
+        assert await harness.request_turn(1, "a")
+        engine.rest = 30.0
+        await asyncio.sleep(0.6)
+        reads, orders = engine.reads, len(engine.orders)
+        assert await harness.request_turn(2, "a")
+        async with asyncio.timeout(0.5):
+            assert not await harness.request_turn(3, "b", wait=2.0)
+        await asyncio.sleep(0.5)
+        assert (engine.reads, len(engine.orders)) == (reads, orders)
+        reports = [m for m in harness.gateway.sent if isinstance(m, EngineReport)]
+        assert reports[-1].holdings
+        engine.rest = 0.0
+        assert await harness.request_turn(4, "b", wait=2.0)
+
+
 async def test_announcement_of_engine_supersedes_registration_by_steward():
     harness = StewardHarness(FakeEngine())
     announced = harness.feed.view.find_by_address(ADDRESS)
