End a steward's rest with the engine that asked for it

What callers would see: an engine that is replaced while its steward rests would get no load for up to a minute.

Cause: the client of the address knew no start of the engine. Change: the steward ends the rest when another start is registered there.

--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -109,6 +109,10 @@
             return OrderOutcome.UNKNOWN
         return _OUTCOMES.get(status, OrderOutcome.UNKNOWN)
 
+    def end_rest(self) -> None:
+        """End the rest, as the engine that asked for it has been replaced."""
+        self._rest = RestPeriod()
+
     def _record_rest(self, status: int, headers: Headers) -> None:
         seconds = read_retry_after(headers) if status == 503 else None
         if seconds is not None and is_valid_rest(seconds):
--- a/src/ibishead/steward/engine.py
+++ b/src/ibishead/steward/engine.py
@@ -97,6 +97,9 @@
     def find_rest(self) -> float:
         """Return the seconds for which the engine has asked for no requests."""
 
+    def end_rest(self) -> None:
+        """End the rest, as the engine that asked for it has been replaced."""
+
     async def read_state(self) -> EngineState:
         """Return the engine's report.
 
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -23,7 +23,7 @@
     choose_order,
 )
 from ibishead.errors import LinkLost
-from ibishead.ids import FailureDomain, HostId, ServiceName
+from ibishead.ids import FailureDomain, HostId, ServiceName, TargetId
 from ibishead.links import Link
 from ibishead.messages import Message
 from ibishead.routing.feed import RegistryFeed
@@ -143,6 +143,8 @@
         self._namer = EngineNamer(domain, service, address, engine, feed, clock)
         self._order_timeout = OrderTimeout()
         self._unreachable = False
+        #: Target and incarnation that is registered at the address.
+        self._start: tuple[TargetId, int] | None = None
         self._report_due = False
         self._fencing_number = 0
         self._fence_requested_at = 0.0
@@ -349,7 +351,7 @@
         while True:
             now = self._clock.monotonic()
             self._demands.refuse_expired(now)
-            if rest := self._engine.find_rest():
+            if rest := self._find_rest():
                 # Turns are granted meanwhile: the rest concerns this host alone.
                 await asyncio.sleep(min(rest, IDLE_INTERVAL_SECONDS))
                 continue
@@ -369,6 +371,15 @@
             self._wake.clear()
             await wait_for_event(self._wake, wait)
 
+    def _find_rest(self) -> float:
+        """Return the seconds for which the running engine wants no requests."""
+        target = self._feed.view.find_by_address(self._address)
+        start = (target.target, target.born) if target is not None else None
+        if start != self._start:
+            self._start = start
+            self._engine.end_rest()
+        return self._engine.find_rest()
+
     def _read_interval(self) -> float:
         return (
             BUSY_INTERVAL_SECONDS
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -68,6 +68,9 @@
     def find_rest(self) -> float:
         return 0.0
 
+    def end_rest(self) -> None:
+        pass
+
     async def read_state(self) -> EngineState:
         refs = tuple(AdapterRef(n, v) for n, v in self.adapters.items())
         return EngineState(self.born, self.count, False, (Holding(MODEL, 1, refs),))
@@ -389,6 +392,9 @@
     def find_rest(self) -> float:
         return self.rest
 
+    def end_rest(self) -> None:
+        self.rest = 0.0
+
     async def read_state(self) -> EngineState:
         self.reads += 1
         if self.rest:
@@ -416,6 +422,23 @@
         assert await harness.request_turn(4, "b", wait=2.0)
 
 
+@pytest.mark.parametrize("changes", [{"born": 2}, {"target": "t2", "born": 2}])
+async def test_a_rest_of_the_steward_ends_with_the_engine_that_asked_for_it(changes):
+    """The engine that replaces it would get neither a report read nor a load."""
+    engine = RestingEngine()
+    harness = StewardHarness(engine)
+    async with harness:
+        assert await harness.request_turn(1, "a")
+        engine.rest = 60.0
+        await asyncio.sleep(0.3)
+        known = harness.feed.view.find_by_address(ADDRESS)
+        engine.born, engine.count = 2, 0
+        new = msgspec.structs.replace(known, **changes)
+        assert harness.feed.view.merge(new, 1.0)
+        await asyncio.sleep(0.5)
+        assert await harness.request_turn(2, "b", wait=3.0)
+
+
 async def test_announcement_of_engine_supersedes_registration_by_steward():
     harness = StewardHarness(FakeEngine())
     announced = harness.feed.view.find_by_address(ADDRESS)
