Don't relay a status that promises not run without a proof of it

What callers would see: 503, 429 or 408 for an order that a target may have run; by the protocol they then send it again.

Cause: a target's own failure was relayed as it came, whatever its status promises to the caller. Change: where a request may run only once, such a status without the target's statement that it has not run becomes 502, as any outcome that is not known.

Measured: the four cases of requests that may run once are red before (relayed as 503, 429, 408 and 503), green now.

--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -40,6 +40,9 @@
 #: Lowest status code that reports a failure of the target itself.
 MIN_FAILURE_STATUS = 500
 
+#: Status codes by which a caller learns that its request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @dataclass(frozen=True)
 class Identity:
@@ -251,6 +254,8 @@
             return Failed(
                 f"a response with status {status} that is not the target's own"
             )
+        if status in NOT_RUN_STATUSES and not route.repeatable:
+            return Failed(f"status {status}, without a proof that nothing has run")
         state.failed, state.succeeded = status >= MIN_FAILURE_STATUS, head.success
         failed = not head.success
         if failed and (progress.exchange.started or self._can_resend(route, progress)):
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -105,6 +105,15 @@
     return refuse_with_header
 
 
+def fail_stamped(status: int) -> Behaviour:
+    """Return a target whose own failure doesn't say that the request has not run."""
+
+    async def fail_with_status(exchange: Exchange, request: str) -> None:
+        await exchange.respond(status, _make_own_headers(request), b"busy")
+
+    return fail_with_status
+
+
 async def never_respond(exchange: Exchange, request: str) -> None:
     await exchange.disconnected.wait()
 
@@ -298,6 +307,12 @@
         (ONCE, (refuse, refuse, refuse), 1, 429, 3),
         (ONCE, (reset, respond), 3, 502, 1),
         (ONCE, (fail, respond), 3, 500, 1),
+        # to a caller these statuses promise that the request has not run
+        (ONCE, (fail_stamped(503), respond), 3, 502, 1),
+        (ONCE, (fail_stamped(429), respond), 3, 502, 1),
+        (ONCE, (fail_stamped(408), respond), 3, 502, 1),
+        (STREAM, (fail_stamped(503), stream_completely), 3, 502, 1),
+        (SAFE, (fail_stamped(503), respond), 2, 200, 2),
         (ONCE, (respond_to_other_request, respond), 3, 502, 1),
         (ONCE, (respond_without_stamp, respond), 3, 502, 1),
         (ONCE, (respond_encoded, respond), 3, 502, 1),
