Keep a rest of a refusal without stamp

What callers would see: a target that asks for rest in a refusal that only echoes the request's id would be asked on.

Cause: what an answer says of its target counted only with the stamp or a proof of not run. Change: it counts if the answer belongs to the request, by id or by that proof, and the target is the one that was meant.

Measured: one of four cases red before, green now.

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -128,6 +128,7 @@
     :param not_run: the target states that it did not and will not run the request.
     :param genuine: the response carries the target's stamp and the id of this request,
         so it is from the target itself and belongs to this request.
+    :param echoed: the response names the id of this request.
     :param misdirected: the request reached a different target, or one that lacks the
         requested weights.
     :param encoded: the body has a content encoding, although none was requested.
@@ -144,6 +145,7 @@
     headers: Headers
     not_run: bool
     genuine: bool
+    echoed: bool = False
     misdirected: bool = False
     encoded: bool = False
     load: TargetLoad | None = None
@@ -152,6 +154,11 @@
     retry_after: float | None = None
     leaving: bool = False
 
+    @property
+    def own(self) -> bool:
+        """Whether what it says about its target is of the target that was meant."""
+        return not self.misdirected and (self.echoed or self.not_run)
+
     @property
     def success(self) -> bool:
         """Whether the status code reports success (2xx)."""
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -246,7 +246,7 @@
         state.connection.idle_time = head.idle_time
         if head.load is not None:
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
-        if head.genuine or (head.not_run and not head.misdirected):
+        if head.own:
             self._on_head(call, state.target, head, progress)
         if head.not_run:
             return await self._handle_refusal(state, head)
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -45,7 +45,7 @@
 
     def read_head(self, call: Call, status: int, headers: Headers) -> TargetHead:
         """Return the meaning of an answer's status and headers."""
-        echoed_id = find_header(headers, "request-id")
+        echoed = find_header(headers, "request-id") == call.request
         stamped = find_header(headers, "response-stamp") is not None
         # 421: another target listens here now, or it lacks the weights; it ran nothing
         misdirected = status == 421
@@ -53,7 +53,8 @@
             status,
             drop_hop_by_hop(headers),
             not_run=misdirected or find_header(headers, "not-executed") is not None,
-            genuine=stamped and echoed_id == call.request,
+            genuine=stamped and echoed,
+            echoed=echoed,
             misdirected=misdirected,
             encoded=find_header(headers, "content-encoding") is not None,
             load=_read_load(find_header(headers, "server-load")),
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -366,6 +366,41 @@
         assert len(fixture.arrivals) == arrivals
 
 
+async def ask_without_stamp(exchange: Exchange, request: str) -> None:
+    headers = (("request-id", request), ("retry-after", "2"))
+    await exchange.respond(503, headers, b"busy")
+
+
+async def ask_with_proof_only(exchange: Exchange, request: str) -> None:
+    await exchange.respond(503, (("not-executed", "1"), ("retry-after", "2")))
+
+
+async def ask_stamped(exchange: Exchange, request: str) -> None:
+    headers = (*_make_own_headers(request), ("retry-after", "2"))
+    await exchange.respond(503, headers, b"busy")
+
+
+async def ask_of_another_request(exchange: Exchange, request: str) -> None:
+    headers = (("request-id", "other"), ("retry-after", "2"))
+    await exchange.respond(503, headers, b"busy")
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "arrivals"),
+    [
+        (ask_without_stamp, 1),
+        (ask_with_proof_only, 1),
+        (ask_stamped, 1),
+        (ask_of_another_request, 2),
+    ],
+)
+async def test_a_rest_is_kept_whatever_proves_that_nothing_ran(behaviour, arrivals):
+    async with Fixture(ONCE, behaviour, respond, software=("v1",)) as fixture:
+        await fixture.ask()
+        await fixture.ask()
+        assert len(fixture.arrivals) == arrivals
+
+
 @pytest.mark.parametrize("failing", [stream_and_reset, stream_and_stall])
 async def test_a_resumable_stream_continues_at_another_target(failing):
     """A stream must continue at another target after the last complete event.
