Keep a rest that a target asks its agent for

What callers would see: on the own wire, calls that fail or are refused at a target that has asked for rest, beside idle targets.

Change: no run and no load begins in a rest; what can't run in time after it, or would wait for more than a second, is refused at once with the time that is left, and entry hosts pass the target over. Runs return one after the other. A new boot doesn't rest. Probes of /metrics go on, as only they show a new boot.

--- a/src/ibishead/agent/attempts.py
+++ b/src/ibishead/agent/attempts.py
@@ -69,6 +69,7 @@
         target did not hold the adapter or had restarted.
     :param tail: end of a model's event stream, none for any other answer.
     :param on_begin: called when its answer begins.
+    :param on_head: called with the status and the headers of the target's answer.
     """
 
     dispatch: Dispatch
@@ -91,6 +92,7 @@
     requeue_count: int = 0
     tail: StreamTail | None = None
     on_begin: Callable[[], None] = lambda: None
+    on_head: Callable[[int, Headers], None] = lambda _, __: None
     _acknowledged: int = 0
 
     @property
--- a/src/ibishead/agent/runner.py
+++ b/src/ibishead/agent/runner.py
@@ -78,6 +78,7 @@
         answer = await connection.ask(
             dispatch.method, dispatch.path, headers, dispatch.body
         )
+        attempt.on_head(answer.status, answer.headers)
         if boot is None:
             return await _relay_plain(attempt, answer, waited, target)
         if answer.status == _MODEL_NOT_FOUND:
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -25,8 +25,10 @@
 from ibishead.decisions.loading import INITIAL_BACKOFF_SECONDS, LoadBackoff
 from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.queueing import FairQueue, QueuedRequest, choose_next, list_late
+from ibishead.decisions.resting import RestPeriod, is_valid_rest
 from ibishead.decisions.runs import RunTable
 from ibishead.errors import ErrorCode, IbisheadError
+from ibishead.headers import Headers, read_retry_after
 from ibishead.ids import BootId, TargetId
 from ibishead.messages import LoadReport, Outcome
 from ibishead.metrics import Measure, Metrics
@@ -44,6 +46,9 @@
 #: Seconds for which a target may be unreachable before its queued attempts are refused.
 UNHEALTHY_GRACE_SECONDS = 1.0
 
+#: Status code with which an overloaded target refuses requests.
+OVERLOADED_STATUS = 503
+
 #: Number of times that one attempt is queued again after the engine lacked its adapter
 #: or the target had restarted.
 MAX_REQUEUES = 3
@@ -141,6 +146,8 @@
             self._report_end,
         )
         self._runs = RunTable()
+        self._rest = RestPeriod()
+        self._resting = False
         self._part_uses = PartUses()
         self._config = config
         self._client = client
@@ -219,7 +226,7 @@
             loading=self._list_digests(SlotState.LOADING),
             seconds_per_request=self._seconds_per_request,
             draining=self.draining,
-            healthy=self.healthy,
+            healthy=self.healthy and not self._resting,
             seconds_per_load=self._loader.seconds_per_load,
             pending_loads=self._loader.count_pending_loads(),
             free_slots=max(self._loader.count_available_slots(), 0),
@@ -238,22 +245,30 @@
             self._schedule(self._clock.monotonic())
 
     def _schedule(self, now: float) -> None:
+        self._update_rest(now)
         self._refuse_unservable(now)
         if self.healthy:
             self._start_runs(now)
-            if self._config.is_engine:
+            if self._config.is_engine and not self._resting:
                 self._loader.start_loads(self.attempts.list_in(AttemptState.QUEUED))
         for attempt in self.attempts.remove_expired(now):
             if attempt.refusal is not None:
                 self.gate.revoke_admission(attempt.key)
 
+    def _update_rest(self, now: float) -> None:
+        resting = self._rest.left(now) > 0
+        if resting != self._resting:
+            self._resting = resting
+            self.changed.set()
+
     def _refuse_unservable(self, now: float) -> None:
         # Attempts that can't run here in time are refused at once, so that they can run
         # at another target or be retried, rather than held until their deadline.
         queued = {a.key: a for a in self.attempts.list_in(AttemptState.QUEUED)}
         unreachable = self._watcher.measure_downtime() > UNHEALTHY_GRACE_SECONDS
         views = [self._make_view(attempt, now) for attempt in queued.values()]
-        late = list_late(views, now, self._estimate_shortest_run())
+        rest = self._rest.left(now)
+        late = list_late(views, now + rest, self._estimate_shortest_run())
         late_keys = {(item.request, item.attempt) for item in late}
         for key, attempt in queued.items():
             if (key.request, key.attempt) in late_keys:
@@ -263,6 +278,8 @@
                 )
             elif unreachable:
                 code, reason = ErrorCode.TARGET_FAILED, "the target doesn't respond"
+            elif rest > UNHEALTHY_GRACE_SECONDS:
+                code, reason = ErrorCode.OVERLOADED, "the target has asked for rest"
             elif attempt.adapter and self._loader.should_redirect(attempt.adapter):
                 code, reason = (
                     ErrorCode.LOAD_FAILED,
@@ -270,7 +287,7 @@
                 )
             else:
                 continue
-            attempt.refuse(code, reason, now, self._estimate_wait())
+            attempt.refuse(code, reason, now, max(rest, self._estimate_wait()))
 
     def _start_runs(self, now: float) -> None:
         running = self.attempts.list_in(AttemptState.RUNNING)
@@ -281,6 +298,8 @@
         }
         views = [self._make_view(attempt, now) for attempt in queued.values()]
         while views and sum(batch.values()) < self._config.batch:
+            if self._rest.wait(now):
+                return
             chosen = choose_next(
                 views,
                 dict(batch),
@@ -308,6 +327,7 @@
         self._observe(attempt, Measure.BATCH_FILL, size / self._config.batch)
         self._fair_queue.observe_run(attempt.dispatch.team, now)
         attempt.state = AttemptState.RUNNING
+        self._rest.take(now)
         self._record_run(attempt, now)
         attempt.task = asyncio.create_task(self._run(attempt, pin, now))
         self.changed.set()
@@ -374,6 +394,18 @@
         attempt.on_begin = lambda: self._runs.begin_answer(
             key.request, key.attempt, self._clock.monotonic()
         )
+        attempt.on_head = self._record_head
+
+    def _record_head(self, status: int, headers: Headers) -> None:
+        """Record the rest that an answer of the target asks for."""
+        seconds = read_retry_after(headers) if status == OVERLOADED_STATUS else None
+        if seconds is not None and is_valid_rest(seconds):
+            logger.info(
+                "target asked for rest",
+                extra={"target": self._config.target, "seconds": seconds},
+            )
+            self._rest.begin(seconds, self._clock.monotonic())
+            self._notify_change()
 
     def _end_run(self, attempt: Attempt, failed: bool | None) -> None:
         key, now = attempt.key, self._clock.monotonic()
@@ -386,6 +418,7 @@
         """Report what ran at the engine when it ended, unless its end was planned."""
         now = self._clock.monotonic()
         runs = self._runs.take_all(now)
+        self._rest = RestPeriod()
         if self.draining:
             return
         born = xxhash.xxh64_intdigest(boot.encode())
