--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -60,7 +60,7 @@
             load=_read_load(find_header(headers, "server-load")),
             idle_time=_read_idle_timeout(find_header(headers, "keep-alive")),
             rate_limit=_read_rate_limit(find_header(headers, "server-limit")),
-            retry_after=read_retry_after(headers) if status == 503 else None,
+            retry_after=read_retry_after(headers),
             leaving=is_leaving(headers),
         )
 
