Prefer other engines while one asks other gateways for rest

Cause: an engine asks one host at a time, and a gateway of many sends it less than one request in a rest.

Change: the gateway tells the engine's steward, which tells the other gateways once for each half second by which the rests grow. They add 0.5 s to the engine's delay; it isn't closed, as it may take requests of theirs.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -73,6 +73,10 @@
 SILENT_TARGET_DELAY = 0.5
 UNREACHABLE_DELAY = 5.0
 
+#: Penalty for a target that has asked another gateway for rest. It may take requests
+#: of this one, so it is used where the others are slower.
+REFUSING_DELAY = 0.5
+
 #: Additional latency of a target in another failure domain.
 OTHER_DOMAIN_DELAY = 0.003
 
@@ -142,6 +146,7 @@
     :param rate_limit_wait: seconds until this gateway's share of the target's rate
         limit admits a request.
     :param resting: the target has asked this gateway for no requests.
+    :param refusing: the target has asked another gateway for no requests.
     :param return_wait: seconds until a request may be sent after such a rest.
     """
 
@@ -158,6 +163,7 @@
     read_rate: float = INITIAL_RATE
     rate_limit_wait: float = 0.0
     resting: bool = False
+    refusing: bool = False
     return_wait: float = 0.0
     adapter: AdapterState = AdapterState(resident=True)
 
@@ -237,6 +243,7 @@
     delay += FAILURE_DELAY * candidate.failures
     delay += (
         SILENT_TARGET_DELAY * candidate.silent
+        + REFUSING_DELAY * candidate.refusing
         + UNREACHABLE_DELAY * candidate.unreachable
     )
     delay += OTHER_DOMAIN_DELAY * (candidate.domain != need.domain)
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -425,6 +425,7 @@
         now = self._clock.monotonic()
         if self._tracker.record_rest(target, seconds, selected_at, now, self._draw()):
             self._stewards.withdraw_turns(target.address)
+            self._stewards.notify_refusals(target, seconds or 0.0)
 
     def _handle_limit(
         self, call: Call, target: Registration, rate: float | None
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -79,6 +79,9 @@
             lambda delay: self._tracker.record_delay(delay, clock.monotonic()),
             lambda report: self._tracker.record_failures(report, clock.monotonic()),
             lambda limit: self._pipeline.apply_limit(limit),
+            on_refusals=lambda told: self._tracker.record_refusals(
+                told, clock.monotonic()
+            ),
             on_quota=lambda message: self._quotas.handle_relayed(message),
             on_origin=lambda answer: self._origins.handle_answer(answer),
         )
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -35,6 +35,7 @@
     QuotaAnswer,
     QuotaKept,
     RateTold,
+    RefusalsTold,
     TurnAnswer,
     TurnNoted,
 )
@@ -98,6 +99,7 @@
     :param on_failures: called when the share of failures of an engine has changed.
     :param on_limit: called when the rate limit that a steward enforces has changed or
         was removed.
+    :param on_refusals: called when an engine has asked another gateway for rest.
     :param on_quota: called with each message about quotas that a steward relays.
     :param on_origin: called with each answer about the beginning of a stream.
     """
@@ -111,6 +113,7 @@
         on_failures: Callable[[FailuresTold], None],
         on_limit: Callable[[RateTold], None],
         dialer: Dialer = dial,
+        on_refusals: Callable[[RefusalsTold], None] = lambda _: None,
         on_quota: Callable[[QuotaKept | QuotaAnswer], None] = lambda _: None,
         on_origin: Callable[[OriginAnswer], None] = lambda _: None,
     ) -> None:
@@ -120,6 +123,7 @@
         self._on_delay = on_delay
         self._on_failures = on_failures
         self._on_limit = on_limit
+        self._on_refusals = on_refusals
         self._on_quota = on_quota
         self._on_origin = on_origin
         self._dial = dialer
@@ -295,6 +299,12 @@
         if link is not None:
             link.send(RateTold(target.target, rate))
 
+    def notify_refusals(self, target: Registration, seconds: float) -> None:
+        """Notify a steward that its engine has asked this gateway for rest."""
+        link = self._links.get(target.address)
+        if link is not None:
+            link.send(RefusalsTold(target.target, seconds))
+
     async def stop(self) -> None:
         """Close all links."""
         for task in self._link_tasks.values():
@@ -358,6 +368,8 @@
                 self._on_failures(message)
             case RateTold():
                 self._on_limit(message)
+            case RefusalsTold():
+                self._on_refusals(message)
             case QuotaKept() | QuotaAnswer():
                 self._on_quota(message)
             case OriginAnswer():
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -14,7 +14,12 @@
 from ibishead.gateway.calls import TargetLoad
 from ibishead.gateway.stewards import ACK_TIMEOUT_SECONDS
 from ibishead.ids import TargetId
-from ibishead.routing.messages import EngineReport, FailuresTold, PromptDelay
+from ibishead.routing.messages import (
+    EngineReport,
+    FailuresTold,
+    PromptDelay,
+    RefusalsTold,
+)
 from ibishead.routing.routes import EngineSpec
 from ibishead.routing.targets import Registration, WeightKey, list_adapters
 
@@ -61,6 +66,8 @@
     :param failures: share of failures in the responses to this gateway.
     :param reported_failures: share of failures in the responses to all gateways, as
         reported by the steward.
+    :param refusing_until: monotonic seconds until which the target rests for another
+        gateway.
     :param unreachable_until: monotonic seconds until which the target is not selected.
     :param mean_duration: moving average of the seconds that a request takes.
     :param held: newest version of each adapter that this incarnation has held.
@@ -84,6 +91,7 @@
     load_at: float = -LOAD_VALID_SECONDS
     failures: FailureShare = field(default_factory=FailureShare)
     reported_failures: FailureShare = field(default_factory=FailureShare)
+    refusing_until: float = 0.0
     unreachable_until: float = 0.0
     mean_duration: float = 0.0
     report: EngineReport | None = None
@@ -221,6 +229,12 @@
             )
         return valid
 
+    def record_refusals(self, told: RefusalsTold, now: float) -> None:
+        """Record that an engine has asked another gateway for rest."""
+        stats = self._stats.get(told.target)
+        if stats is not None and is_valid_rest(told.seconds):
+            stats.refusing_until = max(stats.refusing_until, now + told.seconds)
+
     def find_rest(self, target: Registration, now: float) -> float:
         """Return the seconds for which a target rests, 0 if it doesn't."""
         rest = self.rests.find(target.target, target.born)
@@ -331,6 +345,7 @@
             if weights is not None and manageable
             else stats.send_rate.wait(now),
             resting=rest is not None and rest.left(now) > 0,
+            refusing=now < stats.refusing_until,
             return_wait=rest.wait(now) if rest is not None else 0.0,
             adapter=place,
         )
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -53,6 +53,7 @@
     QuotaHandover,
     QuotaKept,
     RateTold,
+    RefusalsTold,
     RouteNotice,
     RoutesAnswer,
     SignsOfLife,
@@ -653,4 +654,5 @@
     | PromptDelay
     | PromptRead
     | RateTold
+    | RefusalsTold
 )
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -55,6 +55,7 @@
     "QuotaKept",
     "QuotaVerdict",
     "RateTold",
+    "RefusalsTold",
     "ReportedUse",
     "RouteNotice",
     "RoutesAnswer",
@@ -468,6 +469,16 @@
     rate: float | None
 
 
+class RefusalsTold(_Message, frozen=True):
+    """An engine refuses requests and has asked a gateway for rest.
+
+    :param seconds: length of the rest.
+    """
+
+    target: TargetId
+    seconds: float
+
+
 class PromptRead(_Message, frozen=True):
     """An engine has processed the prompt of a request.
 
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -43,6 +43,7 @@
     QuotaAnswer,
     QuotaKept,
     RateTold,
+    RefusalsTold,
     StreamBegan,
     TurnNoted,
 )
@@ -93,6 +94,9 @@
 #: once.
 MODEL_WAIT_STEP_SECONDS = 0.3
 
+#: Extension of the engine's rests in seconds from which gateways are told of it.
+REFUSALS_STEP_SECONDS = 0.5
+
 #: Seconds until a fencing number is requested again.
 FENCE_RETRY_SECONDS = 0.5
 
@@ -153,6 +157,7 @@
         self._last_report: EngineReport | None = None
         self._last_report_at = 0.0
         self._paused_until = 0.0
+        self._refusals_shared_until = 0.0
         self._spread_position = xxhash.xxh32_intdigest(host.encode()) / 2**32
 
     # Gateways ----------------------------------------------------------------
@@ -238,6 +243,10 @@
                 known = self._feed.view.find_by_address(self._address)
                 if known is not None and known.target == target:
                     self._set_rate_limit(rate)
+            case RefusalsTold(target, seconds):
+                known = self._feed.view.find_by_address(self._address)
+                if known is not None and known.target == target:
+                    self._share_refusals(link, message, now + seconds)
             case PromptRead(tokens, seconds, number):
                 self._turns.record_read(link, tokens, seconds)
                 if seconds:
@@ -331,6 +340,14 @@
             if target is not None:
                 self._send_to_gateways(RateTold(target.target, rate))
 
+    def _share_refusals(self, link: Link, told: RefusalsTold, until: float) -> None:
+        """Tell the other gateways of a rest, unless they know of one about as long."""
+        if until - self._refusals_shared_until < REFUSALS_STEP_SECONDS:
+            return
+        self._refusals_shared_until = until
+        for other in self._links - {link}:
+            other.send(told)
+
     def _send_to_gateways(self, message: Message) -> None:
         for link in self._links:
             link.send(message)
--- a/tests/gateway/test_tracker.py
+++ b/tests/gateway/test_tracker.py
@@ -7,7 +7,12 @@
 from ibishead.gateway.calls import TargetLoad
 from ibishead.gateway.tracker import TargetTracker
 from ibishead.ids import FailureDomain, ModelName, ServiceName, TargetId
-from ibishead.routing.messages import EngineReport, FailuresTold, PromptDelay
+from ibishead.routing.messages import (
+    EngineReport,
+    FailuresTold,
+    PromptDelay,
+    RefusalsTold,
+)
 from ibishead.routing.targets import (
     AdapterRef,
     Holding,
@@ -202,6 +207,19 @@
     assert describe(tracker, 60.0).failures < 0.01
 
 
+@pytest.mark.parametrize(
+    ("seconds", "at", "refusing"),
+    [(3.0, 2.9, True), (3.0, 3.1, False), (1e12, 1.0, False), (-3.0, 1.0, False)],
+)
+def test_a_rest_asked_of_another_gateway_is_a_hint_for_its_time(seconds, at, refusing):
+    """It must not close the engine, which may take requests of this gateway."""
+    tracker = TargetTracker()
+    tracker.record_report(make_report(), 0.0)
+    tracker.record_refusals(RefusalsTold(TargetId("t"), seconds), 0.0)
+    candidate = describe(tracker, at)
+    assert (candidate.refusing, candidate.resting) == (refusing, False)
+
+
 @pytest.mark.parametrize(
     ("mute", "heard", "unreached"),
     [(False, 0.0, False), (True, 0.0, True), (True, 9.9, False)],
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -30,6 +30,7 @@
     MemberKind,
     MemberRecord,
     RateTold,
+    RefusalsTold,
     TurnAnswer,
 )
 from ibishead.routing.routes import EngineSpec, ModelSpec, RouteSet, ServiceSpec
@@ -380,6 +381,22 @@
         assert [message.registrations for message in sent] == [(known,)] * told
 
 
+async def test_a_rest_asked_of_one_gateway_is_told_to_the_others_once():
+    """Each of hundreds of gateways would have to be refused by itself."""
+    harness = StewardHarness(FakeEngine())
+    async with harness:
+        await asyncio.sleep(0.05)
+        other = PeerLink()
+        serving = asyncio.create_task(harness.steward.serve_link(other))
+        told = RefusalsTold(TargetId("t"), 3.0)
+        for message in (told, told, RefusalsTold(TargetId("gone"), 9.0)):
+            harness.gateway.inbox.put_nowait(message)
+        await asyncio.sleep(0.05)
+        assert [m for m in other.sent if isinstance(m, RefusalsTold)] == [told]
+        assert not any(isinstance(m, RefusalsTold) for m in harness.gateway.sent)
+        serving.cancel()
+
+
 class RestingEngine(FakeEngine):
     """An engine that asks its steward for rest in the answer to a report.
 
