--- a/tests/onplatform/test_asking_soak.py
+++ b/tests/onplatform/test_asking_soak.py
@@ -9,10 +9,11 @@
 import random
 import signal
 import time
-from collections import Counter
+from collections import Counter, defaultdict
 
 import pytest
 from tests.onplatform.standin import MODEL, Cluster, Target
+from tests.processes.programs import Program
 
 from ibishead.errors import LinkLost
 from ibishead.gateway.connection import TargetConnection
@@ -87,8 +88,11 @@
     await target.start()
 
 
-async def disturb_program(cluster: Cluster, draw: random.Random) -> None:
-    """Kill, stop or suspend one program, and start it again."""
+async def disturb_program(cluster: Cluster, draw: random.Random, locks) -> None:
+    """Kill, stop or suspend one program, and start it again.
+
+    :param locks: by program; its disturbances come one after the other.
+    """
     kind = draw.choice(("gateway", "steward", "registry"))
     hosts = {"gateway": 2, "registry": 4}.get(kind)
     edge = cluster.edge_hosts[:hosts] if hosts else cluster.side_hosts
@@ -97,8 +101,15 @@
     gateway = next((g for g in cluster.gateways if g.address == address), None)
     excused = kind == "gateway" and gateway is not None
     how = draw.choice(("kill", "kill", "stop", "suspend"))
-    if excused:
-        cluster.record_disturbance(gateway)
+    async with locks[program]:
+        if excused:
+            cluster.record_disturbance(gateway)
+        await disturb(program, how, draw)
+        if excused:
+            cluster.record_disturbance(gateway)
+
+
+async def disturb(program: Program, how: str, draw: random.Random) -> None:
     match how:
         case "suspend":
             program.suspend()
@@ -113,8 +124,6 @@
             program.kill()
             await asyncio.sleep(0.1)
             program.start()
-    if excused:
-        cluster.record_disturbance(gateway)
 
 
 async def change_routes(cluster: Cluster, draw: random.Random) -> None:
@@ -140,6 +149,7 @@
             for number in range(CALLERS)
         ]
         troubles, targets, busy = [], cluster.engines + cluster.plain, set()
+        locks = defaultdict(asyncio.Lock)
         while time.monotonic() < end - 6.0:
             free = [t for t in targets if t not in busy]
             match draw.choice(("rest", "rest", "all", "leave", "program", "routes")):
@@ -153,7 +163,7 @@
                     busy.add(target)
                     coming = leave(target, draw)
                 case "program":
-                    coming = disturb_program(cluster, draw)
+                    coming = disturb_program(cluster, draw, locks)
                 case _:
                     coming = change_routes(cluster, draw)
             troubles.append(asyncio.create_task(coming))
