Count the version of a target that left for a minute only

What callers would see: after a release, streams that can't be resumed for ten minutes, as a draining target of the old version that ended without a word keeps its record.

Cause: the longer retention of draining records, and resumed streams of callers that name no first request, which need all records to have one version. Found by reading. Change: a target that has left counts for 60 s after its last word, as before.

Measured: the test's second case is red without the change by its construction.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -345,11 +345,12 @@
         has just started, or has no link to a registry, may not know all versions.
         """
         services = _list_services(request.route)
-        age = self._clock.monotonic() - self._started_at
+        now = self._clock.monotonic()
+        age = now - self._started_at
         if len(services) != 1 or age < DISCOVERY_SECONDS or not self._feed.links:
             return None
         (service,) = services
-        software = self._feed.view.find_only_version(service)
+        software = self._feed.view.find_only_version(service, now)
         return StreamOrigin(service, software) if software is not None else None
 
     def _make_origin_error(self, reason: str) -> IbisheadError:
--- a/src/ibishead/routing/targets.py
+++ b/src/ibishead/routing/targets.py
@@ -242,14 +242,26 @@
             if found.service == service and found.state is TargetState.READY
         ]
 
-    def find_only_version(self, service: ServiceName) -> SoftwareVersion | None:
+    def find_only_version(
+        self, service: ServiceName, now: float
+    ) -> SoftwareVersion | None:
         """Return the software version that all targets of a service have in common.
 
-        Targets that have left count while their records are kept.
+        Targets that have left count for a while, as streams that they began may be
+        resumed.
 
+        :param now: monotonic seconds.
         :returns: ``None`` if there are several versions, or a target names none.
         """
-        versions = {t.software for t in self._known.values() if t.service == service}
+        versions = {
+            found.software
+            for found in self._known.values()
+            if found.service == service
+            and (
+                not _is_leaving(found)
+                or now - self._last_seen[found.target] <= GONE_RETENTION_SECONDS
+            )
+        }
         return versions.pop() or None if len(versions) == 1 else None
 
     def find_by_address(self, address: str) -> Registration | None:
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -85,6 +85,18 @@
     assert (view.mark_leaving(TargetId("t1"), born) is not None) is marked
 
 
+@pytest.mark.parametrize(
+    ("state", "seconds", "only"),
+    [(DRAINING, 59, None), (DRAINING, 61, "v2"), (READY, 61, None)],
+)
+def test_a_target_that_left_long_ago_has_no_streams_to_resume(state, seconds, only):
+    """Its version would keep streams from going on while its record is kept."""
+    view = TargetView()
+    view.merge(make_registration("old", software="v1", state=state), 0.0)
+    view.merge(make_registration("new", software="v2"), float(seconds))
+    assert view.find_only_version(ServiceName("plans"), float(seconds)) == only
+
+
 def test_restart_under_the_same_name_is_a_new_incarnation():
     view = TargetView()
     view.merge(make_registration(born=100, sequence=50, state=DRAINING), 1.0)
