--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -25,7 +25,11 @@
 from ibishead.decisions.loading import INITIAL_BACKOFF_SECONDS, LoadBackoff
 from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.queueing import FairQueue, QueuedRequest, choose_next, list_late
-from ibishead.decisions.resting import RestPeriod, is_valid_rest
+from ibishead.decisions.resting import (
+    OVERLOADED_STATUS,
+    RestPeriod,
+    is_valid_rest,
+)
 from ibishead.decisions.runs import RunTable
 from ibishead.errors import ErrorCode, IbisheadError
 from ibishead.headers import Headers, read_retry_after
@@ -46,9 +50,6 @@
 #: Seconds for which a target may be unreachable before its queued attempts are refused.
 UNHEALTHY_GRACE_SECONDS = 1.0
 
-#: Status code with which an overloaded target refuses requests.
-OVERLOADED_STATUS = 503
-
 #: Number of times that one attempt is queued again after the engine lacked its adapter
 #: or the target had restarted.
 MAX_REQUEUES = 3
@@ -398,8 +399,8 @@
 
     def _record_head(self, status: int, headers: Headers) -> None:
         """Record the rest that an answer of the target asks for."""
-        seconds = read_retry_after(headers) if status == OVERLOADED_STATUS else None
-        if seconds is not None and is_valid_rest(seconds):
+        seconds = read_retry_after(headers)
+        if status == OVERLOADED_STATUS and is_valid_rest(seconds):
             logger.info(
                 "target asked for rest",
                 extra={"target": self._config.target, "seconds": seconds},
--- a/src/ibishead/decisions/resting.py
+++ b/src/ibishead/decisions/resting.py
@@ -4,10 +4,14 @@
 """
 
 import math
+from typing import TypeGuard
 
 from ibishead.ids import TargetId
 
-__all__ = ["RestPeriod", "RestTable", "is_valid_rest"]
+__all__ = ["OVERLOADED_STATUS", "RestPeriod", "RestTable", "is_valid_rest"]
+
+#: Status code of a refusal that may ask for rest.
+OVERLOADED_STATUS = 503
 
 #: Longest rest in seconds that is granted. A longer one is taken for a malformed value,
 #: as it would close the target for good.
@@ -25,7 +29,7 @@
 LAST_INTERVAL_SECONDS = 0.01
 
 
-def is_valid_rest(seconds: float | None) -> bool:
+def is_valid_rest(seconds: float | None) -> TypeGuard[float]:
     """Return whether a target may rest for a time that it has asked for."""
     return seconds is not None and 0 < seconds <= MAX_REST_SECONDS
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -14,6 +14,7 @@
 from ibishead.decisions.holding import compute_hold, estimate_route_wait
 from ibishead.decisions.leaving import OTHER_HOST_RETRY_AFTER, AnswerPace, fits_grace
 from ibishead.decisions.partuses import PartUses
+from ibishead.decisions.resting import OVERLOADED_STATUS, is_valid_rest
 from ibishead.decisions.retry import BudgetShare, RetryBudget
 from ibishead.errors import (
     ErrorCode,
@@ -71,9 +72,6 @@
 #: encounter the same load.
 MAX_REFUSALS = 3
 
-#: Status code with which an overloaded target refuses requests.
-OVERLOADED_STATUS = 503
-
 #: Retry-after time in seconds of a resumed stream whose origin is unknown, varied
 #: randomly by half. It stays unknown, unless no host that keeps it could be reached.
 ORIGIN_RETRY_SECONDS = 1.0
@@ -418,15 +416,16 @@
         if head.leaving:
             self._feed.report_leaving(target.target, target.born)
         if head.status == OVERLOADED_STATUS:
-            self._handle_rest(target, head.retry_after, progress.selected_at)
+            self._handle_refusal(target, head.retry_after, progress.selected_at)
 
-    def _handle_rest(
-        self, target: Registration, seconds: float | None, selected_at: float
+    def _handle_refusal(
+        self, target: Registration, rest: float | None, selected_at: float
     ) -> None:
         now = self._clock.monotonic()
-        if self._tracker.record_rest(target, seconds, selected_at, now, self._draw()):
+        self._tracker.record_refusal(target, rest, selected_at, now, self._draw())
+        if is_valid_rest(rest):
             self._stewards.withdraw_turns(target.address)
-            self._stewards.notify_refusals(target, seconds or 0.0)
+            self._stewards.notify_refusals(target, rest)
 
     def _handle_limit(
         self, call: Call, target: Registration, rate: float | None
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -271,7 +271,7 @@
                 await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
                 self._pool.close_expired()
                 self._tracker.retain({found.target for found in self.feed.view})
-                self._tracker.remove_ended_rests(self._clock.monotonic())
+                self._tracker.rests.remove_ended(self._clock.monotonic())
 
     async def _measure_load(self) -> None:
         measured_at, sent = self._clock.monotonic(), self._server.bytes_sent
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -191,43 +191,41 @@
             },
         )
 
-    def record_rest(
+    def record_refusal(
         self,
         target: Registration,
         seconds: float | None,
         selected_at: float,
         now: float,
         offset: float = 0.0,
-    ) -> bool:
-        """Record the rest that a refusal asks for.
+    ) -> None:
+        """Record a refusal, and begin the rest that it asks for if it is a valid one.
 
         :param seconds: length of the rest, or ``None`` if the refusal asks for none.
         :param selected_at: monotonic seconds at which the target was selected for the
             refused request.
         :param offset: random number in [0, 1) that spreads the ends of rests.
-        :returns: whether the target rests from now on.
         """
         rest = self.rests.find(target.target, target.born)
         left = rest.left(now) if rest is not None else 0.0
         self.refused_in_rest += left > 0
-        valid = seconds is not None and is_valid_rest(seconds)
-        if seconds is not None and valid:
+        selected_in_rest = rest is not None and left > 0 and selected_at > rest.began
+        if is_valid_rest(seconds):
             self.rests.begin(target.target, target.born, seconds, now, offset)
         if seconds is not None or left:
             logger.info(
-                "target asked for rest" if valid else "request for rest ignored",
+                "target asked for rest"
+                if is_valid_rest(seconds)
+                else "target refused without a valid request for rest",
                 extra={
                     "target": target.target,
                     "service": target.service,
                     "seconds": seconds,
                     "rest_left": round(left, 3),
-                    "selected_in_rest": bool(
-                        left and rest is not None and selected_at > rest.began
-                    ),
+                    "selected_in_rest": selected_in_rest,
                     "since_selection": round(now - selected_at, 4),
                 },
             )
-        return valid
 
     def record_refusals(self, told: RefusalsTold, now: float) -> None:
         """Record that an engine has asked another gateway for rest."""
@@ -360,10 +358,6 @@
         for target in self._stats.keys() - known:
             del self._stats[target]
 
-    def remove_ended_rests(self, now: float) -> None:
-        """Discard the rests that have ended."""
-        self.rests.remove_ended(now)
-
     def _find_stats(self, target: TargetId, incarnation: int) -> TargetStats:
         found = self._stats.get(target)
         if found is None or found.incarnation != incarnation:
--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -5,7 +5,11 @@
 from dataclasses import replace
 
 from ibishead.clock import Clock
-from ibishead.decisions.resting import RestPeriod, is_valid_rest
+from ibishead.decisions.resting import (
+    OVERLOADED_STATUS,
+    RestPeriod,
+    is_valid_rest,
+)
 from ibishead.errors import InvalidInput, LinkLost
 from ibishead.headers import Headers, find_header, read_retry_after
 from ibishead.ids import TargetId
@@ -114,8 +118,8 @@
         self._rest = RestPeriod()
 
     def _record_rest(self, status: int, headers: Headers) -> None:
-        seconds = read_retry_after(headers) if status == 503 else None
-        if seconds is not None and is_valid_rest(seconds):
+        seconds = read_retry_after(headers)
+        if status == OVERLOADED_STATUS and is_valid_rest(seconds):
             logger.info("engine asked for rest", extra={"seconds": seconds})
             self._rest.begin(seconds, self._clock.monotonic())
 
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -346,7 +346,8 @@
         acquire, target = fixture.pool.acquire, fixture.feed.view.get(TargetId("t0"))
 
         async def begin_rest(address: str) -> TargetConnection:
-            fixture.tracker.record_rest(target, 3.0, 0.0, SystemClock().monotonic())
+            now = SystemClock().monotonic()
+            fixture.tracker.record_refusal(target, 3.0, 0.0, now)
             return await acquire(address)
 
         fixture.pool.acquire = begin_rest
