--- a/tests/onplatform/test_rests.py
+++ b/tests/onplatform/test_rests.py
@@ -53,10 +53,6 @@
     stewards: bool = True
     event_interval: float = 0.02
 
-    @property
-    def longest(self) -> float:
-        return max(map(float, self.retry_afters))
-
 
 def list_targets(cluster: Cluster, case: Case) -> list[Target]:
     """Return the targets of a service; first those that hold the adapter."""
