--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -148,6 +148,11 @@
     :param resting: the target has asked this gateway for no requests.
     :param refusing: the target has asked another gateway for no requests.
     :param return_wait: seconds until a request may be sent after such a rest.
+    :param step_time: seconds for one token of each running answer, 0 if unknown.
+    :param slowdown: how much longer work takes on the target's host at this moment, 1
+        as usual.
+    :param kept_tokens: leading tokens of the request's prompt that the target keeps and
+        does not read again.
     """
 
     target: TargetId
@@ -165,6 +170,9 @@
     resting: bool = False
     refusing: bool = False
     return_wait: float = 0.0
+    step_time: float = 0.0
+    slowdown: float = 1.0
+    kept_tokens: int = 0
     adapter: AdapterState = AdapterState(resident=True)
 
 
@@ -176,12 +184,20 @@
     :param weights: model and adapter, or ``None`` for a plain service.
     :param run_time: seconds that the request takes on a target of mean speed.
     :param avoid: targets that must not be chosen.
+    :param prompt_tokens: length of its prompt.
+    :param answer_tokens: expected length of its answer, 0 if unknown.
+    :param gap_objective: longest accepted pause between events in seconds, 0 for none.
+    :param event_tokens: tokens in one event of its answer.
     """
 
     domain: FailureDomain
     weights: WeightKey | None = None
     run_time: float = 0.0
     avoid: frozenset[TargetId] = frozenset()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    gap_objective: float = 0.0
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True)
--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -48,6 +48,8 @@
         the stream, or ``None`` if it names none.
     :param api_key: empty if the request carries none.
     :param counts_tokens: whether the request says how many tokens it needs.
+    :param length_hint: the caller's estimate of the response's tokens, or ``None`` if
+        it gives none. It may be far off.
     """
 
     request: RequestId
@@ -67,6 +69,7 @@
     first_request: RequestId | None = None
     api_key: str = field(default="", repr=False)
     counts_tokens: bool = False
+    length_hint: int | None = None
 
     @property
     def tokens(self) -> int | None:
@@ -113,11 +116,14 @@
     :param running: requests being processed.
     :param waiting: requests in the queue.
     :param slots: requests that the target processes concurrently.
+    :param slowdown: how much longer work takes on the target's host at this moment, 1
+        as usual, or ``None`` if the target does not say.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -182,6 +182,7 @@
                     due=request.selection_started + request.route.objective - now,
                     number=request.progress.use_number,
                     keys=request.keys,
+                    work=request.work,
                 )
             finally:
                 if not adapter.resident:
@@ -201,7 +202,12 @@
             send_rate.take(now)
             number = request.progress.use_number = self._stewards.take_number()
             self._stewards.begin_use(
-                target.address, key, call.prompt_tokens, number, request.keys
+                target.address,
+                key,
+                call.prompt_tokens,
+                number,
+                request.keys,
+                request.work,
             )
             return TurnOutcome.GRANTED
         return outcome
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -44,6 +44,7 @@
     CALLER_LEFT,
     RequestRecorder,
     RequestState,
+    find_rank,
 )
 from ibishead.gateway.sending import (
     Answered,
@@ -57,13 +58,14 @@
 )
 from ibishead.gateway.stewards import StewardLinks
 from ibishead.gateway.tracker import TargetTracker
-from ibishead.ids import FailureDomain, ServiceName
+from ibishead.ids import CustomerId, FailureDomain, ServiceName
 from ibishead.metrics import Metrics
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, RateTold
-from ibishead.routing.prompts import make_prompt_keys
+from ibishead.routing.prompts import make_prompt_keys, measure_parts
 from ibishead.routing.routes import Repeatability, Route, pick_service
 from ibishead.routing.targets import Registration, StreamOrigin
+from ibishead.routing.work import RequestWork
 from ibishead.web import Exchange
 
 __all__ = ["Pipeline"]
@@ -187,6 +189,14 @@
             seconds = self._clock.monotonic() - progress.response_started
             self._answer_pace.record(seconds, progress.event_count * spec.event_tokens)
 
+    def _measure_answer(self, request: RequestState) -> tuple[int, float]:
+        """Return the tokens that the current target has sent, and the time it took."""
+        spec, progress = self._chooser.find_spec(request), request.progress
+        if spec is None or not progress.event_count:
+            return 0, 0.0
+        seconds = progress.last_event_at - progress.current_response_at
+        return progress.event_count * spec.event_tokens, max(0.0, seconds)
+
     async def _wait_for_routes(self, call: Call) -> None:
         if self._feed.routes is None:
             with contextlib.suppress(TimeoutError):
@@ -234,6 +244,11 @@
             make_prompt_keys(
                 [part.name for part in call.parts], customer.name if customer else None
             ),
+            RequestWork(
+                part_tokens=measure_parts([(p.name, p.tokens) for p in call.parts]),
+                rank=find_rank(route, customer),
+                customer=customer.name if customer else CustomerId(""),
+            ),
         )
 
     async def _run_until_deadline(
@@ -286,12 +301,15 @@
                     if not request.progress.response_delay:
                         self._notify_prompt_read(request.call, target, request.progress)
                     progress = request.progress
+                    tokens, seconds = self._measure_answer(request)
                     self._stewards.end_use(
                         target.address,
                         key,
                         progress.max_gap,
                         progress.failed,
                         progress.use_number,
+                        tokens,
+                        seconds,
                     )
             match outcome:
                 case Answered():
--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -16,6 +16,7 @@
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.routes import Route
+from ibishead.routing.work import RequestWork
 from ibishead.web import WebRequest
 
 __all__ = ["ANSWERED", "CALLER_LEFT", "RequestRecorder", "RequestState"]
@@ -51,6 +52,7 @@
     :ivar expected_wait: expected seconds until the selected target takes the request.
     :ivar charge: charge to the customer's quota, ``None`` if there is no quota.
     :ivar quota_wait: seconds spent waiting for that charge.
+    :ivar work: what the request is expected to cost an engine.
     """
 
     call: Call
@@ -62,6 +64,7 @@
     progress: Progress
     customer: Customer | None = None
     keys: PromptKeys | None = None
+    work: RequestWork = RequestWork()
     avoid: set[TargetId] = field(default_factory=set)
     refusals: int = 0
     last_reason: str = ""
@@ -74,10 +77,14 @@
     @property
     def rank(self) -> int:
         """Priority: that of the customer, if it has one, or else of the route."""
-        customer = self.customer
-        if customer is None or customer.rank is None:
-            return self.route.rank
-        return customer.rank
+        return find_rank(self.route, self.customer)
+
+
+def find_rank(route: Route, customer: Customer | None) -> int:
+    """Return the priority of requests of a customer on a route."""
+    if customer is None or customer.rank is None:
+        return route.rank
+    return customer.rank
 
 
 class RequestRecorder:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -100,6 +100,7 @@
     :ivar max_gap: longest gap in seconds between events of the current target's
         response.
     :ivar event_count: complete events of the current target's response.
+    :ivar last_event_at: monotonic seconds at which the newest event was received.
     :ivar response_delay: seconds until the current target's response began, 0 before.
     :ivar current_response_at: monotonic seconds at which that response began.
     :ivar failed: whether the current target failed; ``None`` while its response is
@@ -121,6 +122,7 @@
     response_started: float = 0.0
     max_gap: float = 0.0
     event_count: int = 0
+    last_event_at: float = 0.0
     response_delay: float = 0.0
     current_response_at: float = 0.0
     failed: bool | None = None
@@ -138,6 +140,7 @@
         self.target, self.software = target.target, target.software
         self.failed, self.succeeded = None, False
         self.max_gap = self.response_delay = 0.0
+        self.event_count = 0
 
 
 class Sender:
@@ -322,7 +325,8 @@
                 progress.max_gap = max(progress.max_gap, now - last_events_at)
             elif events:
                 self._record_response_start(state, progress)
-            last_events_at = now if events else last_events_at
+            if events:
+                last_events_at = progress.last_event_at = now
             if events and progress.origin is None:
                 progress.origin = StreamOrigin(
                     state.target.service, state.target.software
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -41,12 +41,16 @@
 )
 from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import Registration, WeightKey
+from ibishead.routing.work import RequestWork
 from ibishead.waiting import wait_for_event
 
 __all__ = ["ACK_TIMEOUT_SECONDS", "StewardLinks", "TurnOutcome"]
 
 logger = logging.getLogger(__name__)
 
+#: Work of a request of which nothing is known.
+NO_WORK = RequestWork()
+
 #: Seconds within which a steward acknowledges a request for a turn. It takes
 #: milliseconds, and a few times as long on a slow host.
 ACK_TIMEOUT_SECONDS = 0.15
@@ -199,6 +203,7 @@
         tokens: int = 0,
         due: float = 0.0,
         keys: PromptKeys | None = None,
+        work: RequestWork = NO_WORK,
     ) -> TurnOutcome:
         """Wait until a request may be sent to an engine.
 
@@ -208,12 +213,13 @@
         :param tokens: length of the prompt in tokens.
         :param due: seconds until the response should begin.
         :param keys: the parts of the prompt, if it names any.
+        :param work: what the request is expected to cost.
         """
         link = self._links.get(address)
         if link is None or link.closed:
             return TurnOutcome.UNRESPONSIVE
         turn = self._pending[number] = _PendingTurn(number, address, key)
-        link.send(AskTurn(number, key, version, wait, tokens, due, keys))
+        link.send(AskTurn(number, key, version, wait, tokens, due, keys, work))
         try:
             if not await _wait_for_ack(
                 turn.acknowledged, min(ACK_TIMEOUT_SECONDS, wait)
@@ -247,16 +253,18 @@
         tokens: int = 0,
         number: int = 0,
         keys: PromptKeys | None = None,
+        work: RequestWork = NO_WORK,
     ) -> None:
         """Notify a steward that a request is sent without a turn.
 
         :param tokens: length of the prompt in tokens.
         :param number: from `take_number`; identifies this use of the engine.
         :param keys: the parts of the prompt, if it names any.
+        :param work: what the request is expected to cost.
         """
         link = self._links.get(address)
         if link is not None:
-            link.send(BeginUse(key, tokens, number, keys))
+            link.send(BeginUse(key, tokens, number, keys, work))
 
     def end_use(
         self,
@@ -265,6 +273,8 @@
         max_gap: float = 0.0,
         failed: bool | None = None,
         number: int = 0,
+        tokens: int = 0,
+        seconds: float = 0.0,
     ) -> None:
         """Notify a steward that a request has ended.
 
@@ -272,10 +282,16 @@
         :param failed: whether the engine failed, or ``None`` if the request ended for
             another reason.
         :param number: number under which the use began.
+        :param tokens: length of the answer in tokens, 0 if unknown.
+        :param seconds: from the first to the last event of the answer.
         """
         link = self._links.get(address)
         if link is not None:
-            link.send(EndUse(key, round(max_gap, 3), failed, number))
+            link.send(
+                EndUse(
+                    key, round(max_gap, 3), failed, number, tokens, round(seconds, 3)
+                )
+            )
 
     def notify_prompt_read(
         self, address: str, tokens: int, seconds: float, number: int = 0
--- a/src/ibishead/platform/callers.py
+++ b/src/ibishead/platform/callers.py
@@ -14,6 +14,11 @@
 #: Authentication scheme of API keys.
 _KEY_SCHEME = "token"
 
+#: Longest answer that a length hint can announce, in tokens, and the digits that are
+#: read of it.
+MAX_LENGTH_HINT = 1_000_000
+MAX_HINT_DIGITS = 9
+
 #: Headers that only the system itself may set; they are removed from callers' requests.
 _RESERVED_HEADERS = frozenset(
     {
@@ -64,6 +69,7 @@
             _read_request_id(find_header(headers, "resumes")),
             read_key(headers, _KEY_SCHEME),
             bool(counts),
+            _read_length_hint(find_header(headers, "length-hint")),
         )
 
     def find_request_id(self, request: WebRequest) -> RequestId | None:
@@ -142,6 +148,13 @@
     return prompt, answer
 
 
+def _read_length_hint(text: str | None) -> int | None:
+    # a hint is only an estimate, so a malformed one is no reason to refuse a request
+    if text is None or not text.strip().isascii() or not text.strip().isdigit():
+        return None
+    return min(int(text.strip()[:MAX_HINT_DIGITS]), MAX_LENGTH_HINT)
+
+
 def _read_prompt_parts(text: str | None) -> tuple[PromptPart, ...]:
     if not text:
         return ()
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -24,6 +24,7 @@
     StreamOrigin,
     WeightKey,
 )
+from ibishead.routing.work import RequestWork
 
 __all__ = [
     "AdapterFloor",
@@ -360,6 +361,7 @@
     :param tokens: length of the prompt.
     :param due: seconds until its answer should begin, negative if it is late.
     :param keys: the parts of its prompt, if it names any.
+    :param work: what it is expected to cost.
     """
 
     number: int
@@ -369,6 +371,7 @@
     tokens: int = 0
     due: float = 0.0
     keys: PromptKeys | None = None
+    work: RequestWork = RequestWork()
 
 
 class TurnNoted(_Message, frozen=True):
@@ -394,12 +397,14 @@
     :param tokens: length of the prompt.
     :param number: identifies the request, like that of an `AskTurn`.
     :param keys: the parts of its prompt, if it names any.
+    :param work: what it is expected to cost.
     """
 
     key: WeightKey
     tokens: int = 0
     number: int = 0
     keys: PromptKeys | None = None
+    work: RequestWork = RequestWork()
 
 
 class EndUse(_Message, frozen=True):
@@ -409,12 +414,17 @@
     :param failed: whether the engine failed; none if the request ended for reasons
         other than the engine's answer or failure.
     :param number: number of the request, 0 if it has none.
+    :param tokens: length of the answer in tokens as far as it was received, 0 if
+        unknown.
+    :param seconds: from the first to the last event of the answer.
     """
 
     key: WeightKey
     pause: float = 0.0
     failed: bool | None = None
     number: int = 0
+    tokens: int = 0
+    seconds: float = 0.0
 
 
 class StreamBegan(_Message, frozen=True):
@@ -513,6 +523,12 @@
     :param awaited: adapters that requests wait for and whose load has not started.
     :param read_rate: prompt tokens that the engine processes per second, 0 if unknown.
     :param model_wait: seconds until a model is loaded, for an engine that has none.
+    :param step_time: seconds for one token of each running answer, 0 if unknown.
+    :param slowdown: how much longer work takes on the engine's host at this moment,
+        1 as usual.
+    :param prompt_backlog: prompt tokens of all gateways that the engine has to read.
+    :param answer_backlog: answer tokens that its requests are expected to need still.
+    :param memory_expected: tokens of memory that its requests are expected to need.
     """
 
     target: TargetId
@@ -527,3 +543,8 @@
     awaited: tuple[WeightKey, ...] = ()
     read_rate: float = 0.0
     model_wait: float = 0.0
+    step_time: float = 0.0
+    slowdown: float = 1.0
+    prompt_backlog: int = 0
+    answer_backlog: int = 0
+    memory_expected: int = 0
--- a/src/ibishead/routing/prompts.py
+++ b/src/ibishead/routing/prompts.py
@@ -7,7 +7,7 @@
 
 from ibishead.ids import CustomerId, PartKey
 
-__all__ = ["PromptKeys", "make_prompt_keys"]
+__all__ = ["PromptKeys", "make_prompt_keys", "measure_parts"]
 
 #: Longest name of a part that serves as its key. A longer one is hashed, so that names
 #: chosen by callers can't exhaust memory.
@@ -40,6 +40,20 @@
     return PromptKeys(own, tuple(dict.fromkeys(shared)), customer or CustomerId(""))
 
 
+def measure_parts(parts: Sequence[tuple[str, int]]) -> tuple[int, ...]:
+    """Return the lengths of the parts whose keys `make_prompt_keys` returns, in order.
+
+    :param parts: names and lengths in tokens of the parts, in order.
+    """
+    if not parts:
+        return ()
+    *shared, (_, own_tokens) = parts
+    lengths: dict[str, int] = {}
+    for name, tokens in shared:
+        lengths.setdefault(name, tokens)
+    return (*lengths.values(), own_tokens)
+
+
 def _make_key(name: str) -> PartKey:
     if len(name) <= MAX_NAME_LENGTH:
         return PartKey(name)
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -225,8 +225,10 @@
     def _handle_gateway_message(self, link: Link, message: Message) -> None:
         now = self._clock.monotonic()
         match message:
-            case AskTurn(number, key, version, wait, tokens, due, keys):
-                waiter = Waiter(link, number, key, now + wait, tokens, now + due, keys)
+            case AskTurn(number, key, version, wait, tokens, due, keys, work):
+                waiter = Waiter(
+                    link, number, key, now + wait, tokens, now + due, keys, work
+                )
                 self._handle_turn_request(waiter, version, now)
             case AskQuota():
                 self._quota_relay.ask(link, message)
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -17,6 +17,7 @@
 from ibishead.routing.messages import TurnAnswer, TurnNoted
 from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import WeightKey
+from ibishead.routing.work import RequestWork
 from ibishead.waiting import wait_for_event
 
 __all__ = ["TurnQueue", "Waiter"]
@@ -44,6 +45,7 @@
     :param tokens: length of its prompt.
     :param due: monotonic seconds at which its answer should begin.
     :param keys: the parts of its prompt, if it names any.
+    :param work: what it is expected to cost the engine.
     """
 
     link: Link
@@ -53,6 +55,7 @@
     tokens: int
     due: float
     keys: PromptKeys | None = None
+    work: RequestWork = RequestWork()
 
     def answer(self, granted: bool) -> None:
         """Tell the gateway whether it may send the request."""
