Keep a prompt in the window until its engine has read it

Cause: the window of prompt tokens forgot a prompt after one accepted pause, read or not.

Change: unread prompts stay in the window until their read is reported or their request ends; a pause of any length counts while the engine is behind.

The test of spread prompts now reports reads, as gateways do; its checks are unchanged.

--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -6,8 +6,9 @@
 part of the time to the first event.
 """
 
+import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
 
 from ibishead.decisions.readspeed import ReadSpeed
@@ -37,8 +38,10 @@
 RISE_FACTOR = 2.0
 
 #: Pauses longer than this multiple of the accepted pause have causes other than
-#: prompts, such as a lost packet or a suspended host.
+#: prompts, such as a lost packet or a suspended host, unless the engine was behind with
+#: its prompts within these seconds before the end of the answer.
 MAX_PAUSE_FACTOR = 2.0
+OVERDUE_MEMORY_SECONDS = 3.0
 
 #: Time from sending a prompt to its first event. A request whose objective ends sooner
 #: is late in any case.
@@ -75,6 +78,10 @@
 class PromptWindow:
     """Sliding window of prompt tokens sent to one engine.
 
+    A prompt stays in the window until the engine has read it. An engine that is slower
+    than estimated, or slowed down for a moment, would otherwise get more prompts than
+    it reads, and its running answers would pause ever longer.
+
     :ivar gap: length of the window in seconds, the longest pause that callers accept;
         0 disables the limit.
     :ivar speed: estimate of the engine's read rate.
@@ -86,22 +93,48 @@
         self._share = INITIAL_SHARE
         self._unaffected = 0
         self._waited = False
-        self._sent: deque[tuple[float, int]] = deque()
-        self._sent_tokens = 0
+        self._sent: deque[tuple[float, int, Hashable]] = deque()
+        #: Tokens of prompts that were sent longer ago than `gap` and are not read.
+        self._overdue: dict[Hashable, int] = {}
+        self._unread: set[Hashable] = set()
+        self._tokens = 0
+        self._overdue_at = -math.inf
 
     @property
     def limit(self) -> int:
         """Maximum number of prompt tokens within the window."""
         return int(self.speed.rate * self._share * self.gap)
 
-    def take(self, tokens: int, now: float) -> None:
-        """Count a prompt that is being sent."""
-        self._sent.append((now, tokens))
-        self._sent_tokens += tokens
+    @property
+    def overdue(self) -> int:
+        """Number of prompts that the engine has not read within `gap` seconds."""
+        return len(self._overdue)
+
+    def take(self, tokens: int, now: float, prompt: Hashable = None) -> None:
+        """Count a prompt that is being sent.
+
+        :param prompt: identifies it in `record_read`; ``None`` if its read is never
+            reported.
+        """
+        self._sent.append((now, tokens, prompt))
+        self._tokens += tokens
+        if prompt is not None:
+            self._unread.add(prompt)
+
+    def record_read(self, prompt: Hashable) -> None:
+        """Record that a prompt was read, or that its request has ended."""
+        self._unread.discard(prompt)
+        self._tokens -= self._overdue.pop(prompt, 0)
 
-    def record_pause(self, pause: float) -> None:
-        """Record the longest pause of an answer, in seconds."""
-        if self.gap < pause <= MAX_PAUSE_FACTOR * self.gap:
+    def record_pause(self, pause: float, now: float = math.inf) -> None:
+        """Record the longest pause of an answer.
+
+        :param pause: seconds.
+        :param now: monotonic seconds at which the answer ended.
+        """
+        behind = now - self._overdue_at < OVERDUE_MEMORY_SECONDS
+        longest = math.inf if behind else MAX_PAUSE_FACTOR * self.gap
+        if self.gap < pause <= longest:
             reduced = min(self._share, MAX_SHARE) * SHARE_FACTOR
             self._share, self._unaffected = max(MIN_SHARE, reduced), 0
             return
@@ -118,15 +151,18 @@
     def wait(self, tokens: int, now: float) -> float:
         """Return the seconds until a prompt may be sent, 0 for immediately.
 
-        A prompt longer than the limit is sent when the window is empty.
+        A prompt longer than the limit is sent when the window is empty. While prompts
+        are overdue the wait is at most `gap`, after which it has to be asked for again.
         """
         self._discard_expired(now)
-        in_window, wait = self._sent_tokens, 0.0
-        for sent_at, size in self._sent:
+        in_window, wait = self._tokens, 0.0
+        for sent_at, size, _ in self._sent:
             if in_window + tokens <= self.limit:
                 break
             in_window -= size
             wait = sent_at + self.gap - now
+        if self._overdue and in_window + tokens > self.limit:
+            wait = self.gap
         self._waited = self._waited or wait > 0
         return max(0.0, wait)
 
@@ -140,8 +176,13 @@
         limit = self.limit
         if not limit:
             return 0.0
-        return max(0.0, (self._sent_tokens + queued) / limit - 0.5) * self.gap
+        return max(0.0, (self._tokens + queued) / limit - 0.5) * self.gap
 
     def _discard_expired(self, now: float) -> None:
         while self._sent and now - self._sent[0][0] >= self.gap:
-            self._sent_tokens -= self._sent.popleft()[1]
+            _, tokens, prompt = self._sent.popleft()
+            if prompt in self._unread:
+                self._overdue[prompt] = tokens
+                self._overdue_at = now
+            else:
+                self._tokens -= tokens
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -208,6 +208,7 @@
             "adapters_coming": len(self._ledger.list_loading()),
             "prompts_waiting": self._turns.count,
             "prompts_running": len(self._ends.runs),
+            "prompts_overdue": self._turns.window.overdue,
             "engine_crashes": self._ends.count,
             "prompt_limit": self._turns.window.limit,
             "read_rate": self._turns.window.speed.rate,
@@ -240,7 +241,7 @@
                 self._uses.record_request(key, now)
                 self._uses.begin(link, key)
                 self._ends.runs.begin(link, number, keys, now)
-                self._turns.record_sent(link, tokens)
+                self._turns.record_sent(link, tokens, number)
             case RateTold(target, rate):
                 known = self._feed.view.find_by_address(self._address)
                 if known is not None and known.target == target:
@@ -250,7 +251,7 @@
                 if known is not None and known.target == target:
                     self._share_refusals(link, message, now + seconds)
             case PromptRead(tokens, seconds, number):
-                self._turns.record_read(link, tokens, seconds)
+                self._turns.record_read(link, tokens, seconds, number)
                 if seconds:
                     self._ends.runs.begin_answer(link, number, now)
             case EndUse(key, pause, failed, number):
@@ -262,7 +263,7 @@
                     self._report_due = True
                     self._wake.set()
                 if pause:
-                    self._turns.window.record_pause(pause)
+                    self._turns.window.record_pause(pause, now)
                 self._turns.record_end(link)
                 if self._uses.end(link, key, now) and self._demands:
                     self._wake.set()
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -97,6 +97,8 @@
         self._unread: Counter[Link] = Counter()
         self._running: Counter[Link] = Counter()
         self._single_prompt = False
+        #: Numbers of the requests of each gateway whose prompts are not read yet.
+        self._prompts: dict[Link, set[int]] = {}
 
     @property
     def count(self) -> int:
@@ -122,26 +124,35 @@
         wait = self.rate.delay(len(self._waiting) + before, now)
         return now + wait <= waiter.expires_at
 
-    def record_sent(self, link: Link, tokens: int) -> None:
+    def record_sent(self, link: Link, tokens: int, number: int = 0) -> None:
         """Count a prompt that is sent now, with or without a turn.
 
         :param tokens: length of the prompt.
+        :param number: number by which the gateway identifies the request, 0 if it has
+            none.
         """
-        self.window.take(tokens, self._clock.monotonic())
+        prompt = (link, number) if number else None
+        if prompt is not None:
+            self._prompts.setdefault(link, set()).add(number)
+        self.window.take(tokens, self._clock.monotonic(), prompt)
         self._single_prompt = not self._unread.total()
         self._unread[link] += 1
         self._running[link] += 1
         self.slots.begin()
         self.rate.take(self._clock.monotonic())
 
-    def record_read(self, link: Link, tokens: int, seconds: float) -> None:
+    def record_read(
+        self, link: Link, tokens: int, seconds: float, number: int = 0
+    ) -> None:
         """Record that the engine has read a prompt or that its request has ended.
 
         The read rate is measured only while the engine had a single prompt to read.
 
         :param tokens: length of the prompt.
         :param seconds: from the send to the first event, 0 if there was none.
+        :param number: number of the request, 0 if it has none.
         """
+        self._remove_prompt(link, number)
         if not self._unread[link]:
             # the prompt was sent over an earlier link of this gateway
             return
@@ -150,6 +161,14 @@
             self.window.speed.record(tokens, seconds)
             self._log_read_rate()
 
+    def _remove_prompt(self, link: Link, number: int) -> None:
+        numbers = self._prompts.get(link, set())
+        if number in numbers:
+            numbers.discard(number)
+            self.window.record_read((link, number))
+            if self._waiting:
+                self._wake.set()
+
     def record_end(self, link: Link) -> None:
         """Count a request of a gateway as ended."""
         if not self._running[link]:
@@ -180,6 +199,8 @@
         """Drop the requests of a gateway whose link is closed."""
         self.slots.end(self._running.pop(link, 0), self._clock.monotonic())
         self._waiting = {t: w for t, w in self._waiting.items() if w.link is not link}
+        for number in self._prompts.pop(link, set()):
+            self.window.record_read((link, number))
         # the engine may still be reading prompts of this gateway for a moment, so the
         # next measurement of the read rate isn't of a single prompt
         if self._unread.pop(link, 0):
@@ -220,7 +241,7 @@
             if wait > 0 or self.slots.full:
                 break
             waiter = self._waiting.pop(turn)
-            self.record_sent(waiter.link, waiter.tokens)
+            self.record_sent(waiter.link, waiter.tokens, waiter.number)
             self._on_granted(waiter)
             waiter.answer(True)
         self._publish_delay(now)
--- a/tests/decisions/test_turns.py
+++ b/tests/decisions/test_turns.py
@@ -186,3 +186,43 @@
     if (steps + 1) % stride:
         return (steps + 1, last, pause)
     return (steps + 1, now, max(pause, now - last))
+
+
+@pytest.mark.parametrize(
+    ("read", "pause", "lowers"),
+    [
+        # a prompt that is read in time: a long pause has another cause
+        (True, 1.0, False),
+        (True, 0.5, True),
+        # a prompt that is overdue explains a pause of any length
+        (False, 1.0, True),
+    ],
+)
+def test_pauses_of_an_engine_that_is_behind_lower_the_limit(read, pause, lowers):
+    """Pauses of seconds were taken for lost packets, and the limit never fell."""
+    window = PromptWindow(GAP)
+    window.take(1000, 0.0, 1)
+    if read:
+        window.record_read(1)
+    window.wait(1, GAP)
+    before = window.limit
+    window.record_pause(pause, 1.0)
+    assert (window.limit < before) == lowers
+
+
+@given(st.lists(st.tuples(st.integers(1, 5000), st.booleans()), max_size=40))
+def test_all_prompts_leave_the_window(prompts):
+    """Tokens that were counted twice would reduce the engine's rate for ever."""
+    window = PromptWindow(GAP)
+    for number, (tokens, late) in enumerate(prompts):
+        now = number * 0.1
+        window.wait(1, now)
+        window.take(tokens, now, number)
+        if not late:
+            window.record_read(number)
+    for number in range(len(prompts)):
+        window.record_read(number)
+    end = len(prompts) * 0.1 + GAP
+    assert window.wait(window.limit, end) == 0
+    assert not window.overdue
+    assert window.delay(0, end) == 0
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -51,6 +51,10 @@
         waiter = Waiter(self.link, number, KEY, now + wait, 1000, now + due)
         self.queue.add(waiter)
 
+    def read(self, number: int) -> None:
+        """Report that the engine has read a prompt."""
+        self.queue.record_read(self.link, 1000, 0.01, number)
+
     @property
     def answers(self) -> list[tuple[int, bool]]:
         found = [m for m in self.link.sent if isinstance(m, TurnAnswer)]
@@ -66,13 +70,33 @@
         assert harness.answers == [(1, True)]
         noted = [m.number for m in harness.link.sent if isinstance(m, TurnNoted)]
         assert noted == [2, 3]
+        harness.read(1)
+        assert harness.answers == [(1, True)]
         await asyncio.sleep(1.5 * GAP)
         assert harness.answers == [(1, True), (3, True)]
+        harness.read(3)
         await asyncio.sleep(GAP)
         assert harness.answers == [(1, True), (3, True), (2, True)]
         assert max(harness.delays) > 0
 
 
+@pytest.mark.parametrize("ended_by", ["read", "closed link"])
+async def test_engine_that_is_behind_gets_no_further_prompt(ended_by):
+    """Answers of a slowed engine would pause ever longer, as prompts pile up there."""
+    async with QueueHarness() as harness:
+        other = FakeLink()
+        harness.queue.record_sent(other, 5000, 1)
+        harness.add(1)
+        await asyncio.sleep(3 * GAP)
+        assert not harness.answers
+        if ended_by == "read":
+            harness.queue.record_read(other, 5000, 3 * GAP, 1)
+        else:
+            harness.queue.remove_link(other)
+        await asyncio.sleep(GAP + 0.02)
+        assert harness.answers == [(1, True)]
+
+
 @pytest.mark.parametrize("blocked_seconds", [0.0, 0.1])
 async def test_expired_request_is_refused_and_removed(blocked_seconds):
     """The refusal is the first thing that a loop does which was blocked meanwhile."""
