--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -101,6 +101,8 @@
         response.
     :ivar event_count: complete events of the current target's response.
     :ivar last_event_at: monotonic seconds at which the newest event was received.
+    :ivar slowdown: slowdown of the current target's host that its response reports, 0
+        if it reports none.
     :ivar response_delay: seconds until the current target's response began, 0 before.
     :ivar current_response_at: monotonic seconds at which that response began.
     :ivar failed: whether the current target failed; ``None`` while its response is
@@ -122,6 +124,7 @@
     response_started: float = 0.0
     max_gap: float = 0.0
     event_count: int = 0
+    slowdown: float = 0.0
     last_event_at: float = 0.0
     response_delay: float = 0.0
     current_response_at: float = 0.0
@@ -140,7 +143,7 @@
         self.target, self.software = target.target, target.software
         self.failed, self.succeeded = None, False
         self.max_gap = self.response_delay = 0.0
-        self.event_count = 0
+        self.event_count, self.slowdown = 0, 0.0
 
 
 class Sender:
@@ -248,6 +251,7 @@
         head = self._dialect.read_head(call, status, received)
         state.connection.idle_time = head.idle_time
         if head.load is not None:
+            progress.slowdown = head.load.slowdown or 0.0
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
         if head.own:
             self._on_head(call, state.target, head, progress)
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -495,11 +495,14 @@
     :param tokens: length of the prompt.
     :param seconds: time from the send to the first event, 0 if there was no event.
     :param number: number of the request, 0 if it has none.
+    :param slowdown: slowdown of the engine's host that the answer reported, 0 if it
+        reported none.
     """
 
     tokens: int
     seconds: float
     number: int = 0
+    slowdown: float = 0.0
 
 
 class PromptDelay(_Message, frozen=True):
