--- a/src/ibishead/decisions/residents.py
+++ b/src/ibishead/decisions/residents.py
@@ -50,12 +50,16 @@
     :param served: number of callers that a load ordered now would serve; those that it
         can only serve late count partially.
     :param due: latest monotonic time at which one of them should be answered.
+    :param rank: rank of the most urgent of them, see `fairshare.Claim`.
+    :param granted: least work granted to the customers of that rank among them.
     """
 
     key: WeightKey
     version: int
     served: float = 1.0
     due: float = 0.0
+    rank: int = 0
+    granted: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -139,6 +143,7 @@
     now: float,
     spread_position: float,
     pace: LoadPace,
+    fair_first: bool = False,
 ) -> Order:
     """Return the next order for one engine.
 
@@ -148,13 +153,14 @@
     :param spread_position: position of this engine, in [0, 1), in the spread of
         replacements.
     :param pace: limit on concurrent loads.
+    :param fair_first: whether urgency and fair shares count before callers served.
     """
     if (missing := _find_missing_model(spec, weights)) is not None:
         return Load(missing)
     if len(weights.loading) >= pace.limit:
         return Idle("limit of concurrent loads reached")
     held = weights.adapters()
-    demand = _choose_demand(weights, held, demands)
+    demand = _choose_demand(weights, held, demands, fair_first)
     if demand is None:
         return _replace_outdated(
             weights, held, floors, floor_received_at, now, spread_position
@@ -178,6 +184,7 @@
     weights: EngineWeights,
     held: Mapping[WeightKey, int],
     demands: Sequence[AdapterDemand],
+    fair_first: bool,
 ) -> AdapterDemand | None:
     models = {holding.model for holding in weights.holdings}
     open_demands = [
@@ -195,7 +202,17 @@
     # When more adapters are requested than the store delivers in time, serving them in
     # order of arrival makes every one late. Adapters that serve the most callers go
     # first, and among these the one requested last, which has the most time left.
-    return max(open_demands, key=lambda d: (d.served, d.due), default=None)
+    if fair_first:
+        return max(
+            open_demands,
+            key=lambda d: (d.served >= 1.0, -d.rank, -d.granted, d.served, d.due),
+            default=None,
+        )
+    return max(
+        open_demands,
+        key=lambda d: (d.served, -d.rank, -d.granted, d.due),
+        default=None,
+    )
 
 
 def _free_slot(
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -207,6 +207,9 @@
             "adapters_wished": len(self._demands),
             "adapters_coming": len(self._ledger.list_loading()),
             "prompts_waiting": self._turns.count,
+            "customers_waiting": self._turns.order.customers_waiting,
+            "turns_reordered": self._turns.order.reordered,
+            "fair_loads": self._demands.fair_loads,
             "prompts_running": len(self._ends.runs),
             "engine_crashes": self._ends.count,
             "prompt_limit": self._turns.window.limit,
@@ -508,6 +511,7 @@
             now,
             self._spread_position,
             self._ledger.pace,
+            self._demands.fair_first,
         )
         match choice:
             case Idle():
@@ -551,6 +555,8 @@
             },
         )
         self._ledger.record_outcome(order, outcome, now)
+        if order.load and outcome in (OrderOutcome.STARTED, OrderOutcome.COMPLETED):
+            self._demands.record_load(order.key, now)
         match outcome:
             case OrderOutcome.FENCED:
                 self._fencing_number = 0
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -11,8 +11,9 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.batchslots import BatchSlots
+from ibishead.decisions.fairshare import FairOrder
 from ibishead.decisions.sendrate import SendRate
-from ibishead.decisions.turns import PromptWindow, Turn, choose_turn
+from ibishead.decisions.turns import PromptWindow, Turn
 from ibishead.links import Link
 from ibishead.routing.messages import TurnAnswer, TurnNoted
 from ibishead.routing.prompts import PromptKeys
@@ -35,6 +36,9 @@
 #: afterwards in a burst.
 BURST_SECONDS = 1.0
 
+#: Minimum seconds between two log lines about turns granted out of due order.
+FAIR_LOG_SECONDS = 5.0
+
 
 @dataclass(frozen=True, eq=False)
 class Waiter:
@@ -72,6 +76,7 @@
     :ivar window: limits the prompt tokens sent to the engine over time.
     :ivar slots: limits the requests in the engine's batch.
     :ivar rate: applies the engine's rate limit.
+    :ivar order: order in which the requests are granted their turns.
     """
 
     def __init__(
@@ -84,6 +89,7 @@
         self.window = PromptWindow()
         self.slots = BatchSlots()
         self.rate = SendRate(BURST_SECONDS)
+        self.order = FairOrder()
         self._clock = clock
         self._on_delay = on_delay
         self._on_refused = on_refused
@@ -97,6 +103,8 @@
         self._unread: Counter[Link] = Counter()
         self._running: Counter[Link] = Counter()
         self._single_prompt = False
+        self._logged_reordered = 0
+        self._fair_logged_at = 0.0
 
     @property
     def count(self) -> int:
@@ -108,6 +116,7 @@
         self._count += 1
         turn = Turn(self._count, waiter.tokens, waiter.due)
         self._waiting[turn] = waiter
+        self.order.add(turn, waiter.work, turn.tokens / self.window.speed.rate)
         self._grant_due()
         if turn in self._waiting:
             waiter.link.send(TurnNoted(waiter.number))
@@ -179,7 +188,9 @@
     def remove_link(self, link: Link) -> None:
         """Drop the requests of a gateway whose link is closed."""
         self.slots.end(self._running.pop(link, 0), self._clock.monotonic())
-        self._waiting = {t: w for t, w in self._waiting.items() if w.link is not link}
+        for turn in [t for t, w in self._waiting.items() if w.link is link]:
+            del self._waiting[turn]
+            self.order.discard(turn)
         # the engine may still be reading prompts of this gateway for a moment, so the
         # next measurement of the read rate isn't of a single prompt
         if self._unread.pop(link, 0):
@@ -187,9 +198,10 @@
 
     def refuse_all(self) -> None:
         """Refuse every waiting request."""
-        for waiter in self._waiting.values():
+        for turn, waiter in self._waiting.items():
             waiter.answer(False)
             self._on_refused(waiter)
+            self.order.discard(turn)
         self._waiting.clear()
 
     async def run(self) -> None:
@@ -215,15 +227,21 @@
         now = self._clock.monotonic()
         self._refuse_expired(now)
         wait = None
-        while (turn := choose_turn(self._waiting, now)) is not None:
-            wait = max(self.window.wait(turn.tokens, now), self.rate.wait(now))
+        while (turn := self.order.choose(now)) is not None:
+            space_wait = self.window.wait(turn.tokens, now)
+            wait = max(space_wait, self.rate.wait(now))
             if wait > 0 or self.slots.full:
+                # a wait for a slot or the rate limit doesn't depend on the length
+                lacks_space = space_wait > 0 and not self.slots.full
+                self.order.hold(turn if lacks_space else None)
                 break
             waiter = self._waiting.pop(turn)
+            self.order.grant(turn, now)
             self.record_sent(waiter.link, waiter.tokens)
             self._on_granted(waiter)
             waiter.answer(True)
         self._publish_delay(now)
+        self._log_fair_order(now)
         if not self._waiting:
             return None
         expiry = min(waiter.expires_at for waiter in self._waiting.values()) - now
@@ -236,9 +254,25 @@
         expired = [t for t, waiter in self._waiting.items() if waiter.expires_at <= now]
         for turn in expired:
             waiter = self._waiting.pop(turn)
+            self.order.discard(turn)
             waiter.answer(False)
             self._on_refused(waiter)
 
+    def _log_fair_order(self, now: float) -> None:
+        turns = self.order.reordered - self._logged_reordered
+        if turns and now - self._fair_logged_at >= FAIR_LOG_SECONDS:
+            self._logged_reordered = self.order.reordered
+            self._fair_logged_at = now
+            logger.info(
+                "turns granted out of due order",
+                extra={
+                    "turns": turns,
+                    "waiting": len(self._waiting),
+                    "customers": self.order.customers_waiting,
+                    "ranks": self.order.ranks_waiting,
+                },
+            )
+
     def _publish_delay(self, now: float) -> None:
         queued = sum(turn.tokens for turn in self._waiting)
         delay = self.window.delay(queued, now)
