--- a/src/ibishead/decisions/fairshare.py
+++ b/src/ibishead/decisions/fairshare.py
@@ -12,6 +12,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ibishead.decisions.turns import FIRST_EVENT_SECONDS, Turn, choose_turn
 from ibishead.ids import CustomerId
@@ -24,8 +25,8 @@
 #: an answer token costs as much as 2.4 to 3.2 prompt tokens.
 ANSWER_TOKEN_COST = 3.0
 
-#: Minimum served share of a rank, relative to the lowest of the more urgent ranks that
-#: wait. Being below 1, it never serves a less urgent rank more often.
+#: Minimum served share of a rank, relative to the most urgent rank that waits. It only
+#: holds for a rank that is served less often than all more urgent ones.
 MIN_RELATIVE_SHARE = 0.25
 
 #: Half-life of what was granted and lost. The overload by one customer lasts for some
@@ -59,8 +60,7 @@
     return max(1, tokens) + ANSWER_TOKEN_COST * max(0, work.answer_tokens)
 
 
-@dataclass(frozen=True)
-class Claim:
+class Claim(NamedTuple):
     """Position of a waiting request by urgency and fair shares; lower goes first.
 
     :param rank: its rank, -1 if this rank is to be served next.
@@ -318,9 +318,10 @@
         :param ranks: ranks with requests that can be in time, most urgent first.
         """
         lowest = self._ranks[ranks[0]].read_share()
+        minimum = MIN_RELATIVE_SHARE * lowest
         for rank in ranks[1:]:
             share = self._ranks[rank].read_share()
-            if share < MIN_RELATIVE_SHARE * lowest:
+            if share < min(minimum, lowest):
                 return rank
             lowest = min(lowest, share)
         return ranks[0]
--- a/src/ibishead/steward/demands.py
+++ b/src/ibishead/steward/demands.py
@@ -15,7 +15,7 @@
 #: Number of loads of which one goes to the most urgent request of the least served
 #: customer. By callers served alone, adapters of a customer with many callers would
 #: always go before adapters with a single caller.
-FAIR_LOAD_PERIOD = 4
+FAIR_LOAD_PERIOD = 2
 
 #: Work that a load is charged to the customers that wait for it, in prompt tokens. A
 #: customer with few requests may have four loads in a row.
@@ -43,10 +43,7 @@
         served = count_served(waiters, ready_at)
         if not claims:
             return AdapterDemand(key, self.version, served, latest_due)
-        claim = min(
-            (claims.get(turn, NO_CLAIM) for turn in self.waiters.values()),
-            key=lambda claim: (claim.rank, claim.granted),
-        )
+        claim = min(claims.get(turn, NO_CLAIM) for turn in self.waiters.values())
         return AdapterDemand(
             key, self.version, served, latest_due, claim.rank, claim.granted
         )
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -6,9 +6,10 @@
 import pytest
 
 from ibishead.clock import SystemClock
-from ibishead.ids import ModelName
+from ibishead.ids import CustomerId, ModelName
 from ibishead.routing.messages import TurnAnswer, TurnNoted
 from ibishead.routing.targets import WeightKey
+from ibishead.routing.work import RequestWork
 from ibishead.steward.turns import TurnQueue, Waiter
 
 KEY = WeightKey(ModelName("m"), "a")
@@ -46,9 +47,12 @@
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
-    def add(self, number: int, due: float = 5.0, wait: float = 5.0) -> None:
+    def add(
+        self, number: int, due: float = 5.0, wait: float = 5.0, customer: str = ""
+    ) -> None:
         now = self.clock.monotonic()
-        waiter = Waiter(self.link, number, KEY, now + wait, 1000, now + due)
+        work = RequestWork(customer=CustomerId(customer))
+        waiter = Waiter(self.link, number, KEY, now + wait, 1000, now + due, None, work)
         self.queue.add(waiter)
 
     @property
@@ -187,3 +191,43 @@
         for number in range(5, 25):
             harness.add(number)
         assert len(harness.answers) == 24
+
+
+async def test_customers_are_granted_turns_alternately(caplog):
+    """Guards against a customer that takes every turn with many early due times."""
+    caplog.set_level("INFO")
+    async with QueueHarness() as harness:
+        harness.queue.window.gap = 0.0
+        harness.queue.slots.slots = 1
+        for number in range(1, 5):
+            harness.add(number, due=1.0 + number, customer="large")
+        harness.add(9, due=5.0, customer="small")
+        assert harness.queue.order.customers_waiting == 2
+        for _ in range(4):
+            harness.queue.record_end(harness.link)
+            await asyncio.sleep(0.01)
+        assert [number for number, _ in harness.answers] == [1, 9, 2, 3, 4]
+        assert harness.queue.order.reordered == 1
+        (record,) = [r for r in caplog.records if "due order" in r.message]
+        assert (record.turns, record.customers) == (1, 1)
+
+
+@pytest.mark.parametrize("way", ["link", "engine", "expiry"])
+async def test_requests_that_no_longer_wait_leave_the_fair_order(way):
+    """Guards against turns granted to requests of a lost gateway, and a leak of them.
+
+    The customer "other" would be counted as waiting forever.
+    """
+    async with QueueHarness() as harness:
+        harness.queue.slots.slots = 1
+        harness.add(1, customer="one")
+        harness.add(2, wait=0.02 if way == "expiry" else 5.0, customer="other")
+        assert harness.queue.order.customers_waiting == 1
+        if way == "link":
+            harness.queue.remove_link(harness.link)
+        elif way == "engine":
+            harness.queue.refuse_all()
+        await asyncio.sleep(0.05)
+        assert harness.queue.order.customers_waiting == 0
+        assert not harness.queue.order.active
+        assert harness.queue.order.choose(0.0) is None
