--- a/benchmarks/without.py
+++ b/benchmarks/without.py
@@ -28,6 +28,8 @@
     ),
     # adapters are loaded in the order of their latest request
     "load-order": (("steward.demands", "count_served", lambda *_: 1.0),),
+    # turns and loads are ordered without regard to ranks and customers
+    "fair-order": (("decisions.fairshare", "FairOrder.active", False),),
     # no extra cost is added for a further copy of an adapter
     "copy-cost": (("decisions.choice", "COPY_DELAY", 0.0),),
     # adapters have no preferred engines by rendezvous hash
--- a/src/ibishead/decisions/fairshare.py
+++ b/src/ibishead/decisions/fairshare.py
@@ -87,8 +87,8 @@
 class _Rank:
     """Virtual time, customers and recent outcomes of one rank.
 
-    :ivar in_time: decayed work of the requests granted in time.
-    :ivar lost: decayed work of the requests that became late while they waited.
+    :ivar in_time: decayed number of the requests granted in time.
+    :ivar lost: decayed number of the requests that became late while they waited.
     """
 
     now: float = 0.0
@@ -103,7 +103,7 @@
         factor = 0.5 ** (max(0.0, now - self.decayed_at) / OUTCOME_HALF_LIFE_SECONDS)
         self.in_time *= factor
         self.lost *= factor
-        self.decayed_at = now
+        self.decayed_at = max(self.decayed_at, now)
 
     def read_share(self) -> float:
         """Return the share of the recent work that was granted in time."""
@@ -240,7 +240,7 @@
         entry.customer.granted += entry.work if work is None else work
         rank.decay(now)
         if not entry.late:
-            rank.in_time += entry.work
+            rank.in_time += 1.0
         if self.active and self._earliest not in (None, turn):
             self.reordered += 1
         self._earliest = None
@@ -282,7 +282,7 @@
                 entry.late = True
                 rank = self._ranks[entry.rank]
                 rank.decay(now)
-                rank.lost += entry.work
+                rank.lost += 1.0
 
     def _choose_fair(self) -> Turn | None:
         first: dict[int, _Entry] = {}
