Rate-limited engine: count only the requests that go before a new one

A request that an engine's rate limit doesn't admit in time is refused at once. All waiting requests were counted for this, also the less urgent ones and those of a customer with many waiting, which the fair order grants later. So urgent requests were refused for them.

--- a/src/ibishead/decisions/fairshare.py
+++ b/src/ibishead/decisions/fairshare.py
@@ -183,7 +183,7 @@
 
         :param read_seconds: time in which the engine reads its prompt.
         """
-        number = min(max(work.rank, 0), MAX_RANK)
+        number = _clamp_rank(work)
         rank = self._ranks.setdefault(number, _Rank())
         customer = rank.customers.setdefault(work.customer, _Customer())
         if not customer.waiting:
@@ -202,6 +202,23 @@
             count_work(turn.tokens, work),
         )
 
+    def count_ahead(self, work: RequestWork) -> int:
+        """Return about how many waiting requests go before a new one.
+
+        These are the more urgent ones and, of each other customer of its rank, as many
+        as its own customer would have waiting.
+
+        :param work: what the new request is expected to cost.
+        """
+        number = _clamp_rank(work)
+        ahead = sum(rank.waiting for n, rank in self._ranks.items() if n < number)
+        if (rank := self._ranks.get(number)) is None:
+            return ahead
+        own = rank.customers.get(work.customer)
+        waiting = own.waiting if own is not None else 0
+        others = (c.waiting for c in rank.customers.values() if c is not own)
+        return ahead + waiting + sum(min(count, waiting + 1) for count in others)
+
     def discard(self, turn: Turn) -> None:
         """Remove a request that no longer waits, if it does."""
         entry = self._entries.pop(turn, None)
@@ -327,5 +344,9 @@
         return ranks[0]
 
 
+def _clamp_rank(work: RequestWork) -> int:
+    return min(max(work.rank, 0), MAX_RANK)
+
+
 def _order_late(entry: _Entry) -> tuple[int, float, float]:
     return (entry.rank, entry.customer.granted, entry.start)
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -128,7 +128,7 @@
         :param before: requests that will be added to the queue before it.
         """
         now = self._clock.monotonic()
-        wait = self.rate.delay(len(self._waiting) + before, now)
+        wait = self.rate.delay(self.order.count_ahead(waiter.work) + before, now)
         return now + wait <= waiter.expires_at
 
     def record_sent(self, link: Link, tokens: int) -> None:
--- a/tests/decisions/test_fairshare.py
+++ b/tests/decisions/test_fairshare.py
@@ -46,6 +46,19 @@
     assert drain(fill(*waiting)) == expected
 
 
+@pytest.mark.parametrize(
+    ("customer", "rank", "ahead"),
+    [("", 0, 0), ("large", 1, 6), ("small", 1, 3), ("new", 1, 2), ("", 2, 6)],
+)
+def test_requests_ahead_of_a_new_one(customer, rank, ahead):
+    """Guards against refusals of urgent requests because less urgent ones wait.
+
+    An engine with a rate limit is asked only for what it can send in time.
+    """
+    order = fill(*[(9.0, "large", 1)] * 5, (9.0, "small", 1))
+    assert order.count_ahead(make_work(customer, rank)) == ahead
+
+
 TURNS = st.lists(
     st.tuples(st.integers(1, 9999), st.floats(0, 2), st.floats(0, 0.4)), max_size=20
 )
@@ -59,6 +72,7 @@
         plain.append(Turn(number, tokens, due))
         order.add(plain[-1], make_work(rank=rank), read_seconds)
     while plain:
+        assert order.count_ahead(make_work(rank=rank)) == len(plain)
         chosen = order.choose(now)
         assert chosen == choose_turn(plain, now)
         order.hold(chosen)
