Server-Load: read the slowdown of the target's host

A header with a fourth figure was dropped entirely, so targets that send it had no known load. The fourth figure is decoded to TargetLoad.slowdown; where it is missing or out of range, the first three still count and the figure is marked as invalid. Superscript digits and numbers of thousands of digits, which raised ValueError, are no figures. Engines may send the header with their report; the steward's client reads it there.

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -118,12 +118,14 @@
     :param slots: requests that the target processes concurrently.
     :param slowdown: how much longer work takes on the target's host at this moment, 1
         as usual, or ``None`` if the target does not say.
+    :param invalid_slowdown: the target names a slowdown that is out of range.
     """
 
     running: int
     waiting: int
     slots: int
     slowdown: float | None = None
+    invalid_slowdown: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -15,7 +15,7 @@
 from ibishead.ids import TargetId
 from ibishead.links import Endpoint
 from ibishead.platform.bodies import decode_report, encode_order
-from ibishead.platform.targets import is_leaving
+from ibishead.platform.targets import is_leaving, read_load
 from ibishead.steward.engine import (
     EngineGone,
     EngineState,
@@ -79,6 +79,8 @@
             raise LinkLost(
                 f"invalid engine report: {error.message}", error.remedy
             ) from error
+        if (load := read_load(headers)) is not None:
+            state = replace(state, slowdown=load.slowdown)
         if is_leaving(headers):
             return replace(state, draining=True, leaving=True)
         return state
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -10,7 +10,7 @@
     read_retry_after,
 )
 
-__all__ = ["PlatformTargets", "is_leaving"]
+__all__ = ["PlatformTargets", "is_leaving", "read_load"]
 
 #: Headers that identify a caller to the system. The key is passed to nobody, and the
 #: name of the customer is set by the system.
@@ -19,6 +19,14 @@
 #: Range of the priority header, from most to least urgent.
 _PRIORITIES = range(10)
 
+#: Maximum digits of a figure of the load header. Longer ones are no counts of requests,
+#: and conversions of thousands of digits raise an error.
+_MAX_LOAD_DIGITS = 6
+
+#: Range of a valid slowdown figure, in percent. Hosts are slowed down by a few times; a
+#: host that was slowed down a hundred times would answer nothing in time.
+_SLOWDOWN_PERCENTS = range(10, 10_001)
+
 
 class PlatformTargets:
     """The targets' side of the platform's HTTP protocol."""
@@ -57,7 +65,7 @@
             echoed=echoed,
             misdirected=misdirected,
             encoded=find_header(headers, "content-encoding") is not None,
-            load=_read_load(find_header(headers, "server-load")),
+            load=read_load(headers),
             idle_time=_read_idle_timeout(find_header(headers, "keep-alive")),
             rate_limit=_read_rate_limit(find_header(headers, "server-limit")),
             retry_after=read_retry_after(headers),
@@ -70,12 +78,31 @@
     return find_header(headers, "server-leaving") == "1"
 
 
-def _read_load(text: str | None) -> TargetLoad | None:
-    parts = (text or "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+def read_load(headers: Headers) -> TargetLoad | None:
+    """Return the load that an answer reports, or ``None`` if it reports none.
+
+    An invalid slowdown is ignored, as the other figures are still valid.
+    """
+    figures = (find_header(headers, "server-load") or "").split(",")
+    counts = [_read_figure(figure) for figure in figures[:3]]
+    if len(counts) < 3:
+        return None
+    running, waiting, slots = counts
+    if running is None or waiting is None or slots is None:
+        return None
+    if len(figures) < 4 or not figures[3].strip():
+        return TargetLoad(running, waiting, slots)
+    percent = _read_figure(figures[3])
+    if percent is None or percent not in _SLOWDOWN_PERCENTS:
+        return TargetLoad(running, waiting, slots, invalid_slowdown=True)
+    return TargetLoad(running, waiting, slots, percent / 100)
+
+
+def _read_figure(text: str) -> int | None:
+    digits = text.strip()
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= _MAX_LOAD_DIGITS):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return TargetLoad(running, waiting, slots)
+    return int(digits)
 
 
 def _read_idle_timeout(text: str | None) -> float | None:
--- a/src/ibishead/steward/engine.py
+++ b/src/ibishead/steward/engine.py
@@ -35,6 +35,8 @@
     :param leaving: the engine says that it will end soon.
     :param in_memory: models with a copy in host memory, whether loaded or not.
     :param on_disk: models with a copy on the local disk, whether loaded or not.
+    :param slowdown: how much longer work takes on the host at this moment, 1 as usual,
+        or ``None`` if the engine does not say.
     """
 
     born: int
@@ -50,6 +52,7 @@
     leaving: bool = False
     in_memory: frozenset[ModelName] = frozenset()
     on_disk: frozenset[ModelName] = frozenset()
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True)
--- a/tests/onplatform/test_bodies.py
+++ b/tests/onplatform/test_bodies.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from ibishead.errors import InvalidInput
+from ibishead.gateway.calls import TargetLoad
 from ibishead.keys import hash_key
 from ibishead.platform.bodies import (
     decode_deregistration,
@@ -292,3 +293,28 @@
     call = PlatformCallers().read_call(make_request(request_id="r1"))
     headers = () if text is None else (("server-limit", text),)
     assert PlatformTargets().read_head(call, 200, headers).rate_limit == rate
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,1,64", TargetLoad(3, 1, 64)),
+        (" 3, 1 ,64,250", TargetLoad(3, 1, 64, 2.5)),
+        ("3,1,64,100,later", TargetLoad(3, 1, 64, 1.0)),
+        ("3,1,64,", TargetLoad(3, 1, 64)),
+        ("3,1", None),
+        ("3,-1,64,100", None),
+        ("3,\xb2,64", None),
+        ("9" * 5000 + ",1,64", None),
+        (None, None),
+    ]
+    + [
+        (f"3,1,64,{text}", TargetLoad(3, 1, 64, invalid_slowdown=True))
+        for text in ("0", "9", "-250", "nan", "1e3", "\xb2", "10001", "9" * 5000)
+    ],
+)
+def test_invalid_slowdown_leaves_the_other_figures_of_a_load(text, load):
+    """Guards against targets whose load is unknown as one figure can't be decoded."""
+    call = PlatformCallers().read_call(make_request(request_id="r1"))
+    headers = () if text is None else (("server-load", text),)
+    assert PlatformTargets().read_head(call, 200, headers).load == load
--- a/tests/onplatform/test_engine_client.py
+++ b/tests/onplatform/test_engine_client.py
@@ -60,6 +60,15 @@
         assert (await fixture.client.read_state()).leaving is leaving
 
 
+@pytest.mark.parametrize(
+    ("text", "slowdown"), [("1,0,8,250", 2.5), ("1,0,8", None), ("1,0,8,x", None)]
+)
+async def test_a_report_tells_the_slowdown_of_its_host(text, slowdown):
+    async with Fixture() as fixture:
+        fixture.headers = (("server-load", text),)
+        assert (await fixture.client.read_state()).slowdown == slowdown
+
+
 @pytest.mark.parametrize(
     ("status", "text", "requests"),
     [
