Steward: learn an engine's speed under load

The read rate was measured only while an engine read a single prompt. Under load that hardly happens, so a slow engine kept the initial 20,000 tokens/s. Prompts that queue behind each other are now timed together as a chain. Chains and single prompts feed the same estimator; prompts that all waited behind another one show the rate without the constant part.

The steward also learns the time of a token from the ends of uses, and reads the slowdown of the host from its engine's reports. All three are discarded when the engine starts anew; answers that began before are not counted. Times are divided by the slowdown of their moment, so that the rate is that of a host that works as usual.

--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -78,11 +78,13 @@
     :ivar gap: length of the window in seconds, the longest pause that callers accept;
         0 disables the limit.
     :ivar speed: estimate of the engine's read rate.
+    :ivar slowdown: slowdown of the engine's host at this moment.
     """
 
     def __init__(self, gap: float = 0.0) -> None:
         self.gap = gap
         self.speed = ReadSpeed()
+        self.slowdown = 1.0
         self._share = INITIAL_SHARE
         self._unaffected = 0
         self._waited = False
@@ -92,7 +94,7 @@
     @property
     def limit(self) -> int:
         """Maximum number of prompt tokens within the window."""
-        return int(self.speed.rate * self._share * self.gap)
+        return int(self.speed.rate / self.slowdown * self._share * self.gap)
 
     def take(self, tokens: int, now: float) -> None:
         """Count a prompt that is being sent."""
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -94,6 +94,10 @@
 #: once.
 MODEL_WAIT_STEP_SECONDS = 0.3
 
+#: Change of the slowdown of the host from which gateways are sent a report at once. A
+#: reading is valid for about the time between two other reports.
+SLOWDOWN_STEP = 0.3
+
 #: Extension of the engine's rests in seconds from which gateways are told of it.
 REFUSALS_STEP_SECONDS = 0.5
 
@@ -149,6 +153,8 @@
         self._unreachable = False
         #: Target and incarnation that is registered at the address.
         self._start: tuple[TargetId, int] | None = None
+        #: Start of the engine whose speed is measured.
+        self._measured_born: int | None = None
         self._report_due = False
         self._fencing_number = 0
         self._fence_requested_at = 0.0
@@ -211,6 +217,8 @@
             "engine_crashes": self._ends.count,
             "prompt_limit": self._turns.window.limit,
             "read_rate": self._turns.window.speed.rate,
+            "step_time": self._turns.step_time.seconds,
+            "slowdown": self._turns.slowdown.read(self._clock.monotonic()),
             "rate_limit": self._rate_limit or 0.0,
             "streams_recorded": len(self._origins),
         }
@@ -253,7 +261,8 @@
                 self._turns.record_read(link, tokens, seconds)
                 if seconds:
                     self._ends.runs.begin_answer(link, number, now)
-            case EndUse(key, pause, failed, number):
+            case EndUse(key, pause, failed, number, tokens, seconds):
+                self._turns.record_answer(tokens, self._find_event_tokens(), seconds)
                 self._ends.end_run(link, number, failed, now)
                 if failed is not None:
                     self._record_request_outcome(failed, now)
@@ -423,11 +432,15 @@
         self._ends.record_state(state, target)
         if state.leaving and target is not None and state.born in (0, target.born):
             self._feed.report_leaving(target.target, target.born)
-        self._turns.record_report(state.running + state.queued)
         if self._ledger.record_report(state, self._clock.monotonic()):
             logger.info("engine reachable", extra={"born": state.born})
+            if state.born != self._measured_born or not state.born:
+                self._measured_born = state.born
+                self._turns.reset_speed()
             self._failures, self._published_failures = FailureShare(), FailureShare()
             self._set_rate_limit(None)
+        self._turns.slowdown.record(state.slowdown, self._clock.monotonic())
+        self._turns.record_report(state.running + state.queued)
         for waiter in self._demands.pop_satisfied(self._ledger):
             self._enqueue(waiter)
 
@@ -575,6 +588,10 @@
         # each request goes to another registry, as one may be cut off from the quorum
         links[self._fence_request % len(links)].send(AskFence(self._fence_request))
 
+    def _find_event_tokens(self) -> int:
+        spec = self._find_spec()
+        return spec.event_tokens if spec is not None else 1
+
     def _find_spec(self) -> EngineSpec | None:
         found = self._feed.find_service(self._service)
         return found.engine if found is not None else None
@@ -621,6 +638,8 @@
             tuple(key for key in self._demands if key not in loading),
             round(self._turns.window.speed.rate, -2),
             self._expect_model_wait(holdings, now),
+            round(self._turns.step_time.seconds, 4),
+            round(self._turns.slowdown.read(now), 2),
         )
         before = self._last_report
         same = before is not None and (
@@ -628,6 +647,7 @@
             == (report.target, report.born, report.holdings)
             and (before.loading, before.awaited) == (report.loading, report.awaited)
             and abs(before.model_wait - report.model_wait) < MODEL_WAIT_STEP_SECONDS
+            and abs(before.slowdown - report.slowdown) < SLOWDOWN_STEP
         )
         if report == before or (
             same and now - self._last_report_at < REPORT_INTERVAL_SECONDS
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -11,7 +11,11 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.batchslots import BatchSlots
+from ibishead.decisions.readchains import ReadChains
+from ibishead.decisions.readspeed import ReadSpeed
 from ibishead.decisions.sendrate import SendRate
+from ibishead.decisions.slowdown import SlowdownReadings
+from ibishead.decisions.steptime import StepTime
 from ibishead.decisions.turns import PromptWindow, Turn, choose_turn
 from ibishead.links import Link
 from ibishead.routing.messages import TurnAnswer, TurnNoted
@@ -24,9 +28,17 @@
 
 logger = logging.getLogger(__name__)
 
-#: Factor by which the read rate has to change, up or down, to be logged again.
+#: Factor by which the read rate or the step time has to change, up or down, to be
+#: logged again.
 LOGGED_RATE_RATIO = 1.25
 
+#: Seconds over which the slowdown of a host is averaged for the log, and averages from
+#: which it is logged as slow and as usual again. Hosts that are slowed down 2.5 times
+#: for 0.6 s, in 15% of the time, are seldom logged.
+LOGGED_SLOWDOWN_SECONDS = 3.0
+SLOW_AVERAGE = 1.75
+USUAL_AVERAGE = 1.25
+
 #: Seconds by which the delay of a new prompt has to differ from what gateways expect
 #: before they are sent a new value.
 DELAY_STEP_SECONDS = 0.05
@@ -72,6 +84,8 @@
     :ivar window: limits the prompt tokens sent to the engine over time.
     :ivar slots: limits the requests in the engine's batch.
     :ivar rate: applies the engine's rate limit.
+    :ivar slowdown: readings of the slowdown of the engine's host.
+    :ivar step_time: estimate of the time of one token of each running answer.
     """
 
     def __init__(
@@ -84,6 +98,7 @@
         self.window = PromptWindow()
         self.slots = BatchSlots()
         self.rate = SendRate(BURST_SECONDS)
+        self.slowdown = SlowdownReadings()
         self._clock = clock
         self._on_delay = on_delay
         self._on_refused = on_refused
@@ -94,9 +109,14 @@
         self._published_delay = 0.0
         self._published_at = 0.0
         self._logged_rate = self.window.speed.rate
+        self._logged_step_time = 0.0
+        self._logged_slow = False
         self._unread: Counter[Link] = Counter()
         self._running: Counter[Link] = Counter()
-        self._single_prompt = False
+        self._chains = ReadChains(self.window.speed)
+        self.step_time = StepTime()
+        #: Monotonic seconds since which the engine's speed is measured.
+        self._measured_since = 0.0
 
     @property
     def count(self) -> int:
@@ -128,7 +148,6 @@
         :param tokens: length of the prompt.
         """
         self.window.take(tokens, self._clock.monotonic())
-        self._single_prompt = not self._unread.total()
         self._unread[link] += 1
         self._running[link] += 1
         self.slots.begin()
@@ -137,8 +156,6 @@
     def record_read(self, link: Link, tokens: int, seconds: float) -> None:
         """Record that the engine has read a prompt or that its request has ended.
 
-        The read rate is measured only while the engine had a single prompt to read.
-
         :param tokens: length of the prompt.
         :param seconds: from the send to the first event, 0 if there was none.
         """
@@ -146,9 +163,43 @@
             # the prompt was sent over an earlier link of this gateway
             return
         self._unread[link] -= 1
-        if seconds and self._single_prompt and not self._unread.total():
-            self.window.speed.record(tokens, seconds)
-            self._log_read_rate()
+        now = self._clock.monotonic()
+        if not seconds or now - seconds < self._measured_since:
+            # The engine may have read a part of the prompt, or it was read by an
+            # earlier start of the engine.
+            self._chains.discard()
+            return
+        slowdown = self.slowdown.mean(now - seconds, now)
+        idle = not self._unread.total()
+        self._chains.record(tokens, seconds, idle, now, slowdown)
+        self._log_read_rate()
+
+    def record_answer(self, tokens: int, event_tokens: int, seconds: float) -> None:
+        """Record the length and the time of an answer that has ended.
+
+        :param tokens: its length, 0 if unknown.
+        :param event_tokens: tokens of one event.
+        :param seconds: from its first to its last event.
+        """
+        now = self._clock.monotonic()
+        began = now - seconds
+        if not began >= self._measured_since:
+            return
+        slowdown = self.slowdown.mean(began, now)
+        self.step_time.record(tokens, event_tokens, seconds, slowdown)
+        if _differs(self.step_time.seconds, self._logged_step_time):
+            self._logged_step_time = self.step_time.seconds
+            logger.info(
+                "step time changed",
+                extra={"milliseconds": round(self.step_time.seconds * 1000, 2)},
+            )
+
+    def reset_speed(self) -> None:
+        """Discard what was measured of an earlier start of the engine."""
+        self.window.speed, self.window.slowdown = ReadSpeed(), 1.0
+        self._chains = ReadChains(self.window.speed)
+        self.slowdown, self.step_time = SlowdownReadings(), StepTime()
+        self._measured_since = self._clock.monotonic()
 
     def record_end(self, link: Link) -> None:
         """Count a request of a gateway as ended."""
@@ -161,6 +212,10 @@
 
     def record_report(self, requests: int) -> None:
         """Record how many requests the engine reports, running or queued."""
+        now = self._clock.monotonic()
+        self.window.speed.relax(now)
+        self.window.slowdown = self.slowdown.read(now)
+        self._log_slowdown(now)
         self.slots.record_report(requests)
         self._wake_if_waiting()
 
@@ -180,10 +235,9 @@
         """Drop the requests of a gateway whose link is closed."""
         self.slots.end(self._running.pop(link, 0), self._clock.monotonic())
         self._waiting = {t: w for t, w in self._waiting.items() if w.link is not link}
-        # the engine may still be reading prompts of this gateway for a moment, so the
-        # next measurement of the read rate isn't of a single prompt
+        # The engine may still be reading prompts of this gateway for a moment.
         if self._unread.pop(link, 0):
-            self._single_prompt = False
+            self._chains.discard()
 
     def refuse_all(self) -> None:
         """Refuse every waiting request."""
@@ -201,12 +255,24 @@
 
     def _log_read_rate(self) -> None:
         rate = self.window.speed.rate
-        if not 1 / LOGGED_RATE_RATIO < rate / self._logged_rate < LOGGED_RATE_RATIO:
+        if _differs(rate, self._logged_rate):
             self._logged_rate = rate
             logger.info(
                 "prompt read rate changed", extra={"tokens_a_second": round(rate)}
             )
 
+    def _log_slowdown(self, now: float) -> None:
+        average = self.slowdown.mean(now - LOGGED_SLOWDOWN_SECONDS, now)
+        slow = average >= (USUAL_AVERAGE if self._logged_slow else SLOW_AVERAGE)
+        if slow != self._logged_slow:
+            self._logged_slow = slow
+            logger.info(
+                "host of the engine slowed down"
+                if slow
+                else "host of the engine works as usual",
+                extra={"slowdown": round(average, 2)},
+            )
+
     def _grant_due(self) -> float | None:
         """Grant all turns that are due.
 
@@ -249,3 +315,8 @@
         if abs(delay - expected) >= DELAY_STEP_SECONDS:
             self._published_delay, self._published_at = delay, now
             self._on_delay(delay)
+
+
+def _differs(value: float, logged: float) -> bool:
+    """Return whether a value has changed enough to be logged."""
+    return value > LOGGED_RATE_RATIO * logged or value * LOGGED_RATE_RATIO < logged
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -9,6 +9,7 @@
 from tests.fake_links import FakeLink
 
 from ibishead.clock import SystemClock
+from ibishead.decisions.readspeed import INITIAL_RATE
 from ibishead.errors import LinkLost
 from ibishead.ids import (
     FailureDomain,
@@ -24,11 +25,13 @@
 from ibishead.routing.messages import (
     AskFence,
     AskTurn,
+    BeginUse,
     EndUse,
     EngineReport,
     FenceAnswer,
     MemberKind,
     MemberRecord,
+    PromptRead,
     RateTold,
     RefusalsTold,
     TurnAnswer,
@@ -513,6 +516,40 @@
             await asyncio.sleep(0.01)
 
 
+async def test_speed_of_an_engine_is_reported_and_forgotten_when_it_restarts():
+    """Guards against prompts that are scheduled by an earlier start's speed."""
+
+    class SlowedEngine(FakeEngine):
+        async def read_state(self) -> EngineState:
+            slowdown = 2.5 if self.born == 1 else None
+            return replace(await super().read_state(), slowdown=slowdown)
+
+    harness = StewardHarness(SlowedEngine())
+    async with harness:
+        assert await harness.request_turn(1, "a1")
+        await asyncio.sleep(0.3)
+        key = WeightKey(MODEL, "a1")
+        harness.gateway.inbox.put_nowait(PromptRead(0, 0.0))
+        for tokens in [1000 + 100 * n for n in range(20)]:
+            harness.gateway.inbox.put_nowait(BeginUse(key, tokens))
+            harness.gateway.inbox.put_nowait(PromptRead(tokens, 0.02 + tokens / 1e5))
+            harness.gateway.inbox.put_nowait(EndUse(key, tokens=100, seconds=0.1))
+        await asyncio.sleep(0.7)
+        reports = [m for m in harness.gateway.sent if isinstance(m, EngineReport)]
+        assert reports[-1].slowdown == 2.5
+        assert reports[-1].step_time == pytest.approx(0.1 / 99 / 2.5, abs=1e-4)
+        assert harness.steward.list_gauges()["read_rate"] > 150_000
+        harness.engine.born = 2
+        async with asyncio.timeout(3.0):
+            while harness.steward.list_gauges()["step_time"]:
+                await asyncio.sleep(0.01)
+        harness.gateway.inbox.put_nowait(EndUse(key, tokens=100, seconds=5.0))
+        await asyncio.sleep(0.05)
+        gauges = harness.steward.list_gauges()
+        assert (gauges["step_time"], gauges["slowdown"]) == (0.0, 1.0)
+        assert gauges["read_rate"] == INITIAL_RATE
+
+
 @pytest.mark.parametrize(("rate", "given"), [(20.0, True), (0.25, False)])
 async def test_request_that_rate_limit_delays_too_long_is_refused(rate, given):
     """A request would wait in vain at an engine that looks idle due to its limit."""
