Prompt window: use nearly the whole accepted pause at first

The share left 10 to 15 of 100 for tokens that are written between chunks. The learned rate already contains these, so engines whose rate is learned under load were sent less than they read. The share still falls with each answer that pauses.

--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -15,10 +15,11 @@
 __all__ = ["PromptWindow", "Turn", "choose_turn"]
 
 #: Share of the accepted pause that an engine may spend on prompts: initial value,
-#: minimum and maximum. The rest is used for the tokens themselves.
-INITIAL_SHARE = 0.85
+#: minimum and maximum. The measured read rate includes the tokens that are written
+#: between the chunks of a prompt, so nearly all of the pause is left to prompts.
+INITIAL_SHARE = 0.95
 MIN_SHARE = 0.5
-MAX_SHARE = 0.9
+MAX_SHARE = 1.0
 
 #: Adaptation of the share: each answer with too long a pause multiplies it by this
 #: factor, any other answer adds this step. It settles where 3 answers in 100 pause;
