Choice: speed, slowdown and expected pauses of engines

Gateways record the slowdown from answers and from stewards' reports; the newest reading counts and fades within 0.6 s. The expected delay contains the time to read the request's own prompt, and reading, running and queueing take longer by the slowdown that is left once the prompt is sent. An engine whose answers are expected to pause for longer than the route accepts gets a penalty of 0.4 s. Without a slowdown and a step time, and with equal read rates, the order of targets is as before.

--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from ibishead.decisions.readspeed import INITIAL_RATE
+from ibishead.decisions.slowdown import fade_slowdown
 from ibishead.ids import FailureDomain, TargetId
 from ibishead.routing.targets import WeightKey
 
@@ -60,6 +61,11 @@
 #: by prompts read between them.
 BATCHED_REQUEST_DELAY = 0.012
 
+#: Penalty for an engine whose answers are expected to pause for longer than the route
+#: accepts. An answer that pauses is worth as little as one that begins late, so the
+#: penalty is about that of a load elsewhere and a full batch together.
+LONG_PAUSE_DELAY = 0.4
+
 #: Delay that a queued request adds where the whole batch is in use.
 QUEUED_REQUEST_DELAY = 0.06
 
@@ -246,16 +252,21 @@
     :param rank: position of the target in the adapter's hash order.
     """
     fill = candidate.busy / max(1, candidate.slots)
-    delay = candidate.prompt_wait + candidate.prompt_backlog / candidate.read_rate
-    delay += BATCHED_REQUEST_DELAY * fill * 10
-    delay += candidate.rate_limit_wait + candidate.return_wait
+    wait = candidate.prompt_wait + candidate.rate_limit_wait + candidate.return_wait
+    slowdown = fade_slowdown(candidate.slowdown, wait)
+    read_time = slowdown * _count_unread(need, candidate) / candidate.read_rate
+    delay = wait + read_time + slowdown * BATCHED_REQUEST_DELAY * fill * 10
     if need.weights is None:
         # An engine runs the requests of a batch concurrently, so none waits for another
         # run to end. Run time counts only where requests are not batched.
-        delay += candidate.relative_run_time * need.run_time * fill
+        run_time = candidate.relative_run_time * need.run_time
+        delay += run_time * (slowdown * fill + slowdown - 1.0)
+    elif 0 < need.gap_objective < _expect_pause(need, candidate, slowdown, read_time):
+        delay += LONG_PAUSE_DELAY
     waiting = candidate.busy + 1 - candidate.slots
     if waiting > 0:
-        delay += max(QUEUED_REQUEST_DELAY, need.run_time / candidate.slots) * waiting
+        queued_delay = max(QUEUED_REQUEST_DELAY, need.run_time / candidate.slots)
+        delay += slowdown * queued_delay * waiting
     delay += FAILURE_DELAY * candidate.failures
     delay += (
         SILENT_TARGET_DELAY * candidate.silent
@@ -279,6 +290,23 @@
     return candidate.prompt_wait + pace_wait + model_wait
 
 
+def _count_unread(need: Need, candidate: Candidate) -> int:
+    own = max(0, need.prompt_tokens - candidate.kept_tokens)
+    return candidate.prompt_backlog + own
+
+
+def _expect_pause(
+    need: Need, candidate: Candidate, slowdown: float, read_time: float
+) -> float:
+    """Return the expected longest pause of answers at an engine, 0 if unknown.
+
+    The prompts that are known are read between two events of the running answers.
+    """
+    if not candidate.step_time:
+        return 0.0
+    return slowdown * candidate.step_time * need.event_tokens + read_time
+
+
 def _estimate_adapter_delay(adapter: AdapterState, rank: int) -> float:
     if not adapter.serving:
         # An idle engine that waits for its model seems free to all gateways. The loads
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -263,6 +263,9 @@
             key,
             self._tracker.mean_duration(request.service),
             frozenset(request.avoid),
+            prompt_tokens=request.call.prompt_tokens,
+            gap_objective=request.route.gap_objective,
+            event_tokens=spec.event_tokens if spec is not None else 1,
         )
         chosen = choose_target(need, candidates, self._draw)
         if chosen is None:
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -157,6 +157,7 @@
             "targets_limited": self._tracker.count_limited(),
             "targets_resting": self._tracker.rests.count(self._clock.monotonic()),
             "refused_in_rest": self._tracker.refused_in_rest,
+            "invalid_slowdowns": self._tracker.invalid_slowdowns,
             "quota_keeper_linked": self._quotas.keeper is not None,
             "prompt_parts_known": len(self._part_uses),
             "prompt_parts_blocked": len(self.feed.blocked),
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -8,9 +8,11 @@
 from ibishead.decisions.choice import AdapterState, Candidate
 from ibishead.decisions.health import FailureShare
 from ibishead.decisions.modelwait import estimate_start_wait
-from ibishead.decisions.readspeed import INITIAL_RATE
+from ibishead.decisions.readspeed import INITIAL_RATE, MAX_RATE
 from ibishead.decisions.resting import RestTable, is_valid_rest
 from ibishead.decisions.sendrate import SendRate
+from ibishead.decisions.slowdown import fade_slowdown, is_valid_slowdown
+from ibishead.decisions.steptime import is_valid_step_time
 from ibishead.gateway.calls import TargetLoad
 from ibishead.gateway.stewards import ACK_TIMEOUT_SECONDS
 from ibishead.ids import TargetId
@@ -81,6 +83,10 @@
     :param rate_limit: requests per second that the target accepts from all callers
         together, by its newest response, or ``None`` if it names no limit.
     :param send_rate: limiter for this gateway's share of that limit.
+    :param slowdown: slowdown of the target's host, by the newest response or report.
+    :param slowdown_at: monotonic seconds at which it was reported.
+    :param slowdown_told: the steward has told a slowdown of this incarnation, so that
+        its reports say when there is none.
     """
 
     incarnation: int
@@ -104,6 +110,9 @@
     missing: set[WeightKey] = field(default_factory=set)
     rate_limit: float | None = None
     send_rate: SendRate = field(default_factory=SendRate)
+    slowdown: float = 1.0
+    slowdown_at: float = -LOAD_VALID_SECONDS
+    slowdown_told: bool = False
 
 
 class TargetTracker:
@@ -111,11 +120,13 @@
 
     :ivar rests: the rests that targets have asked this gateway for.
     :ivar refused_in_rest: number of requests that targets have refused in a rest.
+    :ivar invalid_slowdowns: number of responses with a slowdown out of range.
     """
 
     def __init__(self) -> None:
         self.rests = RestTable()
         self.refused_in_rest = 0
+        self.invalid_slowdowns = 0
         self._stats: dict[TargetId, TargetStats] = {}
         self._mean_durations: dict[str, float] = {}
 
@@ -133,6 +144,11 @@
         stats.load = report.running + report.queued
         stats.load_at = now
         stats.sent_since_load = 0
+        # A steward that knows no slowdown reports 1 as well, which must not replace
+        # what a response has told.
+        stats.slowdown_told = stats.slowdown_told or report.slowdown != 1.0
+        if stats.slowdown_told and is_valid_slowdown(report.slowdown):
+            stats.slowdown, stats.slowdown_at = report.slowdown, now
 
     def record_delay(self, delay: PromptDelay, now: float) -> None:
         """Record how long prompts wait for their turn at an engine."""
@@ -159,6 +175,9 @@
         stats.load = load.running + load.waiting
         stats.load_at = now
         stats.sent_since_load = 0
+        self.invalid_slowdowns += load.invalid_slowdown
+        if load.slowdown is not None:
+            stats.slowdown, stats.slowdown_at = load.slowdown, now
 
     def record_limit(
         self,
@@ -320,6 +339,7 @@
             stats.mean_duration / mean if mean > 0 and stats.mean_duration > 0 else 1.0
         )
         read_rate = stats.report.read_rate if stats.report is not None else 0.0
+        step_time = stats.report.step_time if stats.report is not None else 0.0
         rest = self.rests.find(target.target, target.born)
         place = self._find_place(target, stats, weights, min_version, manageable)
         if not place.serving:
@@ -336,7 +356,7 @@
             unreachable=now < stats.unreachable_until
             or (steward_unresponsive and not self.is_responsive(stats, now)),
             prompt_wait=max(0.0, stats.prompt_wait - (now - stats.prompt_wait_at)),
-            read_rate=read_rate or INITIAL_RATE,
+            read_rate=read_rate if 0 < read_rate <= MAX_RATE else INITIAL_RATE,
             # A linked steward enforces the limit itself and includes it in the delays
             # that it reports.
             rate_limit_wait=0.0
@@ -345,6 +365,8 @@
             resting=rest is not None and rest.left(now) > 0,
             refusing=now < stats.refusing_until,
             return_wait=rest.wait(now) if rest is not None else 0.0,
+            step_time=step_time if is_valid_step_time(step_time) else 0.0,
+            slowdown=fade_slowdown(stats.slowdown, now - stats.slowdown_at),
             adapter=place,
         )
 
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -1,6 +1,7 @@
 """Tests of target selection under the loads that it is designed for."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -49,6 +50,33 @@
     assert choose(*candidates) == expected
 
 
+@pytest.mark.parametrize(
+    ("candidates", "expected"),
+    [
+        ((make("a", 8, slowdown=2.5), make("b", 10)), "b"),
+        ((make("a", 0, read_rate=5_000.0), make("b", 4)), "b"),
+        ((make("a", 0, slowdown=2.5, read_rate=10_000.0), make("b", 4)), "b"),
+        # The slowdown has passed once the prompt is sent.
+        ((make("a", 0, slowdown=2.5), make("b", 0, prompt_wait=0.6)), "a"),
+        ((make("a", 4, step_time=0.06), make("b", 20, step_time=0.02)), "b"),
+        ((make("a", 4, step_time=0.06), make("b", 20)), "b"),
+        ((make("a", 4, step_time=0.06), make("b", 20, step_time=0.09)), "a"),
+        ((make("a", 4, step_time=0.02), make("b", 6)), "a"),
+    ],
+)
+def test_speed_of_the_moment_and_expected_pauses_count(candidates, expected):
+    """Guards against engines that are slow or whose answers pause, though idle."""
+    need = Need(HERE, KEY, prompt_tokens=2_000, gap_objective=0.25, event_tokens=3)
+    slots = [replace(candidate, slots=64) for candidate in candidates]
+    assert choose(*slots, need=need) == expected
+
+
+def test_slowdown_of_a_plain_target_counts_by_its_run_time():
+    need = Need(HERE, run_time=0.1)
+    assert choose(make("a", slowdown=2.5), make("b", 3), need=need) == "b"
+    assert choose(make("a", slowdown=2.5), make("b", 8), need=need) == "a"
+
+
 @pytest.mark.parametrize(
     ("places", "expected"),
     [
--- a/tests/gateway/test_tracker.py
+++ b/tests/gateway/test_tracker.py
@@ -101,6 +101,35 @@
     assert describe(tracker, 12.0).busy == 1
 
 
+@pytest.mark.parametrize(
+    ("readings", "age", "slowdown"),
+    [
+        ([], 0.0, 1.0),
+        ([TargetLoad(1, 0, 8, 2.5)], 0.0, 2.5),
+        ([TargetLoad(1, 0, 8, 2.5)], 0.3, 1.75),
+        ([TargetLoad(1, 0, 8, 2.5)], 0.7, 1.0),
+        ([TargetLoad(1, 0, 8, 2.5), TargetLoad(1, 0, 8)], 0.0, 2.5),
+        ([2.5, TargetLoad(1, 0, 8, 1.0)], 0.0, 1.0),
+        # A steward that knows no slowdown reports 1.
+        ([TargetLoad(1, 0, 8, 2.5), 1.0], 0.0, 2.5),
+        ([3.0, TargetLoad(1, 0, 8, 2.5), 1.0], 0.0, 1.0),
+        ([2.5, float("nan")], 0.0, 2.5),
+        ([2.5, -1.0, 1e9], 0.0, 2.5),
+    ],
+)
+def test_newest_slowdown_counts_and_fades(readings, age, slowdown):
+    """Guards against choices by a state of the host that has ended."""
+    tracker = TargetTracker()
+    for reading in readings:
+        if isinstance(reading, float):
+            report = make_report(slowdown=reading, step_time=reading)
+            tracker.record_report(report, 10.0)
+        else:
+            tracker.record_load(tracker.stats(TARGET), reading, 10.0)
+    assert describe(tracker, 10.0 + age).slowdown == pytest.approx(slowdown)
+    assert 0.0 <= describe(tracker, 10.0).step_time <= 10.0
+
+
 def test_the_share_of_failures_decays():
     tracker = TargetTracker()
     stats = tracker.stats(TARGET)
