Prompt reads tell stewards the slowdown that answers name

A gateway gets an answer of the same engine every few seconds, and a slowdown lasts about 0.6 s. Gateways pass it on with PromptRead, whose new last field defaults to unknown, and the steward reports a notable change at once.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -424,6 +424,7 @@
                 call.prompt_tokens,
                 progress.response_delay,
                 progress.use_number,
+                progress.slowdown,
             )
 
     def _handle_head(
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -113,6 +113,8 @@
     :ivar framing: how the end of the last response is marked, ``None`` before the
         first one.
     :ivar partial_bytes: bytes of an incomplete event at the end of the last stream.
+    :ivar slowdown: slowdown that the current target's response names, 0 if it names
+        none.
     """
 
     exchange: Exchange
@@ -134,12 +136,13 @@
     origin: StreamOrigin | None = None
     framing: BodyFraming | None = None
     partial_bytes: int = 0
+    slowdown: float = 0.0
 
     def begin_send(self, target: Registration) -> None:
         """Reset what describes the current target, before a send or its refusal."""
         self.target, self.software = target.target, target.software
         self.failed, self.succeeded = None, False
-        self.max_gap = self.response_delay = 0.0
+        self.max_gap = self.response_delay = self.slowdown = 0.0
         self.event_count = 0
 
 
@@ -249,6 +252,7 @@
         state.connection.idle_time = head.idle_time
         if head.load is not None:
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
+            progress.slowdown = head.load.slowdown or 0.0
         if head.own:
             self._on_head(call, state.target, head, progress)
         if head.not_run:
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -294,17 +294,23 @@
             )
 
     def notify_prompt_read(
-        self, address: str, tokens: int, seconds: float, number: int = 0
+        self,
+        address: str,
+        tokens: int,
+        seconds: float,
+        number: int = 0,
+        slowdown: float = 0.0,
     ) -> None:
         """Notify a steward that its engine has read a prompt.
 
         :param tokens: length of the prompt in tokens.
         :param seconds: time from the send to the first event, 0 if there was none.
         :param number: number under which the use began.
+        :param slowdown: slowdown that the response names, 0 if it names none.
         """
         link = self._links.get(address)
         if link is not None:
-            link.send(PromptRead(tokens, round(seconds, 4), number))
+            link.send(PromptRead(tokens, round(seconds, 4), number, slowdown))
 
     def notify_limit(self, target: Registration, rate: float | None) -> None:
         """Notify a steward of the rate limit in a response of its engine.
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -495,11 +495,14 @@
     :param tokens: length of the prompt.
     :param seconds: time from the send to the first event, 0 if there was no event.
     :param number: number of the request, 0 if it has none.
+    :param slowdown: how much longer work takes on the engine's host, by the headers of
+        its answer; 0 if they don't say.
     """
 
     tokens: int
     seconds: float
     number: int = 0
+    slowdown: float = 0.0
 
 
 class PromptDelay(_Message, frozen=True):
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -257,8 +257,10 @@
                 known = self._feed.view.find_by_address(self._address)
                 if known is not None and known.target == target:
                     self._share_refusals(link, message, now + seconds)
-            case PromptRead(tokens, seconds, number):
+            case PromptRead(tokens, seconds, number, slowdown):
+                self._turns.slowdown.record(slowdown or None, now)
                 self._turns.record_read(link, tokens, seconds)
+                self._report_slowdown()
                 if seconds:
                     self._ends.runs.begin_answer(link, number, now)
             case EndUse(key, pause, failed, number, tokens, seconds):
@@ -359,6 +361,13 @@
         for other in self._links - {link}:
             other.send(told)
 
+    def _report_slowdown(self) -> None:
+        """Report a slowdown that an answer has told and that gateways don't know."""
+        slowdown = self._turns.slowdown.read(self._clock.monotonic())
+        before = self._last_report
+        if before is not None and abs(before.slowdown - slowdown) >= SLOWDOWN_STEP:
+            self._wake.set()
+
     def _send_to_gateways(self, message: Message) -> None:
         for link in self._links:
             link.send(message)
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -4,8 +4,16 @@
 from dataclasses import replace
 
 import pytest
-
-from ibishead.decisions.choice import AdapterState, Candidate, Need, choose_target
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.decisions.choice import (
+    AdapterState,
+    Candidate,
+    Need,
+    choose_target,
+    estimate_delay,
+)
 from ibishead.ids import FailureDomain, ModelName, TargetId
 from ibishead.routing.targets import WeightKey
 
@@ -71,6 +79,15 @@
     assert choose(*slots, need=need) == expected
 
 
+@given(st.lists(st.tuples(st.integers(0, 99), st.integers(0, 9_000)), min_size=1))
+def test_equal_speeds_change_no_choice(loads):
+    """Guards against other choices where nothing is known of engines' speeds."""
+    known = [make(f"e{n}", b, prompt_backlog=p) for n, (b, p) in enumerate(loads)]
+    needs = Need(HERE, KEY), Need(HERE, KEY, prompt_tokens=900, gap_objective=0.01)
+    changes = [estimate_delay(needs[1], c) - estimate_delay(needs[0], c) for c in known]
+    assert changes == pytest.approx([changes[0]] * len(changes))
+
+
 def test_slowdown_of_a_plain_target_counts_by_its_run_time():
     need = Need(HERE, run_time=0.1)
     assert choose(make("a", slowdown=2.5), make("b", 3), need=need) == "b"
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -174,7 +174,8 @@
 
 
 def _make_own_headers(request: str):
-    return (("request-id", request), ("response-stamp", "s"))
+    load = ("server-load", "1,0,8,250")
+    return (("request-id", request), ("response-stamp", "s"), load)
 
 
 WHOLE_STREAM = _make_events(1, 4)
@@ -644,8 +645,8 @@
     def end_use(self, *_) -> None:
         pass
 
-    def notify_prompt_read(self, *_) -> None:
-        pass
+    def notify_prompt_read(self, *read) -> None:
+        self.read = read
 
 
 @pytest.mark.parametrize("responsive", [False, True])
@@ -669,6 +670,8 @@
         answer = await fixture.ask(model="m/a1")
         assert answer == (200, WHOLE_STREAM)
         assert stewards.sent == ([frozen.address] if responsive else [])
+        # The steward shares the slowdown that an answer tells with all gateways.
+        assert stewards.read[-1] == 2.5
 
 
 async def test_a_request_is_refused_if_the_only_host_is_frozen():
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -516,6 +516,17 @@
             await asyncio.sleep(0.01)
 
 
+async def test_slowdown_told_by_one_answer_is_reported_to_all_gateways():
+    """Guards against gateways that each know only what their own answers told."""
+    async with StewardHarness(FakeEngine()) as harness:
+        assert await harness.request_turn(1, "a1")
+        for slowdown in (2.5, 1.0):
+            harness.gateway.inbox.put_nowait(PromptRead(100, 0.05, 1, slowdown))
+            await asyncio.sleep(0.1)
+            reports = [m for m in harness.gateway.sent if isinstance(m, EngineReport)]
+            assert reports[-1].slowdown == slowdown
+
+
 async def test_speed_of_an_engine_is_reported_and_forgotten_when_it_restarts():
     """Guards against prompts that are scheduled by an earlier start's speed."""
 
