--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -62,9 +62,9 @@
 BATCHED_REQUEST_DELAY = 0.012
 
 #: Penalty for an engine whose answers are expected to pause for longer than the route
-#: accepts. An answer that pauses is worth as little as one that begins late, so the
-#: penalty is about that of a load elsewhere and a full batch together.
-LONG_PAUSE_DELAY = 0.4
+#: accepts. It outweighs a full batch, but not an adapter load on another engine: loads
+#: share the store, and answers that pause are few.
+LONG_PAUSE_DELAY = 0.15
 
 #: Delay that a queued request adds where the whole batch is in use.
 QUEUED_REQUEST_DELAY = 0.06
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -658,8 +658,11 @@
             and abs(before.model_wait - report.model_wait) < MODEL_WAIT_STEP_SECONDS
             and abs(before.slowdown - report.slowdown) < SLOWDOWN_STEP
         )
-        if report == before or (
-            same and now - self._last_report_at < REPORT_INTERVAL_SECONDS
+        # Gateways forget a slowdown within moments, so it is repeated while it lasts.
+        slowed = abs(report.slowdown - 1.0) >= SLOWDOWN_STEP
+        interval = IDLE_INTERVAL_SECONDS if slowed else REPORT_INTERVAL_SECONDS
+        if (report == before and not slowed) or (
+            same and now - self._last_report_at < interval
         ):
             return
         self._send_report(report)
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -547,7 +547,8 @@
             harness.gateway.inbox.put_nowait(EndUse(key, tokens=100, seconds=0.1))
         await asyncio.sleep(0.7)
         reports = [m for m in harness.gateway.sent if isinstance(m, EngineReport)]
-        assert reports[-1].slowdown == 2.5
+        # Gateways would forget a slowdown that is told once.
+        assert [report.slowdown for report in reports[-2:]] == [2.5, 2.5]
         assert reports[-1].step_time == pytest.approx(0.1 / 99 / 2.5, abs=1e-4)
         assert harness.steward.list_gauges()["read_rate"] > 150_000
         harness.engine.born = 2
