--- a/src/ibishead/decisions/readchains.py
+++ b/src/ibishead/decisions/readchains.py
@@ -14,8 +14,8 @@
 
 #: Time after which a chain is measured although further prompts follow. The steps that
 #: are timed at its ends read other prompts than those counted. In simulations, 0.4 s
-#: gave estimates of up to twice the speed of a slow engine with long chunks, and with
-#: 1.2 s a change of speed was found up to 1.4 s later.
+#: gave estimates of over twice the speed of a slow engine with long chunks, and with
+#: 1.2 s a change of speed was found up to 2 s later.
 CHAIN_SECONDS = 0.8
 
 #: Maximum seconds between the first events of prompts that the engine has read in one
