--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -16,10 +16,11 @@
 __all__ = ["PromptWindow", "Turn", "choose_turn"]
 
 #: Share of the accepted pause that an engine may spend on prompts: initial value,
-#: minimum and maximum. The rest is used for the tokens themselves.
-INITIAL_SHARE = 0.85
+#: minimum and maximum. The measured read rate includes the tokens that are written
+#: between the chunks of a prompt, so nearly all of the pause is left to prompts.
+INITIAL_SHARE = 0.95
 MIN_SHARE = 0.5
-MAX_SHARE = 0.9
+MAX_SHARE = 1.0
 
 #: Adaptation of the share: each answer with too long a pause multiplies it by this
 #: factor, any other answer adds this step. It settles where 3 answers in 100 pause;
@@ -85,11 +86,13 @@
     :ivar gap: length of the window in seconds, the longest pause that callers accept;
         0 disables the limit.
     :ivar speed: estimate of the engine's read rate.
+    :ivar slowdown: slowdown of the engine's host at this moment.
     """
 
     def __init__(self, gap: float = 0.0) -> None:
         self.gap = gap
         self.speed = ReadSpeed()
+        self.slowdown = 1.0
         self._share = INITIAL_SHARE
         self._unaffected = 0
         self._waited = False
@@ -103,7 +106,7 @@
     @property
     def limit(self) -> int:
         """Maximum number of prompt tokens within the window."""
-        return int(self.speed.rate * self._share * self.gap)
+        return int(self.speed.rate / self.slowdown * self._share * self.gap)
 
     @property
     def overdue(self) -> int:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -124,7 +124,6 @@
     response_started: float = 0.0
     max_gap: float = 0.0
     event_count: int = 0
-    slowdown: float = 0.0
     last_event_at: float = 0.0
     response_delay: float = 0.0
     current_response_at: float = 0.0
@@ -137,13 +136,14 @@
     origin: StreamOrigin | None = None
     framing: BodyFraming | None = None
     partial_bytes: int = 0
+    slowdown: float = 0.0
 
     def begin_send(self, target: Registration) -> None:
         """Reset what describes the current target, before a send or its refusal."""
         self.target, self.software = target.target, target.software
         self.failed, self.succeeded = None, False
-        self.max_gap = self.response_delay = 0.0
-        self.event_count, self.slowdown = 0, 0.0
+        self.max_gap = self.response_delay = self.slowdown = 0.0
+        self.event_count = 0
 
 
 class Sender:
@@ -251,8 +251,8 @@
         head = self._dialect.read_head(call, status, received)
         state.connection.idle_time = head.idle_time
         if head.load is not None:
-            progress.slowdown = head.load.slowdown or 0.0
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
+            progress.slowdown = head.load.slowdown or 0.0
         if head.own:
             self._on_head(call, state.target, head, progress)
         if head.not_run:
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -1,10 +1,19 @@
 """Tests of target selection under the loads that it is designed for."""
 
 import random
+from dataclasses import replace
 
 import pytest
-
-from ibishead.decisions.choice import AdapterState, Candidate, Need, choose_target
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.decisions.choice import (
+    AdapterState,
+    Candidate,
+    Need,
+    choose_target,
+    estimate_delay,
+)
 from ibishead.ids import FailureDomain, ModelName, TargetId
 from ibishead.routing.targets import WeightKey
 
@@ -49,6 +58,42 @@
     assert choose(*candidates) == expected
 
 
+@pytest.mark.parametrize(
+    ("candidates", "expected"),
+    [
+        ((make("a", 8, slowdown=2.5), make("b", 10)), "b"),
+        ((make("a", 0, read_rate=5_000.0), make("b", 4)), "b"),
+        ((make("a", 0, slowdown=2.5, read_rate=10_000.0), make("b", 4)), "b"),
+        # The slowdown has passed once the prompt is sent.
+        ((make("a", 0, slowdown=2.5), make("b", 0, prompt_wait=0.6)), "a"),
+        ((make("a", 4, step_time=0.06), make("b", 20, step_time=0.02)), "b"),
+        ((make("a", 4, step_time=0.06), make("b", 20)), "b"),
+        ((make("a", 4, step_time=0.06), make("b", 20, step_time=0.09)), "a"),
+        ((make("a", 4, step_time=0.02), make("b", 6)), "a"),
+    ],
+)
+def test_speed_of_the_moment_and_expected_pauses_count(candidates, expected):
+    """Guards against engines that are slow or whose answers pause, though idle."""
+    need = Need(HERE, KEY, prompt_tokens=2_000, gap_objective=0.25, event_tokens=3)
+    slots = [replace(candidate, slots=64) for candidate in candidates]
+    assert choose(*slots, need=need) == expected
+
+
+@given(st.lists(st.tuples(st.integers(0, 99), st.integers(0, 9_000)), min_size=1))
+def test_equal_speeds_change_no_choice(loads):
+    """Guards against other choices where nothing is known of engines' speeds."""
+    known = [make(f"e{n}", b, prompt_backlog=p) for n, (b, p) in enumerate(loads)]
+    needs = Need(HERE, KEY), Need(HERE, KEY, prompt_tokens=900, gap_objective=0.01)
+    changes = [estimate_delay(needs[1], c) - estimate_delay(needs[0], c) for c in known]
+    assert changes == pytest.approx([changes[0]] * len(changes))
+
+
+def test_slowdown_of_a_plain_target_counts_by_its_run_time():
+    need = Need(HERE, run_time=0.1)
+    assert choose(make("a", slowdown=2.5), make("b", 3), need=need) == "b"
+    assert choose(make("a", slowdown=2.5), make("b", 8), need=need) == "a"
+
+
 @pytest.mark.parametrize(
     ("places", "expected"),
     [
