--- a/src/ibishead/decisions/slowdown.py
+++ b/src/ibishead/decisions/slowdown.py
@@ -60,6 +60,10 @@
         at, value = self._readings[-1] if self._readings else (-math.inf, 1.0)
         return value if now - at <= SLOWDOWN_SECONDS else 1.0
 
+    def read_end(self) -> float:
+        """Return the monotonic seconds until which the newest reading is valid."""
+        return self._readings[-1][0] + SLOWDOWN_SECONDS if self._readings else 0.0
+
     def mean(self, since: float, now: float) -> float:
         """Return the mean slowdown over a time, 1 if it is unknown.
 
