Concurrency limit of a gateway: connections by the time that the loop takes

Cause: connections were accepted until the event loop's average lateness exceeded 0.3 s. By then 100 to 173 requests were in progress, which at 35 to 60 answers a second outlast their callers' 2 s.

The gateway now bounds the requests in progress in its own event loop. Each iteration takes every request one step further, so the time from a connection's accept to its first read tells the pace at which answers will follow. Connections beyond what can be answered in half of the callers' time are closed by the listening socket, before asyncio sets them up. Requests that wait for a target or stream count no longer than the loop's own work would take.

Requests of open connections are refused with 503 only if three measurements of the loop's lateness in a row leave no time for an answer.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -16,6 +16,7 @@
 from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.resting import OVERLOADED_STATUS, is_valid_rest
 from ibishead.decisions.retry import BudgetShare, RetryBudget
+from ibishead.decisions.shedding import ConnectionShedder
 from ibishead.errors import (
     ErrorCode,
     IbisheadError,
@@ -90,6 +91,7 @@
     :param part_uses: records how requests with each part fare.
     :param share: retry budget that all gateways share.
     :param draw: returns a random number in [0, 1), for ties and retry-after times.
+    :param shedder: tells whether the gateway is too late to answer a request in time.
     """
 
     def __init__(
@@ -109,7 +111,9 @@
         share: BudgetShare,
         metrics: Metrics,
         draw: Callable[[], float] = random.random,
+        shedder: ConnectionShedder | None = None,
     ) -> None:
+        self._shedder = shedder or ConnectionShedder()
         self._feed = feed
         self._chooser = TargetChooser(domain, feed, tracker, stewards, clock, draw)
         self._stewards = stewards
@@ -230,6 +234,14 @@
         route, customer = await self._directory.find(call)
         timeout = route.timeout if call.timeout is None else call.timeout
         deadline = started + min(timeout, route.timeout)
+        self._shedder.record_deadline(deadline - started)
+        if self._shedder.is_late(deadline - self._clock.monotonic()):
+            raise Unavailable(
+                "not run: this gateway is overloaded and can't answer in time",
+                "retry over a new connection",
+                code=ErrorCode.OVERLOADED,
+                retry_after=OTHER_HOST_RETRY_AFTER,
+            )
         service = pick_service(route, self._draw())
         self._find_budget(service).record_attempt()
         return RequestState(
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -107,6 +107,7 @@
         self._blocks = PromptBlocks(settings.host, self.feed)
         self._part_uses = PartUses()
         self._origins = StreamOrigins(self._stewards, clock, self.metrics)
+        self._shedder = ConnectionShedder(settings.link_rate)
         self._pipeline = Pipeline(
             settings.failure_domain,
             self.feed,
@@ -122,15 +123,17 @@
             clock,
             settings.retries,
             self.metrics,
+            shedder=self._shedder,
         )
         self._running = 0
         self._idle_since = clock.monotonic()
         self._stopping = False
-        self._shedder = ConnectionShedder(settings.link_rate)
         self._server = WebServer(
             self._serve,
             Limits(connections=settings.connections),
             accept=lambda: self._shedder.accept(clock.monotonic()),
+            on_read=lambda: self._shedder.begin(clock.monotonic()),
+            on_answer=self._shedder.end,
         )
         self._readiness_server = WebServer(
             self._answer_readiness, Limits(connections=64)
@@ -154,6 +157,9 @@
             "targets_known": sum(1 for _ in self.feed.view),
             "connections_opened": self._pool.opened,
             "connections_shed": self._shedder.count,
+            "own_requests": self._shedder.in_progress,
+            "own_requests_limit": self._shedder.limit,
+            "own_pace": round(self._shedder.pace, 1),
             "targets_limited": self._tracker.count_limited(),
             "targets_resting": self._tracker.rests.count(self._clock.monotonic()),
             "refused_in_rest": self._tracker.refused_in_rest,
@@ -290,6 +296,8 @@
                         "running": self._running,
                         "connections": self._server.connection_count,
                         "connections_shed": self._shedder.count,
+                        "own_requests": self._shedder.in_progress,
+                        "own_requests_limit": self._shedder.limit,
                         "late": round(seconds - MEASURING_INTERVAL_SECONDS, 3),
                         "sent_a_second": round((total - sent) / seconds),
                     },
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -13,6 +13,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Any
 
 import h11
 import msgspec
@@ -56,6 +57,9 @@
 #: stop; long enough to read requests that were sent before, even on a slow host.
 LAST_REQUEST_SECONDS = 0.25
 
+#: Steps of the event loop in which a new connection's data is read if there is any.
+FIRST_READ_STEPS = 2
+
 
 @dataclass(frozen=True)
 class Limits:
@@ -173,6 +177,26 @@
         self._connection.abort()
 
 
+class _Listener(socket.socket):
+    """A listening socket that closes the connections that aren't wanted.
+
+    asyncio accepts all queued connections in one step. Closing them here costs a
+    fraction of what a connection costs that asyncio has set up.
+
+    :ivar wants: called with each new connection; returns whether it is wanted.
+    """
+
+    wants: Callable[[], bool]
+
+    def accept(self) -> tuple[socket.socket, Any]:
+        """Accept the first queued connection that is wanted."""
+        while True:
+            accepted, peer = super().accept()
+            if self.wants():
+                return accepted, peer
+            accepted.close()
+
+
 class WebServer:
     """An HTTP/1.1 server.
 
@@ -181,6 +205,10 @@
     :param tls: context for HTTPS; without it, the server speaks plain HTTP.
     :param accept: called with each new connection; one for which it returns false is
         closed before anything is read from it.
+    :param on_read: called once for each accepted connection, as soon as it was read
+        from, has nothing to read yet, or was lost.
+    :param on_answer: called with the result of `on_read` when the connection's first
+        answer begins, the connection ends, or has nothing to read yet.
     :ivar bytes_sent: bytes sent so far, with an estimate for the packets' headers.
     :ivar closing: whether answers ask callers to close their connections.
     :ivar stopping: whether connections are closed after their current request.
@@ -192,9 +220,13 @@
         limits: Limits | None = None,
         tls: ssl.SSLContext | None = None,
         accept: Callable[[], bool] = lambda: True,
+        on_read: Callable[[], Any] = lambda: None,
+        on_answer: Callable[[Any], None] = lambda _: None,
     ) -> None:
         self.handler = handler
         self._accept = accept
+        self.on_read = on_read
+        self.on_answer = on_answer
         self.bytes_sent = 0
         self.limits = limits or Limits()
         self._tls = tls
@@ -206,11 +238,13 @@
 
     async def start(self, endpoint: Endpoint) -> Endpoint:
         """Start listening, and return the endpoint with the actual port."""
-        self._listener = socket.create_server(
+        created = socket.create_server(
             (endpoint.address, endpoint.port),
             family=socket.AF_INET6 if ":" in endpoint.address else socket.AF_INET,
             backlog=BACKLOG,
         )
+        self._listener = _Listener(fileno=created.detach())
+        self._listener.wants = self._accept
         self._server = await asyncio.start_server(
             self._serve, sock=self._listener, ssl=self._tls, backlog=BACKLOG
         )
@@ -279,7 +313,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = _ServerConnection(self, reader, writer)
-        if len(self._connections) >= self.limits.connections or not self._accept():
+        if len(self._connections) >= self.limits.connections:
+            connection.end_first_request()
             connection.abort()
             return
         self._connections.add(connection)
@@ -294,6 +329,7 @@
             )
         finally:
             self._connections.discard(connection)
+            connection.end_first_request()
             connection.abort()
 
 
@@ -312,10 +348,14 @@
             h11.SERVER, max_incomplete_event_size=server.limits.header_bytes
         )
         self._idle = True
+        self._unread = True
+        self._unanswered = True
+        self._first_request: Any = None
         name = writer.get_extra_info("peername")
         self._peer = str(name[0]) if name else ""
 
     async def run(self) -> None:
+        asyncio.get_running_loop().call_soon(self._check_first_read, FIRST_READ_STEPS)
         while not self._server.stopping:
             self._idle = True
             request = await self._read_request()
@@ -329,6 +369,28 @@
                 return
             self._state.start_next_cycle()
 
+    def _begin_first_request(self) -> None:
+        if self._unread:
+            self._unread = False
+            self._first_request = self._server.on_read()
+
+    def end_first_request(self) -> None:
+        self._begin_first_request()
+        if self._unanswered:
+            self._unanswered = False
+            self._server.on_answer(self._first_request)
+
+    def _check_first_read(self, steps: int) -> None:
+        # Data that was there at the accept has been read after these steps; otherwise
+        # the connection waits for its caller.
+        if not self._unread:
+            return
+        if steps == 0:
+            self.end_first_request()
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._check_first_read, steps - 1)
+
     def close_if_idle(self) -> None:
         if self._idle and not self._state.trailing_data[0]:
             self._writer.close()
@@ -369,6 +431,7 @@
         if transport.is_closing():
             raise _make_caller_lost_error()
         self._writer.write(data)
+        self.end_first_request()
         self._server.bytes_sent += len(data) + PACKET_HEADER_BYTES
         # Data that the kernel takes at once needs neither a wait nor a timer
         if transport.get_write_buffer_size() <= MAX_UNSENT_BYTES:
@@ -441,6 +504,7 @@
                 if not started:
                     return None
                 raise
+            self._begin_first_request()
             self._state.receive_data(data)
 
     async def _read_body(self, head: h11.Request) -> bytes:
