--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -12,6 +12,7 @@
 from ibishead.decisions.holding import MIN_HOLD_SECONDS
 from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.retry import BudgetShare
+from ibishead.decisions.shedding import ConnectionShedder
 from ibishead.errors import LinkLost
 from ibishead.gateway.blocking import PromptBlocks
 from ibishead.gateway.choosing import DISCOVERY_SECONDS
@@ -224,6 +225,7 @@
         self.origins = StreamOrigins(stewards, clock, metrics)
         self.blocks = PromptBlocks(HostId("g"), feed, lambda: 0.0)
         self.part_uses = PartUses()
+        self.shedder = ConnectionShedder()
         self.pipeline = Pipeline(
             HOME,
             feed,
@@ -240,6 +242,7 @@
             BudgetShare(0.0, 3.0),
             metrics,
             lambda: 0.0,
+            self.shedder,
         )
         self._web = WebServer(self.pipeline.serve)
         self._targets: list[WebServer] = []
@@ -870,3 +873,17 @@
         await asyncio.sleep(0.01)
         use = fixture.part_uses.read(PartKey("bad"))
         assert (use.count, use.sound_at is not None) == (1, sound)
+
+
+@pytest.mark.parametrize(("late", "status", "sends"), [(0.1, 200, 1), (2.0, 503, 0)])
+async def test_a_request_is_refused_if_the_loop_is_too_late(late, status, sends):
+    """It would wait until its deadline, where another gateway can serve it."""
+    async with Fixture(ONCE, respond) as fixture:
+        for _ in range(5):
+            fixture.shedder.record(late + 0.1, late, 0)
+        answered, body = await fixture.ask()
+        assert answered == status
+        assert len(fixture.arrivals) == sends
+        assert (
+            status == 200 or msgspec.json.decode(body)["error"]["code"] == "overloaded"
+        )
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,6 +1,7 @@
 """The HTTP server answers, streams, and rejects invalid input with an error code."""
 
 import asyncio
+import contextlib
 import json
 import socket
 
@@ -239,3 +240,47 @@
     assert received.endswith(body)
     writer.close()
     await server.stop(0.0)
+
+
+async def test_unwanted_connections_are_closed_unread():
+    """Their callers would wait here, instead of going elsewhere at once."""
+    wanted, read = iter([True, False, True]), []
+    server = WebServer(
+        answer, SMALL, None, lambda: next(wanted), lambda: read.append(1)
+    )
+    endpoint = await server.start(LOOPBACK)
+    request = b"POST /echo HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+    assert b"200" in await _send_raw(endpoint, request)
+    with contextlib.suppress(ConnectionError):
+        assert not await _send_raw(endpoint, request)
+    assert b"200" in await _send_raw(endpoint, request)
+    assert len(read) == 2
+    await server.stop(grace=1.0)
+
+
+@pytest.mark.parametrize(
+    "data", [b"POST /echo HTTP/1.1\r\nhost: x\r\n\r\n", b"POST /", b"\0\r\n", b""]
+)
+async def test_each_accepted_connection_is_counted_until_its_answer(data):
+    """A count that isn't returned would make the gateway refuse all callers."""
+    begun, ended, answered = [], [], asyncio.Event()
+
+    def end(work):
+        ended.append(work)
+        answered.set()
+
+    def begin():
+        begun.append(object())
+        return begun[-1]
+
+    server = WebServer(answer, SMALL, on_read=begin, on_answer=end)
+    endpoint = await server.start(LOOPBACK)
+    _, writer = await asyncio.open_connection(endpoint.address, endpoint.port)
+    writer.write(data)
+    # Also the count of a silent caller is returned before its connection ends
+    if data != b"POST /":
+        await asyncio.wait_for(answered.wait(), 5.0)
+    writer.close()
+    await server.stop(grace=1.0)
+    assert begun
+    assert ended == begun
