Read answers of targets only as fast as callers take them

Cause: TargetConnection read on while nobody took what had come, and whole answers were kept whatever their size.

Change: a connection reads from its socket only what the hold of its answer has room for, 256 KB at most, and pauses without room until half of it is passed on. The parts of one read are joined, so short chunks take no more memory than their bytes. Whole answers count until they are sent. One for which there is no room is passed on from then on; if its target then fails, the caller's answer is aborted and the request not resent. Whole answers beyond 64 KB are sent part by part, with their length as before, since a single write made three more copies. A stream whose event doesn't fit into what is free is aborted. The head and a large body of a request are written separately, which saves another copy.

A target that aborts an unread stream: its caller's stream continues at another target where the route allows it, and is aborted elsewhere, as before.

--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -9,17 +9,38 @@
 
 import h11
 
+from ibishead.decisions.heldbytes import AnswerBudget, AnswerHold
 from ibishead.errors import InvalidInput, LinkLost
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
 from ibishead.sockets import connect_socket, enable_keepalive, reset_on_close
 
-__all__ = ["TargetConnection"]
+__all__ = ["MAX_UNTAKEN_BYTES", "TargetConnection"]
 
+#: Bytes of a response that may wait to be taken. The connection reads no more then, so
+#: that the target stops sending.
+MAX_UNTAKEN_BYTES = 256 * 1024
 
-class TargetConnection(asyncio.Protocol):
+#: Memory of a received part of a body besides its bytes.
+PART_OVERHEAD_BYTES = 128
+
+#: Bytes read from a socket at a time.
+READ_SIZE = 64 * 1024
+
+#: Received bytes on their way from the socket to the parser. All connections of the
+#: event loop use it in turn, as nothing runs between a read and `buffer_updated`.
+_received = memoryview(bytearray(READ_SIZE))
+
+_unlimited = AnswerBudget(None)
+
+
+class TargetConnection(asyncio.BufferedProtocol):
     """An HTTP/1.1 client connection.
 
+    Reads from the socket only what the hold of the current response has room for.
+
+    :ivar hold: counts received bytes until `read` is called after the call that
+        returned them; set by the owner before a request.
     :ivar last_used: monotonic seconds at which the last exchange ended, set by the
         owner.
     :ivar idle_time: seconds for which the target keeps the connection open when idle,
@@ -35,6 +56,8 @@
         self._in_exchange = False
         self._responded_early = False
         self._close_reason: str | None = None
+        self._taken = 0
+        self.hold: AnswerHold = _unlimited.open("", MAX_UNTAKEN_BYTES)
         self.last_used = 0.0
         self.idle_time: float | None = None
 
@@ -65,6 +88,17 @@
         self._transport = transport
         enable_keepalive(transport)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        room = self.hold.room
+        if room is None:
+            return _received
+        return _received[: max(1, room - PART_OVERHEAD_BYTES)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle bytes that were read into the buffer."""
+        self.data_received(bytes(_received[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes outside an exchange close the connection."""
         if not self._in_exchange:
@@ -107,11 +141,16 @@
         :raises LinkLost: the connection was lost before the response headers; the
             request may have run.
         """
-        data = self._encode(method, target, headers, body)
+        head, sent_body = self._encode(method, target, headers, body)
         if self.closed or self._transport is None:
             raise self._make_error()
         self._in_exchange = True
-        self._transport.write(data)
+        if len(sent_body) <= READ_SIZE:
+            self._transport.write(head + sent_body)
+        else:
+            # The sum would be another copy of a large body
+            self._transport.write(head)
+            self._transport.write(sent_body)
         response = await self._next_event()
         while isinstance(response, h11.InformationalResponse):
             response = await self._next_event()
@@ -130,6 +169,7 @@
 
         :raises LinkLost: the connection was lost before the body was complete.
         """
+        self._release_taken()
         parts: list[bytes] = []
         while True:
             if parts and not self._events:
@@ -138,6 +178,7 @@
             match event:
                 case h11.Data():
                     parts.append(bytes(event.data))
+                    self._taken += len(event.data) + PART_OVERHEAD_BYTES
                 case h11.EndOfMessage():
                     if parts:
                         self._events.appendleft(event)
@@ -151,7 +192,9 @@
         """Close the connection immediately."""
         self._close("dropped")
 
-    def _encode(self, method: str, target: str, headers: Headers, body: bytes) -> bytes:
+    def _encode(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> tuple[bytes, bytes]:
         framing: Headers = ()
         if body or method not in ("GET", "HEAD", "DELETE"):
             framing = (("content-length", str(len(body))),)
@@ -164,10 +207,13 @@
                     for k, v in (*headers, *framing)
                 ],
             )
-            data = self._state.send(request) or b""
+            head = self._state.send(request) or b""
+            sent_body = b""
             if body:
-                data += self._state.send(h11.Data(data=body)) or b""
-            return data + (self._state.send(h11.EndOfMessage()) or b"")
+                sent_body = self._state.send(h11.Data(data=body)) or b""
+            # The end of a body with a length is no bytes
+            self._state.send(h11.EndOfMessage())
+            return head, sent_body
         except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             self.close()
             raise InvalidInput(
@@ -175,19 +221,44 @@
                 "correct the method, path or headers",
             ) from error
 
+    def _release_taken(self) -> None:
+        if not self._taken:
+            return
+        self.hold.remove(self._taken)
+        self._taken = 0
+        if self.hold.paused and self.hold.may_go_on() and self._transport is not None:
+            self._transport.resume_reading()
+
+    def _hold_part(self, part: bytes) -> None:
+        self._events.append(h11.Data(data=part))
+        self.hold.add(len(part) + PART_OVERHEAD_BYTES)
+        if self.hold.must_pause() and self._transport is not None:
+            self._transport.pause_reading()
+
     def _parse(self) -> None:
+        # The parts of one read are joined, so that many short chunks take no more
+        # memory than their bytes.
+        parts: list[bytes] = []
         try:
             while True:
                 event = self._state.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
                 assert isinstance(event, h11.Event)
+                if isinstance(event, h11.Data):
+                    parts.append(event.data)
+                    continue
+                if parts:
+                    self._hold_part(b"".join(parts))
+                    parts = []
                 self._events.append(event)
                 if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     break
         except h11.RemoteProtocolError as error:
             self._close(f"malformed response: {error}")
             return
+        if parts:
+            self._hold_part(b"".join(parts))
         if self._events:
             self._wake_reader()
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from ibishead.clock import Clock
+from ibishead.decisions.heldbytes import AnswerBudget
 from ibishead.decisions.holding import compute_hold, estimate_route_wait
 from ibishead.decisions.leaving import OTHER_HOST_RETRY_AFTER, AnswerPace, fits_grace
 from ibishead.decisions.partuses import PartUses
@@ -90,6 +91,7 @@
     :param part_uses: records how requests with each part fare.
     :param share: retry budget that all gateways share.
     :param draw: returns a random number in [0, 1), for ties and retry-after times.
+    :param answers: budget of the bytes held for answers.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         share: BudgetShare,
         metrics: Metrics,
         draw: Callable[[], float] = random.random,
+        answers: AnswerBudget | None = None,
     ) -> None:
         self._feed = feed
         self._chooser = TargetChooser(domain, feed, tracker, stewards, clock, draw)
@@ -125,6 +128,7 @@
             self._notify_prompt_read,
             self._handle_head,
             self._record_origin,
+            answers,
         )
         self._origins = origins
         self._blocks = blocks
@@ -479,10 +483,12 @@
                 if request.refusals < MAX_REFUSALS and not out_of_budget:
                     return
                 raise self._chooser.make_refusal(request, reason)
-            case Failed(reason):
+            case Failed(reason, final):
                 request.last_reason = reason
                 may_repeat = (
-                    route.repeatable and progress.uncertain_sends < route.attempts
+                    not final
+                    and route.repeatable
+                    and progress.uncertain_sends < route.attempts
                 )
                 if may_repeat and self._find_budget(request.service).take():
                     request.selection_started = self._clock.monotonic()
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -1,14 +1,16 @@
 """Sends a call to one target and relays the target's response."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TypeAlias
 
 from ibishead.clock import Clock
+from ibishead.decisions.heldbytes import AnswerBudget, AnswerHold
 from ibishead.errors import LinkLost
 from ibishead.gateway.calls import Call, SendParameters, TargetDialect, TargetHead
-from ibishead.gateway.connection import TargetConnection
+from ibishead.gateway.connection import MAX_UNTAKEN_BYTES, TargetConnection
 from ibishead.gateway.events import EventSplitter
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.tracker import TargetStats, TargetTracker
@@ -37,6 +39,10 @@
 GAP_FACTOR = 5.0
 
 
+#: Largest whole response that is relayed in a single write. The parts of a larger one
+#: are released one by one, as a single write would copy all of them.
+MAX_SINGLE_WRITE_BYTES = 64 * 1024
+
 #: Lowest status code that reports a failure of the target itself.
 MIN_FAILURE_STATUS = 500
 
@@ -80,9 +86,13 @@
 
 @dataclass(frozen=True)
 class Failed:
-    """The target may have run the request, but returned no complete response."""
+    """The target may have run the request, but returned no complete response.
+
+    :param final: the request can't be resent, whatever its route allows.
+    """
 
     reason: str
+    final: bool = False
 
 
 Outcome: TypeAlias = Answered | NotRun | Failed
@@ -149,6 +159,7 @@
     :param on_response: called when a response begins; the progress has its delay.
     :param on_head: called with the headers of each response of the target itself.
     :param on_stream: called before the first event of a stream is relayed.
+    :param answers: budget of the bytes held for answers.
     """
 
     def __init__(
@@ -160,7 +171,9 @@
         on_response: Callable[[Call, Registration, Progress], None],
         on_head: Callable[[Call, Registration, TargetHead, Progress], None],
         on_stream: Callable[[Call, Route, StreamOrigin], None],
+        answers: AnswerBudget | None = None,
     ) -> None:
+        self._answers = answers or AnswerBudget(None)
         self._on_stream = on_stream
         self._on_response = on_response
         self._on_head = on_head
@@ -197,7 +210,12 @@
         progress.sending = True
         self._tracker.begin_request(stats, call.prompt_tokens)
         started = self._clock.monotonic()
-        state = _SendState(call, route, target, connection, stats, started, identity)
+        caller = identity.customer or progress.exchange.request.peer
+        connection.hold = hold = self._answers.open(caller, MAX_UNTAKEN_BYTES)
+        kept = self._answers.open(caller)
+        state = _SendState(
+            call, route, target, connection, stats, started, identity, kept
+        )
         try:
             outcome = await self._exchange(state, progress, deadline)
         except LinkLost as error:
@@ -208,6 +226,8 @@
             self._tracker.end_request(stats)
             if not state.complete:
                 connection.close()
+            hold.close()
+            kept.close()
         now = self._clock.monotonic()
         match outcome:
             case Answered():
@@ -290,19 +310,58 @@
     async def _relay_whole(
         self, state: "_SendState", head: TargetHead, progress: Progress
     ) -> Outcome:
-        parts: list[bytes] = []
+        parts: deque[bytes] = deque()
         while (part := await state.connection.read()) is not None:
             parts.append(part)
+            if not state.kept.try_add(len(part)):
+                return await self._relay_large(state, head, progress, parts)
         self._record_response_start(state, progress)
         self._release(state)
+        exchange, headers = progress.exchange, _drop_content_length(head.headers)
+        size = sum(map(len, parts))
         try:
-            await progress.exchange.respond(
-                head.status, _drop_content_length(head.headers), b"".join(parts)
-            )
+            if size <= MAX_SINGLE_WRITE_BYTES:
+                await exchange.respond(head.status, headers, b"".join(parts))
+                return Answered()
+            await exchange.start(head.status, (*headers, ("content-length", str(size))))
+            await _send_parts(exchange, parts, state.kept)
+            await exchange.finish()
         except LinkLost as error:
             raise CallerLeftError from error
         return Answered()
 
+    async def _relay_large(
+        self,
+        state: "_SendState",
+        head: TargetHead,
+        progress: Progress,
+        parts: deque[bytes],
+    ) -> Outcome:
+        """Relay a response that there is no room to keep until it is complete.
+
+        Once a part was sent to the caller, the request can't be resent.
+
+        :param parts: what was received so far.
+        """
+        self._record_response_start(state, progress)
+        exchange = progress.exchange
+        try:
+            await exchange.start(head.status, head.headers)
+            while True:
+                await _send_parts(exchange, parts, state.kept)
+                try:
+                    part = await state.connection.read()
+                except LinkLost as error:
+                    return Failed(error.message, final=True)
+                if part is None:
+                    break
+                parts.append(part)
+            await exchange.finish()
+        except LinkLost as error:
+            raise CallerLeftError from error
+        self._release(state)
+        return Answered()
+
     async def _relay_stream(
         self, state: "_SendState", head: TargetHead, progress: Progress
     ) -> Outcome:
@@ -320,6 +379,8 @@
             if data is None and progress.framing is BodyFraming.CONNECTION:
                 _check_has_events(splitter)
             events = splitter.flush() if data is None else splitter.feed(data)
+            if not state.kept.resize(splitter.partial_bytes):
+                return Failed("no memory is left for an event so large", final=True)
             now = state.stats.last_data_at = self._clock.monotonic()
             if events and state.responding:
                 progress.max_gap = max(progress.max_gap, now - last_events_at)
@@ -374,6 +435,7 @@
     """State of one send.
 
     :ivar started: monotonic seconds at which the send began.
+    :ivar kept: counts bytes that were taken from the connection and not sent on.
     :ivar responding: the target's response has begun.
     :ivar failed: the status code reports a failure of the target.
     :ivar succeeded: the status code reports a success.
@@ -387,6 +449,7 @@
     stats: TargetStats
     started: float
     identity: Identity
+    kept: AnswerHold
     responding: bool = False
     failed: bool = False
     succeeded: bool = False
@@ -405,5 +468,14 @@
         )
 
 
+async def _send_parts(
+    exchange: Exchange, parts: deque[bytes], kept: AnswerHold
+) -> None:
+    while parts:
+        part = parts.popleft()
+        await exchange.send(part)
+        kept.remove(min(kept.held, len(part)))
+
+
 def _drop_content_length(headers: Headers) -> Headers:
     return tuple((k, v) for k, v in headers if k != "content-length")
--- a/tests/gateway/test_connection.py
+++ b/tests/gateway/test_connection.py
@@ -1,12 +1,14 @@
 """Client connections to targets with invalid, late, duplicate or missing responses."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
 
+from ibishead.decisions.heldbytes import ANSWER_RESERVE_BYTES, AnswerBudget
 from ibishead.errors import LinkLost
-from ibishead.gateway.connection import TargetConnection
+from ibishead.gateway.connection import MAX_UNTAKEN_BYTES, TargetConnection
 from ibishead.links import Endpoint
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -159,3 +161,114 @@
         connection.close()
         await asyncio.sleep(0.05)
         assert accepted.recv(1000) == b""
+
+
+#: Writes of 64 KB of a long response, more than the kernel's buffers hold.
+WRITES = 400
+
+
+class LongTarget(RawTarget):
+    """Sends a long response.
+
+    :ivar sent: number of writes that the kernel has taken.
+    :ivar ended: set when a connection was lost.
+    """
+
+    def __init__(self, frame: int = 64_000) -> None:
+        super().__init__()
+        self._frame = b"%x\r\n%b\r\n" % (frame, b"x" * frame)
+        self.sent = 0
+        self.ended = asyncio.Event()
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def _serve(self, reader, writer) -> None:
+        self.writers.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            for _ in range(WRITES):
+                writer.write(self._frame * (64_000 // len(self._frame) or 1))
+                await writer.drain()
+                self.sent += 1
+            writer.write(b"0\r\n\r\n")
+            return
+        self.ended.set()
+
+
+async def read_to_none(connection: TargetConnection) -> None:
+    while await connection.read() is not None:
+        pass
+
+
+async def wait_stalled(target: LongTarget) -> None:
+    """Wait until a target has not been able to send for a while."""
+    before = -1
+    while before != target.sent:
+        before = target.sent
+        await asyncio.sleep(0.3)
+
+
+@pytest.mark.parametrize("frame", [64_000, 500])
+async def test_a_response_that_is_not_taken_is_not_read_on(frame):
+    """A caller that reads nothing would fill the gateway's memory with its answer."""
+    target = LongTarget(frame)
+    async with target as endpoint:
+        connection = await TargetConnection.open(endpoint)
+        await connection.request("GET", "/", (("host", "x"),), b"")
+        await wait_stalled(target)
+        assert target.sent < WRITES
+        assert connection.hold.paused
+        assert MAX_UNTAKEN_BYTES / 2 < connection.hold.held <= MAX_UNTAKEN_BYTES
+        size = 0
+        while (part := await connection.read()) is not None:
+            size += len(part)
+            assert connection.hold.held <= MAX_UNTAKEN_BYTES
+        frames = 64_000 // len(target._frame) or 1
+        assert size == WRITES * frames * frame
+        assert connection.hold.held == 0
+        assert not connection.closed
+
+
+async def test_stalled_responses_share_a_budget():
+    """Each of many callers that read nothing stays below its own bound."""
+    budget, target = AnswerBudget(1_000_000), LongTarget()
+    async with target as endpoint:
+        connections = []
+        for number in range(20):
+            connection = await TargetConnection.open(endpoint)
+            connection.hold = budget.open(str(number), MAX_UNTAKEN_BYTES)
+            await connection.request("GET", "/", (("host", "x"),), b"")
+            connections.append(connection)
+        await wait_stalled(target)
+        assert budget.paused == 20
+        assert 500_000 < budget.shared <= 1_000_000
+        assert budget.held <= 1_000_000 + 20 * ANSWER_RESERVE_BYTES
+        for connection in connections:
+            assert await connection.read()
+            connection.close()
+            connection.hold.close()
+        assert (budget.held, budget.paused) == (0, 0)
+
+
+async def test_a_target_that_aborts_an_unread_response_is_lost():
+    """The rest of the response must not look complete, and the wait must end."""
+    target = LongTarget()
+    async with target as endpoint:
+        connection = await TargetConnection.open(endpoint)
+        await connection.request("GET", "/", (("host", "x"),), b"")
+        await wait_stalled(target)
+        target.writers[0].transport.abort()
+        with pytest.raises(LinkLost):
+            await read_to_none(connection)
+
+
+async def test_closing_a_paused_connection_resets_it_at_once():
+    """The target must stop its work although nothing is read from it."""
+    target = LongTarget()
+    async with target as endpoint:
+        connection = await TargetConnection.open(endpoint)
+        await connection.request("GET", "/", (("host", "x"),), b"")
+        await wait_stalled(target)
+        connection.close()
+        async with asyncio.timeout(5.0):
+            await target.ended.wait()
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -9,6 +9,7 @@
 from tests.fake_links import FakeLink
 
 from ibishead.clock import SystemClock
+from ibishead.decisions.heldbytes import AnswerBudget
 from ibishead.decisions.holding import MIN_HOLD_SECONDS
 from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.retry import BudgetShare
@@ -194,6 +195,7 @@
         kind: Repeatability,
         *behaviours: Behaviour,
         software: tuple[str, ...] = (),
+        answers: AnswerBudget | None = None,
         **route,
     ) -> None:
         self._behaviours = list(behaviours)
@@ -240,6 +242,7 @@
             BudgetShare(0.0, 3.0),
             metrics,
             lambda: 0.0,
+            answers,
         )
         self._web = WebServer(self.pipeline.serve)
         self._targets: list[WebServer] = []
