Bound the memory that a gateway holds for bodies and answers

Cause: a gateway collected each body up to 4 MB, however slowly it arrived, and limits.memory_mb of the settings was not read.

Change: limits.memory_mb less 80 MB, times 0.75, is the budget of bytes held. The length of a body is reserved before it is read and before "100 Continue"; a chunked body reserves as it grows. Without room the request is refused with 503 and a Retry-After by the mean age of what is held, and the rest of its input is discarded for up to 2 s, so that a reset doesn't destroy the answer. The room is released when the request ends. Bodies up to 16 KB have room of their own. Where memory is limited, a caller's write buffer holds 16 KB instead of 64 KB. Gauges: body_bytes_held, bodies_refused, answer_bytes_held, answers_paused. One warning when the budget is used up, one when it is free again.

Also corrected: an idle connection kept the body of its last request until the next one. A caller that stays stalled is reset after the write time-out; before, the connection stayed up for a second time-out. To a stalled HTTP/1.0 caller, the first part of an answer that had been written whole looked complete, as its connection was closed in order.

--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -6,6 +6,7 @@
 import random
 
 from ibishead.clock import Clock
+from ibishead.decisions.heldbytes import HeldBytes
 from ibishead.decisions.partuses import PartUses
 from ibishead.decisions.shedding import ConnectionShedder
 from ibishead.gateway.blocking import PromptBlocks
@@ -33,7 +34,7 @@
 )
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import Registration, TargetState
-from ibishead.web import Exchange, Limits, WebServer
+from ibishead.web import MAX_UNSENT_BYTES, Exchange, Limits, WebServer
 
 __all__ = ["Gateway"]
 
@@ -53,6 +54,10 @@
 #: Seconds between two measurements of the load.
 MEASURING_INTERVAL_SECONDS = 0.1
 
+#: Bytes that may wait in the write buffer of a caller's connection where memory is
+#: limited. They aren't part of the budget, and there may be thousands of connections.
+LIMITED_UNSENT_BYTES = 16 * 1024
+
 #: Seconds between two removals of expired connections and of deregistered targets.
 CLEANUP_INTERVAL_SECONDS = 0.5
 
@@ -107,6 +112,7 @@
         self._blocks = PromptBlocks(settings.host, self.feed)
         self._part_uses = PartUses()
         self._origins = StreamOrigins(self._stewards, clock, self.metrics)
+        self._held = HeldBytes(settings.held_bytes)
         self._pipeline = Pipeline(
             settings.failure_domain,
             self.feed,
@@ -122,6 +128,7 @@
             clock,
             settings.retries,
             self.metrics,
+            answers=self._held.answers,
         )
         self._running = 0
         self._idle_since = clock.monotonic()
@@ -129,8 +136,12 @@
         self._shedder = ConnectionShedder(settings.link_rate)
         self._server = WebServer(
             self._serve,
-            Limits(connections=settings.connections),
+            Limits(
+                connections=settings.connections, unsent_bytes=self._find_unsent_bytes()
+            ),
             accept=lambda: self._shedder.accept(clock.monotonic()),
+            bodies=self._held.bodies,
+            render_refusal=callers.render_error,
         )
         self._readiness_server = WebServer(
             self._answer_readiness, Limits(connections=64)
@@ -160,6 +171,10 @@
             "quota_keeper_linked": self._quotas.keeper is not None,
             "prompt_parts_known": len(self._part_uses),
             "prompt_parts_blocked": len(self.feed.blocked),
+            "body_bytes_held": self._held.bodies.held,
+            "bodies_refused": self._held.bodies.refused,
+            "answer_bytes_held": self._held.answers.held,
+            "answers_paused": self._held.answers.paused,
         }
 
     async def stop(self) -> None:
@@ -217,8 +232,13 @@
             header_seconds=limits.header_time,
             idle_seconds=limits.idle_time,
             connections=self._settings.connections,
+            unsent_bytes=self._find_unsent_bytes(),
         )
 
+    def _find_unsent_bytes(self) -> int:
+        limited = self._settings.held_bytes is not None
+        return LIMITED_UNSENT_BYTES if limited else MAX_UNSENT_BYTES
+
     def _handle_registry_message(self, link: Link, message: Message) -> None:
         match message:
             case QuotaKept() | QuotaAnswer():
@@ -295,3 +315,18 @@
                     },
                 )
             measured_at, sent = now, total
+            if self._held.check():
+                self._log_shortage()
+
+    def _log_shortage(self) -> None:
+        logger.warning(
+            "memory for callers used up"
+            if self._held.short
+            else "memory for callers free again",
+            extra={
+                "body_bytes": self._held.bodies.held,
+                "bodies_refused": self._held.bodies.refused,
+                "answer_bytes": self._held.answers.held,
+                "answers_paused": self._held.answers.paused,
+            },
+        )
--- a/src/ibishead/gateway/settings.py
+++ b/src/ibishead/gateway/settings.py
@@ -23,6 +23,8 @@
         request that has not been sent yet.
     :param connections: maximum number of callers' connections.
     :param link_rate: bytes per second that the host can send, ``None`` if unknown.
+    :param held_bytes: bytes that may be held for callers and targets, ``None`` for no
+        limit.
     """
 
     host: HostId
@@ -35,3 +37,4 @@
     charge_lifetime: float
     connections: int = 3000
     link_rate: float | None = None
+    held_bytes: int | None = None
--- a/src/ibishead/platform/settings.py
+++ b/src/ibishead/platform/settings.py
@@ -31,11 +31,24 @@
 #: are for files, links and connections to targets.
 RESERVED_DESCRIPTORS = 1000
 
+#: Megabytes of a host's memory that a gateway's program itself needs.
+PROGRAM_MB = 80
+
+#: Share of the remaining memory that may be held for callers and targets. The rest is
+#: for what isn't counted: write buffers, copies made while a body is joined or sent,
+#: and memory that the allocator doesn't return.
+HELD_SHARE = 0.75
+
+#: Least bytes that may be held, so that the largest bodies still have room.
+MIN_HELD_BYTES = 24 * 1024 * 1024
+
 
 class _Limits(msgspec.Struct):
     max_fds: int = 4096
     # capacity of the host's link in megabits per second
     link_mbps: float | None = None
+    # memory of the host in megabytes
+    memory_mb: float | None = None
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -106,6 +119,7 @@
             self._quota_tolerance().charge_lifetime,
             max(100, self.limits.max_fds - RESERVED_DESCRIPTORS),
             self.limits.link_mbps * 1e6 / 8 if self.limits.link_mbps else None,
+            _find_held_bytes(self.limits.memory_mb),
         )
 
     def registry(self) -> RegistrySettings:
@@ -175,6 +189,12 @@
         return first + offset
 
 
+def _find_held_bytes(memory_mb: float | None) -> int | None:
+    if memory_mb is None:
+        return None
+    return max(MIN_HELD_BYTES, int(HELD_SHARE * (memory_mb - PROGRAM_MB) * 1024 * 1024))
+
+
 def load_platform_settings(path: Path) -> PlatformSettings:
     """Return the settings in a file.
 
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -8,16 +8,25 @@
 import asyncio
 import contextlib
 import logging
+import random
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from datetime import timedelta
 from http import HTTPStatus
 
 import h11
 import msgspec
 
-from ibishead.errors import IbisheadError, InvalidInput, LinkLost
+from ibishead.decisions.heldbytes import SMALL_BODY_BYTES, BodyBudget, BodyHold
+from ibishead.errors import (
+    ErrorCode,
+    IbisheadError,
+    InvalidInput,
+    LinkLost,
+    Unavailable,
+)
 from ibishead.framing import (
     check_framing,
     check_head_size,
@@ -46,6 +55,10 @@
 #: Bytes that may wait in the write buffer of a connection before `send` blocks.
 MAX_UNSENT_BYTES = 64 * 1024
 
+#: Seconds for which the rest of a refused request is read and discarded. A connection
+#: closed before would be reset, and the caller might not get the answer.
+DISCARD_SECONDS = 2.0
+
 #: Bytes of the headers of a packet on Ethernet.
 PACKET_HEADER_BYTES = 66
 
@@ -68,6 +81,8 @@
     :param idle_seconds: time-out for the next request on a persistent connection.
     :param write_seconds: time-out for a caller to read enough for more data to be sent.
     :param connections: largest number of open connections.
+    :param unsent_bytes: bytes that may wait in a connection's write buffer before
+        `Exchange.send` blocks.
     """
 
     header_bytes: int = 32 * 1024
@@ -77,6 +92,7 @@
     idle_seconds: float = 75.0
     write_seconds: float = 30.0
     connections: int = 4096
+    unsent_bytes: int = MAX_UNSENT_BYTES
 
 
 @dataclass(frozen=True)
@@ -181,6 +197,9 @@
     :param tls: context for HTTPS; without it, the server speaks plain HTTP.
     :param accept: called with each new connection; one for which it returns false is
         closed before anything is read from it.
+    :param bodies: budget of the bytes held for request bodies.
+    :param render_refusal: returns status, headers and body of the answer to a request
+        for whose body there is no room; JSON by default.
     :ivar bytes_sent: bytes sent so far, with an estimate for the packets' headers.
     :ivar closing: whether answers ask callers to close their connections.
     :ivar stopping: whether connections are closed after their current request.
@@ -192,8 +211,14 @@
         limits: Limits | None = None,
         tls: ssl.SSLContext | None = None,
         accept: Callable[[], bool] = lambda: True,
+        bodies: BodyBudget | None = None,
+        render_refusal: (
+            Callable[[IbisheadError, WebRequest], tuple[int, Headers, bytes]] | None
+        ) = None,
     ) -> None:
         self.handler = handler
+        self.bodies = bodies or BodyBudget(None)
+        self.render_refusal = render_refusal
         self._accept = accept
         self.bytes_sent = 0
         self.limits = limits or Limits()
@@ -314,8 +339,17 @@
         self._idle = True
         name = writer.get_extra_info("peername")
         self._peer = str(name[0]) if name else ""
+        self._body_hold: BodyHold | None = None
+        if self._limits.unsent_bytes != MAX_UNSENT_BYTES:
+            writer.transport.set_write_buffer_limits(high=self._limits.unsent_bytes)
 
     async def run(self) -> None:
+        try:
+            await self._serve_requests()
+        finally:
+            self._release_body()
+
+    async def _serve_requests(self) -> None:
         while not self._server.stopping:
             self._idle = True
             request = await self._read_request()
@@ -323,6 +357,9 @@
                 return
             self._idle = False
             await self._answer(request)
+            # An idle connection would keep the body until the next request
+            del request
+            self._release_body()
             if self._state.our_state is not h11.DONE:
                 return
             if self._state.their_state is not h11.DONE:
@@ -358,7 +395,8 @@
 
         An answer to an HTTP/1.0 caller isn't chunked and ends with its connection.
         """
-        unfinished = self._state.our_state is h11.SEND_BODY
+        unsent = self._writer.transport.get_write_buffer_size() > 0
+        unfinished = unsent or self._state.our_state is h11.SEND_BODY
         return unfinished and self._state.their_http_version == b"1.0"
 
     async def send(self, *events: h11.Event) -> None:
@@ -371,13 +409,18 @@
         self._writer.write(data)
         self._server.bytes_sent += len(data) + PACKET_HEADER_BYTES
         # Data that the kernel takes at once needs neither a wait nor a timer
-        if transport.get_write_buffer_size() <= MAX_UNSENT_BYTES:
+        if transport.get_write_buffer_size() <= self._limits.unsent_bytes:
             return
         try:
             # Unread data occupies memory, so a stalled caller is disconnected
             async with asyncio.timeout(self._limits.write_seconds):
                 await self._writer.drain()
-        except (ConnectionError, TimeoutError) as error:
+        except TimeoutError as error:
+            # After an orderly close, the kernel would keep its part of the unread data
+            reset_on_close(transport)
+            transport.abort()
+            raise _make_caller_lost_error() from error
+        except ConnectionError as error:
             raise _make_caller_lost_error() from error
 
     def _encode(self, event: h11.Event) -> bytes:
@@ -393,7 +436,17 @@
             head = await self._read_head()
             if head is None:
                 return None
-            body = await self._read_body(head)
+            refusal = None
+            try:
+                body = await self._read_body(head)
+            except Unavailable as error:
+                # Its traceback would keep what was read of the body
+                refusal = error.with_traceback(None)
+            if refusal is not None:
+                self._release_body()
+                await self._refuse(refusal, head)
+                await self._discard_input()
+                return None
         except h11.RemoteProtocolError as error:
             await self._refuse(convert_protocol_error(error))
             return None
@@ -403,16 +456,18 @@
             )
             return None
         try:
-            path, _, query = head.target.decode("ascii").partition("?")
-            headers = tuple(
-                (key.decode("ascii"), value.decode("utf-8"))
-                for key, value in head.headers
-            )
+            return self._make_request(head, body)
         except UnicodeDecodeError:
             await self._refuse(
                 InvalidInput("the headers are not UTF-8", "encode the headers as UTF-8")
             )
             return None
+
+    def _make_request(self, head: h11.Request, body: bytes = b"") -> WebRequest:
+        path, _, query = head.target.decode("ascii").partition("?")
+        headers = tuple(
+            (key.decode("ascii"), value.decode("utf-8")) for key, value in head.headers
+        )
         return WebRequest(
             head.method.decode("ascii"), path, query, headers, body, self._peer
         )
@@ -447,6 +502,9 @@
         length = next((v for k, v in head.headers if k == b"content-length"), b"0")
         if int(length) > self._limits.body_bytes:
             raise make_body_too_large_error(self._limits.body_bytes)
+        chunked = any(name == b"transfer-encoding" for name, _ in head.headers)
+        if chunked or length != b"0":
+            self._reserve(SMALL_BODY_BYTES if chunked else int(length))
         if self._state.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         parts: list[bytes] = []
@@ -459,6 +517,8 @@
                         size += len(event.data)
                         if size > self._limits.body_bytes:
                             raise make_body_too_large_error(self._limits.body_bytes)
+                        if chunked:
+                            self._reserve(size)
                         parts.append(bytes(event.data))
                     case h11.EndOfMessage():
                         return b"".join(parts)
@@ -469,6 +529,37 @@
                     case _:
                         self._state.receive_data(await self._reader.read(_READ_SIZE))
 
+    def _reserve(self, size: int) -> None:
+        """Reserve memory for the body that is being received.
+
+        :param size: bytes of the whole body, or received so far.
+        :raises Unavailable: there is no room.
+        """
+        bodies, now = self._server.bodies, asyncio.get_running_loop().time()
+        if self._body_hold is None:
+            self._body_hold = BodyHold(self._peer, now)
+        if not bodies.reserve(self._body_hold, size):
+            wait = bodies.estimate_wait(now) * (0.5 + random.random())
+            raise Unavailable(
+                f"not run: no memory is left for a request body of {size} bytes",
+                "retry after the given time, or over a new connection",
+                code=ErrorCode.OVERLOADED,
+                retry_after=timedelta(seconds=wait),
+            )
+
+    def _release_body(self) -> None:
+        if self._body_hold is not None:
+            self._server.bodies.release(self._body_hold)
+            self._body_hold = None
+
+    async def _discard_input(self) -> None:
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
+        with contextlib.suppress(TimeoutError, ConnectionError):
+            async with asyncio.timeout(DISCARD_SECONDS):
+                while await self._reader.read(_READ_SIZE):
+                    pass
+
     async def _answer(self, request: WebRequest) -> None:
         exchange = Exchange(request, self)
         watch = asyncio.create_task(self._watch_for_disconnect(exchange))
@@ -511,17 +602,24 @@
             exchange.disconnected.set()
             self._state.receive_data(b"")
 
-    async def _refuse(self, error: IbisheadError) -> None:
+    async def _refuse(
+        self, error: IbisheadError, head: h11.Request | None = None
+    ) -> None:
         # The rest of the input may not start at a request boundary: answer and close
         if self._state.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        error_headers, body = encode_error(error)
+        status, (error_headers, body) = error.status, encode_error(error)
+        if head is not None and self._server.render_refusal is not None:
+            with contextlib.suppress(UnicodeDecodeError):
+                status, error_headers, body = self._server.render_refusal(
+                    error, self._make_request(head)
+                )
         headers = error_headers + (
             ("content-length", str(len(body))),
             ("connection", "close"),
         )
-        head = _make_head(error.status, headers)
-        await self.send(head, h11.Data(data=body), h11.EndOfMessage())
+        response = _make_head(status, headers)
+        await self.send(response, h11.Data(data=body), h11.EndOfMessage())
 
 
 def _accept_queued(listener: socket.socket) -> list[socket.socket]:
--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -98,6 +98,8 @@
         self.work_seconds = 0.02
         self.events = 6
         self.event_interval = 0.02
+        #: Bytes that are added to the data of each event.
+        self.event_padding = 0
         self.refusing = False
         self.losing_answers = False
         self.max_held = 0
@@ -356,6 +358,7 @@
                 await exchange.disconnected.wait()
                 return
             mark = f" {self.software}" if self.names_software else ""
+            mark += "x" * self.event_padding
             event = f"id: {number}\ndata: t{number}{mark}\n\n"
             await exchange.send(event.encode())
         await exchange.finish()
@@ -381,6 +384,8 @@
         self.crashing_parts: set[str] = set()
         #: Seconds until a crashed engine runs again.
         self.restart_seconds = 1.0
+        #: Limits of each host in its settings file.
+        self.host_limits: dict[str, float] = {}
         self.edge_hosts = [f"{self._prefix}.{n}" for n in (1, 2, 3, 4)]
         self.side_hosts = [f"{self._prefix}.{11 + n}" for n in range(engines)]
         self.registries = [Endpoint(a, CONTROL) for a in self.edge_hosts]
@@ -447,6 +452,7 @@
             "app": f"{address}:{ENGINE_PORT}",
             "backend": "plans",
             "bounds": {"catch_up_s": 4, "grace_s": 8},
+            "limits": self.host_limits,
         }
         path = self.folder / f"{kind}-{host}.json"
         path.write_text(json.dumps(settings))
