Estimate the length of an answer at the gateway

Requests that look alike differ in cost, and a gateway sent none of that to stewards: RequestWork.answer_tokens was always 0.

The upper quantile adapts to cover 9 of 10 answers. RequestWork gains upper_tokens as its last field; the request's log line gains expected_tokens and answer_tokens. Requests that give no token counts, hint or parts get no estimate.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from ibishead.clock import Clock
+from ibishead.decisions.answerlength import AnswerContext, AnswerLengths, LengthEstimate
 from ibishead.decisions.holding import compute_hold, estimate_route_wait
 from ibishead.decisions.leaving import OTHER_HOST_RETRY_AFTER, AnswerPace, fits_grace
 from ibishead.decisions.partuses import PartUses
@@ -60,9 +61,10 @@
 from ibishead.gateway.tracker import TargetTracker
 from ibishead.ids import CustomerId, FailureDomain, ServiceName
 from ibishead.metrics import Metrics
+from ibishead.routing.customers import Customer
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, RateTold
-from ibishead.routing.prompts import make_prompt_keys, measure_parts
+from ibishead.routing.prompts import PromptKeys, make_prompt_keys, measure_parts
 from ibishead.routing.routes import Repeatability, Route, pick_service
 from ibishead.routing.targets import Registration, StreamOrigin
 from ibishead.routing.work import RequestWork
@@ -135,6 +137,7 @@
         self._draw = draw
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._answer_pace = AnswerPace()
+        self._answer_lengths = AnswerLengths()
         self._started_at = clock.monotonic()
         self._stop_at: float | None = None
 
@@ -197,6 +200,18 @@
         seconds = progress.last_event_at - progress.current_response_at
         return progress.event_count * spec.event_tokens, max(0.0, seconds)
 
+    def _record_length(self, request: RequestState, tokens: int, resumed: bool) -> None:
+        """Learn from the length of an answer, or of what was received of it.
+
+        :param resumed: the target did not write the answer from its beginning.
+        """
+        request.answer_tokens += tokens
+        if request.answer_context is not None:
+            complete = request.progress.succeeded and not resumed
+            self._answer_lengths.record(
+                request.answer_context, tokens, complete=complete
+            )
+
     async def _wait_for_routes(self, call: Call) -> None:
         if self._feed.routes is None:
             with contextlib.suppress(TimeoutError):
@@ -232,6 +247,11 @@
         deadline = started + min(timeout, route.timeout)
         service = pick_service(route, self._draw())
         self._find_budget(service).record_attempt()
+        keys = make_prompt_keys(
+            [part.name for part in call.parts], customer.name if customer else None
+        )
+        context = _make_answer_context(call, route, customer, keys)
+        length = self._answer_lengths.estimate(context) if context else LengthEstimate()
         return RequestState(
             call,
             route,
@@ -241,14 +261,15 @@
             started,
             Progress(exchange, call.resume_after),
             customer,
-            make_prompt_keys(
-                [part.name for part in call.parts], customer.name if customer else None
-            ),
+            keys,
             RequestWork(
+                length.mean,
                 part_tokens=measure_parts([(p.name, p.tokens) for p in call.parts]),
                 rank=find_rank(route, customer),
                 customer=customer.name if customer else CustomerId(""),
+                upper_tokens=length.upper,
             ),
+            answer_context=context,
         )
 
     async def _run_until_deadline(
@@ -283,6 +304,7 @@
             with self._blocks.interrupt(request):
                 target = await self._chooser.choose(request)
             request.progress.begin_send(target)
+            resumed = request.progress.last_event is not None
             try:
                 await self._renew_charge(request)
                 self._blocks.admit(request)
@@ -302,6 +324,7 @@
                         self._notify_prompt_read(request.call, target, request.progress)
                     progress = request.progress
                     tokens, seconds = self._measure_answer(request)
+                    self._record_length(request, tokens, resumed)
                     self._stewards.end_use(
                         target.address,
                         key,
@@ -502,6 +525,26 @@
         return found
 
 
+def _make_answer_context(
+    call: Call, route: Route, customer: Customer | None, keys: PromptKeys | None
+) -> AnswerContext | None:
+    """Return what an answer's length is estimated from.
+
+    A request that says nothing of its size is handled without an estimate.
+    """
+    sized = call.counts_tokens or call.length_hint is not None or call.parts
+    if call.engine_key is None or not sized:
+        return None
+    return AnswerContext(
+        route.name,
+        customer.name if customer is not None else "",
+        keys.shared[-1] if keys is not None and keys.shared else "",
+        call.adapter,
+        call.length_hint,
+        call.max_answer_tokens,
+    )
+
+
 def _list_services(route: Route) -> set[ServiceName]:
     return {share.service for share in route.shares if share.weight > 0}
 
--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ibishead.clock import Clock
+from ibishead.decisions.answerlength import AnswerContext
 from ibishead.errors import ErrorCode, IbisheadError, NotFound, Refused, Unavailable
 from ibishead.gateway.calls import Call, CallerDialect
 from ibishead.gateway.quotas import Charge
@@ -53,6 +54,9 @@
     :ivar charge: charge to the customer's quota, ``None`` if there is no quota.
     :ivar quota_wait: seconds spent waiting for that charge.
     :ivar work: what the request is expected to cost an engine.
+    :ivar answer_context: what its answer's length is estimated from, ``None`` if it is
+        not estimated.
+    :ivar answer_tokens: tokens of its answer as far as it was received, 0 if unknown.
     """
 
     call: Call
@@ -73,6 +77,8 @@
     expected_wait: float = 0.0
     charge: Charge | None = None
     quota_wait: float = 0.0
+    answer_context: AnswerContext | None = None
+    answer_tokens: int = 0
 
     @property
     def rank(self) -> int:
@@ -167,6 +173,8 @@
                 "first": round(progress.response_started - request.started, 4)
                 if progress.response_started
                 else None,
+                "expected_tokens": request.work.answer_tokens or None,
+                "answer_tokens": request.answer_tokens or None,
                 "outcome": outcome,
                 "reason": error.message if error else request.last_reason,
             },
--- a/src/ibishead/routing/work.py
+++ b/src/ibishead/routing/work.py
@@ -15,9 +15,11 @@
         part, in the order of its keys.
     :param rank: priority; 0 is the most urgent.
     :param customer: customer that it is for; empty if it is anonymous.
+    :param upper_tokens: length that 9 of 10 such answers do not exceed, 0 if unknown.
     """
 
     answer_tokens: int = 0
     part_tokens: tuple[int, ...] = ()
     rank: int = 0
     customer: CustomerId = CustomerId("")
+    upper_tokens: int = 0
