Track an engine's outstanding work and admit requests by its memory

Stewards limited the requests and the prompt tokens sent to an engine, but knew neither the memory that requests need nor what is still to be read and written. Engines preempt running answers when memory runs out. Gateways saw only their own unread prompts.

Steward: EngineWork follows each request from AskTurn.work, BeginUse, PromptRead and EndUse; reports of the engine correct it (the least deviation of three reports counts); a lost link removes its share and a new start of the engine forgets all. A turn is granted while the largest memory that the requests need at one time, with a margin up to the upper quantile of the sum, is below EngineSpec.cache_tokens; 0 means no limit. A request that alone exceeds it is refused at once. The wait is part of PromptDelay. KeptParts estimates which prompt parts the engine keeps; they count neither against the prompt window nor as backlog. EngineReport gains values for prompt_backlog, answer_backlog and memory_expected, and the steward gauges of the same names.

Gateway: the choice uses the larger of the own unread prompts and the reported backlog with the own prompts sent since, and adds the time to read the prompt without the parts that the engine probably keeps. The run time of plain services is learned by route.

--- a/src/ibishead/decisions/answerlength.py
+++ b/src/ibishead/decisions/answerlength.py
@@ -16,6 +16,9 @@
 #: request of that size.
 MAX_TOKENS = 1_000_000
 
+#: Maximum logarithm of a hint where there is no history.
+MAX_UNCONFIRMED = math.log(4096)
+
 #: Number of histories that are kept. One takes about 0.3 kB, and a gateway has 160 MB.
 MAX_HISTORIES = 8192
 
@@ -192,7 +195,8 @@
         hint = _read_hint(context)
         if hint is not None and route.count:
             base = self._estimate_history(context, route)
-            _find_trust(route, hint - base).record(hint - base, actual - base)
+            difference = _bound(hint - base)
+            _find_trust(route, difference).record(difference, actual - base)
         deviation = _bound(actual - route.mean) if route.count else 0.0
         route.record(route.mean + deviation if route.count else actual)
         for key in _list_keys(context):
@@ -207,11 +211,14 @@
         """Return the logarithm of the median, or ``None`` if nothing is known."""
         hint = _read_hint(context) if self._use_hints else None
         if route is None or not self._use_histories:
-            return hint
+            # A hint that nothing confirms must not make a request look too large for
+            # every engine: it would be refused, and its length never learned.
+            return None if hint is None else min(hint, MAX_UNCONFIRMED)
         base = self._estimate_history(context, route)
         if hint is None:
             return base
-        return base + _find_trust(route, hint - base).weight * (hint - base)
+        difference = _bound(hint - base)
+        return base + _find_trust(route, difference).weight * difference
 
     def _estimate_history(self, context: AnswerContext, route: _RouteHistory) -> float:
         found = (self._histories.get(key) for key in _list_keys(context))
--- a/src/ibishead/decisions/choice.py
+++ b/src/ibishead/decisions/choice.py
@@ -247,6 +247,10 @@
     """
     fill = candidate.busy / max(1, candidate.slots)
     delay = candidate.prompt_wait + candidate.prompt_backlog / candidate.read_rate
+    # Kept parts shorten the time to read at most to nothing, so that they never make up
+    # for prompts that the engine has to read first.
+    unread_tokens = max(0, need.prompt_tokens - max(0, candidate.kept_tokens))
+    delay += unread_tokens / candidate.read_rate
     delay += BATCHED_REQUEST_DELAY * fill * 10
     delay += candidate.rate_limit_wait + candidate.return_wait
     if need.weights is None:
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -243,6 +243,7 @@
         key = request.call.engine_key
         min_version = self._find_min_version(request)
         spec = self.find_spec(request)
+        self._check_size(request, spec)
         candidates = [
             self._tracker.make_candidate(
                 target,
@@ -253,6 +254,8 @@
                 self._stewards.is_available(target.address),
                 spec,
                 self._stewards.is_unresponsive(target.address),
+                request.keys,
+                request.work.part_tokens,
             )
             for target in self._list_targets(request)
         ]
@@ -261,8 +264,14 @@
         need = Need(
             self._domain,
             key,
-            self._tracker.mean_duration(request.service),
+            # Batched requests differ by their answers, and their run time only counts
+            # where the whole batch is in use.
+            self._tracker.mean_duration(
+                request.service, request.route.name if key is None else None
+            ),
             frozenset(request.avoid),
+            prompt_tokens=request.call.prompt_tokens if key is not None else 0,
+            answer_tokens=request.work.answer_tokens,
         )
         chosen = choose_target(need, candidates, self._draw)
         if chosen is None:
@@ -272,6 +281,14 @@
         request.expected_wait = chosen.wait
         return chosen
 
+    def _check_size(self, request: RequestState, spec: EngineSpec | None) -> None:
+        """Refuse a request that no engine of the service can hold."""
+        if spec is None or spec.cache_tokens <= 0 or request.call.engine_key is None:
+            return
+        needed = request.call.prompt_tokens + request.work.answer_tokens
+        if needed > spec.cache_tokens:
+            raise self.make_refusal(request, "it exceeds the memory of an engine")
+
     def _list_targets(self, request: RequestState) -> list[Registration]:
         """Return the ready targets that may run a request.
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -308,7 +308,7 @@
             try:
                 await self._renew_charge(request)
                 self._blocks.admit(request)
-                self._record_sent(request)
+                self._record_sent(request, target)
                 outcome = await self._sender.send(
                     request.call,
                     request.route,
@@ -340,9 +340,18 @@
                 case NotRun() | Failed():
                     self._check_resend(request, target, outcome)
 
-    def _record_sent(self, request: RequestState) -> None:
-        if request.keys is not None:
-            self._part_uses.record_sent(request.keys)
+    def _record_sent(self, request: RequestState, target: Registration) -> None:
+        if request.keys is None:
+            return
+        self._part_uses.record_sent(request.keys)
+        if request.call.engine_key is not None:
+            self._tracker.record_parts(
+                self._tracker.stats(target),
+                request.call.engine_key,
+                request.keys,
+                request.work.part_tokens,
+                self._clock.monotonic(),
+            )
 
     def _record_answer(self, request: RequestState) -> None:
         progress, keys = request.progress, request.keys
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -212,7 +212,9 @@
         match outcome:
             case Answered():
                 progress.failed, progress.succeeded = state.failed, state.succeeded
-                self._tracker.record_duration(target.service, stats, now - started)
+                self._tracker.record_duration(
+                    target.service, stats, now - started, route.name
+                )
             case Failed():
                 progress.failed = True
                 progress.uncertain_sends += 1
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -7,6 +7,7 @@
 
 from ibishead.decisions.choice import AdapterState, Candidate
 from ibishead.decisions.health import FailureShare
+from ibishead.decisions.keptparts import KeptParts
 from ibishead.decisions.modelwait import estimate_start_wait
 from ibishead.decisions.readspeed import INITIAL_RATE
 from ibishead.decisions.resting import RestTable, is_valid_rest
@@ -20,6 +21,7 @@
     PromptDelay,
     RefusalsTold,
 )
+from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.routes import EngineSpec
 from ibishead.routing.targets import Registration, WeightKey, list_adapters
 
@@ -31,6 +33,13 @@
 #: load continuously.
 LOAD_VALID_SECONDS = 0.6
 
+#: Seconds after which a part of a prompt that this gateway sent counts as evicted. The
+#: requests of other gateways, which this one doesn't see, evict it as well.
+KEPT_PART_SECONDS = 10.0
+
+#: Reported backlogs beyond this are clamped to it.
+MAX_BACKLOG_TOKENS = 10_000_000
+
 #: Weight of the newest duration in the moving average.
 DURATION_WEIGHT = 0.1
 
@@ -61,6 +70,8 @@
     :param unread_tokens: prompt tokens of the requests of this gateway whose responses
         have not begun.
     :param sent_since_load: requests sent since the load was last reported.
+    :param sent_tokens: prompt tokens sent since the steward's last report.
+    :param kept: parts of this gateway's prompts that the engine probably keeps.
     :param load: running and queued requests, as last reported.
     :param load_at: monotonic seconds at which the load was last reported.
     :param failures: share of failures in the responses to this gateway.
@@ -104,6 +115,8 @@
     missing: set[WeightKey] = field(default_factory=set)
     rate_limit: float | None = None
     send_rate: SendRate = field(default_factory=SendRate)
+    sent_tokens: int = 0
+    kept: KeptParts = field(default_factory=lambda: KeptParts(KEPT_PART_SECONDS))
 
 
 class TargetTracker:
@@ -118,6 +131,7 @@
         self.refused_in_rest = 0
         self._stats: dict[TargetId, TargetStats] = {}
         self._mean_durations: dict[str, float] = {}
+        self._route_durations: dict[tuple[str, str], float] = {}
 
     def stats(self, target: Registration) -> TargetStats:
         """Return the statistics on a target's current incarnation."""
@@ -130,6 +144,7 @@
             stats.missing.clear()
             stats.held.update(list_adapters(report.holdings))
         stats.report, stats.report_at = report, now
+        stats.sent_tokens = 0
         stats.load = report.running + report.queued
         stats.load_at = now
         stats.sent_since_load = 0
@@ -145,6 +160,21 @@
         stats.in_flight += 1
         stats.sent_since_load += 1
         stats.unread_tokens += prompt_tokens
+        stats.sent_tokens += prompt_tokens
+
+    def record_parts(
+        self,
+        stats: TargetStats,
+        weights: WeightKey,
+        keys: PromptKeys | None,
+        part_tokens: tuple[int, ...],
+        now: float,
+    ) -> None:
+        """Record the parts of a prompt that is being sent to an engine.
+
+        :param part_tokens: lengths of the parts, in the order of the keys.
+        """
+        stats.kept.record_read(weights, keys, part_tokens, now)
 
     def begin_response(self, stats: TargetStats, prompt_tokens: int) -> None:
         """Count a prompt as read, as its response has begun or its send has ended."""
@@ -270,8 +300,13 @@
         if stats is not None:
             stats.reported_failures.set(report.share, now)
 
-    def record_duration(self, service: str, stats: TargetStats, seconds: float) -> None:
+    def record_duration(
+        self, service: str, stats: TargetStats, seconds: float, route: str = ""
+    ) -> None:
         """Record how long a complete request took."""
+        self._route_durations[service, route] = _update_mean(
+            self._route_durations.get((service, route), 0.0), seconds
+        )
         stats.mean_duration = _update_mean(stats.mean_duration, seconds)
         self._mean_durations[service] = _update_mean(
             self._mean_durations.get(service, 0.0), seconds
@@ -285,9 +320,15 @@
         """Return whether a target has sent data recently."""
         return now - stats.last_data_at < RESPONSIVE_SECONDS
 
-    def mean_duration(self, service: str) -> float:
-        """Return the average seconds that a request of a service takes."""
-        return self._mean_durations.get(service, 0.0)
+    def mean_duration(self, service: str, route: str | None = None) -> float:
+        """Return the average seconds that a request of a service takes.
+
+        :param route: route of the request; its own average is returned if there is one.
+        """
+        mean = self._mean_durations.get(service, 0.0)
+        return (
+            mean if route is None else self._route_durations.get((service, route), mean)
+        )
 
     def make_candidate(
         self,
@@ -299,6 +340,8 @@
         manageable: bool,
         spec: EngineSpec | None = None,
         steward_unresponsive: bool = False,
+        keys: PromptKeys | None = None,
+        part_tokens: tuple[int, ...] = (),
     ) -> Candidate:
         """Return the data on a target that the selection compares.
 
@@ -310,6 +353,8 @@
         :param spec: capacity of an engine of the service.
         :param steward_unresponsive: the target's steward leaves requests for turns
             unacknowledged.
+        :param keys: the parts of the request's prompt, if it names any.
+        :param part_tokens: lengths of these parts.
         """
         stats = self.stats(target)
         busy = stats.in_flight
@@ -329,7 +374,7 @@
             target.domain,
             busy,
             max(1, target.slots),
-            max(0, stats.unread_tokens),
+            _find_backlog(stats, now),
             min(4.0, max(0.25, pace)),
             max(stats.failures.read(now), stats.reported_failures.read(now)),
             silent=now - last_heard > SILENT_AFTER_SECONDS,
@@ -345,6 +390,7 @@
             resting=rest is not None and rest.left(now) > 0,
             refusing=now < stats.refusing_until,
             return_wait=rest.wait(now) if rest is not None else 0.0,
+            kept_tokens=_count_kept(stats, spec, weights, keys, part_tokens, now),
             adapter=place,
         )
 
@@ -414,5 +460,35 @@
     return max(MIN_MODEL_WAIT_SECONDS, report.model_wait - (now - stats.report_at))
 
 
+def _find_backlog(stats: TargetStats, now: float) -> int:
+    """Return the prompt tokens that a target has to read, from all gateways.
+
+    A report is some tenths of a second old, so the prompts sent since are added. A
+    report without a backlog may be from a steward that doesn't count it.
+    """
+    unread, report = max(0, stats.unread_tokens), stats.report
+    if report is None or now - stats.report_at >= LOAD_VALID_SECONDS:
+        return unread
+    if report.prompt_backlog <= 0:
+        return unread
+    reported = min(MAX_BACKLOG_TOKENS, report.prompt_backlog)
+    return max(unread, reported + stats.sent_tokens)
+
+
+def _count_kept(
+    stats: TargetStats,
+    spec: EngineSpec | None,
+    weights: WeightKey | None,
+    keys: PromptKeys | None,
+    part_tokens: tuple[int, ...],
+    now: float,
+) -> int:
+    if weights is None or spec is None or spec.cache_tokens <= 0:
+        return 0
+    used = stats.report.cache_used if stats.report is not None else 0
+    stats.kept.trim(spec.cache_tokens - max(0, used))
+    return stats.kept.count_kept(weights, keys, part_tokens, now)
+
+
 def _update_mean(mean: float, seconds: float) -> float:
     return seconds if mean <= 0 else mean + DURATION_WEIGHT * (seconds - mean)
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -149,6 +149,8 @@
         self._unreachable = False
         #: Target and incarnation that is registered at the address.
         self._start: tuple[TargetId, int] | None = None
+        #: Start of the engine that the outstanding work belongs to.
+        self._work_born: int | None = None
         self._report_due = False
         self._fencing_number = 0
         self._fence_requested_at = 0.0
@@ -175,6 +177,7 @@
                 self._handle_gateway_message(link, message)
         finally:
             self._links.discard(link)
+            self._turns.work.remove_owner(link, self._clock.monotonic())
             self._turns.remove_link(link)
             self._uses.remove_link(link, self._clock.monotonic())
             self._ends.runs.remove_owner(link, self._clock.monotonic())
@@ -201,6 +204,7 @@
 
     def list_gauges(self) -> dict[str, float]:
         """Return the current gauge values by name."""
+        now = self._clock.monotonic()
         return {
             "fence": self._fencing_number,
             "gateways_linked": len(self._links),
@@ -213,6 +217,9 @@
             "read_rate": self._turns.window.speed.rate,
             "rate_limit": self._rate_limit or 0.0,
             "streams_recorded": len(self._origins),
+            "prompt_backlog": self._turns.work.prompt_backlog,
+            "answer_backlog": self._turns.work.count_answer_backlog(now),
+            "memory_expected": self._turns.work.count_memory(now),
         }
 
     def update_routes(self, routes: RouteSet) -> None:
@@ -220,6 +227,7 @@
         self._turns.window.gap = find_gap_objective(routes, self._service)
         spec = self._find_spec()
         self._turns.slots.slots = spec.slots if spec is not None else 0
+        self._turns.memory = max(0, spec.cache_tokens) if spec is not None else 0
         self._wake.set()
 
     def _handle_gateway_message(self, link: Link, message: Message) -> None:
@@ -236,11 +244,12 @@
                 self._origins.record(stream, origin, now + lifetime, now)
             case AskOrigin(number, stream):
                 link.send(OriginAnswer(number, self._origins.find(stream, now)))
-            case BeginUse(key, tokens, number, keys):
+            case BeginUse(key, tokens, number, keys, work):
                 self._uses.record_request(key, now)
                 self._uses.begin(link, key)
                 self._ends.runs.begin(link, number, keys, now)
-                self._turns.record_sent(link, tokens)
+                sent = Waiter(link, number, key, now, tokens, now, keys, work)
+                self._turns.record_sent(link, self._turns.begin_work(sent))
             case RateTold(target, rate):
                 known = self._feed.view.find_by_address(self._address)
                 if known is not None and known.target == target:
@@ -250,10 +259,11 @@
                 if known is not None and known.target == target:
                     self._share_refusals(link, message, now + seconds)
             case PromptRead(tokens, seconds, number):
-                self._turns.record_read(link, tokens, seconds)
+                self._record_prompt_read(link, number, tokens, seconds, now)
                 if seconds:
                     self._ends.runs.begin_answer(link, number, now)
-            case EndUse(key, pause, failed, number):
+            case EndUse(key, pause, failed, number, answer_tokens, duration):
+                self._turns.work.end(link, number, now, answer_tokens, duration)
                 self._ends.end_run(link, number, failed, now)
                 if failed is not None:
                     self._record_request_outcome(failed, now)
@@ -271,14 +281,24 @@
                     "unexpected message", extra={"kind": type(message).__name__}
                 )
 
+    def _record_prompt_read(
+        self, link: Link, number: int, tokens: int, seconds: float, now: float
+    ) -> None:
+        unread = self._turns.work.record_read(link, number, now)
+        self._turns.record_read(
+            link, tokens if unread is None else min(tokens, unread), seconds
+        )
+
     def _handle_turn_request(self, waiter: Waiter, version: int, now: float) -> None:
         key = waiter.key
         self._uses.record_request(key, now)
         # An engine with a rate limit runs few requests and therefore looks idle. A
         # request that can't be sent in time is refused at once, while another engine
         # still has the time to serve it.
-        if self._unreachable or not self._turns.can_send_in_time(
-            waiter, len(self._demands)
+        if (
+            self._unreachable
+            or not self._turns.can_send_in_time(waiter, len(self._demands))
+            or not self._turns.can_ever_fit(waiter)
         ):
             waiter.answer(False)
             return
@@ -423,11 +443,21 @@
         self._ends.record_state(state, target)
         if state.leaving and target is not None and state.born in (0, target.born):
             self._feed.report_leaving(target.target, target.born)
-        self._turns.record_report(state.running + state.queued)
-        if self._ledger.record_report(state, self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if self._ledger.record_report(state, now):
             logger.info("engine reachable", extra={"born": state.born})
             self._failures, self._published_failures = FailureShare(), FailureShare()
             self._set_rate_limit(None)
+        if state.born != self._work_born:
+            if self._work_born is not None:
+                self._turns.work.clear()
+                self._turns.kept.clear()
+            self._work_born = state.born
+        self._turns.kept.retain(list_adapters(state.holdings))
+        self._turns.work.record_report(
+            state.running, state.queued, state.cache_used, self._turns.memory, now
+        )
+        self._turns.record_report(state.running + state.queued)
         for waiter in self._demands.pop_satisfied(self._ledger):
             self._enqueue(waiter)
 
@@ -621,6 +651,9 @@
             tuple(key for key in self._demands if key not in loading),
             round(self._turns.window.speed.rate, -2),
             self._expect_model_wait(holdings, now),
+            prompt_backlog=self._turns.work.prompt_backlog,
+            answer_backlog=self._turns.work.count_answer_backlog(now),
+            memory_expected=self._turns.work.count_memory(now),
         )
         before = self._last_report
         same = before is not None and (
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -11,6 +11,8 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.batchslots import BatchSlots
+from ibishead.decisions.enginework import EngineWork
+from ibishead.decisions.keptparts import KeptParts
 from ibishead.decisions.sendrate import SendRate
 from ibishead.decisions.turns import PromptWindow, Turn, choose_turn
 from ibishead.links import Link
@@ -31,6 +33,9 @@
 #: before they are sent a new value.
 DELAY_STEP_SECONDS = 0.05
 
+#: Seconds until a request that waits for the engine's memory is considered again.
+MEMORY_CHECK_SECONDS = 0.05
+
 #: Seconds without a request whose unused share of the engine's rate limit may be used
 #: afterwards in a burst.
 BURST_SECONDS = 1.0
@@ -72,6 +77,9 @@
     :ivar window: limits the prompt tokens sent to the engine over time.
     :ivar slots: limits the requests in the engine's batch.
     :ivar rate: applies the engine's rate limit.
+    :ivar work: outstanding work of the requests at the engine.
+    :ivar kept: prompt parts that the engine keeps.
+    :ivar memory: capacity of the engine's memory in tokens, 0 if unknown.
     """
 
     def __init__(
@@ -84,6 +92,9 @@
         self.window = PromptWindow()
         self.slots = BatchSlots()
         self.rate = SendRate(BURST_SECONDS)
+        self.work = EngineWork()
+        self.kept = KeptParts()
+        self.memory = 0
         self._clock = clock
         self._on_delay = on_delay
         self._on_refused = on_refused
@@ -106,7 +117,7 @@
     def add(self, waiter: Waiter) -> None:
         """Add a request whose adapter is loaded, and grant turns that are due."""
         self._count += 1
-        turn = Turn(self._count, waiter.tokens, waiter.due)
+        turn = Turn(self._count, self._count_unread(waiter), waiter.due)
         self._waiting[turn] = waiter
         self._grant_due()
         if turn in self._waiting:
@@ -122,10 +133,41 @@
         wait = self.rate.delay(len(self._waiting) + before, now)
         return now + wait <= waiter.expires_at
 
+    def can_ever_fit(self, waiter: Waiter) -> bool:
+        """Return whether the engine's memory holds a request when nothing else runs."""
+        needed = waiter.tokens + waiter.work.answer_tokens
+        return not self.memory or needed <= self.memory
+
+    def begin_work(self, waiter: Waiter) -> int:
+        """Record the work of a request that is sent now, with or without a turn.
+
+        :returns: prompt tokens that the engine has to read.
+        """
+        unread = self._count_unread(waiter)
+        now = self._clock.monotonic()
+        self.work.begin(
+            waiter.link, waiter.number, waiter.tokens, unread, waiter.work, now
+        )
+        if self.memory:
+            # The engine reads prompts one after the other, so the parts are there when
+            # it begins the next one.
+            self.kept.record_read(waiter.key, waiter.keys, waiter.work.part_tokens, now)
+        return unread
+
+    def _count_unread(self, waiter: Waiter) -> int:
+        if not self.memory:
+            return waiter.tokens
+        now = self._clock.monotonic()
+        self.kept.trim(self.memory - self.work.count_outside_parts(now))
+        kept = self.kept.count_kept(
+            waiter.key, waiter.keys, waiter.work.part_tokens, now
+        )
+        return max(0, waiter.tokens - kept)
+
     def record_sent(self, link: Link, tokens: int) -> None:
         """Count a prompt that is sent now, with or without a turn.
 
-        :param tokens: length of the prompt.
+        :param tokens: tokens of the prompt that the engine has to read.
         """
         self.window.take(tokens, self._clock.monotonic())
         self._single_prompt = not self._unread.total()
@@ -216,11 +258,18 @@
         self._refuse_expired(now)
         wait = None
         while (turn := choose_turn(self._waiting, now)) is not None:
-            wait = max(self.window.wait(turn.tokens, now), self.rate.wait(now))
+            waiter = self._waiting[turn]
+            unread = self._count_unread(waiter)
+            wait = max(self.window.wait(unread, now), self.rate.wait(now))
             if wait > 0 or self.slots.full:
                 break
-            waiter = self._waiting.pop(turn)
-            self.record_sent(waiter.link, waiter.tokens)
+            if not self.work.admits(waiter.tokens, waiter.work, self.memory, now):
+                # Memory is freed by the end of a request, which sets the wake event, or
+                # by an answer that turns out shorter than expected.
+                wait = MEMORY_CHECK_SECONDS
+                break
+            del self._waiting[turn]
+            self.record_sent(waiter.link, self.begin_work(waiter))
             self._on_granted(waiter)
             waiter.answer(True)
         self._publish_delay(now)
@@ -239,11 +288,21 @@
             waiter.answer(False)
             self._on_refused(waiter)
 
+    def _estimate_memory_delay(self, now: float) -> float:
+        """Return the seconds until all waiting requests fit into the memory."""
+        if not self.memory or not self._waiting:
+            return 0.0
+        waiters = self._waiting.values()
+        tokens = sum(w.tokens for w in waiters)
+        answers = sum(w.work.answer_tokens for w in waiters)
+        return self.work.estimate_delay(tokens, RequestWork(answers), self.memory, now)
+
     def _publish_delay(self, now: float) -> None:
         queued = sum(turn.tokens for turn in self._waiting)
         delay = self.window.delay(queued, now)
         waiting = len(self._waiting)
         delay = max(delay, self.slots.delay(waiting), self.rate.delay(waiting, now))
+        delay = max(delay, self._estimate_memory_delay(now))
         # gateways count a published delay down as time passes
         expected = max(0.0, self._published_delay - (now - self._published_at))
         if abs(delay - expected) >= DELAY_STEP_SECONDS:
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -3,8 +3,16 @@
 import random
 
 import pytest
-
-from ibishead.decisions.choice import AdapterState, Candidate, Need, choose_target
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ibishead.decisions.choice import (
+    AdapterState,
+    Candidate,
+    Need,
+    choose_target,
+    estimate_delay,
+)
 from ibishead.ids import FailureDomain, ModelName, TargetId
 from ibishead.routing.targets import WeightKey
 
@@ -257,3 +265,29 @@
     idle = make("idle", 0, slots=32, adapter=AdapterState())
     need = Need(HERE, KEY, run_time=1.4)
     assert choose(holder, idle, need=need) == expected
+
+
+TOKENS = st.integers(0, 100_000)
+
+
+@given(TOKENS, TOKENS, TOKENS, TOKENS, st.integers(0, 80), st.floats(500.0, 90_000.0))
+def test_more_outstanding_work_is_never_more_attractive(
+    prompt, kept, backlog, added, busy, rate
+):
+    """Guards against kept parts that make an engine that is behind look attractive."""
+    need = Need(HERE, KEY, prompt_tokens=prompt)
+    behind = make("a", busy, prompt_backlog=backlog + added, read_rate=rate)
+    keeping = make("a", busy, prompt_backlog=backlog, read_rate=rate, kept_tokens=kept)
+    delay = estimate_delay(need, keeping)
+    assert delay <= estimate_delay(need, behind) + 1e-9
+    busier = make("a", busy + 1, prompt_backlog=backlog + kept, read_rate=rate)
+    assert delay <= estimate_delay(need, busier) + 1e-9
+    # what was sent there before still has to be read
+    assert delay >= backlog / rate
+
+
+def test_kept_parts_decide_between_equal_engines():
+    need = Need(HERE, KEY, prompt_tokens=2000)
+    assert choose(make("a"), make("b", kept_tokens=1500), need=need) == "b"
+    behind = make("b", prompt_backlog=5000, kept_tokens=2000)
+    assert choose(make("a"), behind, need=need) == "a"
--- a/tests/gateway/test_tracker.py
+++ b/tests/gateway/test_tracker.py
@@ -6,13 +6,15 @@
 from ibishead.decisions.health import FAILURE_HALF_LIFE_SECONDS
 from ibishead.gateway.calls import TargetLoad
 from ibishead.gateway.tracker import TargetTracker
-from ibishead.ids import FailureDomain, ModelName, ServiceName, TargetId
+from ibishead.ids import FailureDomain, ModelName, PartKey, ServiceName, TargetId
 from ibishead.routing.messages import (
     EngineReport,
     FailuresTold,
     PromptDelay,
     RefusalsTold,
 )
+from ibishead.routing.prompts import PromptKeys
+from ibishead.routing.routes import EngineSpec
 from ibishead.routing.targets import (
     AdapterRef,
     Holding,
@@ -255,3 +257,41 @@
     tracker.record_limit(TARGET, None, gateways=8, now=1.0, offset=0.5)
     assert describe(tracker, 1.0, key, linked=linked).rate_limit_wait == 0.0
     assert tracker.count_limited() == 0
+
+
+@pytest.mark.parametrize(
+    ("reported", "age", "backlog"),
+    [(0, 0.1, 300), (5000, 0.1, 5200), (5000, 0.7, 300), (-9, 0.1, 300)],
+)
+def test_backlog_covers_the_prompts_of_other_gateways(reported, age, backlog):
+    """Gateways would all choose an engine that is behind with others' prompts."""
+    tracker = TargetTracker()
+    stats = tracker.stats(TARGET)
+    tracker.begin_request(stats, 100)
+    tracker.record_report(make_report(prompt_backlog=reported), 0.0)
+    tracker.begin_request(stats, 200)
+    assert describe(tracker, age).prompt_backlog == backlog
+
+
+@pytest.mark.parametrize(
+    ("cache_tokens", "age", "kept"), [(0, 1.0, 0), (1000, 1.0, 350), (1000, 60.0, 0)]
+)
+def test_sent_parts_count_as_kept_for_a_while(cache_tokens, age, kept):
+    tracker = TargetTracker()
+    keys = PromptKeys(PartKey("own"), (PartKey("shared"),))
+    tracker.record_parts(tracker.stats(TARGET), KEY, keys, (300, 50), 0.0)
+    spec = EngineSpec(8, cache_tokens, 1.0, 1)
+    found = tracker.make_candidate(
+        TARGET, age, age, KEY, 0, True, spec, keys=keys, part_tokens=(300, 50)
+    )
+    assert found.kept_tokens == kept
+
+
+def test_run_time_is_learned_by_route():
+    """A slow route would make a fast one of the same service avoid busy targets."""
+    tracker = TargetTracker()
+    stats = tracker.stats(TARGET)
+    tracker.record_duration("s", stats, 1.0, "slow")
+    tracker.record_duration("s", stats, 0.1, "fast")
+    assert tracker.mean_duration("s", "fast") == 0.1
+    assert tracker.mean_duration("s", "new") == tracker.mean_duration("s")
