Test request costs from the gateway's wire to the steward's report

The first of these tests found a fault in the estimate: a cut answer created an empty history of its route, and the next request was expected to have one token. A history without answers is no longer used.

--- a/src/ibishead/decisions/answerlength.py
+++ b/src/ibishead/decisions/answerlength.py
@@ -165,7 +165,7 @@
     def estimate(self, context: AnswerContext) -> LengthEstimate:
         """Return the expected length of an answer."""
         route = self._histories.get(_route_key(context))
-        if not isinstance(route, _RouteHistory):
+        if not isinstance(route, _RouteHistory) or not route.count:
             route = None
         median = self._estimate_median(context, route)
         if median is None:
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -39,7 +39,14 @@
 from ibishead.platform.targets import PlatformTargets
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import BlockedPart, MemberKind, MemberRecord
-from ibishead.routing.routes import Repeatability, Route, RouteSet, ServiceSpec, Share
+from ibishead.routing.routes import (
+    EngineSpec,
+    Repeatability,
+    Route,
+    RouteSet,
+    ServiceSpec,
+    Share,
+)
 from ibishead.routing.targets import (
     AdapterRef,
     Holding,
@@ -625,6 +632,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self.sent: list[str] = []
+        self.expected: list[int] = []
 
     def is_unresponsive(self, address: str) -> bool:
         return address == self._address
@@ -635,7 +643,8 @@
     def take_number(self) -> int:
         return 1
 
-    async def request_turn(self, address: str, *_, **__) -> TurnOutcome:
+    async def request_turn(self, address: str, *_, **known) -> TurnOutcome:
+        self.expected.append(known["work"].answer_tokens)
         return TurnOutcome.GRANTED
 
     def begin_use(self, address: str, *_) -> None:
@@ -671,6 +680,59 @@
         assert stewards.sent == ([frozen.address] if responsive else [])
 
 
+async def ask_engine(
+    cache_tokens: int, headers: list[dict[str, str]], *behaviours: Behaviour
+) -> tuple[list[int], list[int]]:
+    """Return the statuses and the answers' expected tokens of some requests."""
+    async with Fixture(STREAM, *behaviours, software=("v1",)) as fixture:
+        spec = EngineSpec(8, cache_tokens, 1.0, 4, event_tokens=10)
+        services = (ServiceSpec(ServiceName("s"), "/h", 9, spec),)
+        routes = fixture.feed.routes
+        fixture.feed.routes = msgspec.structs.replace(routes, services=services)
+        (engine,) = fixture.feed.view
+        holdings = (Holding(ModelName("m"), 1, (AdapterRef("a1", 1),)),)
+        fixture.feed.view.merge(
+            msgspec.structs.replace(engine, sequence=2, holdings=holdings), 0.0
+        )
+        stewards = UnresponsiveSteward("")
+        fixture.pipeline._stewards = fixture.pipeline._chooser._stewards = stewards
+        statuses = []
+        for sent in headers:
+            with contextlib.suppress(LinkLost):
+                statuses.append((await fixture.ask(model="m/a1", **sent))[0])
+        return statuses, stewards.expected
+
+
+@pytest.mark.parametrize(
+    ("headers", "behaviour", "expected"),
+    [
+        ({}, stream_completely, 0),
+        ({"token-counts": "900,500"}, stream_completely, 50),
+        ({"token-counts": "900,30"}, stream_completely, 30),
+        # nothing is learned of an answer that was cut before its expected length
+        ({"token-counts": "900,500"}, stream_and_reset, 0),
+    ],
+)
+async def test_expected_answers_are_learned_from_complete_ones(
+    headers, behaviour, expected
+):
+    """Stewards would not know what a request costs, or take cut answers as short."""
+    _, found = await ask_engine(0, [headers] * 8, *[behaviour] * 8)
+    assert found[0] == 0
+    assert expected * 0.7 <= found[-1] <= expected * 1.3
+
+
+@pytest.mark.parametrize(("cache_tokens", "status"), [(0, 200), (400, 429), (900, 200)])
+async def test_a_request_larger_than_the_engines_memory_is_refused(
+    cache_tokens, status
+):
+    """It would wait at one engine after another for a turn that never comes."""
+    headers = [{"token-counts": "500,100"}]
+    statuses, expected = await ask_engine(cache_tokens, headers, stream_completely)
+    assert statuses == [status]
+    assert len(expected) == (status == 200)
+
+
 async def test_a_request_is_refused_if_the_only_host_is_frozen():
     """A request must be refused if the only engine is on a frozen host.
 
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -24,6 +24,7 @@
 from ibishead.routing.messages import (
     AskFence,
     AskTurn,
+    BeginUse,
     EndUse,
     EngineReport,
     FenceAnswer,
@@ -42,6 +43,7 @@
     TargetView,
     WeightKey,
 )
+from ibishead.routing.work import RequestWork
 from ibishead.steward.engine import EngineState, OrderOutcome, WeightOrder
 from ibishead.steward.steward import Steward
 
@@ -524,3 +526,39 @@
     assert {order.key.adapter for order in engine.orders} == (
         {"a1", "a2"} if given else {"a1"}
     )
+
+
+@pytest.mark.parametrize(
+    ("tokens", "answer", "granted"), [(900, 50, True), (900, 150, False)]
+)
+async def test_a_request_that_never_fits_is_refused_at_once(tokens, answer, granted):
+    """It would wait for a turn until it is too late for any other engine."""
+    async with StewardHarness(FakeEngine()) as harness:
+        harness.steward.update_routes(harness.feed.routes)
+        assert await harness.request_turn(1, "a1")
+        ask = AskTurn(
+            2, WeightKey(MODEL, "a1"), 0, 5.0, tokens, 5.0, None, RequestWork(answer)
+        )
+        harness.gateway.inbox.put_nowait(ask)
+        await asyncio.sleep(0.05)
+        assert harness.gateway.find_answer(2) is granted
+
+
+@pytest.mark.parametrize("born", [1, 2])
+async def test_outstanding_work_is_reported_until_the_engine_starts_anew(born):
+    """A new start would be avoided for prompts that ended with the old one."""
+    engine = FakeEngine()
+    async with StewardHarness(engine) as harness:
+        await harness.request_turn(1, "a1")
+        key = WeightKey(MODEL, "a1")
+        use = BeginUse(key, 300, 7, None, RequestWork(100))
+        harness.gateway.inbox.put_nowait(use)
+        await asyncio.sleep(0.05)
+        assert harness.steward.list_gauges()["memory_expected"] == 400
+        await asyncio.sleep(0.6)
+        report = [m for m in harness.gateway.sent if isinstance(m, EngineReport)][-1]
+        assert (report.prompt_backlog, report.answer_backlog) == (300, 100)
+        engine.born = born
+        await asyncio.sleep(0.3)
+        known = harness.steward.list_gauges()["prompt_backlog"]
+        assert known == (300 if born == 1 else 0)
