--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -11,7 +11,9 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.batchslots import BatchSlots
+from ibishead.decisions.enginework import EngineWork
 from ibishead.decisions.fairshare import FairOrder
+from ibishead.decisions.keptparts import KeptParts, chain_parts
 from ibishead.decisions.readchains import ReadChains
 from ibishead.decisions.readspeed import ReadSpeed
 from ibishead.decisions.sendrate import SendRate
@@ -44,6 +46,9 @@
 #: before they are sent a new value.
 DELAY_STEP_SECONDS = 0.05
 
+#: Seconds until a request that waits for the engine's memory is considered again.
+MEMORY_CHECK_SECONDS = 0.05
+
 #: Seconds without a request whose unused share of the engine's rate limit may be used
 #: afterwards in a burst.
 BURST_SECONDS = 1.0
@@ -91,6 +96,9 @@
     :ivar order: order in which the requests are granted their turns.
     :ivar slowdown: readings of the slowdown of the engine's host.
     :ivar step_time: estimate of the time of one token of each running answer.
+    :ivar work: outstanding work of the requests at the engine.
+    :ivar kept: prompt parts that the engine keeps.
+    :ivar memory: capacity of the engine's memory in tokens, 0 if unknown.
     """
 
     def __init__(
@@ -105,6 +113,9 @@
         self.rate = SendRate(BURST_SECONDS)
         self.order = FairOrder()
         self.slowdown = SlowdownReadings()
+        self.work = EngineWork()
+        self.kept = KeptParts()
+        self.memory = 0
         self._clock = clock
         self._on_delay = on_delay
         self._on_refused = on_refused
@@ -136,7 +147,7 @@
     def add(self, waiter: Waiter) -> None:
         """Add a request whose adapter is loaded, and grant turns that are due."""
         self._count += 1
-        turn = Turn(self._count, waiter.tokens, waiter.due)
+        turn = Turn(self._count, self._count_unread(waiter), waiter.due)
         self._waiting[turn] = waiter
         self.order.add(turn, waiter.work, turn.tokens / self.window.speed.rate)
         self._grant_due()
@@ -153,10 +164,41 @@
         wait = self.rate.delay(self.order.count_ahead(waiter.work) + before, now)
         return now + wait <= waiter.expires_at
 
+    def can_ever_fit(self, waiter: Waiter) -> bool:
+        """Return whether the engine's memory holds a request when nothing else runs."""
+        needed = waiter.tokens + waiter.work.answer_tokens
+        return not self.memory or needed <= self.memory
+
+    def begin_work(self, waiter: Waiter) -> int:
+        """Record the work of a request that is sent now, with or without a turn.
+
+        :returns: prompt tokens that the engine has to read.
+        """
+        unread = self._count_unread(waiter)
+        now = self._clock.monotonic()
+        self.work.begin(
+            waiter.link, waiter.number, waiter.tokens, unread, waiter.work, now
+        )
+        if self.memory:
+            # The engine reads prompts one after the other, so the parts are there when
+            # it begins the next one.
+            chain = chain_parts(waiter.key, waiter.keys, waiter.work.part_tokens)
+            self.kept.record_read(waiter.key, chain, now)
+        return unread
+
+    def _count_unread(self, waiter: Waiter) -> int:
+        if not self.memory:
+            return waiter.tokens
+        now = self._clock.monotonic()
+        self.kept.trim(self.memory - self.work.count_outside_parts(now))
+        chain = chain_parts(waiter.key, waiter.keys, waiter.work.part_tokens)
+        kept = self.kept.count_kept(chain, now)
+        return max(0, waiter.tokens - kept)
+
     def record_sent(self, link: Link, tokens: int, number: int = 0) -> None:
         """Count a prompt that is sent now, with or without a turn.
 
-        :param tokens: length of the prompt.
+        :param tokens: tokens of the prompt that the engine has to read.
         :param number: number by which the gateway identifies the request, 0 if it has
             none.
         """
@@ -315,8 +357,10 @@
         self._refuse_expired(now)
         wait = None
         while (turn := self.order.choose(now)) is not None:
+            waiter = self._waiting[turn]
+            unread = self._count_unread(waiter)
             space_wait = max(
-                self.window.wait(turn.tokens, now), self._find_slowdown_wait(turn, now)
+                self.window.wait(unread, now), self._find_slowdown_wait(turn, now)
             )
             wait = max(space_wait, self.rate.wait(now))
             if wait > 0 or self.slots.full:
@@ -324,9 +368,14 @@
                 lacks_space = space_wait > 0 and not self.slots.full
                 self.order.hold(turn if lacks_space else None)
                 break
-            waiter = self._waiting.pop(turn)
+            if not self.work.admits(waiter.tokens, waiter.work, self.memory, now):
+                # Memory is freed by the end of a request, which sets the wake event, or
+                # by an answer that turns out shorter than expected.
+                wait = MEMORY_CHECK_SECONDS
+                break
+            del self._waiting[turn]
             self.order.grant(turn, now)
-            self.record_sent(waiter.link, waiter.tokens, waiter.number)
+            self.record_sent(waiter.link, self.begin_work(waiter), waiter.number)
             self._on_granted(waiter)
             waiter.answer(True)
         self._publish_delay(now)
@@ -368,11 +417,21 @@
                 },
             )
 
+    def _estimate_memory_delay(self, now: float) -> float:
+        """Return the seconds until all waiting requests fit into the memory."""
+        if not self.memory or not self._waiting:
+            return 0.0
+        waiters = self._waiting.values()
+        tokens = sum(w.tokens for w in waiters)
+        answers = sum(w.work.answer_tokens for w in waiters)
+        return self.work.estimate_delay(tokens, RequestWork(answers), self.memory, now)
+
     def _publish_delay(self, now: float) -> None:
         queued = sum(turn.tokens for turn in self._waiting)
         delay = self.window.delay(queued, now)
         waiting = len(self._waiting)
         delay = max(delay, self.slots.delay(waiting), self.rate.delay(waiting, now))
+        delay = max(delay, self._estimate_memory_delay(now))
         # gateways count a published delay down as time passes
         expected = max(0.0, self._published_delay - (now - self._published_at))
         if abs(delay - expected) >= DELAY_STEP_SECONDS:
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -6,8 +6,9 @@
 import pytest
 
 from ibishead.clock import SystemClock
-from ibishead.ids import CustomerId, ModelName
+from ibishead.ids import CustomerId, ModelName, PartKey
 from ibishead.routing.messages import TurnAnswer, TurnNoted
+from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import WeightKey
 from ibishead.routing.work import RequestWork
 from ibishead.steward.turns import TurnQueue, Waiter
@@ -48,11 +49,16 @@
         await asyncio.gather(self._task, return_exceptions=True)
 
     def add(
-        self, number: int, due: float = 5.0, wait: float = 5.0, customer: str = ""
+        self,
+        number: int,
+        due: float = 5.0,
+        wait: float = 5.0,
+        customer: str = "",
+        **known,
     ) -> None:
         now = self.clock.monotonic()
-        work = RequestWork(customer=CustomerId(customer))
-        waiter = Waiter(self.link, number, KEY, now + wait, 1000, now + due, None, work)
+        known.setdefault("work", RequestWork(customer=CustomerId(customer)))
+        waiter = Waiter(self.link, number, KEY, now + wait, 1000, now + due, **known)
         self.queue.add(waiter)
 
     def read(self, number: int) -> None:
@@ -255,3 +261,36 @@
         assert harness.queue.order.customers_waiting == 0
         assert not harness.queue.order.active
         assert harness.queue.order.choose(0.0) is None
+
+
+@pytest.mark.parametrize(
+    ("memory", "granted"), [(0, 4), (2500, 2), (3700, 3), (100_000, 4)]
+)
+async def test_turns_are_granted_within_the_memory(memory, granted):
+    """The engine would preempt running answers in the middle."""
+    async with QueueHarness() as harness:
+        harness.queue.window.gap, harness.queue.memory = 0.0, memory
+        for number in range(1, 5):
+            harness.add(number, work=RequestWork(200))
+        assert len(harness.answers) == granted
+        assert (max(harness.delays, default=0.0) > 0) == (granted < 4)
+        harness.queue.work.end(harness.link, 1, harness.clock.monotonic())
+        harness.queue.record_end(harness.link)
+        await asyncio.sleep(0.02)
+        assert len(harness.answers) == min(4, granted + 1)
+
+
+async def test_kept_parts_do_not_count_against_the_window():
+    """Prompts that the engine need not read again would wait for nothing."""
+    async with QueueHarness() as harness:
+        harness.queue.memory = 100_000
+        known = {
+            "keys": PromptKeys(PartKey("own"), (PartKey("shared"),)),
+            "work": RequestWork(0, (900, 100)),
+        }
+        harness.add(1, **known)
+        harness.add(2, **known)
+        harness.add(3, **known)
+        harness.add(4)
+        assert harness.answers == [(1, True), (2, True), (3, True)]
+        assert harness.queue.work.prompt_backlog == 1000
