Free what callers left unread without a garbage collection

Cause: the exception that ends a request kept its frames alive in two reference cycles, and with them the unread parts of its answer: Pipeline._run_until_deadline refers to the task whose exception it raises, and asyncio's StreamReader keeps the error of a lost connection, whose traceback leads back to the reader. Full collections are rare.

Change: both references are removed once they are not needed.

The new test in tests/gateway/test_held_answers.py, with the collector off, is red without the change.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -314,6 +314,9 @@
                 # Closing the connection ends a send that is still in progress.
                 task.cancel()
             await asyncio.gather(task, caller_left, return_exceptions=True)
+            # The task's exception has this frame in its traceback. With a reference
+            # back, what the frames hold would wait for a full garbage collection.
+            del task
 
     async def _send_until_answered(self, request: RequestState) -> None:
         key = request.call.engine_key
--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -356,6 +356,11 @@
             self._connections.discard(connection)
             connection.end_first_request()
             connection.abort()
+            # The reader keeps the error of a lost connection, and its traceback leads
+            # back to the reader. What the frames hold, such as the parts of an answer,
+            # would wait for a full garbage collection.
+            if (lost := reader.exception()) is not None:
+                lost.__traceback__ = None
 
 
 class _ServerConnection:
--- a/tests/gateway/test_held_answers.py
+++ b/tests/gateway/test_held_answers.py
@@ -1,6 +1,8 @@
 """Answers that are long or whose callers read slowly, through a gateway's pipeline."""
 
 import asyncio
+import gc
+import weakref
 
 import pytest
 from tests.gateway.test_pipeline import (
@@ -140,6 +142,33 @@
         assert (answers.held, answers.paused) == (0, 0)
 
 
+async def test_what_a_caller_left_unread_is_freed_without_garbage_collection():
+    """Full collections are rare, so unread answers would pile up until the next one."""
+    left: list[weakref.ref] = []
+    async with Fixture(STREAM, stream_events(60.0), timeout=60.0) as fixture:
+
+        async def serve(exchange: Exchange) -> None:
+            left.append(weakref.ref(exchange))
+            await fixture.pipeline.serve(exchange)
+
+        fixture._web.handler = serve
+        connection = await TargetConnection.open(fixture.endpoint)
+        await connection.request("POST", "/p/x", HEAD, b"")
+        connection._transport.pause_reading()
+        gc.disable()
+        try:
+            # the gateway has to wait for the caller as it leaves
+            await asyncio.sleep(0.3)
+            connection.close()
+            async with asyncio.timeout(30.0):
+                while fixture._web.connection_count:
+                    await asyncio.sleep(0.02)
+            await asyncio.sleep(0.1)
+            assert [reference() for reference in left] == [None]
+        finally:
+            gc.enable()
+
+
 @pytest.mark.parametrize("resumable", [False, True])
 async def test_a_stream_that_its_target_aborts_unread(resumable):
     """It continues elsewhere where the route allows it, and is aborted otherwise."""
