Steward: end the reduced prompt limit with the slowdown reading

Cause: the slowdown that divides the prompt limit was only refreshed by a report of the engine.

Change: it is read again whenever turns are granted.

--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -312,6 +312,8 @@
         :returns: seconds until the next turn or expiry, None if no request waits.
         """
         now = self._clock.monotonic()
+        # No reports are read while the engine rests, and readings expire meanwhile.
+        self.window.slowdown = self.slowdown.read(now)
         self._refuse_expired(now)
         wait = None
         while (turn := self.order.choose(now)) is not None:
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ibishead.clock import SystemClock
+from ibishead.decisions.slowdown import SLOWDOWN_SECONDS
 from ibishead.ids import CustomerId, ModelName
 from ibishead.routing.messages import TurnAnswer, TurnNoted
 from ibishead.routing.targets import WeightKey
@@ -255,3 +256,15 @@
         assert harness.queue.order.customers_waiting == 0
         assert not harness.queue.order.active
         assert harness.queue.order.choose(0.0) is None
+
+
+async def test_slowdown_ends_without_a_further_report():
+    """Guards against a limit that stays reduced while the engine rests."""
+    async with QueueHarness() as harness:
+        usual = harness.queue.window.limit
+        harness.queue.slowdown.record(50.0, harness.clock.monotonic())
+        harness.queue.record_report(0)
+        assert harness.queue.window.limit < usual / 40
+        await asyncio.sleep(SLOWDOWN_SECONDS + 0.05)
+        harness.add(1)
+        assert harness.queue.window.limit == usual
