Steward: grant no turn to a gateway that left during a report

Cause: requests that wait for an adapter are dropped at the start of the order loop if their gateway's link has closed. A link that closed while the loop read a report of the engine was noticed only after its requests had got a turn by that report. Their prompts stayed in the window as overdue for good, and the limit on prompts was lower by them until the steward started again.

Change: such requests are refused after the report is read, before turns are granted.

--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -454,6 +454,8 @@
             self._set_rate_limit(None)
         self._turns.slowdown.record(state.slowdown, self._clock.monotonic())
         self._turns.record_report(state.running + state.queued)
+        # A gateway's link may have closed while the report was read.
+        self._demands.refuse_expired(self._clock.monotonic())
         for waiter in self._demands.pop_satisfied(self._ledger):
             self._enqueue(waiter)
 
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -573,3 +573,36 @@
     assert {order.key.adapter for order in engine.orders} == (
         {"a1", "a2"} if given else {"a1"}
     )
+
+
+async def test_request_of_a_gateway_that_left_during_a_report_gets_no_turn():
+    """Its prompt and its batch slot would count as in use for good."""
+
+    class SlowReports(FakeEngine):
+        def __init__(self) -> None:
+            super().__init__()
+            self.reading, self.reply = asyncio.Event(), asyncio.Event()
+            self.reply.set()
+
+        async def read_state(self) -> EngineState:
+            self.reading.set()
+            await self.reply.wait()
+            return await super().read_state()
+
+    engine = SlowReports()
+    async with StewardHarness(engine) as harness:
+        await asyncio.sleep(0.05)
+        engine.reply.clear()
+        engine.reading.clear()
+        await engine.reading.wait()
+        request = AskTurn(1, WeightKey(MODEL, "a1"), 0, 5.0, 1000, 1.0)
+        harness.gateway.inbox.put_nowait(request)
+        await asyncio.sleep(0.02)
+        engine.adapters["a1"] = 1
+        harness.gateway.closed = True
+        harness._tasks[1].cancel()
+        await asyncio.gather(harness._tasks[1], return_exceptions=True)
+        engine.reply.set()
+        await asyncio.sleep(0.05)
+        assert harness.gateway.find_answer(1) is not True
+        assert not harness.steward.list_gauges()["prompts_running"]
