Fair order: bound the work that one request counts

Cause: the length of a prompt comes from its caller without an upper bound. Ten requests of 2^63 tokens raised the virtual time of their rank so far that the work of usual requests was lost to rounding. Turns of that rank were then granted by due time alone until the steward started again.

Change: the work of a request counts as 10 million tokens at most.

--- a/src/ibishead/decisions/fairshare.py
+++ b/src/ibishead/decisions/fairshare.py
@@ -43,6 +43,10 @@
 #: prompt for space in the window.
 READ_LEAD_FACTOR = 1.2
 
+#: Maximum work of a request. Lengths come from callers, and beside very large numbers
+#: the work of other requests would be lost to rounding.
+MAX_WORK = 10_000_000.0
+
 #: Ranks beyond this one are treated like it, which bounds the state.
 MAX_RANK = 15
 
@@ -57,7 +61,8 @@
     :param tokens: length of its prompt.
     :param work: what it is expected to cost; an unknown answer counts as empty.
     """
-    return max(1, tokens) + ANSWER_TOKEN_COST * max(0, work.answer_tokens)
+    answer_work = ANSWER_TOKEN_COST * max(0, work.answer_tokens)
+    return min(MAX_WORK, max(1, tokens) + answer_work)
 
 
 class Claim(NamedTuple):
--- a/tests/decisions/test_fairshare.py
+++ b/tests/decisions/test_fairshare.py
@@ -46,6 +46,19 @@
     assert drain(fill(*waiting)) == expected
 
 
+@pytest.mark.parametrize("tokens", [1500, 2**63])
+def test_prompts_of_any_length_leave_the_order_fair(tokens):
+    """Shares were lost to rounding once a customer had sent absurd lengths."""
+    order = FairOrder()
+    for number in range(40):
+        order.add(Turn(number, tokens, 9.0), make_work("absurd", 0, tokens))
+    drain(order)
+    for number in range(6):
+        customer = "large" if number < 4 else "small"
+        order.add(Turn(number, 1500, 9.0 + number), make_work(customer))
+    assert drain(order) == [0, 4, 1, 5, 2, 3]
+
+
 @pytest.mark.parametrize(
     ("customer", "rank", "ahead"),
     [("", 0, 0), ("large", 1, 6), ("small", 1, 3), ("new", 1, 2), ("", 2, 6)],
