Read speed: lower too high an estimate that no sample supports

Cause: when an engine becomes slow and then reads only prompts of similar length, each alone, the estimate compares them with longer ones from before, which were read sooner, and takes the engine for infinitely fast. Once the old samples are gone, no pair and no queued prompt shows a rate, so the estimate stayed (up to 997,000 tokens/s for an engine of 6,000) and the limit on prompts had no effect.

Change: after 32 answers without a new estimate, an estimate above the initial rate also moves towards it, as one below does already.

--- a/src/ibishead/decisions/readspeed.py
+++ b/src/ibishead/decisions/readspeed.py
@@ -71,7 +71,9 @@
 
 #: Half-life in seconds of the distance between an estimate below `INITIAL_RATE` and
 #: that rate while no sample shows a rate. An engine that is passed over for a wrong
-#: estimate reads no prompts that could correct it.
+#: estimate reads no prompts that could correct it. An estimate above that rate falls
+#: likewise once it is based on none of the samples: prompts of equal length, each alone
+#: at the engine, show no rate and would never correct it.
 RECOVERY_HALF_LIFE_SECONDS = 20.0
 
 
@@ -146,8 +148,12 @@
             self._update_rate(now)
 
     def relax(self, now: float) -> None:
-        """Raise too low an estimate if no sample has shown a rate for a while."""
-        if self.rate < INITIAL_RATE:
+        """Adjust an estimate towards the initial one if no sample shows a rate.
+
+        :param now: monotonic seconds.
+        """
+        outdated = self._count - self._estimated_count >= MAX_SAMPLES
+        if self.rate < INITIAL_RATE or outdated:
             passed = max(0.0, now - self._relaxed_at)
             remaining = 0.5 ** (passed / RECOVERY_HALF_LIFE_SECONDS)
             self.rate = INITIAL_RATE * (self.rate / INITIAL_RATE) ** remaining
--- a/tests/decisions/test_enginespeed.py
+++ b/tests/decisions/test_enginespeed.py
@@ -36,6 +36,25 @@
     assert 0.7 * INITIAL_RATE < speed.rate <= INITIAL_RATE
 
 
+@pytest.mark.parametrize("rate", [6_000, 22_000])
+def test_too_high_an_estimate_is_corrected_by_prompts_of_equal_length(rate):
+    """Guards against a limit on prompts that is without effect for good.
+
+    An engine that has become slow reads prompts of similar length, each alone.
+    """
+    for seed in range(6):
+        rng, speed, now = random.Random(seed), ReadSpeed(), 0.0
+        chains = ReadChains(speed)
+        for number in range(500):
+            slow = number >= 60
+            tokens = rng.randint(600, 700) if slow else rng.randint(200, 3000)
+            seconds = 0.03 + tokens / (rate if slow else 22_000)
+            now += rng.expovariate(5) + seconds
+            chains.record(tokens, seconds, True, now)
+            speed.relax(now)
+        assert speed.rate < 1.5 * INITIAL_RATE
+
+
 NUMBERS = st.one_of(st.floats(), st.integers(-(10**30), 10**30).map(float))
 
 
