Step time: discard an estimate that no answer has confirmed for 20 s

Cause: the step time only changed with new answers. An engine whose answers were slow for a while is avoided where its expected pause exceeds the route's gap objective and another engine's does not. At a load that the others can take it then answers nothing, and kept the old estimate for good.

Change: without an answer that shows it, the step time is unknown again after 20 s, the half-life by which a low read rate recovers as well.

--- a/src/ibishead/decisions/steptime.py
+++ b/src/ibishead/decisions/steptime.py
@@ -15,6 +15,10 @@
 MIN_TOKENS = 16
 MAX_TOKENS = 10_000_000
 
+#: Seconds after which an estimate is discarded if no answer has confirmed it. An engine
+#: that is passed over for too long a step time answers nothing that could correct it.
+VALID_SECONDS = 20.0
+
 #: Bounds of a valid step time in seconds.
 MIN_STEP_SECONDS = 1e-5
 MAX_STEP_SECONDS = 10.0
@@ -38,6 +42,16 @@
     def __init__(self) -> None:
         self.seconds = 0.0
         self._samples: deque[float] = deque(maxlen=MAX_SAMPLES)
+        self._recorded_at = 0.0
+
+    def expire(self, now: float) -> None:
+        """Discard the estimate if no answer has confirmed it for a while.
+
+        :param now: monotonic seconds.
+        """
+        if self._samples and now - self._recorded_at > VALID_SECONDS:
+            self._samples.clear()
+            self.seconds = 0.0
 
     def record(
         self,
@@ -45,6 +59,7 @@
         event_tokens: int,
         seconds: float,
         slowdown: float = 1.0,
+        now: float = 0.0,
     ) -> None:
         """Record an answer.
 
@@ -52,6 +67,7 @@
         :param event_tokens: tokens of one event.
         :param seconds: from the first to the last event.
         :param slowdown: mean slowdown of the host in this time.
+        :param now: monotonic seconds.
         """
         steps = tokens - event_tokens
         if not MIN_TOKENS <= steps <= MAX_TOKENS:
@@ -60,5 +76,6 @@
         if not is_valid_step_time(step):
             return
         self._samples.append(step)
+        self._recorded_at = now
         if len(self._samples) >= MIN_SAMPLES:
             self.seconds = statistics.median(self._samples)
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -206,7 +206,7 @@
         if not began >= self._measured_since:
             return
         slowdown = self.slowdown.mean(began, now)
-        self.step_time.record(tokens, event_tokens, seconds, slowdown)
+        self.step_time.record(tokens, event_tokens, seconds, slowdown, now)
         if _differs(self.step_time.seconds, self._logged_step_time):
             self._logged_step_time = self.step_time.seconds
             logger.info(
@@ -242,6 +242,7 @@
         """Record how many requests the engine reports, running or queued."""
         now = self._clock.monotonic()
         self.window.speed.relax(now)
+        self.step_time.expire(now)
         self.window.slowdown = self.slowdown.read(now)
         self._log_slowdown(now)
         self.slots.record_report(requests)
--- a/tests/decisions/test_enginespeed.py
+++ b/tests/decisions/test_enginespeed.py
@@ -8,10 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ibishead.clock import ManualClock
 from ibishead.decisions.readchains import ReadChains
 from ibishead.decisions.readspeed import INITIAL_RATE, MAX_RATE, MIN_RATE, ReadSpeed
 from ibishead.decisions.slowdown import SlowdownReadings
 from ibishead.decisions.steptime import StepTime
+from ibishead.steward.turns import TurnQueue
 
 
 @pytest.mark.parametrize("speed", [0.6, 1.0, 1.6])
@@ -55,6 +57,20 @@
         assert speed.rate < 1.5 * INITIAL_RATE
 
 
+@pytest.mark.parametrize(("quiet", "known"), [(1.0, True), (22.0, False)])
+def test_step_time_that_no_answer_confirms_is_discarded(quiet, known):
+    """Guards against an engine that is passed over for a slow period for good."""
+    clock = ManualClock()
+    queue = TurnQueue(clock, print, print, print)
+    for _ in range(8):
+        clock.step(5.0)
+        queue.record_answer(100, 1, 4.95)
+    assert queue.step_time.seconds == pytest.approx(0.05)
+    clock.step(quiet)
+    queue.record_report(0)
+    assert (queue.step_time.seconds > 0) == known
+
+
 NUMBERS = st.one_of(st.floats(), st.integers(-(10**30), 10**30).map(float))
 
 
