Steward: keep the claim of requests whose adapter load has failed

Cause: an ordered load takes the requests that wait for it out of the fair order. If the engine then doesn't show the load for 1 s, or starts anew, the requests still wait, but without a claim they counted like those that can't be in time: after every other rank, however urgent.

Change: the claim at the time of the charge counts again for the next order.

--- a/src/ibishead/steward/demands.py
+++ b/src/ibishead/steward/demands.py
@@ -27,8 +27,20 @@
 
 @dataclass
 class _Demand:
+    """Requests that wait for one adapter.
+
+    :ivar charged_claim: best claim among them when a load was charged to them, which
+        counts again if that load fails.
+    """
+
     version: int
     waiters: dict[Waiter, Turn] = field(default_factory=dict)
+    charged_claim: Claim = NO_CLAIM
+
+    def find_claim(self, claims: Mapping[Turn, Claim]) -> Claim:
+        """Return the best claim among the requests."""
+        found = (claims.get(turn, NO_CLAIM) for turn in self.waiters.values())
+        return min(self.charged_claim, *found)
 
     def summarize(
         self,
@@ -43,7 +55,7 @@
         served = count_served(waiters, ready_at)
         if not claims:
             return AdapterDemand(key, self.version, served, latest_due)
-        claim = min(claims.get(turn, NO_CLAIM) for turn in self.waiters.values())
+        claim = self.find_claim(claims)
         return AdapterDemand(
             key, self.version, served, latest_due, claim.rank, claim.granted
         )
@@ -96,6 +108,7 @@
             return
         self.fair_loads += self.fair_first
         self._loads += 1
+        demand.charged_claim = demand.find_claim(self.order.list_claims(now))
         work = LOAD_WORK / len(demand.waiters)
         for turn in demand.waiters.values():
             if turn in self.order:
