Prompt window: ignore pauses while there is no limit on them

Cause: without a gap objective every prompt counts as overdue as soon as it is sent, so that each pause of an answer was taken for a sign that the engine is behind, and lowered the share to its minimum. A route that is given a gap objective later began with half of the limit.

Change: an engine counts as behind only if there is a limit.

--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -139,7 +139,8 @@
         :param pause: seconds.
         :param now: monotonic seconds at which the answer ended.
         """
-        behind = now - self._overdue_at < OVERDUE_MEMORY_SECONDS
+        # Without a limit on pauses, every prompt is overdue at once.
+        behind = self.gap > 0 and now - self._overdue_at < OVERDUE_MEMORY_SECONDS
         longest = math.inf if behind else MAX_PAUSE_FACTOR * self.gap
         if self.gap < pause <= longest:
             reduced = min(self._share, MAX_SHARE) * SHARE_FACTOR
--- a/tests/decisions/test_turns.py
+++ b/tests/decisions/test_turns.py
@@ -210,6 +210,18 @@
     assert (window.limit < before) == lowers
 
 
+def test_pauses_without_a_limit_do_not_lower_a_later_one():
+    """Guards against half of the limit where a route is given a gap objective."""
+    window = PromptWindow()
+    for number in range(100):
+        window.take(100, number, number)
+        window.wait(100, number)
+        window.record_pause(0.2, number)
+        window.record_read(number)
+    window.gap = GAP
+    assert window.limit >= PromptWindow(GAP).limit
+
+
 @given(st.lists(st.tuples(st.integers(1, 5000), st.booleans()), max_size=40))
 def test_all_prompts_leave_the_window(prompts):
     """Tokens that were counted twice would reduce the engine's rate for ever."""
