--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -230,7 +230,7 @@
     Guard(
         "the adapter that serves most callers is loaded first",
         "decisions/residents.py",
-        "key=lambda d: (d.served, d.due)",
+        "key=lambda d: (d.served, -d.rank, -d.granted, d.due)",
         "key=lambda d: (0, -d.due)",
         (
             "tests/decisions/test_residents.py"
--- a/src/ibishead/steward/steward.py
+++ b/src/ibishead/steward/steward.py
@@ -486,6 +486,8 @@
             state.running, state.queued, state.cache_used, self._turns.memory, now
         )
         self._turns.record_report(state.running + state.queued)
+        # A gateway's link may have closed while the report was read.
+        self._demands.refuse_expired(self._clock.monotonic())
         for waiter in self._demands.pop_satisfied(self._ledger):
             self._enqueue(waiter)
 
--- a/tests/decisions/test_enginespeed.py
+++ b/tests/decisions/test_enginespeed.py
@@ -8,10 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ibishead.clock import ManualClock
 from ibishead.decisions.readchains import ReadChains
 from ibishead.decisions.readspeed import INITIAL_RATE, MAX_RATE, MIN_RATE, ReadSpeed
 from ibishead.decisions.slowdown import SlowdownReadings
 from ibishead.decisions.steptime import StepTime
+from ibishead.steward.turns import TurnQueue
 
 
 @pytest.mark.parametrize("speed", [0.6, 1.0, 1.6])
@@ -36,6 +38,39 @@
     assert 0.7 * INITIAL_RATE < speed.rate <= INITIAL_RATE
 
 
+@pytest.mark.parametrize("rate", [6_000, 22_000])
+def test_too_high_an_estimate_is_corrected_by_prompts_of_equal_length(rate):
+    """Guards against a limit on prompts that is without effect for good.
+
+    An engine that has become slow reads prompts of similar length, each alone.
+    """
+    for seed in range(6):
+        rng, speed, now = random.Random(seed), ReadSpeed(), 0.0
+        chains = ReadChains(speed)
+        for number in range(500):
+            slow = number >= 60
+            tokens = rng.randint(600, 700) if slow else rng.randint(200, 3000)
+            seconds = 0.03 + tokens / (rate if slow else 22_000)
+            now += rng.expovariate(5) + seconds
+            chains.record(tokens, seconds, True, now)
+            speed.relax(now)
+        assert speed.rate < 1.5 * INITIAL_RATE
+
+
+@pytest.mark.parametrize(("quiet", "known"), [(1.0, True), (22.0, False)])
+def test_step_time_that_no_answer_confirms_is_discarded(quiet, known):
+    """Guards against an engine that is passed over for a slow period for good."""
+    clock = ManualClock()
+    queue = TurnQueue(clock, print, print, print)
+    for _ in range(8):
+        clock.step(5.0)
+        queue.record_answer(100, 1, 4.95)
+    assert queue.step_time.seconds == pytest.approx(0.05)
+    clock.step(quiet)
+    queue.record_report(0)
+    assert (queue.step_time.seconds > 0) == known
+
+
 NUMBERS = st.one_of(st.floats(), st.integers(-(10**30), 10**30).map(float))
 
 
--- a/tests/steward/test_turns.py
+++ b/tests/steward/test_turns.py
@@ -6,7 +6,12 @@
 import pytest
 
 from ibishead.clock import SystemClock
+<<<<<<< HEAD
 from ibishead.ids import CustomerId, ModelName, PartKey
+=======
+from ibishead.decisions.slowdown import SLOWDOWN_SECONDS
+from ibishead.ids import CustomerId, ModelName
+>>>>>>> review-r1
 from ibishead.routing.messages import TurnAnswer, TurnNoted
 from ibishead.routing.prompts import PromptKeys
 from ibishead.routing.targets import WeightKey
@@ -263,6 +268,7 @@
         assert harness.queue.order.choose(0.0) is None
 
 
+<<<<<<< HEAD
 @pytest.mark.parametrize(
     ("memory", "granted"), [(0, 4), (2500, 2), (3700, 3), (100_000, 4)]
 )
@@ -294,3 +300,15 @@
         harness.add(4)
         assert harness.answers == [(1, True), (2, True), (3, True)]
         assert harness.queue.work.prompt_backlog == 1000
+=======
+async def test_slowdown_ends_without_a_further_report():
+    """Guards against a limit that stays reduced while the engine rests."""
+    async with QueueHarness() as harness:
+        usual = harness.queue.window.limit
+        harness.queue.slowdown.record(50.0, harness.clock.monotonic())
+        harness.queue.record_report(0)
+        assert harness.queue.window.limit < usual / 40
+        await asyncio.sleep(SLOWDOWN_SECONDS + 0.05)
+        harness.add(1)
+        assert harness.queue.window.limit == usual
+>>>>>>> review-r1
