Accept all queued connections in a planned stop

Cause: the listening socket asks the shedder for each connection that it accepts, also for those that are taken from its queue when the server stops.

Change: a server that stops accepts each queued connection. No more follow, so the loop has time for them. Requests that can't be answered in time are still refused (503).

--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -255,7 +255,7 @@
         self.bytes_sent = 0
         self.limits = limits or Limits()
         self._tls = tls
-        self._listener: socket.socket | None = None
+        self._listener: _Listener | None = None
         self._server: asyncio.Server | None = None
         self._connections: set[_ServerConnection] = set()
         self.stopping = False
@@ -314,6 +314,8 @@
     async def _stop_listening(self) -> None:
         if self._server is None or self._listener is None:
             return
+        # No more connections follow, so the loop has time for all that are queued
+        self._listener.wants = lambda: True
         # There must be no await between accepting the queue and closing: a connection
         # that arrives in between would be reset.
         queued = _accept_queued(self._listener)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -284,3 +284,21 @@
     await server.stop(grace=1.0)
     assert begun
     assert ended == begun
+
+
+async def test_a_planned_stop_answers_all_queued_connections():
+    """Callers whose requests may not be repeated would lose them in a planned stop."""
+    accepting = [True]
+    server = WebServer(answer, SMALL, accept=lambda: accepting[0])
+    endpoint = await server.start(LOOPBACK)
+    request = b"POST /echo HTTP/1.1\r\nhost: x\r\n\r\n"
+    callers = []
+    for _ in range(20):
+        # blocking, so that the event loop accepts none before the stop
+        callers.append(socket.create_connection((endpoint.address, endpoint.port)))
+        callers[-1].sendall(request)
+    accepting[0] = False
+    await server.stop(grace=2.0)
+    for caller in callers:
+        with caller:
+            assert caller.recv(1000).startswith(b"HTTP/1.1 200 ")
