--- a/src/ibishead/decisions/slowdown.py
+++ b/src/ibishead/decisions/slowdown.py
@@ -25,6 +25,9 @@
 MIN_USUAL_READINGS = 9
 USUAL_INTERVAL_SECONDS = 0.25
 
+#: Ratio to what is usual from which a reading shows a slow moment.
+VARYING_RATIO = 1.5
+
 #: Seconds for which readings are kept, longer than most answers take, and their maximum
 #: number. Between two reports of an engine 0.25 s pass, while orders are in progress
 #: 0.04 s.
@@ -78,6 +81,13 @@
             if len(self._spaced) >= MIN_USUAL_READINGS:
                 self.usual = statistics.median(self._spaced)
 
+    @property
+    def varies(self) -> bool:
+        """Whether work on the host was slowed for a moment in the last seconds."""
+        if len(self._spaced) < MIN_USUAL_READINGS:
+            return False
+        return max(self._spaced) >= VARYING_RATIO * self.usual
+
     def set_usual(self, value: float) -> None:
         """Set what is usual there, as learned by a program that has more readings."""
         if is_valid_slowdown(value):
--- a/src/ibishead/decisions/turns.py
+++ b/src/ibishead/decisions/turns.py
@@ -15,12 +15,21 @@
 
 __all__ = ["PromptWindow", "Turn", "choose_turn"]
 
-#: Share of the accepted pause that an engine may spend on prompts: initial value,
-#: minimum and maximum. The measured read rate includes the tokens that are written
-#: between the chunks of a prompt, so nearly all of the pause is left to prompts.
-INITIAL_SHARE = 0.95
-MIN_SHARE = 0.5
-MAX_SHARE = 1.0
+
+@dataclass(frozen=True)
+class _ShareBounds:
+    """Share of the accepted pause that an engine may spend on prompts."""
+
+    initial: float
+    minimum: float
+    maximum: float
+
+
+#: The rest of the pause is used for the tokens themselves. On a host whose work is
+#: slowed for moments, prompts that were sent just before such a moment take longer than
+#: expected, and more is left for that.
+STEADY_HOST = _ShareBounds(0.85, 0.5, 0.9)
+VARYING_HOST = _ShareBounds(0.7, 0.35, 0.8)
 
 #: Adaptation of the share: each answer with too long a pause multiplies it by this
 #: factor, any other answer adds this step. It settles where 3 answers in 100 pause;
@@ -34,7 +43,7 @@
 UNAFFECTED_SHARE = 0.78
 
 #: Consecutive unaffected answers, while prompts wait, after which the share rises
-#: beyond `MAX_SHARE`, and the factor by which it rises.
+#: beyond its maximum, and the factor by which it rises.
 MIN_UNAFFECTED_ANSWERS = 64
 RISE_FACTOR = 2.0
 
@@ -93,7 +102,8 @@
         self.gap = gap
         self.speed = ReadSpeed()
         self.slowdown = 1.0
-        self._share = INITIAL_SHARE
+        self._bounds = STEADY_HOST
+        self._share = self._bounds.initial
         self._unaffected = 0
         self._waited = False
         self._sent: deque[tuple[float, int, Hashable]] = deque()
@@ -108,6 +118,13 @@
         """Maximum number of prompt tokens within the window."""
         return int(self.speed.rate / self.slowdown * self._share * self.gap)
 
+    def set_host(self, varies: bool) -> None:
+        """Set whether the work on the engine's host is slowed for moments."""
+        bounds = VARYING_HOST if varies else STEADY_HOST
+        if bounds is not self._bounds:
+            self._bounds = bounds
+            self._share = min(max(self._share, bounds.minimum), bounds.maximum)
+
     @property
     def overdue(self) -> int:
         """Number of prompts that the engine has not read within `gap` seconds."""
@@ -139,14 +156,14 @@
         behind = self.gap > 0 and now - self._overdue_at < OVERDUE_MEMORY_SECONDS
         longest = math.inf if behind else MAX_PAUSE_FACTOR * self.gap
         if self.gap < pause <= longest:
-            reduced = min(self._share, MAX_SHARE) * SHARE_FACTOR
-            self._share, self._unaffected = max(MIN_SHARE, reduced), 0
+            reduced = min(self._share, self._bounds.maximum) * SHARE_FACTOR
+            self._share, self._unaffected = max(self._bounds.minimum, reduced), 0
             return
         self._unaffected = (
             self._unaffected + 1 if pause <= UNAFFECTED_SHARE * self.gap else 0
         )
-        if self._share < MAX_SHARE:
-            self._share = min(MAX_SHARE, self._share + SHARE_STEP)
+        if self._share < self._bounds.maximum:
+            self._share = min(self._bounds.maximum, self._share + SHARE_STEP)
         if self._waited and self._unaffected >= MIN_UNAFFECTED_ANSWERS:
             # The engine handles more prompts than it was sent while some waited.
             self._share *= RISE_FACTOR
--- a/src/ibishead/steward/turns.py
+++ b/src/ibishead/steward/turns.py
@@ -289,7 +289,7 @@
         now = self._clock.monotonic()
         self.window.speed.relax(now)
         self.step_time.expire(now)
-        self.window.slowdown = self.slowdown.read(now)
+        self._apply_slowdown(now)
         self._log_slowdown(now)
         self.slots.record_report(requests)
         self._wake_if_waiting()
@@ -341,6 +341,10 @@
                 "prompt read rate changed", extra={"tokens_a_second": round(rate)}
             )
 
+    def _apply_slowdown(self, now: float) -> None:
+        self.window.slowdown = self.slowdown.read(now)
+        self.window.set_host(self.slowdown.varies)
+
     def _log_slowdown(self, now: float) -> None:
         average = self.slowdown.mean(now - LOGGED_SLOWDOWN_SECONDS, now)
         slow = average >= (USUAL_AVERAGE if self._logged_slow else SLOW_AVERAGE)
@@ -360,7 +364,7 @@
         """
         now = self._clock.monotonic()
         # No reports are read while the engine rests, and readings expire meanwhile.
-        self.window.slowdown = self.slowdown.read(now)
+        self._apply_slowdown(now)
         self._refuse_expired(now)
         wait = None
         while (turn := self.order.choose(now)) is not None:
--- a/tests/decisions/test_turns.py
+++ b/tests/decisions/test_turns.py
@@ -238,3 +238,16 @@
     assert window.wait(window.limit, end) == 0
     assert not window.overdue
     assert window.delay(0, end) == 0
+
+
+def test_less_of_the_pause_is_used_on_a_host_that_is_slowed_for_moments():
+    """Prompts that were sent just before a slow moment made running answers pause."""
+    window = PromptWindow(GAP)
+    steady = window.limit
+    window.set_host(True)
+    assert window.limit < steady
+    for _ in range(100):
+        window.record_pause(1.5 * GAP, 0.0)
+    low = window.limit
+    window.set_host(False)
+    assert low < window.limit < steady
