Reproduce a repeated request that crashes engines

Callers saw 0.09 to 0.44 of their requests answered while one caller repeated one request under new ids: each engine ended as it began to answer it. Traffic and disturbances that they share with the tests of crashing prompt parts move to crashtraffic.py, unchanged but for the number of crashes as a parameter.

--- /dev/null
+++ b/tests/onplatform/crashtraffic.py
@@ -0,0 +1,199 @@
+"""Callers' requests, some of which crash engines, and failures of programs besides."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tests.onplatform.standin import FRONT, MODEL, Cluster
+
+from ibishead.errors import LinkLost
+from ibishead.gateway.connection import TargetConnection
+from ibishead.links import Endpoint
+
+#: Time within which each gateway in touch has to know of what crashes engines.
+CONTACT_SECONDS = 3.0
+#: Sends allowed after that.
+MAX_SENDS = 3
+CALM_SECONDS, SECONDS = 3.0, 14.0
+HEAD = "5c1e07a2"
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """What a caller sends, apart from the request ID.
+
+    :param parts: names of the parts of the prompt.
+    :param resume_after: last event that the caller claims to have received.
+    """
+
+    route: str
+    adapter: str
+    parts: tuple[str, ...] = ()
+    body: str = "body"
+    resume_after: str | None = None
+
+
+@dataclass
+class Traffic:
+    """What callers have seen.
+
+    :ivar begun: loop time of each sound request, and whether its answer began.
+    """
+
+    cluster: Cluster
+    draw: random.Random
+    begun: list[tuple[float, bool]] = field(default_factory=list)
+
+    async def send(self, prompt: Prompt) -> bool:
+        """Send one request under a new ID; return whether its answer began."""
+        headers = [
+            ("host", "nets.example"),
+            ("request-id", f"{self.draw.getrandbits(32):08x}"),
+            ("deadline-ms", "4000"),
+            ("model", f"{MODEL}/{prompt.adapter}"),
+            ("token-counts", "30,10"),
+        ]
+        if prompt.parts:
+            prefix = ",".join(f"{name}:10" for name in prompt.parts)
+            headers.append(("prompt-prefix", prefix))
+        if prompt.resume_after is not None:
+            headers.append(("last-event-id", prompt.resume_after))
+        gateways = self._list_gateways()
+        if not gateways:
+            return False
+        try:
+            connection = await TargetConnection.open(self.draw.choice(gateways))
+        except LinkLost:
+            return False
+        try:
+            async with asyncio.timeout(5.0):
+                status, _ = await connection.request(
+                    "POST", f"/{prompt.route}/x", tuple(headers), prompt.body.encode()
+                )
+                first = await connection.read()
+                while await connection.read() is not None:
+                    pass
+            return status == 200 and bool(first)
+        except (LinkLost, TimeoutError):
+            return False
+        finally:
+            connection.close()
+
+    def make_prompt(self, parts: list[str]) -> Prompt:
+        """Return a prompt with some shared parts and one of its own."""
+        own = f"{self.draw.getrandbits(32):08x}"
+        adapter = f"a{self.draw.randrange(4)}"
+        return Prompt(self.draw.choice(("plan", "advice")), adapter, (*parts, own))
+
+    def _list_gateways(self) -> list[Endpoint]:
+        return [
+            gateway
+            for gateway in self.cluster.gateways
+            if self.cluster.programs["gateway", gateway.address].running
+        ]
+
+    def find_end(self, bad: tuple[str, ...], end: float, count: int) -> float:
+        """Return when to end, late enough for what follows the last crash that counts.
+
+        :param bad: what crashes engines.
+        :param end: loop time at which to end if no crash counts so late.
+        :param count: number of crashes after which each of them has to be known.
+        """
+        last = [end]
+        for cause in bad:
+            crashes = [
+                at for at, found in self.cluster.ledger.crashes if found == cause
+            ]
+            last += [at + 2 * CONTACT_SECONDS + 3.0 for at in crashes[:count][-1:]]
+        return max(last)
+
+    async def send_sound(
+        self,
+        end: float,
+        bad: tuple[str, ...] = (),
+        count: int = 0,
+        make_prompt: Callable[[], Prompt] | None = None,
+    ) -> None:
+        """Send requests that crash no engine until `find_end`."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < self.find_end(bad, end, count):
+            started = loop.time()
+            prompt = make_prompt() if make_prompt else self._make_sound()
+            self.begun.append((started, await self.send(prompt)))
+            await asyncio.sleep(self.draw.uniform(0.0, 0.1))
+
+    def _make_sound(self) -> Prompt:
+        return self.make_prompt([HEAD, f"{self.draw.randrange(40):08x}"])
+
+    def share_begun(self, since: float, until: float) -> float:
+        found = [ok for at, ok in self.begun if since <= at < until]
+        assert len(found) >= 20
+        return sum(found) / len(found)
+
+
+async def leave_alone(cluster: Cluster, draw: random.Random) -> None:
+    pass
+
+
+async def kill_gateways(cluster: Cluster, draw: random.Random) -> None:
+    """Kill the gateways one after the other, each with the registry of its host."""
+    await wait_for_crashes(cluster)
+    await asyncio.sleep(1.0)
+    for host in cluster.edge_hosts[:2]:
+        for kind in ("gateway", "registry"):
+            cluster.programs[kind, host].kill()
+        await asyncio.sleep(0.2)
+        for kind in ("registry", "gateway"):
+            cluster.programs[kind, host].start()
+        await asyncio.sleep(1.5)
+
+
+async def kill_stewards(cluster: Cluster, draw: random.Random) -> None:
+    await wait_for_crashes(cluster, 2)
+    for host in draw.sample(cluster.side_hosts, 2):
+        cluster.programs["steward", host].kill()
+        await asyncio.sleep(0.3)
+        cluster.programs["steward", host].start()
+
+
+async def kill_core(cluster: Cluster, draw: random.Random) -> None:
+    """Kill all gateways and registries at once."""
+    await wait_for_crashes(cluster)
+    await asyncio.sleep(CONTACT_SECONDS)
+    ended = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
+    for program in ended:
+        program.kill()
+    await asyncio.sleep(0.3)
+    for program in ended:
+        program.start()
+
+
+async def join_gateway(cluster: Cluster, draw: random.Random) -> None:
+    """Add a gateway that has seen none of the crashes."""
+    await wait_for_crashes(cluster)
+    await asyncio.sleep(CONTACT_SECONDS)
+    address = cluster.edge_hosts[2]
+    cluster.make_program("gateway", address).start()
+    cluster.gateways.append(Endpoint(address, FRONT))
+
+
+async def suspend_gateways(cluster: Cluster, draw: random.Random) -> None:
+    """Suspend each gateway in turn, so that one hears of the crashes only later."""
+    for host in cluster.edge_hosts[:2]:
+        program = cluster.programs["gateway", host]
+        program.suspend()
+        await asyncio.sleep(2.0)
+        program.resume()
+
+
+async def crash_engines(cluster: Cluster, draw: random.Random) -> None:
+    """Crash engines besides, for no reason."""
+    while True:
+        await asyncio.sleep(draw.uniform(0.5, 1.5))
+        draw.choice(cluster.engines).begin_crash()
+
+
+async def wait_for_crashes(cluster: Cluster, count: int = 3) -> None:
+    while len(cluster.ledger.crashes) < count:
+        await asyncio.sleep(0.05)
--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -45,10 +45,10 @@
     runs: dict[str, list[str]] = field(default_factory=dict)
     #: Headers of each request that was run.
     headers: dict[str, Headers] = field(default_factory=dict)
-    #: Loop time and prompt part of each request with a part that crashes engines, as it
-    #: reaches an engine.
+    #: Loop time and cause of each request that crashes engines, as it reaches one. The
+    #: cause is a part of its prompt or its body.
     crashing_sends: list[tuple[float, str]] = field(default_factory=list)
-    #: Loop time and prompt part of each crash.
+    #: Loop time and cause of each crash.
     crashes: list[tuple[float, str]] = field(default_factory=list)
 
     def record(self, request: str, target: str) -> None:
@@ -143,17 +143,17 @@
         self._reset()
         self._server = WebServer(self._serve)
 
-    async def crash(self, part: str = "") -> None:
+    async def crash(self, cause: str = "") -> None:
         """Lose power, and start again after `Cluster.restart_seconds`."""
-        self.cluster.ledger.crashes.append((asyncio.get_running_loop().time(), part))
+        self.cluster.ledger.crashes.append((asyncio.get_running_loop().time(), cause))
         await self.lose_power()
         await asyncio.sleep(self.cluster.restart_seconds)
         await self.start()
 
-    def begin_crash(self, part: str = "") -> None:
+    def begin_crash(self, cause: str = "") -> None:
         """Crash in the background, unless it has crashed already."""
         if self._crash is None or self._crash.done():
-            self._crash = asyncio.create_task(self.crash(part))
+            self._crash = asyncio.create_task(self.crash(cause))
 
     async def start(self) -> None:
         await self._server.start(self.endpoint)
@@ -344,7 +344,7 @@
             body = b"done " + request.encode() + b" " + exchange.request.body
             await exchange.respond(200, own, body)
             return
-        bad = self.cluster.find_crashing_part(headers)
+        bad = self.cluster.find_crash_cause(headers, exchange.request.body)
         if bad is not None:
             now = asyncio.get_running_loop().time()
             self.cluster.ledger.crashing_sends.append((now, bad))
@@ -382,6 +382,8 @@
         self.answers: dict[str, Headers] = {}
         #: Parts of prompts that crash each engine that begins to write on them.
         self.crashing_parts: set[str] = set()
+        #: Bodies of requests that crash each engine that begins to answer them.
+        self.crashing_bodies: set[str] = set()
         #: Seconds until a crashed engine runs again.
         self.restart_seconds = 1.0
         #: Limits of each host in its settings file.
@@ -424,11 +426,13 @@
         """Return whether a gateway may have forgotten between two moments."""
         return any(since <= at <= until for at in self.disturbed_at.get(gateway, ()))
 
-    def find_crashing_part(self, headers: Headers) -> str | None:
-        """Return the part of a request's prompt that crashes engines, if there is one.
+    def find_crash_cause(self, headers: Headers, body: bytes) -> str | None:
+        """Return the body or the prompt part of a request that crashes engines.
 
         The last part belongs to the request alone and never does.
         """
+        if (text := body.decode()) in self.crashing_bodies:
+            return text
         entries = (find_header(headers, "prompt-prefix") or "").split(",")
         names = [entry.rpartition(":")[0] for entry in entries[:-1]]
         return next((name for name in names if name in self.crashing_parts), None)
--- a/tests/onplatform/test_crashing_parts.py
+++ b/tests/onplatform/test_crashing_parts.py
@@ -8,177 +8,32 @@
 import os
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import pytest
-from tests.onplatform.standin import FRONT, MODEL, Cluster
-
-from ibishead.errors import LinkLost
-from ibishead.gateway.connection import TargetConnection
-from ibishead.links import Endpoint
+from tests.onplatform.crashtraffic import (
+    CALM_SECONDS,
+    CONTACT_SECONDS,
+    HEAD,
+    MAX_SENDS,
+    SECONDS,
+    Traffic,
+    crash_engines,
+    join_gateway,
+    kill_core,
+    kill_gateways,
+    kill_stewards,
+    leave_alone,
+    suspend_gateways,
+)
+from tests.onplatform.standin import Cluster
 
 SEEDS = range(int(os.environ.get("PART_SEEDS", "1")))
-#: Time within which each gateway in touch has to know of a crashing part.
-CONTACT_SECONDS = 3.0
-#: Crashes after which a part has to be known, and sends allowed after that.
-CRASHES, MAX_SENDS = 5, 3
-CALM_SECONDS, SECONDS = 3.0, 14.0
+#: Crashes after which a part has to be known.
+CRASHES = 5
 SOUND_CALLERS, BAD_CALLERS = 8, 3
 #: Length of the failures of a soak.
 DISTURBED_SECONDS = 5.0
-HEAD = "5c1e07a2"
-
-
-@dataclass
-class Traffic:
-    """What callers have seen.
-
-    :ivar begun: loop time of each sound request, and whether its answer began.
-    """
-
-    cluster: Cluster
-    draw: random.Random
-    begun: list[tuple[float, bool]] = field(default_factory=list)
-
-    async def call(self, parts: list[str]) -> bool:
-        """Send one request; return whether its answer began."""
-        own = f"{self.draw.getrandbits(32):08x}"
-        prefix = ",".join(f"{name}:10" for name in [*parts, own])
-        adapter = self.draw.randrange(4)
-        headers = (
-            ("host", "nets.example"),
-            ("request-id", own),
-            ("deadline-ms", "4000"),
-            ("model", f"{MODEL}/a{adapter}"),
-            ("token-counts", "30,10"),
-            ("prompt-prefix", prefix),
-        )
-        route = self.draw.choice(("plan", "advice"))
-        gateways = self._list_gateways()
-        if not gateways:
-            return False
-        try:
-            connection = await TargetConnection.open(self.draw.choice(gateways))
-        except LinkLost:
-            return False
-        try:
-            async with asyncio.timeout(5.0):
-                status, _ = await connection.request(
-                    "POST", f"/{route}/x", headers, b"body"
-                )
-                first = await connection.read()
-                while await connection.read() is not None:
-                    pass
-            return status == 200 and bool(first)
-        except (LinkLost, TimeoutError):
-            return False
-        finally:
-            connection.close()
-
-    def _list_gateways(self) -> list[Endpoint]:
-        return [
-            gateway
-            for gateway in self.cluster.gateways
-            if self.cluster.programs["gateway", gateway.address].running
-        ]
-
-    def find_end(self, bad: tuple[str, ...], end: float) -> float:
-        """Return when to end, late enough for what follows the last crash that counts.
-
-        :param end: loop time at which to end if no crash counts so late.
-        """
-        last = [end]
-        for part in bad:
-            crashes = [at for at, found in self.cluster.ledger.crashes if found == part]
-            last += [at + 2 * CONTACT_SECONDS + 3.0 for at in crashes[:CRASHES][-1:]]
-        return max(last)
-
-    async def send_sound(self, end: float, bad: tuple[str, ...] = ()) -> None:
-        loop = asyncio.get_running_loop()
-        while loop.time() < self.find_end(bad, end):
-            started = loop.time()
-            parts = [HEAD, f"{self.draw.randrange(40):08x}"]
-            self.begun.append((started, await self.call(parts)))
-            await asyncio.sleep(self.draw.uniform(0.0, 0.1))
-
-    async def send_bad(self, end: float, scenario: "Scenario") -> None:
-        loop = asyncio.get_running_loop()
-        while loop.time() < self.find_end(scenario.bad, end):
-            if not await self.call(scenario.make_parts(self.draw)):
-                await self.call(scenario.make_parts(self.draw))
-            await asyncio.sleep(self.draw.uniform(0.1, 0.5))
-
-    def share_begun(self, since: float, until: float) -> float:
-        found = [ok for at, ok in self.begun if since <= at < until]
-        assert len(found) >= 20
-        return sum(found) / len(found)
-
-
-async def leave_alone(cluster: Cluster, draw: random.Random) -> None:
-    pass
-
-
-async def kill_gateways(cluster: Cluster, draw: random.Random) -> None:
-    """Kill the gateways one after the other, each with the registry of its host."""
-    await wait_for_crashes(cluster)
-    await asyncio.sleep(1.0)
-    for host in cluster.edge_hosts[:2]:
-        for kind in ("gateway", "registry"):
-            cluster.programs[kind, host].kill()
-        await asyncio.sleep(0.2)
-        for kind in ("registry", "gateway"):
-            cluster.programs[kind, host].start()
-        await asyncio.sleep(1.5)
-
-
-async def kill_stewards(cluster: Cluster, draw: random.Random) -> None:
-    await wait_for_crashes(cluster, 2)
-    for host in draw.sample(cluster.side_hosts, 2):
-        cluster.programs["steward", host].kill()
-        await asyncio.sleep(0.3)
-        cluster.programs["steward", host].start()
-
-
-async def kill_core(cluster: Cluster, draw: random.Random) -> None:
-    """Kill all gateways and registries at once."""
-    await wait_for_crashes(cluster)
-    await asyncio.sleep(CONTACT_SECONDS)
-    ended = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
-    for program in ended:
-        program.kill()
-    await asyncio.sleep(0.3)
-    for program in ended:
-        program.start()
-
-
-async def join_gateway(cluster: Cluster, draw: random.Random) -> None:
-    """Add a gateway that has seen none of the crashes."""
-    await wait_for_crashes(cluster)
-    await asyncio.sleep(CONTACT_SECONDS)
-    address = cluster.edge_hosts[2]
-    cluster.make_program("gateway", address).start()
-    cluster.gateways.append(Endpoint(address, FRONT))
-
-
-async def suspend_gateways(cluster: Cluster, draw: random.Random) -> None:
-    """Suspend each gateway in turn, so that one hears of the crashes only later."""
-    for host in cluster.edge_hosts[:2]:
-        program = cluster.programs["gateway", host]
-        program.suspend()
-        await asyncio.sleep(2.0)
-        program.resume()
-
-
-async def crash_engines(cluster: Cluster, draw: random.Random) -> None:
-    """Crash engines besides, for no reason."""
-    while True:
-        await asyncio.sleep(draw.uniform(0.5, 1.5))
-        draw.choice(cluster.engines).begin_crash()
-
-
-async def wait_for_crashes(cluster: Cluster, count: int = 3) -> None:
-    while len(cluster.ledger.crashes) < count:
-        await asyncio.sleep(0.05)
 
 
 @dataclass(frozen=True)
@@ -261,6 +116,16 @@
                 program.start()
 
 
+async def send_bad(traffic: Traffic, end: float, scenario: Scenario) -> None:
+    loop = asyncio.get_running_loop()
+    while loop.time() < traffic.find_end(scenario.bad, end, CRASHES):
+        for _ in range(2):
+            parts = scenario.make_parts(traffic.draw)
+            if await traffic.send(traffic.make_prompt(parts)):
+                break
+        await asyncio.sleep(traffic.draw.uniform(0.1, 0.5))
+
+
 async def run_scenario(tmp_path, scenario: Scenario, draw: random.Random) -> None:
     loop = asyncio.get_running_loop()
     async with Cluster(tmp_path, engines=scenario.engines) as cluster:
@@ -270,7 +135,7 @@
         calm_until = started + CALM_SECONDS
         end = calm_until + SECONDS
         sound = [
-            asyncio.create_task(traffic.send_sound(end, scenario.bad))
+            asyncio.create_task(traffic.send_sound(end, scenario.bad, CRASHES))
             for _ in range(SOUND_CALLERS)
         ]
         await asyncio.sleep(CALM_SECONDS)
@@ -279,7 +144,7 @@
         if scenario.disturb is disturb:
             disturbed_until += DISTURBED_SECONDS
         await asyncio.gather(
-            *(traffic.send_bad(end, scenario) for _ in range(BAD_CALLERS)),
+            *(send_bad(traffic, end, scenario) for _ in range(BAD_CALLERS)),
             *sound,
         )
         disturbance.cancel()
