Name the content of requests in the logs of crashes

Cause: logs of an engine that ended named the parts of the prompts that ran there, and nothing that stays the same when a request without parts, or with parts of its own, is sent again. No line told how suspicions were judged.

Change: a request has a content key (a digest of method, host, path, model, part names and body). Stewards log it for the suspects of a crash, gateways for requests that fail, and the leader of the registries logs each judgement.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -62,12 +62,17 @@
 )
 from ibishead.gateway.stewards import StewardLinks
 from ibishead.gateway.tracker import TargetTracker
-from ibishead.ids import CustomerId, FailureDomain, ServiceName
+from ibishead.ids import CustomerId, FailureDomain, PartKey, ServiceName
 from ibishead.metrics import Metrics
 from ibishead.routing.customers import Customer
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import MemberKind, RateTold
-from ibishead.routing.prompts import PromptKeys, make_prompt_keys, measure_parts
+from ibishead.routing.prompts import (
+    PromptKeys,
+    make_content_key,
+    make_prompt_keys,
+    measure_parts,
+)
 from ibishead.routing.routes import Repeatability, Route, pick_service
 from ibishead.routing.targets import Registration, StreamOrigin
 from ibishead.routing.work import RequestWork
@@ -264,9 +269,7 @@
             )
         service = pick_service(route, self._draw())
         self._find_budget(service).record_attempt()
-        keys = make_prompt_keys(
-            [part.name for part in call.parts], customer.name if customer else None
-        )
+        keys = _make_keys(call, customer)
         context = _make_answer_context(call, route, customer, keys)
         length = self._answer_lengths.estimate(context) if context else LengthEstimate()
         part_tokens = measure_parts([(p.name, p.tokens) for p in call.parts])
@@ -579,6 +582,20 @@
     )
 
 
+def _make_keys(call: Call, customer: Customer | None) -> PromptKeys | None:
+    """Return the keys of a request, without a content if it asks for no model.
+
+    The adapter, the deadline and the resume position don't belong to the content, since
+    callers change them when they send a request again.
+    """
+    names = [part.name for part in call.parts]
+    content = PartKey("")
+    if call.engine_key is not None:
+        fields = (call.method, call.hostname, call.target, call.model, *names)
+        content = make_content_key(fields, call.body)
+    return make_prompt_keys(names, customer.name if customer else None, content)
+
+
 def _list_services(route: Route) -> set[ServiceName]:
     return {share.service for share in route.shares if share.weight > 0}
 
--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -45,7 +45,7 @@
     :ivar selection_started: monotonic seconds at which the selection of a target began;
         reset after each failed send.
     :ivar customer: customer that the request is for, or ``None`` if it is anonymous.
-    :ivar keys: the parts of its prompt, ``None`` if it names none.
+    :ivar keys: the parts of its prompt and its content, ``None`` if it has neither.
     :ivar avoid: targets that are not selected again for this request.
     :ivar refusals: number of sends that targets refused or that did not reach them.
     :ivar last_reason: reason of the last unsuccessful send or wait.
@@ -159,6 +159,9 @@
                 "parts": ",".join(part.name for part in request.call.parts)
                 if not routine
                 else None,
+                "content": request.keys.content
+                if request.keys and not routine
+                else None,
                 "target": progress.target,
                 "software": progress.software,
                 "origin": progress.origin.software if progress.origin else None,
--- a/src/ibishead/registry/crashes.py
+++ b/src/ibishead/registry/crashes.py
@@ -23,6 +23,7 @@
     PartUse,
     Suspect,
     Suspicion,
+    Verdict,
     choose_gravest,
     judge_part,
 )
@@ -183,7 +184,9 @@
         for suspicion, answered in zip(suspicions, uses, strict=True):
             use = answered.add(self._told_uses.read(suspicion.part))
             self._judged[suspicion.part] = suspicion.rounds
-            match judge_part(suspicion, use):
+            verdict = judge_part(suspicion, use)
+            _log_verdict(suspicion, use, verdict)
+            match verdict:
                 case Blame(customer):
                     blamed.append((suspicion, use))
                     customers[suspicion.part] = customer
@@ -290,6 +293,20 @@
         return True
 
 
+def _log_verdict(suspicion: Suspicion, use: PartUse, verdict: Verdict) -> None:
+    logger.info(
+        "prompt part judged",
+        extra={
+            "part": suspicion.part,
+            "verdict": type(verdict).__name__,
+            "rounds": suspicion.rounds,
+            "prompts": len(suspicion.prompts),
+            "other_crashes": suspicion.other_crashes,
+            "requests": use.count,
+        },
+    )
+
+
 class _Question:
     """A question to all gateways about some parts.
 
--- a/src/ibishead/routing/crashreports.py
+++ b/src/ibishead/routing/crashreports.py
@@ -110,6 +110,8 @@
     return {
         "parts": run.keys.shared,
         "own": run.keys.own,
+        "content": run.keys.content,
+        "customer": run.keys.customer,
         "sent": round(now - run.sent_at, 3),
         "begun": None if run.begun_at is None else round(now - run.begun_at, 3),
     }
