Block a request that crashes engines each time it is sent

Cause: suspects of a crash were compared only by the prompt parts that other prompts share, and one prompt alone could not be blamed. What stays the same when a request is sent again was compared by nobody, and requests without parts were not even recorded as running.

Change: requests are also compared by their last part and by their content (a digest of method, host, path, model, part names and body, without adapter, deadline and resume position). A content is blamed by the same rules as a part: three rounds, up to six where engines also crash without it, and no answer since the first one. It is blocked before any part, and crashes that it explains count no longer against the requests that ran beside it.

The test of a blocked last part expected 200: last parts were never blocked. They can be now, so it expects 503, and the memory test counts the last part too.

--- a/src/ibishead/decisions/crashes.py
+++ b/src/ibishead/decisions/crashes.py
@@ -1,17 +1,19 @@
-"""Finds the prompt parts that crash engines, from what ran at engines that crashed.
+"""Finds what crashes engines, from the requests that ran at engines that crashed.
 
-Everything that runs at an engine ends with it, so one crash says little. A part that
-crashes each engine which writes on it is found in one crash after the other, is sent to
-a sound engine in between, and never lets an answer be written.
+Everything that runs at an engine ends with it, so one crash says little. A request that
+crashes each engine which begins to answer it, or a prompt part that does, is found in
+one crash after the other, is sent to a sound engine in between, and never lets an
+answer be written. Requests are compared by their keys: the parts of their prompts, and
+their contents, which stay the same when a request is sent again.
 """
 
 import math
 from collections import Counter, deque
 from collections.abc import Collection, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ibishead.ids import CustomerId, PartKey, TargetId
-from ibishead.routing.prompts import PromptKeys
+from ibishead.routing.prompts import PromptKeys, is_content_key
 
 __all__ = [
     "SETTLED_SECONDS",
@@ -28,8 +30,8 @@
     "judge_part",
 ]
 
-#: Number of rounds after which a part is blamed. A crash is a new round only if the
-#: part was sent after the round before.
+#: Number of rounds after which a key is blamed. A crash is a new round only if a
+#: request with the key was sent after the round before.
 MIN_ROUNDS = 3
 
 #: Number of rounds for a part on which answers were written before the first crash, and
@@ -41,8 +43,9 @@
 #: reasons, a part may be there by chance.
 OTHER_CRASHES_PER_ROUND = 4
 
-#: Minimum number of different prompts with the part that were suspected. One prompt
-#: that is sent again and again says nothing about the parts it shares with others.
+#: Minimum number of different prompts with a part, or of different contents with a last
+#: part, that were suspected. One request that is sent again and again says nothing
+#: about what it shares with others.
 MIN_PROMPTS = 2
 
 #: Rounds of other customers from which a part is blocked for everyone.
@@ -87,15 +90,16 @@
 
 @dataclass
 class Suspicion:
-    """What speaks against one part.
+    """What speaks against one part or content.
 
     :ivar rounds: crashes with the part, each of them sent after the one before.
-    :ivar prompts: the suspected prompts.
+    :ivar prompts: last parts of the suspected prompts with a shared part; contents of
+        the suspected requests with a last part.
     :ivar customers: rounds by customer.
     :ivar first_at: monotonic seconds of the first crash.
     :ivar last_at: monotonic seconds of the last round.
     :ivar other_crashes: crashes without the part from its first to its last round.
-    :ivar depth: largest number of parts before it in a suspected prompt.
+    :ivar depth: largest number of more general keys in a suspected request.
     """
 
     part: PartKey
@@ -109,8 +113,14 @@
 
     @property
     def is_serious(self) -> bool:
-        """Whether the part may be blamed unless answers were written on it."""
-        return self.rounds >= self._needed_rounds and len(self.prompts) >= MIN_PROMPTS
+        """Whether it may be blamed unless answers were written on it."""
+        is_shared = self.is_content or len(self.prompts) >= MIN_PROMPTS
+        return self.rounds >= self._needed_rounds and is_shared
+
+    @property
+    def is_content(self) -> bool:
+        """Whether it concerns the content of a request."""
+        return is_content_key(self.part)
 
     @property
     def _needed_rounds(self) -> int:
@@ -177,11 +187,12 @@
 def choose_gravest(
     blamed: Sequence[tuple[Suspicion, PartUse]],
 ) -> Suspicion | None:
-    """Return the blamed part that is to be blocked first, or none yet.
+    """Return the blamed part or content that is to be blocked first, or none yet.
 
-    A part that merely came with a bad one had requests of its own as well, and was at
-    engines that crashed for other reasons. While nothing tells two parts apart, a
-    further crash may.
+    A content goes first, as its block refuses the fewest requests and its crashes go on
+    counting against the parts of its prompt. A part that merely came with a bad one had
+    requests of its own as well, and was at engines that crashed for other reasons.
+    While nothing tells two parts apart, a further crash may.
     """
 
     def find_share(suspicion: Suspicion, use: PartUse) -> float:
@@ -189,15 +200,20 @@
         return suspicion.rounds / max(1, use.count)
 
     ranked = sorted(
-        ((find_share(s, use), s.depth, s.rounds, s.part, s) for s, use in blamed),
-        key=lambda found: found[:4],
+        (
+            (s.is_content, find_share(s, use), s.depth, s.rounds, s.part, s)
+            for s, use in blamed
+        ),
+        key=lambda found: found[:5],
         reverse=True,
     )
     if not ranked:
         return None
     gravest = ranked[0][-1]
-    is_tied = len(ranked) > 1 and ranked[0][0] == ranked[1][0]
-    return None if is_tied and gravest.rounds < MAX_ROUNDS else gravest
+    is_tied = len(ranked) > 1 and ranked[0][1] == ranked[1][1]
+    if is_tied and not gravest.is_content and gravest.rounds < MAX_ROUNDS:
+        return None
+    return gravest
 
 
 class CrashHistory:
@@ -243,13 +259,14 @@
     ) -> list[Suspicion]:
         """Return the serious suspicions.
 
-        A crash that a blocked part explains doesn't count against another part.
+        A crash that a blocked part explains counts against nothing else, and one that a
+        blocked content explains only against the parts of that request.
 
-        :param blocked: customers whose requests with a part are refused, ``None`` for
-            everyone.
+        :param blocked: customers whose requests with a part or content are refused,
+            ``None`` for everyone.
         """
-        crashes = [c for c in self._crashes if not _is_explained(c, blocked)]
-        crashes.sort(key=lambda crash: crash.at)
+        left = (_remove_explained(crash, blocked) for crash in self._crashes)
+        crashes = sorted((c for c in left if c is not None), key=lambda crash: crash.at)
         found = (
             self._weigh(part, crashes, suspects)
             for part, suspects in _index_parts(crashes).items()
@@ -274,8 +291,8 @@
             if crash.at <= sound_until:
                 continue
             newest = max(suspects, key=lambda suspect: suspect.sent_at)
-            suspicion.prompts.update(suspect.keys.own for suspect in suspects)
-            depth = max(suspect.keys.shared.index(part) for suspect in suspects)
+            suspicion.prompts.update(_find_carrier(s.keys, part) for s in suspects)
+            depth = max(suspect.keys.scopes.index(part) for suspect in suspects)
             suspicion.depth = max(suspicion.depth, depth)
             count += 1
             if not suspicion.rounds:
@@ -302,19 +319,35 @@
     found: dict[PartKey, dict[int, list[Suspect]]] = {}
     for position, crash in enumerate(crashes):
         for suspect in crash.suspects:
-            for part in suspect.keys.shared:
+            for part in suspect.keys.scopes:
                 found.setdefault(part, {}).setdefault(position, []).append(suspect)
     return found
 
 
-def _is_explained(
+def _find_carrier(keys: PromptKeys, part: PartKey) -> PartKey:
+    """Return what tells apart the requests that have a part."""
+    return keys.content if part == keys.own else keys.own
+
+
+def _remove_explained(
     crash: Crash, blocked: Mapping[PartKey, Collection[CustomerId] | None]
-) -> bool:
+) -> Crash | None:
+    """Return a crash without the suspects that something blocked clears.
+
+    :returns: ``None`` if a blocked part explains it.
+    """
+    if not blocked:
+        return crash
+    repeated = []
     for suspect in crash.suspects:
-        for part in suspect.keys.shared:
+        keys = suspect.keys
+        for part in keys.scopes:
             if part not in blocked:
                 continue
             customers = blocked[part]
-            if customers is None or suspect.keys.customer in customers:
-                return True
-    return False
+            if customers is not None and keys.customer not in customers:
+                continue
+            if part != keys.content:
+                return None
+            repeated.append(suspect)
+    return replace(crash, suspects=tuple(repeated)) if repeated else crash
--- a/src/ibishead/gateway/blocking.py
+++ b/src/ibishead/gateway/blocking.py
@@ -1,4 +1,4 @@
-"""Refuses requests with prompt parts that crash engines."""
+"""Refuses requests that crash engines, by a part of their prompts or their content."""
 
 import asyncio
 import random
@@ -11,7 +11,7 @@
 from ibishead.ids import HostId, PartKey
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import BlockedPart, PartSound
-from ibishead.routing.prompts import PromptKeys
+from ibishead.routing.prompts import PromptKeys, is_content_key
 
 __all__ = ["PromptBlocks"]
 
@@ -21,7 +21,7 @@
 
 
 class PromptBlocks:
-    """Applies the blocked prompt parts to requests, also to those that wait.
+    """Applies the blocked parts and contents to requests, also to those that wait.
 
     :param host: this gateway's host.
     :param draw: returns a random number in [0, 1), for retry-after times.
@@ -59,8 +59,8 @@
             self._tested[found.part] = found.trials
 
     def report_sound(self, keys: PromptKeys) -> None:
-        """Tell the registries that an answer was written on a prompt."""
-        for part in keys.shared:
+        """Tell the registries that a request was answered."""
+        for part in keys.scopes:
             if part in self._feed.blocked:
                 self._feed.broadcast(PartSound(part))
 
@@ -102,7 +102,7 @@
         blocked, keys = self._feed.blocked, request.keys
         if not blocked or keys is None:
             return []
-        found = [blocked[part] for part in keys.shared if part in blocked]
+        found = [blocked[part] for part in keys.scopes if part in blocked]
         return [b for b in found if b.customers is None or keys.customer in b.customers]
 
     def _may_test(self, found: BlockedPart) -> bool:
@@ -111,16 +111,20 @@
 
     def _make_error(self, request: RequestState, part: PartKey) -> IbisheadError:
         reason = f"part {part} of the prompt has crashed several engines"
+        remedy = "send the request without that part"
+        if is_content_key(part):
+            reason = "this request has crashed several engines"
+            remedy = "send it with another prompt or body"
         if request.progress.uncertain_sends:
             return OutcomeUnknown(
                 f"an earlier send may have run, and there is no resend: {reason}",
-                "send the request without that part",
+                remedy,
                 code=ErrorCode.PROMPT_BLOCKED,
             )
         seconds = RETRY_AFTER_SECONDS * (0.5 + self._draw())
         return Unavailable(
             f"not run: {reason}",
-            "send the request without that part",
+            remedy,
             code=ErrorCode.PROMPT_BLOCKED,
             retry_after=timedelta(seconds=seconds),
         )
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -62,7 +62,7 @@
 )
 from ibishead.gateway.stewards import StewardLinks
 from ibishead.gateway.tracker import TargetTracker
-from ibishead.ids import CustomerId, FailureDomain, PartKey, ServiceName
+from ibishead.ids import CustomerId, FailureDomain, ServiceName
 from ibishead.metrics import Metrics
 from ibishead.routing.customers import Customer
 from ibishead.routing.feed import RegistryFeed
@@ -583,16 +583,14 @@
 
 
 def _make_keys(call: Call, customer: Customer | None) -> PromptKeys | None:
-    """Return the keys of a request, without a content if it asks for no model.
+    """Return the keys of a request.
 
     The adapter, the deadline and the resume position don't belong to the content, since
     callers change them when they send a request again.
     """
     names = [part.name for part in call.parts]
-    content = PartKey("")
-    if call.engine_key is not None:
-        fields = (call.method, call.hostname, call.target, call.model, *names)
-        content = make_content_key(fields, call.body)
+    fields = (call.method, call.hostname, call.target, call.model, *names)
+    content = make_content_key(fields, call.body)
     return make_prompt_keys(names, customer.name if customer else None, content)
 
 
--- a/src/ibishead/routing/crashreports.py
+++ b/src/ibishead/routing/crashreports.py
@@ -101,7 +101,7 @@
 def _list_sound(
     suspects: list[Run], uses: PartUses, now: float
 ) -> tuple[tuple[PartKey, float], ...]:
-    parts = {part for run in suspects for part in run.keys.shared}
+    parts = {part for run in suspects for part in run.keys.scopes}
     known = ((part, uses.read(part).sound_at) for part in sorted(parts))
     return tuple((part, round(now - at, 3)) for part, at in known if at is not None)
 
--- a/src/ibishead/routing/prompts.py
+++ b/src/ibishead/routing/prompts.py
@@ -45,6 +45,12 @@
     customer: CustomerId = CustomerId("")
     content: PartKey = PartKey("")
 
+    @property
+    def scopes(self) -> tuple[PartKey, ...]:
+        """What the request can be refused by, from the most general key on."""
+        single = (key for key in (self.own, self.content) if key)
+        return (*self.shared, *single)
+
 
 def make_prompt_keys(
     names: Sequence[str],
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -1,6 +1,7 @@
 """Which prompt part is held to have crashed engines."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -17,7 +18,7 @@
     judge_part,
 )
 from ibishead.ids import CustomerId, PartKey, TargetId
-from ibishead.routing.prompts import PromptKeys
+from ibishead.routing.prompts import PromptKeys, make_content_key
 
 BAD, HEAD = PartKey("bad"), PartKey("head")
 
@@ -35,6 +36,13 @@
     return crash(at, (own or f"own{at}", shared, customer, at - sent))
 
 
+def repeat(at, content="c", own="own", shared=(HEAD,), customer="", sent=0.2):
+    """Return a crash with a request that is sent again and again."""
+    key = make_content_key((content,), b"")
+    keys = PromptKeys(PartKey(own), tuple(shared), CustomerId(customer), key)
+    return Crash(TargetId(f"r{at}"), 1, at, (Suspect(keys, at - sent),))
+
+
 def find(history, part, blocked=None):
     found = history.list_suspicions(blocked or {})
     return next((s for s in found if s.part == part), None)
@@ -98,6 +106,60 @@
     assert (suspicion.rounds if suspicion else None) == rounds
 
 
+CONTENT = make_content_key(("c",), b"")
+
+
+@pytest.mark.parametrize(
+    ("found", "suspected"),
+    [
+        ([repeat(1), repeat(2), repeat(3)], {CONTENT}),
+        ([repeat(1, own=""), repeat(2, own=""), repeat(3, own="")], {CONTENT}),
+        ([repeat(1), repeat(2)], set()),
+        ([repeat(1), repeat(1.1, sent=0.5), repeat(1.2, sent=0.5)], set()),
+        ([repeat(1, "a"), repeat(2, "b"), repeat(3, "c")], {"own"}),
+        ([repeat(1, "a", "x"), repeat(2, "b", "y"), repeat(3, "c", "z")], {HEAD}),
+        ([repeat(1), repeat(2), repeat(3), repeat(4, "d", "x")], {CONTENT, HEAD}),
+        # among other crashes it may be there by chance
+        (
+            [
+                repeat(1),
+                *(bad(1 + n / 9, shared=()) for n in range(1, 5)),
+                repeat(2),
+                repeat(3),
+            ],
+            set(),
+        ),
+    ],
+)
+def test_which_requests_that_are_sent_again_are_suspected(found, suspected):
+    """One caller would end one engine after the other, or get sound parts refused."""
+    history = make_history(found)
+    assert {s.part for s in history.list_suspicions({})} == suspected
+
+
+def test_a_content_is_blocked_before_the_parts_that_came_with_it():
+    """All requests with these parts would be refused for the one that was repeated."""
+    found = [repeat(1), repeat(2), repeat(3), repeat(4, "d", "x")]
+    history = make_history(found)
+    suspicions = [(s, PartUse(s.rounds)) for s in history.list_suspicions({})]
+    assert choose_gravest(suspicions).part == CONTENT
+
+
+def test_crashes_of_a_blocked_content_count_only_against_its_own_parts():
+    """Requests that ran beside it would be refused after it."""
+    history = CrashHistory()
+    for at in (1.0, 2.0, 3.0, 4.0):
+        beside = bad(at, shared=(PartKey("beside"),)).suspects
+        content = "c" if at < 4 else "d"
+        made = repeat(at, content, own=content)
+        history.record(replace(made, suspects=made.suspects + beside))
+    blocked = {CONTENT: None}
+    assert find(history, PartKey("beside")).rounds == 4
+    assert find(history, PartKey("beside"), blocked) is None
+    assert find(history, HEAD, blocked).rounds == 4
+    assert find(history, PartKey("beside"), {CONTENT: ("other",)}).rounds == 4
+
+
 @pytest.mark.parametrize(
     ("rounds", "use", "verdict"),
     [
@@ -200,25 +262,37 @@
     assert sum(len(c.suspects) for c in history._crashes) == history._suspects
 
 
+@pytest.mark.parametrize("repeated", [False, True], ids=["parts", "contents"])
 @pytest.mark.parametrize("seed", range(20))
-def test_engines_that_crash_by_themselves_cost_sound_parts_nothing(seed):
-    """Parts in use while engines crash for other reasons would be refused.
+def test_engines_that_crash_by_themselves_cost_sound_requests_nothing(seed, repeated):
+    """Requests while engines crash for other reasons would be refused.
 
     Ten engines, one crash every two seconds for ten minutes, 60 requests in between on
-    400 parts of very different popularity.
+    400 parts, or with 400 contents, of very different popularity.
     """
     draw, history, blamed = random.Random(seed), CrashHistory(), set()
+    names = [PartKey(f"p{n}") for n in range(400)]
+    if repeated:
+        names = [make_content_key((name,), b"") for name in names]
     sound_at = {}
     for number in range(300):
         at, here = 2.0 * number, []
         for _ in range(60):
-            part = PartKey(f"p{int(draw.paretovariate(0.7)) % 400}")
+            name = names[int(draw.paretovariate(0.7)) % 400]
             if draw.random() < 0.1:
-                here.append(part)
+                here.append(name)
             else:
-                sound_at[part] = at - 0.5
-        suspects = ((f"o{number}-{n}", (p,), "", at - 0.4) for n, p in enumerate(here))
-        history.record(crash(at, *suspects))
+                sound_at[name] = at - 0.5
+        suspects = tuple(
+            Suspect(
+                PromptKeys(PartKey(""), content=name)
+                if repeated
+                else PromptKeys(PartKey(f"o{number}-{n}"), (name,)),
+                at - 0.4,
+            )
+            for n, name in enumerate(here)
+        )
+        history.record(Crash(TargetId(f"t{number}"), 1, at, suspects))
         for suspicion in history.list_suspicions({}):
             use = PartUse(1, sound_at.get(suspicion.part))
             if isinstance(judge_part(suspicion, use), Blame):
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -41,6 +41,7 @@
 from ibishead.platform.targets import PlatformTargets
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import BlockedPart, MemberKind, MemberRecord
+from ibishead.routing.prompts import make_content_key
 from ibishead.routing.routes import (
     EngineSpec,
     Repeatability,
@@ -888,6 +889,11 @@
 PARTS = {"prompt-prefix": "head:10,bad:5,own:5"}
 
 
+def make_content(*names: str) -> PartKey:
+    """Return the content of a request of `Fixture.ask` with some prompt parts."""
+    return make_content_key(("POST", "nets.example", "/p/x", "", *names), b"body")
+
+
 def block_part(fixture: Fixture, part: str = "bad") -> None:
     """Block a part as if the registries had announced it."""
     key = PartKey(part)
@@ -900,9 +906,14 @@
     [
         ("bad", PARTS, 503),
         ("head", PARTS, 503),
-        ("own", PARTS, 200),
+        ("own", PARTS, 503),
         ("other", PARTS, 200),
         ("bad", {}, 200),
+        (make_content(), {}, 503),
+        (make_content(), {"deadline-ms": "700"}, 503),
+        (make_content(), {"request-id": "r2"}, 503),
+        (make_content(), PARTS, 200),
+        (make_content("head", "bad", "own"), PARTS, 503),
     ],
 )
 async def test_a_request_with_a_blocked_part_is_refused_unsent(part, headers, status):
--- a/tests/steward/test_ends.py
+++ b/tests/steward/test_ends.py
@@ -164,4 +164,4 @@
     scene.ends.runs.begin(scene.link, 2, KEYS, scene.clock.monotonic())
     scene.ends.record_gone()
     (message,) = scene.feed.sent
-    assert [part for part, _ in message.sound] == (["bad"] if sound else [])
+    assert [part for part, _ in message.sound] == (["bad", "own"] if sound else [])
