Gateway: report what ran at plain targets that ended

Cause, the same as with engines: the failure is held against the target, and nothing remembers the work. Only stewards report what ran at an engine that ended, and plain services have none.

Change: a gateway records what it runs at targets without a steward. When a connection is lost, it opens a new one; if that is refused, the target has ended and the gateway reports its own requests there. The new connection is kept for later requests otherwise. The registries put the reports of several gateways on one crash together.

--- a/src/ibishead/decisions/crashes.py
+++ b/src/ibishead/decisions/crashes.py
@@ -232,9 +232,15 @@
         return len(self._crashes)
 
     def record(self, crash: Crash) -> bool:
-        """Record a crash; return whether it was not known."""
-        if any((c.target, c.born) == (crash.target, crash.born) for c in self._crashes):
-            return False
+        """Record a crash, or further suspects of a known one.
+
+        Gateways that report the crash of a target know their own requests only.
+
+        :returns: whether anything of it was not known.
+        """
+        for position, known in enumerate(self._crashes):
+            if (known.target, known.born) == (crash.target, crash.born):
+                return self._add_suspects(position, crash.suspects)
         self.changes += 1
         self._crashes.append(crash)
         self._suspects += len(crash.suspects)
@@ -246,6 +252,17 @@
         self._forget_innocence()
         return True
 
+    def _add_suspects(self, position: int, suspects: Sequence[Suspect]) -> bool:
+        crash = self._crashes[position]
+        named = {suspect.keys for suspect in crash.suspects}
+        new = tuple(s for s in suspects if s.keys not in named)
+        if not new:
+            return False
+        self.changes += 1
+        self._suspects += len(new)
+        self._crashes[position] = replace(crash, suspects=crash.suspects + new)
+        return True
+
     def clear(self, part: PartKey, at: float) -> None:
         """Record that answers were written on a part.
 
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -40,6 +40,7 @@
     TargetChooser,
 )
 from ibishead.gateway.directory import RouteDirectory
+from ibishead.gateway.ends import TargetEnds
 from ibishead.gateway.origins import StreamOrigins
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.quotas import QuotaClient
@@ -98,6 +99,7 @@
 
     :param blocks: refuses requests with prompt parts that crash engines.
     :param part_uses: records how requests with each part fare.
+    :param ends: notices when a target without a steward ends.
     :param share: retry budget that all gateways share.
     :param draw: returns a random number in [0, 1), for ties and retry-after times.
     :param shedder: tells whether the gateway is too late to answer a request in time.
@@ -115,6 +117,7 @@
         origins: StreamOrigins,
         blocks: PromptBlocks,
         part_uses: PartUses,
+        ends: TargetEnds,
         callers: CallerDialect,
         targets: TargetDialect,
         clock: Clock,
@@ -145,6 +148,7 @@
         self._origins = origins
         self._blocks = blocks
         self._part_uses = part_uses
+        self._ends = ends
         self._clock = clock
         self._retry_share = share
         self._recorder = RequestRecorder(callers, feed, metrics, clock)
@@ -331,10 +335,13 @@
                 target = await self._chooser.choose(request)
             request.progress.begin_send(target)
             resumed = request.progress.last_event is not None
+            run, lost = 0, False
             try:
                 await self._renew_charge(request)
                 self._blocks.admit(request)
                 self._record_sent(request, target)
+                if key is None:
+                    run = self._ends.begin_run(target, request.keys)
                 outcome = await self._sender.send(
                     request.call,
                     request.route,
@@ -343,7 +350,10 @@
                     request.deadline,
                     self._identify(request),
                 )
+                lost = isinstance(outcome, Failed) and outcome.lost
             finally:
+                if run:
+                    self._ends.end_run(target, run, lost)
                 self._record_answer(request)
                 if key is not None:
                     if not request.progress.response_delay:
@@ -537,7 +547,7 @@
                 if request.refusals < MAX_REFUSALS and not out_of_budget:
                     return
                 raise self._chooser.make_refusal(request, reason)
-            case Failed(reason, final):
+            case Failed(reason, final, _):
                 request.last_reason = reason
                 may_repeat = (
                     not final
--- a/src/ibishead/gateway/pool.py
+++ b/src/ibishead/gateway/pool.py
@@ -46,6 +46,13 @@
             if _is_usable(connection, now):
                 return connection
             connection.close()
+        return await self.open(address)
+
+    async def open(self, address: str) -> TargetConnection:
+        """Open a new connection to an address.
+
+        :raises LinkLost: the connection could not be opened.
+        """
         self.opened += 1
         return await TargetConnection.open(parse_address(address))
 
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -89,10 +89,12 @@
     """The target may have run the request, but returned no complete response.
 
     :param final: the request can't be resent, whatever its route allows.
+    :param lost: the connection to the target was lost.
     """
 
     reason: str
     final: bool = False
+    lost: bool = False
 
 
 Outcome: TypeAlias = Answered | NotRun | Failed
@@ -222,7 +224,7 @@
         try:
             outcome = await self._exchange(state, progress, deadline)
         except LinkLost as error:
-            outcome = Failed(error.message)
+            outcome = Failed(error.message, lost=True)
         finally:
             if not state.responding:
                 self._tracker.begin_response(stats, call.prompt_tokens)
@@ -358,7 +360,7 @@
                 try:
                     part = await state.connection.read()
                 except LinkLost as error:
-                    return Failed(error.message, final=True)
+                    return Failed(error.message, final=True, lost=True)
                 if part is None:
                     break
                 parts.append(part)
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -11,6 +11,7 @@
 from ibishead.decisions.shedding import ConnectionShedder
 from ibishead.gateway.blocking import PromptBlocks
 from ibishead.gateway.calls import CallerDialect, TargetDialect
+from ibishead.gateway.ends import TargetEnds
 from ibishead.gateway.origins import StreamOrigins
 from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
@@ -107,10 +108,12 @@
             on_members=self._connect_stewards,
             on_message=self._handle_registry_message,
             on_blocked=lambda: self._blocks.apply(),
+            on_link=lambda link: self._ends.greet_registry(link),
         )
         self.metrics = Metrics("gateway")
         self._blocks = PromptBlocks(settings.host, self.feed)
         self._part_uses = PartUses()
+        self._ends = TargetEnds(self.feed, self._pool, self._part_uses, clock)
         self._origins = StreamOrigins(self._stewards, clock, self.metrics)
         self._shedder = ConnectionShedder(settings.link_rate)
         self._held = HeldBytes(settings.held_bytes)
@@ -124,6 +127,7 @@
             self._origins,
             self._blocks,
             self._part_uses,
+            self._ends,
             callers,
             targets,
             clock,
@@ -176,6 +180,7 @@
             "refused_in_rest": self._tracker.refused_in_rest,
             "invalid_slowdowns": self._tracker.invalid_slowdowns,
             "quota_keeper_linked": self._quotas.keeper is not None,
+            "target_crashes": self._ends.count,
             "prompt_parts_known": len(self._part_uses),
             "prompt_parts_blocked": len(self.feed.blocked),
             "body_bytes_held": self._held.bodies.held,
@@ -206,6 +211,7 @@
         self._quotas.stop()
         await self.feed.stop()
         await self._readiness_server.stop(0.0)
+        await self._ends.stop()
         self._pool.close()
 
     async def _serve(self, exchange: Exchange) -> None:
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -298,3 +298,15 @@
             if isinstance(judge_part(suspicion, use), Blame):
                 blamed.add(suspicion.part)
     assert blamed == set()
+
+
+def test_gateways_that_tell_the_same_crash_add_to_it():
+    """Each gateway knows its own requests, so the bad one might be left out."""
+    history = CrashHistory()
+    for at in (1, 2, 3):
+        assert history.record(crash(at, (f"o{at}", ("p",), "", at - 0.2)))
+        assert history.record(crash(at, (f"q{at}", (BAD,), "", at - 0.2)))
+        assert not history.record(crash(at, (f"q{at}", (BAD,), "", at - 0.2)))
+    assert len(history) == 3
+    assert find(history, BAD).rounds == 3
+    assert history._suspects == 6
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -18,6 +18,7 @@
 from ibishead.gateway.blocking import PromptBlocks
 from ibishead.gateway.choosing import DISCOVERY_SECONDS
 from ibishead.gateway.connection import TargetConnection
+from ibishead.gateway.ends import TargetEnds
 from ibishead.gateway.origins import StreamOrigins
 from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
@@ -236,6 +237,7 @@
         self.origins = StreamOrigins(stewards, clock, metrics)
         self.blocks = PromptBlocks(HostId("g"), feed, lambda: 0.0)
         self.part_uses = PartUses()
+        self.ends = TargetEnds(feed, self.pool, self.part_uses, clock)
         self.shedder = ConnectionShedder()
         self.pipeline = Pipeline(
             HOME,
@@ -247,6 +249,7 @@
             self.origins,
             self.blocks,
             self.part_uses,
+            self.ends,
             PlatformCallers(),
             PlatformTargets(),
             clock,
@@ -282,6 +285,7 @@
         return self
 
     async def __aexit__(self, *_) -> None:
+        await self.ends.stop()
         self.pool.close()
         for server in (self._web, *self._targets):
             await server.stop(0.0)
--- a/tests/onplatform/crashtraffic.py
+++ b/tests/onplatform/crashtraffic.py
@@ -23,6 +23,7 @@
 class Prompt:
     """What a caller sends, apart from the request ID.
 
+    :param adapter: empty for a request to a plain service.
     :param parts: names of the parts of the prompt.
     :param resume_after: last event that the caller claims to have received.
     """
@@ -51,9 +52,10 @@
             ("host", "nets.example"),
             ("request-id", f"{self.draw.getrandbits(32):08x}"),
             ("deadline-ms", "4000"),
-            ("model", f"{MODEL}/{prompt.adapter}"),
-            ("token-counts", "30,10"),
         ]
+        if prompt.adapter:
+            headers.append(("model", f"{MODEL}/{prompt.adapter}"))
+            headers.append(("token-counts", "30,10"))
         if prompt.parts:
             prefix = ",".join(f"{name}:10" for name in prompt.parts)
             headers.append(("prompt-prefix", prefix))
@@ -86,6 +88,10 @@
         adapter = f"a{self.draw.randrange(4)}"
         return Prompt(self.draw.choice(("plan", "advice")), adapter, (*parts, own))
 
+    def make_order(self) -> Prompt:
+        """Return a request to a plain service; many of them are alike."""
+        return Prompt(self.draw.choice(("look", "issue")), "")
+
     def _list_gateways(self) -> list[Endpoint]:
         return [
             gateway
@@ -194,6 +200,13 @@
         draw.choice(cluster.engines).begin_crash()
 
 
+async def crash_plain(cluster: Cluster, draw: random.Random) -> None:
+    """Crash plain targets, for no reason."""
+    while True:
+        await asyncio.sleep(draw.uniform(0.5, 1.5))
+        draw.choice(cluster.plain).begin_crash()
+
+
 async def wait_for_crashes(cluster: Cluster, count: int = 3) -> None:
     while len(cluster.ledger.crashes) < count:
         await asyncio.sleep(0.05)
--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -339,15 +339,19 @@
         own += (("response-stamp", stamp),)
         if self.rate_limit is not None:
             own += (("server-limit", str(self.rate_limit)),)
+        bad = self.cluster.find_crash_cause(headers, exchange.request.body)
+        if bad is not None:
+            now = asyncio.get_running_loop().time()
+            self.cluster.ledger.crashing_sends.append((now, bad))
         if not self.engine:
             await asyncio.sleep(self.work_seconds)
+            if bad is not None:
+                self.begin_crash(bad)
+                await exchange.disconnected.wait()
+                return
             body = b"done " + request.encode() + b" " + exchange.request.body
             await exchange.respond(200, own, body)
             return
-        bad = self.cluster.find_crash_cause(headers, exchange.request.body)
-        if bad is not None:
-            now = asyncio.get_running_loop().time()
-            self.cluster.ledger.crashing_sends.append((now, bad))
         first = int(find_header(headers, "last-event-id") or 0) + 1
         kind = (("content-type", "text/event-stream"),)
         await exchange.start(200, own + kind)
--- a/tests/onplatform/test_crashing_requests.py
+++ b/tests/onplatform/test_crashing_requests.py
@@ -20,6 +20,7 @@
     Prompt,
     Traffic,
     crash_engines,
+    crash_plain,
     join_gateway,
     kill_core,
     kill_gateways,
@@ -52,6 +53,11 @@
     resume_after: str | None = None
     disturb: Callable[[Cluster, random.Random], Awaitable[None]] = leave_alone
 
+    @property
+    def is_plain(self) -> bool:
+        """Whether the request is sent to a plain service."""
+        return self.adapters == ("",)
+
     def make_prompt(self, number: int) -> Prompt:
         """Return what is sent for the n-th time."""
         adapter = self.adapters[number % len(self.adapters)]
@@ -66,6 +72,11 @@
     "two attempts": Scenario(route="advice"),
     "two attempts, no part": Scenario(route="advice", parts=()),
     "resumed": Scenario(route="advice", resume_after="1"),
+    "plain": Scenario(route="look", parts=(), adapters=("",)),
+    "plain, once": Scenario(route="issue", parts=(), adapters=("",)),
+    "plain, core killed": Scenario(
+        route="look", parts=(), adapters=("",), disturb=kill_core
+    ),
     "gateways killed": Scenario(disturb=kill_gateways),
     "stewards killed": Scenario(disturb=kill_stewards),
     "core killed": Scenario(disturb=kill_core),
@@ -87,7 +98,14 @@
         calm_until = started + CALM_SECONDS
         end = calm_until + SECONDS
         sound = [
-            asyncio.create_task(traffic.send_sound(end, (BODY,), CRASHES))
+            asyncio.create_task(
+                traffic.send_sound(
+                    end,
+                    (BODY,),
+                    CRASHES,
+                    traffic.make_order if scenario.is_plain else None,
+                )
+            )
             for _ in range(SOUND_CALLERS)
         ]
         await asyncio.sleep(CALM_SECONDS)
@@ -120,11 +138,13 @@
     :param bodies: bodies that they draw from.
     :param adapters: adapters that they draw from.
     :param named: whether their prompts name parts.
+    :param plain: whether they call a plain service instead.
     """
 
     bodies: tuple[str, ...] = ("body",)
     adapters: tuple[str, ...] = ADAPTERS
     named: bool = True
+    plain: bool = False
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -135,8 +155,9 @@
         SoundCallers(named=False),
         SoundCallers(tuple(f"body {n}" for n in range(30)), named=False),
         SoundCallers(adapters=ADAPTERS[:1], named=False),
+        SoundCallers(plain=True),
     ],
-    ids=["named parts", "alike", "repeated now and then", "one adapter"],
+    ids=["named parts", "alike", "repeated now and then", "one adapter", "plain"],
 )
 async def test_engines_that_crash_by_themselves_get_no_request_refused(
     tmp_path, callers, seed
@@ -147,9 +168,12 @@
         await cluster.wait_ready()
         traffic, started = Traffic(cluster, draw), loop.time()
         end = started + CALM_SECONDS + SECONDS
-        disturbance = asyncio.create_task(crash_engines(cluster, draw))
+        crash = crash_plain if callers.plain else crash_engines
+        disturbance = asyncio.create_task(crash(cluster, draw))
 
         def make_prompt() -> Prompt:
+            if callers.plain:
+                return traffic.make_order()
             own = f"{draw.getrandbits(32):08x}"
             parts = (HEAD, f"{draw.randrange(40):08x}", own) if callers.named else ()
             return Prompt(
