Bound what clients of engines read of bytes without end

Callers saw: a refusal (503, not run) whose body has no end was read until the deadline (504) though another target was free; others at the same gateway got no turn for 0.4 to 1.2 s at a time beside interim answers without end or bodies of one-byte chunks or lines. A report without end grew a steward from 35 to 137 MB.

Cause: reading had limits of time only, and the parser ran until all received bytes were used up. An event without end was copied and scanned again with each read; blank lines and bytes after a response were kept uncounted.

Change: a refusal's body is read for 0.1 s or 16 KB, then the connection is closed and the request sent elsewhere. Ten interim responses are allowed, and no change of protocol. The parsers of gateway and webclient let other tasks run after 64 events. The body of an answer to a steward's or agent's own call may take 1 or 4 MB of memory. A stream that may be resumed has to bring a whole event in time, not any bytes.

--- a/src/ibishead/agent/runner.py
+++ b/src/ibishead/agent/runner.py
@@ -82,10 +82,10 @@
         if boot is None:
             return await _relay_plain(attempt, answer, waited, target)
         if answer.status == _MODEL_NOT_FOUND:
-            await answer.read()
+            await answer.discard()
             return RunEnd.ADAPTER_MISSING
         if answer.status >= _SERVER_ERROR:
-            await answer.read()
+            await answer.discard()
             return RunEnd.FAILED
         return await _relay_model(attempt, answer, waited, target)
 
@@ -139,11 +139,12 @@
 
 
 async def _read_first_event(answer: ClientAnswer) -> bytes:
-    first = b""
+    first = bytearray()
     async for chunk in answer.chunks:
+        start = max(0, len(first) - 1)
         first += chunk
-        if b"\n\n" in first:
-            return first
+        if b"\n\n" in first[start:]:
+            return bytes(first)
         if len(first) > MAX_FIRST_EVENT_BYTES:
             break
     raise LinkLost(
--- a/src/ibishead/agent/target.py
+++ b/src/ibishead/agent/target.py
@@ -29,6 +29,10 @@
 #: Seconds within which a target must respond to a probe or a list request.
 PROBE_TIMEOUT_SECONDS = 2.0
 
+#: Memory that the body of an engine's answer to a probe or command may take. The
+#: longest is the list of its adapters.
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
 #: Seconds after which a load counts as failed. Eight concurrent loads take about 0.25 s
 #: each; an engine slower by two orders of magnitude is faulty.
 LOAD_TIMEOUT_SECONDS = 30.0
@@ -183,7 +187,7 @@
             _limit_time(PROBE_TIMEOUT_SECONDS),
         ):
             answer = await connection.ask("GET", "/v1/models")
-            body = await answer.read()
+            body = await answer.read(MAX_ANSWER_BYTES)
         try:
             cards = msgspec.json.decode(body, type=_ModelList).data
         except msgspec.DecodeError as error:
@@ -274,7 +278,7 @@
             (FENCING_HEADER, str(incarnation)),
         )
         answer = await connection.ask("POST", path, headers, command)
-        return answer.status, await answer.read()
+        return answer.status, await answer.read(MAX_ANSWER_BYTES)
 
     async def _is_listed(self, key: AdapterKey, boot: BootId) -> bool:
         try:
@@ -291,7 +295,7 @@
     async def _request_sample(self, connection: ClientConnection) -> EngineSample:
         async with _limit_time(PROBE_TIMEOUT_SECONDS):
             answer = await connection.ask("GET", "/metrics")
-            return _parse_sample(await answer.read())
+            return _parse_sample(await answer.read(MAX_ANSWER_BYTES))
 
     def _pop_idle(self, boot: BootId | None) -> tuple[BootId, ClientConnection | None]:
         earliest = self._clock.monotonic() - IDLE_TIMEOUT_SECONDS
--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -28,6 +28,13 @@
 #: stream of 3 MB took 1.7 times the processor time.
 READ_SIZE = 256 * 1024
 
+#: Events parsed before other tasks of the event loop get a turn. One read may hold tens
+#: of thousands of one-byte chunks, each of which takes about 10 microseconds.
+MAX_EVENTS_PER_TURN = 64
+
+#: Interim responses (1xx) that a target may send before its response.
+MAX_INTERIM_RESPONSES = 10
+
 #: Largest body that is joined with its head for a single write.
 MAX_JOINED_BYTES = 64 * 1024
 
@@ -59,6 +66,9 @@
         self._transport: asyncio.Transport | None = None
         self._in_exchange = False
         self._responded_early = False
+        #: Whether received bytes are left to be parsed in a later turn.
+        self._parse_due = False
+        self._interim = 0
         self._close_reason: str | None = None
         self._taken = 0
         self.hold: AnswerHold = _unlimited.open("", MAX_UNTAKEN_BYTES)
@@ -108,6 +118,9 @@
         if not self._in_exchange:
             self._close("received bytes outside an exchange")
             return
+        if self._state.their_state in (h11.DONE, h11.MUST_CLOSE):
+            self._close("received bytes after the response")
+            return
         self._state.receive_data(data)
         self._parse()
 
@@ -149,6 +162,7 @@
         if self.closed or self._transport is None:
             raise self._make_error()
         self._in_exchange = True
+        self._interim = 0
         if len(sent_body) <= MAX_JOINED_BYTES:
             self._transport.write(head + sent_body)
         else:
@@ -156,8 +170,6 @@
             self._transport.write(head)
             self._transport.write(sent_body)
         response = await self._next_event()
-        while isinstance(response, h11.InformationalResponse):
-            response = await self._next_event()
         if not isinstance(response, h11.Response):
             raise self._fail("closed before the response headers were received")
         # A target may respond before it has read a long request body and read the rest
@@ -230,8 +242,13 @@
             return
         self.hold.remove(self._taken)
         self._taken = 0
-        if self.hold.paused and self.hold.may_go_on() and self._transport is not None:
-            self._transport.resume_reading()
+        if self.hold.paused and self.hold.may_go_on():
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        if self._transport is None or self._parse_due or self.hold.paused:
+            return
+        self._transport.resume_reading()
 
     def _hold_part(self, part: bytes) -> None:
         self._events.append(h11.Data(data=part))
@@ -240,24 +257,37 @@
             self._transport.pause_reading()
 
     def _parse(self) -> None:
-        # The parts of one read are joined, so that many short chunks take no more
+        # The parts of one turn are joined, so that many short chunks take no more
         # memory than their bytes.
         parts: list[bytes] = []
         try:
-            while True:
+            for _ in range(MAX_EVENTS_PER_TURN):
                 event = self._state.next_event()
-                if event is h11.NEED_DATA or event is h11.PAUSED:
+                if event is h11.NEED_DATA:
+                    break
+                if event is h11.PAUSED:
+                    if self._state.their_state is h11.SWITCHED_PROTOCOL:
+                        self._close("switched protocols")
+                        return
                     break
                 assert isinstance(event, h11.Event)
                 if isinstance(event, h11.Data):
                     parts.append(event.data)
                     continue
+                if isinstance(event, h11.InformationalResponse):
+                    self._interim += 1
+                    if self._interim > MAX_INTERIM_RESPONSES:
+                        self._close("too many interim responses")
+                        return
+                    continue
                 if parts:
                     self._hold_part(b"".join(parts))
                     parts = []
                 self._events.append(event)
                 if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     break
+            else:
+                self._postpone_parsing()
         except h11.RemoteProtocolError as error:
             self._close(f"malformed response: {error}")
             return
@@ -266,6 +296,23 @@
         if self._events:
             self._wake_reader()
 
+    def _postpone_parsing(self) -> None:
+        """Let other tasks run before the rest of the received bytes is parsed.
+
+        Nothing is read meanwhile, so the end of the connection is noticed after them.
+        """
+        self._parse_due = True
+        if self._transport is not None:
+            self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._parse_rest)
+
+    def _parse_rest(self) -> None:
+        self._parse_due = False
+        if self._close_reason is not None:
+            return
+        self._parse()
+        self._resume_reading()
+
     async def _next_event(self, ready: bool = False) -> h11.Event:
         if not self._events and not ready:
             if self._close_reason is not None:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -43,6 +43,11 @@
 #: are released one by one, as a single write would copy all of them.
 MAX_SINGLE_WRITE_BYTES = 64 * 1024
 
+#: Seconds and bytes for which the body of a refusal is read, so that its connection can
+#: be used again. The request is sent elsewhere then.
+REFUSAL_BODY_SECONDS = 0.1
+MAX_REFUSAL_BYTES = 16 * 1024
+
 #: Lowest status code that reports a failure of the target itself.
 MIN_FAILURE_STATUS = 500
 
@@ -307,13 +312,18 @@
         if head.misdirected and state.call.weights is not None:
             # Valid until the engine's next report with changed holdings.
             state.stats.missing.add(state.call.weights)
+        refusal = NotRun(f"refused with status {head.status}", received=True)
+        size = 0
         try:
-            while await state.connection.read() is not None:
-                pass
-        except LinkLost:
-            return NotRun(f"refused with status {head.status}", received=True)
+            async with asyncio.timeout(REFUSAL_BODY_SECONDS):
+                while (part := await state.connection.read()) is not None:
+                    size += len(part)
+                    if size > MAX_REFUSAL_BYTES:
+                        return refusal
+        except (LinkLost, TimeoutError):
+            return refusal
         self._release(state)
-        return NotRun(f"refused with status {head.status}", received=True)
+        return refusal
 
     async def _relay_whole(
         self, state: "_SendState", head: TargetHead, progress: Progress
@@ -374,20 +384,32 @@
         self, state: "_SendState", head: TargetHead, progress: Progress
     ) -> Outcome:
         splitter = EventSplitter(progress.last_event)
+        try:
+            return await self._relay_events(state, head, progress, splitter)
+        finally:
+            progress.partial_bytes = splitter.partial_bytes
+
+    async def _relay_events(
+        self,
+        state: "_SendState",
+        head: TargetHead,
+        progress: Progress,
+        splitter: EventSplitter,
+    ) -> Outcome:
         exchange = progress.exchange
         timeout = self._find_gap_timeout(state.route, progress)
-        last_events_at = self._clock.monotonic()
+        last_events_at = waiting_since = self._clock.monotonic()
         while True:
+            left = timeout and waiting_since + timeout - self._clock.monotonic()
             try:
-                async with asyncio.timeout(timeout):
+                async with asyncio.timeout(left):
                     data = await state.connection.read()
             except TimeoutError:
-                return Failed("the target's stream sent no data in time")
-            progress.partial_bytes = splitter.partial_bytes
+                return Failed("the target's stream sent no event in time")
             if data is None and progress.framing is BodyFraming.CONNECTION:
                 _check_has_events(splitter)
             events = splitter.flush() if data is None else splitter.feed(data)
-            if not state.kept.resize(splitter.partial_bytes):
+            if not state.kept.resize(splitter.buffered_bytes):
                 return Failed("no memory is left for an event so large", final=True)
             now = state.stats.last_data_at = self._clock.monotonic()
             if events and state.responding:
@@ -407,6 +429,8 @@
                         head.status, _drop_content_length(head.headers)
                     )
                 await exchange.send(events)
+                if events:
+                    waiting_since = self._clock.monotonic()
                 progress.last_event, progress.event_count = (
                     splitter.last_id,
                     splitter.count,
--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -32,6 +32,10 @@
 #: milliseconds, but a host that is slowed down takes several times as long.
 ANSWER_TIMEOUT_SECONDS = 0.6
 
+#: Memory that the body of an engine's answer may take. A report with some hundred runs
+#: is 20 KB long, and the smallest hosts have 160 MB.
+MAX_ANSWER_BYTES = 1024 * 1024
+
 #: Outcome of an order by the status code of its answer.
 _OUTCOMES = {
     200: OrderOutcome.COMPLETED,
@@ -148,7 +152,7 @@
                 if connection is None or connection.closed:
                     connection = await self._open(timeout)
                 answer = await connection.ask(method, path, headers, body)
-                content = await answer.read()
+                content = await answer.read(MAX_ANSWER_BYTES)
         except TimeoutError as error:
             raise LinkLost(
                 f"no answer from the engine at {self._endpoint} in time",
--- a/src/ibishead/webclient.py
+++ b/src/ibishead/webclient.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client connection, built on h11 and asyncio streams."""
 
 import asyncio
+import contextlib
 import ssl
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -15,6 +16,20 @@
 
 _READ_SIZE = 64 * 1024
 
+#: Memory of a received chunk besides its bytes.
+CHUNK_OVERHEAD_BYTES = 64
+
+#: Seconds and bytes for which a body is read that nobody needs.
+DISCARD_SECONDS = 0.1
+MAX_DISCARDED_BYTES = 64 * 1024
+
+#: Interim responses (1xx) that a server may send before its answer.
+MAX_INTERIM_RESPONSES = 10
+
+#: Events parsed before other tasks of the event loop get a turn. One read may hold
+#: thousands of one-byte chunks.
+MAX_EVENTS_PER_TURN = 64
+
 
 @dataclass
 class ClientAnswer:
@@ -27,12 +42,29 @@
     headers: Headers
     chunks: AsyncIterator[bytes]
 
-    async def read(self) -> bytes:
+    async def read(self, limit: int | None = None) -> bytes:
         """Return the complete body.
 
-        :raises LinkLost: the connection was closed before the end of the body.
+        :param limit: bytes of memory that it may take, ``None`` for any number.
+        :raises LinkLost: the connection was closed before the end of the body, or the
+            body is larger. The connection can't be used again then.
         """
-        return b"".join([chunk async for chunk in self.chunks])
+        chunks, size = [], 0
+        async for chunk in self.chunks:
+            chunks.append(chunk)
+            size += len(chunk) + CHUNK_OVERHEAD_BYTES
+            if limit is not None and size > limit:
+                raise LinkLost(
+                    f"the body of the answer takes more than {limit} bytes of memory",
+                    "see the server's log",
+                )
+        return b"".join(chunks)
+
+    async def discard(self) -> None:
+        """Read the body if it is short, so that the connection can be used again."""
+        with contextlib.suppress(LinkLost, TimeoutError):
+            async with asyncio.timeout(DISCARD_SECONDS):
+                await self.read(MAX_DISCARDED_BYTES)
 
 
 class ClientConnection:
@@ -49,6 +81,7 @@
         self._writer = writer
         self._host = host
         self._state = h11.Connection(h11.CLIENT)
+        self._parsed = 0
         self.idle = True
 
     @classmethod
@@ -117,13 +150,16 @@
         try:
             self._writer.write(data)
             await self._writer.drain()
-            head = await self._next_event()
-            while isinstance(head, h11.InformationalResponse):
+            for _ in range(MAX_INTERIM_RESPONSES + 1):
                 head = await self._next_event()
+                if not isinstance(head, h11.InformationalResponse):
+                    break
         except (ConnectionError, h11.RemoteProtocolError) as error:
             raise self._close_as_lost(error) from error
         if not isinstance(head, h11.Response):
-            raise self._close_as_lost("closed before the answer")
+            raise self._close_as_lost(
+                "closed or no answer after several interim responses"
+            )
         answer_headers = tuple(
             (k.decode("ascii"), v.decode("utf-8", "replace")) for k, v in head.headers
         )
@@ -152,6 +188,9 @@
             self.close()
 
     async def _next_event(self) -> h11.Event:
+        self._parsed += 1
+        if self._parsed % MAX_EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         while (event := self._state.next_event()) is h11.NEED_DATA:
             self._state.receive_data(await self._reader.read(_READ_SIZE))
         if not isinstance(event, h11.Event):
