--- a/tests/onplatform/crashtraffic.py
+++ b/tests/onplatform/crashtraffic.py
@@ -1,6 +1,7 @@
 """Callers' requests, some of which crash engines, and failures of programs besides."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -16,6 +17,8 @@
 #: Sends allowed after that.
 MAX_SENDS = 3
 CALM_SECONDS, SECONDS = 3.0, 14.0
+#: Length of the failures of a soak.
+DISTURBED_SECONDS = 5.0
 HEAD = "5c1e07a2"
 
 
@@ -210,3 +213,28 @@
 async def wait_for_crashes(cluster: Cluster, count: int = 3) -> None:
     while len(cluster.ledger.crashes) < count:
         await asyncio.sleep(0.05)
+
+
+async def disturb(cluster: Cluster, draw: random.Random) -> None:
+    """Kill and suspend programs in series that overlap, and crash engines besides."""
+    series = draw.sample((restart_programs, suspend_gateways, crash_engines), 2)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DISTURBED_SECONDS):
+            await asyncio.gather(*(each(cluster, draw) for each in series))
+    for program in cluster.programs.values():
+        if not program.running:
+            program.start()
+        program.resume()
+
+
+async def restart_programs(cluster: Cluster, draw: random.Random) -> None:
+    while True:
+        await asyncio.sleep(draw.uniform(0.3, 1.5))
+        chosen = draw.sample(list(cluster.programs.values()), draw.randrange(1, 4))
+        for program in chosen:
+            if program.running:
+                program.kill()
+        await asyncio.sleep(draw.uniform(0.1, 0.5))
+        for program in chosen:
+            if not program.running:
+                program.start()
--- a/tests/onplatform/test_crashing_parts.py
+++ b/tests/onplatform/test_crashing_parts.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import contextlib
 import os
 import random
 from collections.abc import Awaitable, Callable
@@ -14,11 +13,13 @@
 from tests.onplatform.crashtraffic import (
     CALM_SECONDS,
     CONTACT_SECONDS,
+    DISTURBED_SECONDS,
     HEAD,
     MAX_SENDS,
     SECONDS,
     Traffic,
     crash_engines,
+    disturb,
     join_gateway,
     kill_core,
     kill_gateways,
@@ -32,8 +33,6 @@
 #: Crashes after which a part has to be known.
 CRASHES = 5
 SOUND_CALLERS, BAD_CALLERS = 8, 3
-#: Length of the failures of a soak.
-DISTURBED_SECONDS = 5.0
 
 
 @dataclass(frozen=True)
@@ -91,31 +90,6 @@
     await run_scenario(tmp_path, scenario, draw)
 
 
-async def disturb(cluster: Cluster, draw: random.Random) -> None:
-    """Kill and suspend programs in series that overlap, and crash engines besides."""
-    series = draw.sample((restart_programs, suspend_gateways, crash_engines), 2)
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(DISTURBED_SECONDS):
-            await asyncio.gather(*(each(cluster, draw) for each in series))
-    for program in cluster.programs.values():
-        if not program.running:
-            program.start()
-        program.resume()
-
-
-async def restart_programs(cluster: Cluster, draw: random.Random) -> None:
-    while True:
-        await asyncio.sleep(draw.uniform(0.3, 1.5))
-        chosen = draw.sample(list(cluster.programs.values()), draw.randrange(1, 4))
-        for program in chosen:
-            if program.running:
-                program.kill()
-        await asyncio.sleep(draw.uniform(0.1, 0.5))
-        for program in chosen:
-            if not program.running:
-                program.start()
-
-
 async def send_bad(traffic: Traffic, end: float, scenario: Scenario) -> None:
     loop = asyncio.get_running_loop()
     while loop.time() < traffic.find_end(scenario.bad, end, CRASHES):
--- a/tests/onplatform/test_crashing_requests.py
+++ b/tests/onplatform/test_crashing_requests.py
@@ -14,6 +14,7 @@
 from tests.onplatform.crashtraffic import (
     CALM_SECONDS,
     CONTACT_SECONDS,
+    DISTURBED_SECONDS,
     HEAD,
     MAX_SENDS,
     SECONDS,
@@ -21,6 +22,7 @@
     Traffic,
     crash_engines,
     crash_plain,
+    disturb,
     join_gateway,
     kill_core,
     kill_gateways,
@@ -89,7 +91,23 @@
 @pytest.mark.parametrize("name", SCENARIOS)
 async def test_a_crashing_request_stops_reaching_engines(tmp_path, name, seed):
     """One caller would end one engine after the other."""
-    scenario, draw = SCENARIOS[name], random.Random(seed)
+    await run_scenario(tmp_path, SCENARIOS[name], random.Random(seed))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_soak_of_crashing_requests(tmp_path, seed):
+    """What each scenario guards against, with failures that overlap."""
+    draw = random.Random(seed)
+    scenario = Scenario(
+        route=draw.choice(("plan", "advice")),
+        parts=draw.choice(((), ("0000beef",), (HEAD, "0000feed", "0000beef"))),
+        adapters=draw.choice((ADAPTERS[:1], ADAPTERS)),
+        disturb=disturb,
+    )
+    await run_scenario(tmp_path, scenario, draw)
+
+
+async def run_scenario(tmp_path, scenario: Scenario, draw: random.Random) -> None:
     loop = asyncio.get_running_loop()
     async with Cluster(tmp_path, engines=4) as cluster:
         await cluster.wait_ready()
@@ -120,7 +138,11 @@
         await asyncio.gather(disturbance, return_exceptions=True)
     calm = traffic.share_begun(started, calm_until)
     crashes = [at for at, cause in cluster.ledger.crashes if cause == BODY]
-    known_at = crashes[CRASHES - 1] + CONTACT_SECONDS
+    disturbed_until = calm_until
+    if scenario.disturb is disturb:
+        disturbed_until += DISTURBED_SECONDS
+    assert len(crashes) >= CRASHES
+    known_at = max(crashes[CRASHES - 1], disturbed_until) + CONTACT_SECONDS
     late = [at for at, _ in cluster.ledger.crashing_sends if at > known_at]
     later = traffic.share_begun(known_at + CONTACT_SECONDS, loop.time())
     print(
