Test of rests: let all targets ask all gateways first

With the refusals shortened to 0.08 s, the trace of each 200 shows an engine that was sent nothing while it refused: it rests for nobody, and its answer is allowed. So the premise of the test (all targets rest) was left to half a second of luck.

The targets now refuse until each has asked each gateway for rest, and the rest lasts longer than the test. What is checked is unchanged. 22 of 22 of the file green beside eight busy processes.

--- a/tests/onplatform/test_rests.py
+++ b/tests/onplatform/test_rests.py
@@ -86,6 +86,25 @@
         target.refusing = False
 
 
+async def refuse_until_asked(
+    cluster: Cluster, targets: list[Target], case: Case
+) -> None:
+    """Let targets refuse until each of them has asked each gateway for rest.
+
+    A target that was sent nothing meanwhile rests for nobody, and answers later.
+    """
+    refusing = asyncio.create_task(refuse_for(targets, case, 30.0))
+    async with asyncio.timeout(20.0):
+        while any(
+            {rest.gateway for rest in target.rests} != set(cluster.gateways)
+            for target in targets
+        ):
+            await send_calls(cluster, case, 0.2)
+    refusing.cancel()
+    for target in targets:
+        target.refusing = False
+
+
 async def stop_stewards(cluster: Cluster) -> None:
     """End all stewards once each engine has reported the adapter as loaded."""
     for engine in cluster.engines:
@@ -139,9 +158,9 @@
 @pytest.mark.parametrize("model", ["", f"{MODEL}/warm"], ids=["plain", "engine"])
 async def test_callers_are_refused_at_once_while_all_targets_rest(cluster, model):
     """Callers would wait until their deadlines, or return before a target does."""
-    case = Case("plan" if model else "look", model)
+    case = Case("plan" if model else "look", model, retry_afters=("30",))
     asking = list_targets(cluster, case)
-    await asyncio.gather(refuse_for(asking, case, 0.5), send_calls(cluster, case, 0.5))
+    await refuse_until_asked(cluster, asking, case)
     calls = await send_calls(cluster, case, 1.0)
     assert {c.status for c in calls} <= {429, 503}
     assert max(c.seconds for c in calls) < REFUSAL_SECONDS
