--- a/tests/onplatform/crashtraffic.py
+++ b/tests/onplatform/crashtraffic.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from tests.onplatform.standin import FRONT, MODEL, Cluster
+from tests.processes.programs import Program
 
 from ibishead.errors import LinkLost
 from ibishead.gateway.connection import TargetConnection
@@ -168,9 +169,18 @@
 
 async def kill_core(cluster: Cluster, draw: random.Random) -> None:
     """Kill all gateways and registries at once."""
+    ended = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
+    await kill_together(cluster, ended)
+
+
+async def kill_all(cluster: Cluster, draw: random.Random) -> None:
+    """Kill all programs at once, so that only what the log holds is known."""
+    await kill_together(cluster, list(cluster.programs.values()))
+
+
+async def kill_together(cluster: Cluster, ended: list[Program]) -> None:
     await wait_for_crashes(cluster)
     await asyncio.sleep(CONTACT_SECONDS)
-    ended = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
     for program in ended:
         program.kill()
     await asyncio.sleep(0.3)
--- a/tests/onplatform/test_crashing_requests.py
+++ b/tests/onplatform/test_crashing_requests.py
@@ -24,6 +24,7 @@
     crash_plain,
     disturb,
     join_gateway,
+    kill_all,
     kill_core,
     kill_gateways,
     kill_stewards,
@@ -82,6 +83,7 @@
     "gateways killed": Scenario(disturb=kill_gateways),
     "stewards killed": Scenario(disturb=kill_stewards),
     "core killed": Scenario(disturb=kill_core),
+    "all killed": Scenario(disturb=kill_all),
     "gateway joins": Scenario(disturb=join_gateway),
     "engines crash as well": Scenario(disturb=crash_engines),
 }
