--- a/review/1/case.py
+++ b/review/1/case.py
@@ -123,9 +123,11 @@
         await asyncio.gather(*(caller.run(until) for caller in callers))
         await asyncio.sleep(1.0)
     finally:
-        for server in servers:
-            await server.stop()
-        deployment.stop()
+        try:
+            for server in servers:
+                await server.stop()
+        finally:
+            deployment.stop()
     return judge(servers, answers, record)
 
 
