--- a/tests/steward/test_ends.py
+++ b/tests/steward/test_ends.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 
 import pytest
-from tests.fake_feed import FakeFeed
 from tests.fake_links import FakeLink
 
 from ibishead.clock import ManualClock
@@ -11,7 +10,7 @@
 from ibishead.routing.crashreports import KEPT_SECONDS, MAX_SUSPECTS
 from ibishead.routing.messages import EngineEnded
 from ibishead.routing.prompts import PromptKeys
-from ibishead.routing.targets import Registration, TargetState
+from ibishead.routing.targets import Registration, TargetState, TargetView
 from ibishead.steward.ends import EngineEnds
 from ibishead.steward.engine import EngineState
 
@@ -20,6 +19,17 @@
 KEYS = PromptKeys(PartKey("own"), (PartKey("bad"),))
 
 
+class FakeFeed:
+    """A view of targets, and the messages sent to the registries."""
+
+    def __init__(self):
+        self.view = TargetView()
+        self.sent = []
+
+    def broadcast(self, message):
+        self.sent.append(message)
+
+
 class Scene:
     """An engine that runs one request since 0.3 s, which has begun 0.1 s ago."""
 
