Gateway: log and count responses that name another request

A gateway compared the request id of relayed responses only, and logged a mismatch as a reason without that id. A refusal of another request left no trace at all: the line of the request showed one refusal more.

A warning now has both ids, the target and the status, and two counters in events_total tell responses that name another request from those that name none.

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -137,6 +137,7 @@
     :param genuine: the response carries the target's stamp and the id of this request,
         so it is from the target itself and belongs to this request.
     :param echoed: the response names the id of this request.
+    :param named: the request that the response names, or ``None`` if it names none.
     :param misdirected: the request reached a different target, or one that lacks the
         requested weights.
     :param encoded: the body has a content encoding, although none was requested.
@@ -154,6 +155,7 @@
     not_run: bool
     genuine: bool
     echoed: bool = False
+    named: RequestId | None = None
     misdirected: bool = False
     encoded: bool = False
     load: TargetLoad | None = None
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -143,6 +143,7 @@
             self._notify_prompt_read,
             self._handle_head,
             self._record_origin,
+            metrics.count_event,
             answers,
         )
         self._origins = origins
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -1,6 +1,7 @@
 """Sends a call to one target and relays the target's response."""
 
 import asyncio
+import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +32,8 @@
     "Sender",
 ]
 
+logger = logging.getLogger(__name__)
+
 #: Minimum seconds without data after which a request that may be resent to another
 #: target is abandoned at this one. Longer time-outs are multiples of the route's
 #: objectives for the first event and for the gap between events.
@@ -169,6 +172,7 @@
     :param on_response: called when a response begins; the progress has its delay.
     :param on_head: called with the headers of each response of the target itself.
     :param on_stream: called before the first event of a stream is relayed.
+    :param count_event: counts an event by its name.
     :param answers: budget of the bytes held for answers.
     """
 
@@ -181,10 +185,12 @@
         on_response: Callable[[Call, Registration, Progress], None],
         on_head: Callable[[Call, Registration, TargetHead, Progress], None],
         on_stream: Callable[[Call, Route, StreamOrigin], None],
+        count_event: Callable[[str], None],
         answers: AnswerBudget | None = None,
     ) -> None:
         self._answers = answers or AnswerBudget(None)
         self._on_stream = on_stream
+        self._count_event = count_event
         self._on_response = on_response
         self._on_head = on_head
         self._tracker = tracker
@@ -278,6 +284,8 @@
             return Failed("the target sent no response headers in time")
         progress.framing = find_body_framing(received)
         head = self._dialect.read_head(call, status, received)
+        if not head.echoed:
+            self._record_mismatch(state, head)
         state.connection.idle_time = head.idle_time
         if head.load is not None:
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
@@ -300,6 +308,23 @@
             return await self._relay_stream(state, head, progress)
         return await self._relay_whole(state, head, progress)
 
+    def _record_mismatch(self, state: "_SendState", head: TargetHead) -> None:
+        """Log and count a response that does not name the current request."""
+        self._count_event(
+            "response_without_request"
+            if head.named is None
+            else "response_of_another_request"
+        )
+        logger.warning(
+            "response does not name its request",
+            extra={
+                "request": state.call.request,
+                "named": head.named,
+                "target": state.target.target,
+                "status": head.status,
+            },
+        )
+
     def _can_resend(self, route: Route, progress: Progress) -> bool:
         return route.repeatable and progress.uncertain_sends + 1 < route.attempts
 
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -9,6 +9,7 @@
     find_header,
     read_retry_after,
 )
+from ibishead.ids import RequestId
 
 __all__ = ["PlatformTargets", "is_leaving", "read_load"]
 
@@ -53,7 +54,8 @@
 
     def read_head(self, call: Call, status: int, headers: Headers) -> TargetHead:
         """Return the meaning of an answer's status and headers."""
-        echoed = find_header(headers, "request-id") == call.request
+        named = find_header(headers, "request-id")
+        echoed = named == call.request
         stamped = find_header(headers, "response-stamp") is not None
         # 421: another target listens here now, or it lacks the weights; it ran nothing
         misdirected = status == 421
@@ -63,6 +65,7 @@
             not_run=misdirected or find_header(headers, "not-executed") is not None,
             genuine=stamped and echoed,
             echoed=echoed,
+            named=RequestId(named) if named is not None else None,
             misdirected=misdirected,
             encoded=find_header(headers, "content-encoding") is not None,
             load=read_load(headers),
