Gateway: believe a refusal only if it names the request

What callers saw: a request that may run once ran at two targets, or was answered 429, which promises that it has not run, although it had.

Cause: a target's late second copy of a refusal (503, 429, 421, 400 with Not-Executed) arrives where the response to the next request on the connection is expected. PlatformTargets.read_head compared the request id for relayed responses only; any 421 and any response with Not-Executed counted as a proof that the current request had not run. The gateway sent that request elsewhere or refused it, while the first target ran it. It also used the connection on, one response behind, and took the load, rest and limit of the late copy for current ones.

Fix: a refusal is a proof only if it names the request. Any other response that doesn't is a failure after which the request may have run, and its connection is closed. A refusal that names no request still counts as a request for rest of its target, as before.

Why this is right for sound targets: PROTOCOL says that engines echo Request-Id in their responses.

The table of test_answer_head_tells_not_run_and_genuine took refusals without an id for proofs, and two stand-ins sent them, which the protocol excludes; the table now has each refusal with the own id, another one and none (4 rows red before).

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from ibishead.errors import IbisheadError
-from ibishead.headers import Headers
+from ibishead.headers import BodyFraming, Headers
 from ibishead.ids import CustomerId, ModelName, RequestId, TargetId
 from ibishead.routing.targets import WeightKey
 from ibishead.web import WebRequest
@@ -133,12 +133,12 @@
     """Status and headers of a target's response.
 
     :param headers: headers that are relayed to the caller.
-    :param not_run: the target states that it did not and will not run the request.
+    :param not_run: the target states that it did not and will not run this request.
     :param genuine: the response carries the target's stamp and the id of this request,
         so it is from the target itself and belongs to this request.
     :param echoed: the response names the id of this request.
     :param named: the request that the response names, or ``None`` if it names none.
-    :param misdirected: the request reached a different target, or one that lacks the
+    :param misdirected: this request reached a different target, or one that lacks the
         requested weights.
     :param encoded: the body has a content encoding, although none was requested.
     :param idle_time: seconds for which the target keeps an idle connection open, or
@@ -148,13 +148,17 @@
     :param retry_after: seconds for which the target asks for no requests from this
         host, unchecked, or ``None`` if it names no number.
     :param leaving: the target says that it will end soon.
+    :param framing: how the end of the body is marked.
+    :param refused: the response says that its request has not run, whichever it is.
     """
 
     status: int
     headers: Headers
     not_run: bool
     genuine: bool
+    framing: BodyFraming
     echoed: bool = False
+    refused: bool = False
     named: RequestId | None = None
     misdirected: bool = False
     encoded: bool = False
@@ -166,8 +170,13 @@
 
     @property
     def own(self) -> bool:
-        """Whether what it says about its target is of the target that was meant."""
-        return not self.misdirected and (self.echoed or self.not_run)
+        """Whether what it says about its target is of the target that was meant.
+
+        A refusal that names no request still speaks for its target.
+        """
+        return not self.misdirected and (
+            self.echoed or (self.refused and self.named is None)
+        )
 
     @property
     def success(self) -> bool:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -15,7 +15,7 @@
 from ibishead.gateway.events import EventSplitter
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.tracker import TargetStats, TargetTracker
-from ibishead.headers import BodyFraming, Headers, find_body_framing
+from ibishead.headers import BodyFraming, Headers
 from ibishead.ids import CustomerId, SoftwareVersion, TargetId
 from ibishead.routing.routes import Repeatability, Route
 from ibishead.routing.targets import Registration, StreamOrigin
@@ -277,21 +277,19 @@
         headers = self._dialect.make_headers(call, sending)
         try:
             async with asyncio.timeout(self._find_head_timeout(route, progress)):
-                status, received = await state.connection.request(
-                    call.method, call.target, headers, call.body
-                )
+                head = await self._receive_head(state, headers)
         except TimeoutError:
             return Failed("the target sent no response headers in time")
-        progress.framing = find_body_framing(received)
-        head = self._dialect.read_head(call, status, received)
+        status = head.status
+        progress.framing = head.framing
+        if head.own:
+            self._on_head(call, state.target, head, progress)
         if not head.echoed:
-            self._record_mismatch(state, head)
+            return Failed(f"a response with status {status} that names another request")
         state.connection.idle_time = head.idle_time
         if head.load is not None:
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
             progress.slowdown = head.load.slowdown or 0.0
-        if head.own:
-            self._on_head(call, state.target, head, progress)
         if head.not_run:
             return await self._handle_refusal(state, head)
         if not head.genuine or head.encoded:
@@ -308,6 +306,17 @@
             return await self._relay_stream(state, head, progress)
         return await self._relay_whole(state, head, progress)
 
+    async def _receive_head(self, state: "_SendState", headers: Headers) -> TargetHead:
+        """Send the call and return the head of the response that follows."""
+        call, connection = state.call, state.connection
+        status, received = await connection.request(
+            call.method, call.target, headers, call.body
+        )
+        head = self._dialect.read_head(call, status, received)
+        if not head.echoed:
+            self._record_mismatch(state, head)
+        return head
+
     def _record_mismatch(self, state: "_SendState", head: TargetHead) -> None:
         """Log and count a response that does not name the current request."""
         self._count_event(
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -6,6 +6,7 @@
 from ibishead.headers import (
     Headers,
     drop_hop_by_hop,
+    find_body_framing,
     find_header,
     read_retry_after,
 )
@@ -59,12 +60,16 @@
         stamped = find_header(headers, "response-stamp") is not None
         # 421: another target listens here now, or it lacks the weights; it ran nothing
         misdirected = status == 421
+        refused = misdirected or find_header(headers, "not-executed") is not None
         return TargetHead(
             status,
             drop_hop_by_hop(headers),
-            not_run=misdirected or find_header(headers, "not-executed") is not None,
+            # A late copy of a refusal says nothing of the request at hand
+            not_run=refused and echoed,
             genuine=stamped and echoed,
+            framing=find_body_framing(headers),
             echoed=echoed,
+            refused=refused,
             named=RequestId(named) if named is not None else None,
             misdirected=misdirected,
             encoded=find_header(headers, "content-encoding") is not None,
--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -2,10 +2,12 @@
 
 import logging
 
+import pytest
 from tests.gateway.test_pipeline import (
     ONCE,
     Behaviour,
     Fixture,
+    refuse_with_status,
     respond,
 )
 
@@ -34,12 +36,66 @@
 async def ask_twice(fixture: Fixture) -> tuple[int, bytes]:
     """Send two requests over one connection to the target; return the last answer."""
     await fixture.ask()
+    assert [len(idle) for idle in fixture.pool._idle.values()] == [1]
     answer = await fixture.ask(**{"request-id": "r2"})
-    assert fixture.pool.opened == 1
     assert fixture.arrivals == ["r1", "r2"]
     return answer
 
 
+class LateRefuser:
+    """A target that refuses the previous request of a connection before it responds."""
+
+    def __init__(self) -> None:
+        self._previous: dict[object, str] = {}
+
+    async def __call__(self, exchange: Exchange, request: str) -> None:
+        connection = exchange._connection
+        if connection in self._previous:
+            previous = self._previous[connection].encode()
+            connection._writer.write(LATE_REFUSAL.replace(b"r1", previous))
+        self._previous[connection] = request
+        await respond(exchange, request)
+
+
+LATE_REFUSAL = encode_late(503, NOT_EXECUTED, LENGTH)
+
+
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+async def test_a_late_refusal_says_nothing_of_the_next_request(status):
+    """A caller was told that a request had not run, or it was sent elsewhere too."""
+    late = send_first(encode_late(status, NOT_EXECUTED, LENGTH), respond)
+    async with Fixture(ONCE, respond, late, software=("v1",)) as fixture:
+        assert (await ask_twice(fixture))[0] in (200, 502)
+
+
+async def test_a_late_refusal_leads_to_no_second_run():
+    """The request reached a second target while the first one ran it."""
+    behaviours = (LateRefuser(),) * 8
+    async with Fixture(ONCE, *behaviours, software=("v1", "v1")) as fixture:
+        requests = [f"r{number}" for number in range(8)]
+        for request in requests:
+            await fixture.ask(**{"request-id": request})
+        assert fixture.arrivals == requests
+
+
+async def test_a_late_refusal_names_no_rest_of_its_target():
+    """Its request for rest was made for an earlier refusal and may have ended."""
+    late = encode_late(503, NOT_EXECUTED, "Retry-After: 2", LENGTH)
+    behaviours = (respond, send_first(late, respond), respond)
+    async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
+        await ask_twice(fixture)
+        assert await fixture.ask(**{"request-id": "r3"}) == (200, b"done")
+
+
+@pytest.mark.parametrize("status", [400, 408, 421, 429, 503])
+async def test_a_refusal_of_the_request_itself_is_believed(status):
+    """Sound targets refuse with these, and the request is sent to another one."""
+    behaviours = (refuse_with_status(status), respond)
+    async with Fixture(ONCE, *behaviours) as fixture:
+        assert await fixture.ask() == (200, b"done")
+        assert len(fixture.arrivals) == 2
+
+
 async def test_a_response_of_another_request_is_logged_with_both_ids(caplog):
     """An operator finds the fault from the id of either request."""
     late = send_first(encode_late(200, LENGTH), respond)
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -70,8 +70,16 @@
     await exchange.respond(200, _make_own_headers(request), b"done")
 
 
-async def refuse(exchange: Exchange, request: str) -> None:
-    await exchange.respond(503, (("not-executed", "1"),))
+def refuse_with_status(status: int) -> Behaviour:
+    """Return a target that states that it has not run the request."""
+
+    async def refuse_request(exchange: Exchange, request: str) -> None:
+        await exchange.respond(status, (("request-id", request), ("not-executed", "1")))
+
+    return refuse_request
+
+
+refuse = refuse_with_status(503)
 
 
 async def fail(exchange: Exchange, request: str) -> None:
@@ -300,12 +308,14 @@
         behaviour = self._behaviours[len(self.arrivals) - 1]
         await behaviour(exchange, request)
 
-    async def ask(self, path: str = "/p/x", **headers) -> tuple[int, bytes]:
+    async def ask(
+        self, path: str = "/p/x", method: str = "POST", **headers
+    ) -> tuple[int, bytes]:
         sent = {"host": "nets.example", "request-id": "r1", "deadline-ms": "900"}
         connection = await TargetConnection.open(self.endpoint)
         try:
             status, _ = await connection.request(
-                "POST", path, tuple({**sent, **headers}.items()), b"body"
+                method, path, tuple({**sent, **headers}.items()), b"body"
             )
             body = b""
             while (piece := await connection.read()) is not None:
--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -313,17 +313,17 @@
     async def _run(self, exchange: Exchange) -> None:
         headers = exchange.request.headers
         request = find_header(headers, "request-id") or ""
-        refusal = (("not-executed", "1"),)
+        own: Headers = (("request-id", request),)
+        refusal = (*own, ("not-executed", "1"))
         expected = find_header(headers, "expect-instance")
         if expected is not None and expected != self.name:
             await exchange.respond(421, refusal)
             return
         self._record_send(request)
-        own: Headers = (("request-id", request),)
         if self.leaving:
             own += (("server-leaving", "1"),)
         if self.refusing:
-            await self._refuse(exchange, request, (*own, *refusal))
+            await self._refuse(exchange, request, (*own, ("not-executed", "1")))
             return
         adapter = (find_header(headers, "model") or "").partition("/")[2]
         if adapter and adapter not in self.adapters:
--- a/tests/onplatform/test_bodies.py
+++ b/tests/onplatform/test_bodies.py
@@ -273,9 +273,14 @@
         (200, {"request-id": "r1", "response-stamp": "s"}, False, True),
         (200, {"request-id": "r1"}, False, False),
         (200, {"request-id": "r2", "response-stamp": "s"}, False, False),
-        (503, {"not-executed": "1"}, True, False),
+        (503, {"request-id": "r1", "not-executed": "1"}, True, False),
+        # a refusal of another request, or of an unknown one
+        (503, {"request-id": "r2", "not-executed": "1"}, False, False),
+        (503, {"not-executed": "1"}, False, False),
         (503, {"request-id": "r1", "response-stamp": "s"}, False, True),
-        (421, {"instance-id": "other"}, True, False),
+        (421, {"request-id": "r1", "instance-id": "other"}, True, False),
+        (421, {"request-id": "r2", "instance-id": "other"}, False, False),
+        (421, {"instance-id": "other"}, False, False),
     ],
 )
 def test_answer_head_tells_not_run_and_genuine(status, headers, not_run, genuine):
