--- a/src/ibishead/entry/dispatching.py
+++ b/src/ibishead/entry/dispatching.py
@@ -83,7 +83,7 @@
 
     @functools.cached_property
     def keys(self) -> PromptKeys | None:
-        """The messages of its prompt, and its content."""
+        """The messages of its prompt, and its content; none for a plain service."""
         return find_prompt_keys(self.resolved)
 
 
--- a/src/ibishead/framing.py
+++ b/src/ibishead/framing.py
@@ -1,4 +1,4 @@
-"""Checks of requests before they are handled, and the errors that reject them."""
+"""Limits of messages, checks of requests, and the errors that reject them."""
 
 from http import HTTPStatus
 
@@ -7,6 +7,8 @@
 from ibishead.errors import ErrorCode, IbisheadError, InvalidInput, TooLarge
 
 __all__ = [
+    "MAX_EVENTS_PER_TURN",
+    "MAX_INTERIM_RESPONSES",
     "check_framing",
     "check_head_size",
     "check_line_ends",
@@ -16,6 +18,13 @@
     "make_timeout_error",
 ]
 
+#: Events that a client parses before other tasks of the event loop get a turn. One read
+#: may hold tens of thousands of one-byte chunks.
+MAX_EVENTS_PER_TURN = 64
+
+#: Interim responses (1xx) that a server may send before its response.
+MAX_INTERIM_RESPONSES = 10
+
 #: Bytes of a header line besides name and value; significant with many short headers.
 _HEADER_OVERHEAD = len(": \r\n")
 
--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -13,6 +13,7 @@
 
 from ibishead.decisions.heldbytes import AnswerBudget, AnswerHold
 from ibishead.errors import InvalidInput, LinkLost
+from ibishead.framing import MAX_EVENTS_PER_TURN, MAX_INTERIM_RESPONSES
 from ibishead.headers import Headers
 from ibishead.ids import RequestId
 from ibishead.links import Endpoint
@@ -31,13 +32,6 @@
 #: stream of 3 MB took 1.7 times the processor time.
 READ_SIZE = 256 * 1024
 
-#: Events parsed before other tasks of the event loop get a turn. One read may hold tens
-#: of thousands of one-byte chunks, each of which takes about 10 microseconds.
-MAX_EVENTS_PER_TURN = 64
-
-#: Interim responses (1xx) that a target may send before its response.
-MAX_INTERIM_RESPONSES = 10
-
 #: Bytes and seconds for which the body of a late response is read.
 MAX_SKIPPED_BYTES = 64 * 1024
 SKIP_SECONDS = 0.5
--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -32,8 +32,8 @@
 #: milliseconds, but a host that is slowed down takes several times as long.
 ANSWER_TIMEOUT_SECONDS = 0.6
 
-#: Memory that the body of an engine's answer may take. A report with some hundred runs
-#: is 20 KB long, and the smallest hosts have 160 MB.
+#: Memory that the body of an engine's answer may take. Reports are some kilobytes long,
+#: and the smallest hosts have 160 MB.
 MAX_ANSWER_BYTES = 1024 * 1024
 
 #: Outcome of an order by the status code of its answer.
--- a/src/ibishead/webclient.py
+++ b/src/ibishead/webclient.py
@@ -9,6 +9,7 @@
 import h11
 
 from ibishead.errors import InvalidInput, LinkLost
+from ibishead.framing import MAX_EVENTS_PER_TURN, MAX_INTERIM_RESPONSES
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
 
@@ -23,13 +24,6 @@
 DISCARD_SECONDS = 0.1
 MAX_DISCARDED_BYTES = 64 * 1024
 
-#: Interim responses (1xx) that a server may send before its answer.
-MAX_INTERIM_RESPONSES = 10
-
-#: Events parsed before other tasks of the event loop get a turn. One read may hold
-#: thousands of one-byte chunks.
-MAX_EVENTS_PER_TURN = 64
-
 
 @dataclass
 class ClientAnswer:
@@ -154,12 +148,12 @@
                 head = await self._next_event()
                 if not isinstance(head, h11.InformationalResponse):
                     break
+            else:
+                raise self._close_as_lost("too many interim responses")
         except (ConnectionError, h11.RemoteProtocolError) as error:
             raise self._close_as_lost(error) from error
         if not isinstance(head, h11.Response):
-            raise self._close_as_lost(
-                "closed or no answer after several interim responses"
-            )
+            raise self._close_as_lost("closed before the answer")
         answer_headers = tuple(
             (k.decode("ascii"), v.decode("utf-8", "replace")) for k, v in head.headers
         )
--- a/tests/endless/test_clients.py
+++ b/tests/endless/test_clients.py
@@ -7,7 +7,7 @@
 
 from ibishead.clock import SystemClock
 from ibishead.errors import LinkLost
-from ibishead.gateway import connection as gateway_connection
+from ibishead.framing import MAX_EVENTS_PER_TURN
 from ibishead.gateway.connection import TargetConnection
 from ibishead.gateway.events import EventSplitter
 from ibishead.ids import HostId, ModelName, TargetId
@@ -46,7 +46,7 @@
         with pytest.raises(LinkLost):
             await connection.request("GET", "/", (("host", "x"),), b"")
         assert connection.closed
-    assert turns.longest <= gateway_connection.MAX_EVENTS_PER_TURN
+    assert turns.longest <= MAX_EVENTS_PER_TURN
 
 
 @pytest.mark.parametrize(("head", "piece"), BODIES)
@@ -60,7 +60,7 @@
         while size < 100_000:
             size += len(await connection.read() or b"")
         connection.close()
-    assert turns.longest <= gateway_connection.MAX_EVENTS_PER_TURN
+    assert turns.longest <= MAX_EVENTS_PER_TURN
 
 
 async def test_a_gateway_keeps_nothing_that_follows_a_response():
@@ -139,4 +139,4 @@
             await answer.read(1024 * 1024)
         connection.close()
     # an event may take a read besides
-    assert turns.longest <= 3 * 64
+    assert turns.longest <= 3 * MAX_EVENTS_PER_TURN
--- a/tests/gateway/test_blocking.py
+++ b/tests/gateway/test_blocking.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from tests.fake_feed import FakeFeed
 
 from ibishead.errors import ErrorCode, OutcomeUnknown, Unavailable
 from ibishead.gateway.blocking import PromptBlocks
@@ -14,17 +15,6 @@
 BAD = PartKey("bad")
 
 
-class FakeFeed:
-    """The blocked parts, and the messages sent to the registries."""
-
-    def __init__(self, *blocked):
-        self.blocked = {found.part: found for found in blocked}
-        self.sent = []
-
-    def broadcast(self, message):
-        self.sent.append(message)
-
-
 def make_request(customer="", shared=("head", "bad"), uncertain=0):
     keys = PromptKeys(PartKey("own"), tuple(shared), CustomerId(customer))
     progress = SimpleNamespace(uncertain_sends=uncertain)
--- a/tests/gateway/test_target_ends.py
+++ b/tests/gateway/test_target_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from tests.fake_feed import FakeFeed
 
 from ibishead.clock import SystemClock
 from ibishead.decisions.partuses import PartUses
@@ -11,7 +12,7 @@
 from ibishead.ids import FailureDomain, ServiceName, TargetId
 from ibishead.links import Endpoint
 from ibishead.routing.prompts import make_content_key, make_prompt_keys
-from ibishead.routing.targets import Registration, TargetState, TargetView
+from ibishead.routing.targets import Registration, TargetState
 from ibishead.web import WebServer
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
@@ -19,17 +20,6 @@
 OTHER = make_prompt_keys((), content=make_content_key(("GET", "/y"), b""))
 
 
-class FakeFeed:
-    """A view of targets, and the messages sent to the registries."""
-
-    def __init__(self):
-        self.view = TargetView()
-        self.sent = []
-
-    def broadcast(self, message):
-        self.sent.append(message)
-
-
 class Scene:
     """A gateway and one target."""
 
--- a/tests/onplatform/crashtraffic.py
+++ b/tests/onplatform/crashtraffic.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from tests.onplatform.standin import FRONT, MODEL, Cluster
@@ -18,6 +18,7 @@
 #: Sends allowed after that.
 MAX_SENDS = 3
 CALM_SECONDS, SECONDS = 3.0, 14.0
+SOUND_CALLERS = 8
 #: Length of the failures of a soak.
 DISTURBED_SECONDS = 5.0
 HEAD = "5c1e07a2"
@@ -248,3 +249,85 @@
         for program in chosen:
             if not program.running:
                 program.start()
+
+
+@dataclass(frozen=True)
+class Play:
+    """Callers beside requests that crash engines, after their end.
+
+    :param bad: what crashes engines.
+    :param count: number of crashes after which each of them has to be known.
+    :param calm: loop time of the beginning and of the end of the calm before.
+    :param disturbed_until: loop time until which hosts may know less.
+    :param ended_at: loop time.
+    """
+
+    traffic: Traffic
+    bad: tuple[str, ...]
+    count: int
+    calm: tuple[float, float]
+    disturbed_until: float
+    ended_at: float
+
+    def list_crashes(self, cause: str) -> list[float]:
+        """Return the loop times of the crashes by one cause."""
+        ledger = self.traffic.cluster.ledger
+        return [at for at, found in ledger.crashes if found == cause]
+
+    def count_late_sends(self, cause: str) -> int:
+        """Return how often a cause was sent after each gateway should have known it."""
+        crashes = self.list_crashes(cause)
+        if len(crashes) < self.count:
+            return 0
+        since = max(crashes[self.count - 1], self.disturbed_until) + CONTACT_SECONDS
+        sends = self.traffic.cluster.ledger.crashing_sends
+        return sum(at > since and found == cause for at, found in sends)
+
+    def find_known_at(self) -> float:
+        """Return when each gateway should have known all causes."""
+        last = [self.disturbed_until]
+        for cause in self.bad:
+            last += self.list_crashes(cause)[: self.count][-1:]
+        return max(last) + CONTACT_SECONDS
+
+
+async def run_play(
+    traffic: Traffic,
+    bad: tuple[str, ...],
+    count: int,
+    disturbance: Callable[[Cluster, random.Random], Awaitable[None]],
+    send_bad: Callable[[float], Awaitable[None]],
+    make_sound: Callable[[], Prompt] | None = None,
+) -> Play:
+    """Send sound requests, after a calm bad ones as well, with a disturbance besides.
+
+    :param send_bad: sends the bad ones until `Traffic.find_end` of the given end.
+    """
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    calm_until = started + CALM_SECONDS
+    end = calm_until + SECONDS
+    sound = [
+        asyncio.create_task(traffic.send_sound(end, bad, count, make_sound))
+        for _ in range(SOUND_CALLERS)
+    ]
+    await asyncio.sleep(CALM_SECONDS)
+    disturbing = asyncio.create_task(disturbance(traffic.cluster, traffic.draw))
+    await asyncio.gather(send_bad(end), *sound)
+    disturbing.cancel()
+    await asyncio.gather(disturbing, return_exceptions=True)
+    seconds = DISTURBED_SECONDS if disturbance is disturb else 0.0
+    calm = started, calm_until
+    return Play(traffic, bad, count, calm, calm_until + seconds, loop.time())
+
+
+def check_play(play: Play) -> None:
+    """Check that few bad requests were sent late, and that sound ones began again."""
+    late = [play.count_late_sends(cause) for cause in play.bad]
+    calm = play.traffic.share_begun(*play.calm)
+    since = play.find_known_at() + CONTACT_SECONDS
+    later = play.traffic.share_begun(since, play.ended_at)
+    crashes = len(play.traffic.cluster.ledger.crashes)
+    print(f"crashes {crashes}, late {late}, begun {calm:.2f} and {later:.2f}")
+    assert max(late) <= MAX_SENDS
+    assert later >= 0.5 * calm
--- a/tests/onplatform/test_crashing_parts.py
+++ b/tests/onplatform/test_crashing_parts.py
@@ -12,12 +12,11 @@
 import pytest
 from tests.onplatform.crashtraffic import (
     CALM_SECONDS,
-    CONTACT_SECONDS,
-    DISTURBED_SECONDS,
     HEAD,
-    MAX_SENDS,
     SECONDS,
+    SOUND_CALLERS,
     Traffic,
+    check_play,
     crash_engines,
     disturb,
     join_gateway,
@@ -25,6 +24,7 @@
     kill_gateways,
     kill_stewards,
     leave_alone,
+    run_play,
     suspend_gateways,
 )
 from tests.onplatform.standin import Cluster
@@ -32,7 +32,7 @@
 SEEDS = range(int(os.environ.get("PART_SEEDS", "1")))
 #: Crashes after which a part has to be known.
 CRASHES = 5
-SOUND_CALLERS, BAD_CALLERS = 8, 3
+BAD_CALLERS = 3
 
 
 @dataclass(frozen=True)
@@ -101,55 +101,19 @@
 
 
 async def run_scenario(tmp_path, scenario: Scenario, draw: random.Random) -> None:
-    loop = asyncio.get_running_loop()
     async with Cluster(tmp_path, engines=scenario.engines) as cluster:
         await cluster.wait_ready()
         cluster.crashing_parts.update(scenario.bad)
-        traffic, started = Traffic(cluster, draw), loop.time()
-        calm_until = started + CALM_SECONDS
-        end = calm_until + SECONDS
-        sound = [
-            asyncio.create_task(traffic.send_sound(end, scenario.bad, CRASHES))
-            for _ in range(SOUND_CALLERS)
-        ]
-        await asyncio.sleep(CALM_SECONDS)
-        disturbance = asyncio.create_task(scenario.disturb(cluster, draw))
-        disturbed_until = calm_until
-        if scenario.disturb is disturb:
-            disturbed_until += DISTURBED_SECONDS
-        await asyncio.gather(
-            *(send_bad(traffic, end, scenario) for _ in range(BAD_CALLERS)),
-            *sound,
+        traffic = Traffic(cluster, draw)
+
+        async def send_all_bad(end: float) -> None:
+            senders = (send_bad(traffic, end, scenario) for _ in range(BAD_CALLERS))
+            await asyncio.gather(*senders)
+
+        play = await run_play(
+            traffic, scenario.bad, CRASHES, scenario.disturb, send_all_bad
         )
-        disturbance.cancel()
-        await asyncio.gather(disturbance, return_exceptions=True)
-    calm = traffic.share_begun(started, calm_until)
-    for bad in scenario.bad:
-        check_sends(cluster, bad, disturbed_until)
-    known_at = find_known_at(cluster, scenario.bad, disturbed_until)
-    later = traffic.share_begun(known_at + CONTACT_SECONDS, loop.time())
-    print(f"crashes {len(cluster.ledger.crashes)}, begun {calm:.2f} and {later:.2f}")
-    assert later >= 0.5 * calm
-
-
-def check_sends(cluster: Cluster, bad: str, disturbed_until: float) -> None:
-    """Check how often a part was sent after each gateway should have known it."""
-    crashes = [at for at, part in cluster.ledger.crashes if part == bad]
-    if len(crashes) >= CRASHES:
-        since = max(crashes[CRASHES - 1], disturbed_until) + CONTACT_SECONDS
-        sends = [at for at, part in cluster.ledger.crashing_sends if part == bad]
-        assert sum(at > since for at in sends) <= MAX_SENDS
-
-
-def find_known_at(
-    cluster: Cluster, bad: tuple[str, ...], disturbed_until: float
-) -> float:
-    """Return when each gateway should have known all parts."""
-    last = [disturbed_until]
-    for part in bad:
-        crashes = [at for at, found in cluster.ledger.crashes if found == part]
-        last += crashes[:CRASHES][-1:]
-    return max(last) + CONTACT_SECONDS
+    check_play(play)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/tests/onplatform/test_crashing_requests.py
+++ b/tests/onplatform/test_crashing_requests.py
@@ -13,13 +13,12 @@
 import pytest
 from tests.onplatform.crashtraffic import (
     CALM_SECONDS,
-    CONTACT_SECONDS,
-    DISTURBED_SECONDS,
     HEAD,
-    MAX_SENDS,
     SECONDS,
+    SOUND_CALLERS,
     Prompt,
     Traffic,
+    check_play,
     crash_engines,
     crash_plain,
     disturb,
@@ -29,13 +28,13 @@
     kill_gateways,
     kill_stewards,
     leave_alone,
+    run_play,
 )
 from tests.onplatform.standin import Cluster
 
 SEEDS = range(int(os.environ.get("REQUEST_SEEDS", "1")))
 #: Crashes after which a request has to be known.
 CRASHES = 3
-SOUND_CALLERS = 8
 BODY = "crash"
 ADAPTERS = ("a0", "a1", "a2", "a3")
 
@@ -114,45 +113,25 @@
     async with Cluster(tmp_path, engines=4) as cluster:
         await cluster.wait_ready()
         cluster.crashing_bodies.add(BODY)
-        traffic, started = Traffic(cluster, draw), loop.time()
-        calm_until = started + CALM_SECONDS
-        end = calm_until + SECONDS
-        sound = [
-            asyncio.create_task(
-                traffic.send_sound(
-                    end,
-                    (BODY,),
-                    CRASHES,
-                    traffic.make_order if scenario.is_plain else None,
-                )
-            )
-            for _ in range(SOUND_CALLERS)
-        ]
-        await asyncio.sleep(CALM_SECONDS)
-        disturbance = asyncio.create_task(scenario.disturb(cluster, draw))
-        number = 0
-        while loop.time() < traffic.find_end((BODY,), end, CRASHES):
-            await traffic.send(scenario.make_prompt(number))
-            number += 1
-            await asyncio.sleep(draw.uniform(0.1, 0.3))
-        await asyncio.gather(*sound)
-        disturbance.cancel()
-        await asyncio.gather(disturbance, return_exceptions=True)
-    calm = traffic.share_begun(started, calm_until)
-    crashes = [at for at, cause in cluster.ledger.crashes if cause == BODY]
-    disturbed_until = calm_until
-    if scenario.disturb is disturb:
-        disturbed_until += DISTURBED_SECONDS
-    assert len(crashes) >= CRASHES
-    known_at = max(crashes[CRASHES - 1], disturbed_until) + CONTACT_SECONDS
-    late = [at for at, _ in cluster.ledger.crashing_sends if at > known_at]
-    later = traffic.share_begun(known_at + CONTACT_SECONDS, loop.time())
-    print(
-        f"crashes {len(crashes)}, late sends {len(late)}, "
-        f"begun {calm:.2f} and {later:.2f}"
-    )
-    assert len(late) <= MAX_SENDS
-    assert later >= 0.5 * calm
+        traffic = Traffic(cluster, draw)
+
+        async def send_bad(end: float) -> None:
+            number = 0
+            while loop.time() < traffic.find_end((BODY,), end, CRASHES):
+                await traffic.send(scenario.make_prompt(number))
+                number += 1
+                await asyncio.sleep(draw.uniform(0.1, 0.3))
+
+        play = await run_play(
+            traffic,
+            (BODY,),
+            CRASHES,
+            scenario.disturb,
+            send_bad,
+            traffic.make_order if scenario.is_plain else None,
+        )
+    assert len(play.list_crashes(BODY)) >= CRASHES
+    check_play(play)
 
 
 @dataclass(frozen=True)
--- a/tests/steward/test_ends.py
+++ b/tests/steward/test_ends.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+from tests.fake_feed import FakeFeed
 from tests.fake_links import FakeLink
 
 from ibishead.clock import ManualClock
@@ -10,7 +11,7 @@
 from ibishead.routing.crashreports import KEPT_SECONDS, MAX_SUSPECTS
 from ibishead.routing.messages import EngineEnded
 from ibishead.routing.prompts import PromptKeys
-from ibishead.routing.targets import Registration, TargetState, TargetView
+from ibishead.routing.targets import Registration, TargetState
 from ibishead.steward.ends import EngineEnds
 from ibishead.steward.engine import EngineState
 
@@ -19,17 +20,6 @@
 KEYS = PromptKeys(PartKey("own"), (PartKey("bad"),))
 
 
-class FakeFeed:
-    """A view of targets, and the messages sent to the registries."""
-
-    def __init__(self):
-        self.view = TargetView()
-        self.sent = []
-
-    def broadcast(self, message):
-        self.sent.append(message)
-
-
 class Scene:
     """An engine that runs one request since 0.3 s, which has begun 0.1 s ago."""
 
--- a/tests/steward/test_steward.py
+++ b/tests/steward/test_steward.py
@@ -47,7 +47,11 @@
 )
 from ibishead.routing.work import RequestWork
 from ibishead.steward.engine import EngineState, OrderOutcome, WeightOrder
-from ibishead.steward.steward import Steward
+from ibishead.steward.steward import (
+    IDLE_INTERVAL_SECONDS,
+    REPORT_INTERVAL_SECONDS,
+    Steward,
+)
 
 MODEL, SLOTS = ModelName("m"), 3
 ADDRESS = "127.0.0.1:9"
@@ -59,6 +63,7 @@
     :param lose: share of answers that are lost.
     :param late: share of orders that are carried out 0.3 s later, without an answer.
     :ivar max_held: most adapters held at the same time.
+    :ivar running: requests that it reports as running.
     """
 
     def __init__(self, lose: float = 0.0, late: float = 0.0, seed: int = 1) -> None:
@@ -66,6 +71,7 @@
         self.adapters: dict[str, int] = {}
         self.count = 0
         self.max_held = 0
+        self.running = 0
         self.orders: list[WeightOrder] = []
         self._lose, self._late = lose, late
         self._random = random.Random(seed)
@@ -78,7 +84,8 @@
 
     async def read_state(self) -> EngineState:
         refs = tuple(AdapterRef(n, v) for n, v in self.adapters.items())
-        return EngineState(self.born, self.count, False, (Holding(MODEL, 1, refs),))
+        holdings = (Holding(MODEL, 1, refs),)
+        return EngineState(self.born, self.count, False, holdings, running=self.running)
 
     async def read_target_id(self, health_path: str) -> TargetId | None:
         return TargetId("t9")
@@ -598,12 +605,13 @@
     engine = FakeEngine()
     async with StewardHarness(engine) as harness:
         await harness.request_turn(1, "a1")
+        engine.running = 1
         key = WeightKey(MODEL, "a1")
         use = BeginUse(key, 300, 7, None, RequestWork(100))
         harness.gateway.inbox.put_nowait(use)
         await asyncio.sleep(0.05)
         assert harness.steward.list_gauges()["memory_expected"] == 400
-        await asyncio.sleep(0.6)
+        await asyncio.sleep(REPORT_INTERVAL_SECONDS + 2 * IDLE_INTERVAL_SECONDS)
         report = [m for m in harness.gateway.sent if isinstance(m, EngineReport)][-1]
         assert (report.prompt_backlog, report.answer_backlog) == (300, 100)
         engine.born = born
