Gateway: compare the registration again after the wait for a turn

What callers saw: a stream that began at one software version went on, within the same answer, at another one (ORDER), where an engine had crashed and was back under its id with other software.

Cause, two parts. TargetChooser.choose returned the registration by which the engine had been selected, although a newer one had arrived while the request waited for its turn. And before the first registration of the new start, the steward's reports already named it, but TargetTracker gave the statistics of a target to whichever incarnation asked last, so the outdated registration dropped the report and made the engine look idle, with its former adapters.

Fix: after each wait the chooser takes the current registration, and a request that may not run there returns its turn and is placed again. The tracker keeps the statistics of the latest incarnation; a registration older than that is outdated: no stream goes on there, and one that begins there has no known version, so that its origin is not recorded under the wrong one.

--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from datetime import timedelta
 
+import msgspec
+
 from ibishead.clock import Clock
 from ibishead.decisions.choice import Chosen, Need, choose_target
 from ibishead.decisions.holding import compute_hold
@@ -23,7 +25,7 @@
 from ibishead.gateway.recorder import RequestState
 from ibishead.gateway.stewards import StewardLinks, TurnOutcome
 from ibishead.gateway.tracker import TargetTracker
-from ibishead.ids import FailureDomain
+from ibishead.ids import FailureDomain, SoftwareVersion
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.routes import EngineSpec
 from ibishead.routing.targets import Registration
@@ -86,6 +88,8 @@
     async def choose(self, request: RequestState) -> Registration:
         """Return a target that the request may be sent to now.
 
+        It names no software version if that is uncertain.
+
         :raises IbisheadError: no target takes the request in time.
         """
         await self._wait_for_discovery(request)
@@ -98,13 +102,19 @@
             if not await self._wait_for_return(request, target):
                 continue
             if request.call.engine_key is None:
-                if await self._wait_for_rate_limit(request, target, chosen):
-                    return target
+                await self._wait_for_rate_limit(request, target, chosen)
+                current = self._find_current(request, target)
+                if current is not None:
+                    return current
                 continue
             request.placement = chosen.candidate.adapter.describe()
             match await self._wait_for_turn(request, target, chosen):
                 case TurnOutcome.GRANTED:
-                    return target
+                    current = self._find_current(request, target)
+                    if current is not None:
+                        return current
+                    self._return_turn(request, target)
+                    request.last_reason = "the engine started again during the wait"
                 case TurnOutcome.UNRESPONSIVE:
                     request.last_reason = "the engine's steward did not respond"
                 case TurnOutcome.LATE:
@@ -136,11 +146,8 @@
 
     async def _wait_for_rate_limit(
         self, request: RequestState, target: Registration, chosen: Chosen
-    ) -> bool:
-        """Wait for this gateway's share of a target's rate limit.
-
-        :returns: whether the target is still registered.
-        """
+    ) -> None:
+        """Wait for this gateway's share of a target's rate limit."""
         now = self._clock.monotonic()
         if chosen.wait > max(0.0, self._find_remaining(request, now)):
             raise self.make_refusal(
@@ -149,7 +156,6 @@
         wait = self._tracker.stats(target).send_rate.take(now)
         if wait > 0:
             await asyncio.sleep(wait)
-        return self._feed.view.get(target.target) is not None
 
     async def _wait_for_turn(
         self, request: RequestState, target: Registration, chosen: Chosen
@@ -212,6 +218,43 @@
             return TurnOutcome.GRANTED
         return outcome
 
+    def _find_current(
+        self, request: RequestState, target: Registration
+    ) -> Registration | None:
+        """Return the current registration of a target that was waited for.
+
+        The target may have started again under its ID meanwhile, with other software.
+
+        :returns: ``None`` if the request may not run there any more.
+        """
+        current = self._feed.view.get(target.target)
+        if current is None or not self._may_run(request, current):
+            return None
+        if self._tracker.is_outdated(current):
+            return msgspec.structs.replace(current, software=SoftwareVersion(""))
+        return current
+
+    def _may_run(self, request: RequestState, target: Registration) -> bool:
+        """Return whether the software of a target may run a request.
+
+        The events of two software versions don't fit together, so a stream that has
+        begun may only go on at the version that began it.
+        """
+        origin = request.progress.origin
+        if origin is None:
+            return True
+        return (
+            bool(origin.software)
+            and target.software == origin.software
+            and not self._tracker.is_outdated(target)
+        )
+
+    def _return_turn(self, request: RequestState, target: Registration) -> None:
+        key = request.call.engine_key
+        if key is not None:
+            number = request.progress.use_number
+            self._stewards.return_turn(target.address, key, number)
+
     def _is_engine_responsive(self, target: Registration) -> bool:
         """Return whether a request may be sent to an engine without a turn.
 
@@ -290,17 +333,9 @@
             raise self.make_refusal(request, "it exceeds the memory of an engine")
 
     def _list_targets(self, request: RequestState) -> list[Registration]:
-        """Return the ready targets that may run a request.
-
-        The events of two software versions don't fit together, so a stream that has
-        begun may only go on at the version that began it.
-        """
+        """Return the ready targets that may run a request."""
         ready = self._feed.view.list_ready_targets(request.service)
-        origin = request.progress.origin
-        if origin is None:
-            return ready
-        software = origin.software
-        return [target for target in ready if software and target.software == software]
+        return [target for target in ready if self._may_run(request, target)]
 
     def find_spec(self, request: RequestState) -> EngineSpec | None:
         """Return the capacity of an engine of the request's service."""
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -231,7 +231,7 @@
             await wait_for_event(turn.finished, wait)
         except asyncio.CancelledError:
             if turn.granted:
-                self._return_turn(turn)
+                self.return_turn(address, key, number)
             raise
         finally:
             del self._pending[number]
@@ -239,6 +239,15 @@
                 self._abandoned[number] = turn
         return TurnOutcome.GRANTED if turn.granted else TurnOutcome.LATE
 
+    def return_turn(self, address: str, key: WeightKey, number: int) -> None:
+        """Return a granted turn that is no longer needed.
+
+        Until then the steward counts the adapter and a slot as in use and the prompt as
+        unread.
+        """
+        self.notify_prompt_read(address, 0, 0.0, number)
+        self.end_use(address, key, number=number)
+
     def withdraw_turns(self, address: str) -> None:
         """End the waits for turns at an engine; the turns are returned when granted."""
         for number, turn in self._pending.items():
@@ -412,18 +421,12 @@
         abandoned = self._abandoned.pop(number, None)
         if abandoned is not None:
             if granted:
-                self._return_turn(abandoned)
+                self.return_turn(abandoned.address, abandoned.key, number)
             return
         turn = self._pending.get(number)
         if turn is not None:
             turn.finish(granted)
 
-    def _return_turn(self, turn: _PendingTurn) -> None:
-        # The turn is no longer needed, but the steward counts the adapter and a slot as
-        # in use and the prompt as unread.
-        self.notify_prompt_read(turn.address, 0, 0.0, turn.number)
-        self.end_use(turn.address, turn.key, number=turn.number)
-
     def _cancel_turns(self, address: str) -> None:
         for turn in self._pending.values():
             if turn.address == address:
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -143,12 +143,24 @@
         self._route_durations: dict[tuple[str, str], float] = {}
 
     def stats(self, target: Registration) -> TargetStats:
-        """Return the statistics on a target's current incarnation."""
+        """Return the statistics on a target's current incarnation.
+
+        They are of a later incarnation than the registration if one is known.
+        """
         return self._find_stats(target.target, target.born)
 
+    def is_outdated(self, target: Registration) -> bool:
+        """Return whether a later incarnation than that of a registration is known.
+
+        A steward's report may show it before its first registration arrives.
+        """
+        return self.stats(target).incarnation > target.born
+
     def record_report(self, report: EngineReport, now: float) -> None:
         """Record a report that a steward has read from its engine."""
         stats = self._find_stats(report.target, report.born)
+        if stats.incarnation > report.born:
+            return
         if stats.report is None or stats.report.holdings != report.holdings:
             stats.missing.clear()
             stats.held.update(list_adapters(report.holdings))
@@ -421,7 +433,7 @@
 
     def _find_stats(self, target: TargetId, incarnation: int) -> TargetStats:
         found = self._stats.get(target)
-        if found is None or found.incarnation != incarnation:
+        if found is None or found.incarnation < incarnation:
             found = self._stats[target] = TargetStats(incarnation)
         return found
 
