Gateway: doubt the software of a target whose connections were lost

What callers saw: a stream that began at one software version went on, within the same answer, at another one (ORDER), where a server without models had crashed and was back under its id, but had not registered yet.

Cause: the chooser took the software version of the last registration for that of the process that runs there. The gateway had seen the connections to it end and new ones refused, but that only made it unattractive for 1.5 s. Streams that began there were recorded under the former version as well.

Fix: a lost or refused connection puts the registration in doubt (gateway/restarts.py). No stream goes on at a target in doubt, and a stream that begins there has no known version. The doubt ends when the same start has registered three times more, when its steward has reported the same start, or when a connection that was opened before the loss brings data, as a process can't restart without losing its connections. So a reset of single connections, which is no restart, is settled by the next data on another one.

Tests: tests/gateway/test_restarted_targets.py; test_a_stream_does_not_go_on_at_a_target_that_started_again was red before.

--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -23,6 +23,7 @@
     Unavailable,
 )
 from ibishead.gateway.recorder import RequestState
+from ibishead.gateway.restarts import RestartWatch
 from ibishead.gateway.stewards import StewardLinks, TurnOutcome
 from ibishead.gateway.tracker import TargetTracker
 from ibishead.ids import FailureDomain, SoftwareVersion
@@ -74,6 +75,7 @@
         feed: RegistryFeed,
         tracker: TargetTracker,
         stewards: StewardLinks,
+        restarts: RestartWatch,
         clock: Clock,
         draw: Callable[[], float] = random.random,
     ) -> None:
@@ -81,6 +83,7 @@
         self._feed = feed
         self._tracker = tracker
         self._stewards = stewards
+        self._restarts = restarts
         self._clock = clock
         self._draw = draw
         self._started_at = clock.monotonic()
@@ -230,7 +233,7 @@
         current = self._feed.view.get(target.target)
         if current is None or not self._may_run(request, current):
             return None
-        if self._tracker.is_outdated(current):
+        if not self._restarts.is_certain(current):
             return msgspec.structs.replace(current, software=SoftwareVersion(""))
         return current
 
@@ -246,7 +249,7 @@
         return (
             bool(origin.software)
             and target.software == origin.software
-            and not self._tracker.is_outdated(target)
+            and self._restarts.is_certain(target)
         )
 
     def _return_turn(self, request: RequestState, target: Registration) -> None:
--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from ibishead.clock import Clock, SystemClock
 from ibishead.decisions.heldbytes import AnswerBudget, AnswerHold
 from ibishead.errors import InvalidInput, LinkLost
 from ibishead.framing import MAX_EVENTS_PER_TURN, MAX_INTERIM_RESPONSES
@@ -48,6 +49,7 @@
 _received = memoryview(bytearray(READ_SIZE))
 
 _unlimited = AnswerBudget(None)
+_system_clock = SystemClock()
 
 
 class TargetConnection(asyncio.BufferedProtocol):
@@ -61,11 +63,14 @@
         owner.
     :ivar idle_time: seconds for which the target keeps the connection open when idle,
         or ``None`` if unknown, set by the owner.
+    :ivar opened_at: monotonic seconds at which it was opened, set by the owner.
+    :ivar received_at: monotonic seconds at which bytes were last received.
     :ivar earlier: latest requests whose exchanges are complete, added by the owner.
     """
 
-    def __init__(self, endpoint: str) -> None:
+    def __init__(self, endpoint: str, clock: Clock) -> None:
         self._endpoint = endpoint
+        self._clock = clock
         self._state = h11.Connection(h11.CLIENT)
         self._events: deque[h11.Event] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -81,12 +86,14 @@
         self._close_reason: str | None = None
         self._taken = 0
         self.hold: AnswerHold = _unlimited.open("", MAX_UNTAKEN_BYTES)
-        self.last_used = 0.0
+        self.last_used = self.opened_at = self.received_at = 0.0
         self.idle_time: float | None = None
         self.earlier: deque[RequestId] = deque(maxlen=REMEMBERED_REQUESTS)
 
     @classmethod
-    async def open(cls, endpoint: Endpoint) -> "TargetConnection":
+    async def open(
+        cls, endpoint: Endpoint, clock: Clock = _system_clock
+    ) -> "TargetConnection":
         """Open a connection.
 
         :raises LinkLost: the connection was refused or timed out; nothing was sent.
@@ -95,7 +102,7 @@
         try:
             opened = await connect_socket(endpoint.address, endpoint.port)
             _, connection = await loop.create_connection(
-                lambda: cls(str(endpoint)), sock=opened
+                lambda: cls(str(endpoint), clock), sock=opened
             )
         except (OSError, TimeoutError) as error:
             raise LinkLost(
@@ -121,6 +128,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle bytes that were read into the buffer."""
+        self.received_at = self._clock.monotonic()
         self.data_received(bytes(_received[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -51,6 +51,7 @@
     RequestState,
     find_rank,
 )
+from ibishead.gateway.restarts import RestartWatch
 from ibishead.gateway.sending import (
     Answered,
     CallerLeftError,
@@ -129,7 +130,10 @@
     ) -> None:
         self._shedder = shedder or ConnectionShedder()
         self._feed = feed
-        self._chooser = TargetChooser(domain, feed, tracker, stewards, clock, draw)
+        self._restarts = RestartWatch(feed.view, tracker, pool, clock)
+        self._chooser = TargetChooser(
+            domain, feed, tracker, stewards, self._restarts, clock, draw
+        )
         self._stewards = stewards
         self._quotas = quotas
         self._directory = RouteDirectory(feed, quotas)
@@ -160,6 +164,11 @@
         self._started_at = clock.monotonic()
         self._stop_at: float | None = None
 
+    @property
+    def restarts(self) -> RestartWatch:
+        """Targets that may have started again."""
+        return self._restarts
+
     def begin_drain(self, stop_at: float) -> None:
         """Accept only requests that are expected to finish in time.
 
@@ -352,6 +361,8 @@
                     self._identify(request),
                 )
                 lost = isinstance(outcome, Failed) and outcome.lost
+                if lost or (isinstance(outcome, NotRun) and outcome.lost):
+                    self._restarts.record_loss(target)
             finally:
                 if run:
                     self._ends.end_run(target, run, lost)
@@ -539,7 +550,7 @@
         request.avoid.add(target.target)
         progress, route = request.progress, request.route
         match outcome:
-            case NotRun(reason, received):
+            case NotRun(reason, received, _):
                 request.last_reason = reason
                 request.refusals += 1
                 out_of_budget = (
--- a/src/ibishead/gateway/pool.py
+++ b/src/ibishead/gateway/pool.py
@@ -32,6 +32,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle: dict[str, list[TargetConnection]] = {}
+        #: All connections by address, lent ones too; closed ones are removed later.
+        self._opened: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
     async def acquire(self, address: str) -> TargetConnection:
@@ -54,7 +56,10 @@
         :raises LinkLost: the connection could not be opened.
         """
         self.opened += 1
-        return await TargetConnection.open(parse_address(address))
+        connection = await TargetConnection.open(parse_address(address), self._clock)
+        connection.opened_at = self._clock.monotonic()
+        self._opened.setdefault(address, []).append(connection)
+        return connection
 
     def release(self, address: str, connection: TargetConnection) -> None:
         """Return a connection to the pool after a complete exchange."""
@@ -74,6 +79,24 @@
             if not self._idle[address]:
                 del self._idle[address]
 
+        for address, opened in list(self._opened.items()):
+            self._opened[address] = [c for c in opened if not c.closed]
+            if not self._opened[address]:
+                del self._opened[address]
+
+    def has_survivor(self, address: str, at: float, settle: float) -> bool:
+        """Return whether the process at an address has not ended since a time.
+
+        A connection opened before that time shows it by data received after it.
+
+        :param at: monotonic seconds.
+        :param settle: seconds after that time for which data may have been sent before.
+        """
+        return any(
+            connection.opened_at < at and connection.received_at > at + settle
+            for connection in self._opened.get(address, ())
+        )
+
     def close_address(self, address: str) -> None:
         """Close all idle connections to an address."""
         for connection in self._idle.pop(address, []):
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -93,10 +93,12 @@
     """It is certain that the target did not and will not run the request.
 
     :param received: the target has received the request.
+    :param lost: no connection to the target could be opened.
     """
 
     reason: str
     received: bool
+    lost: bool = False
 
 
 @dataclass(frozen=True)
@@ -225,7 +227,7 @@
             connection = await self._pool.acquire(target.address)
         except LinkLost as error:
             self._tracker.mark_unreachable(stats, self._clock.monotonic())
-            return NotRun(error.message, received=False)
+            return NotRun(error.message, received=False, lost=True)
         if self._tracker.find_rest(target, self._clock.monotonic()):
             # The rest began while the request waited for its turn or connection.
             self._pool.release(target.address, connection)
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -180,6 +180,7 @@
             "refused_in_rest": self._tracker.refused_in_rest,
             "invalid_slowdowns": self._tracker.invalid_slowdowns,
             "quota_keeper_linked": self._quotas.keeper is not None,
+            "targets_in_doubt": len(self._pipeline.restarts),
             "target_crashes": self._ends.count,
             "prompt_parts_known": len(self._part_uses),
             "prompt_parts_blocked": len(self.feed.blocked),
@@ -304,6 +305,7 @@
                 await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
                 self._pool.close_expired()
                 self._tracker.retain({found.target for found in self.feed.view})
+                self._pipeline.restarts.retain_known()
                 self._tracker.rests.remove_ended(self._clock.monotonic())
 
     async def _measure_load(self) -> None:
--- a/src/ibishead/gateway/tracker.py
+++ b/src/ibishead/gateway/tracker.py
@@ -156,6 +156,11 @@
         """
         return self.stats(target).incarnation > target.born
 
+    def has_reported(self, target: Registration, since: float) -> bool:
+        """Return whether a steward has reported a start of its engine since a time."""
+        stats = self.stats(target)
+        return stats.incarnation == target.born and stats.report_at > since
+
     def record_report(self, report: EngineReport, now: float) -> None:
         """Record a report that a steward has read from its engine."""
         stats = self._find_stats(report.target, report.born)
--- a/tests/gateway/test_restarted_targets.py
+++ b/tests/gateway/test_restarted_targets.py
@@ -3,22 +3,54 @@
 import msgspec
 import pytest
 from tests.gateway.test_pipeline import (
+    ONCE,
     RESUMABLE,
     STREAM,
     WHOLE_STREAM,
     Fixture,
     UnresponsiveSteward,
+    reset,
+    respond,
     stream_and_reset,
     stream_completely,
 )
 
+from ibishead.clock import ManualClock
 from ibishead.errors import LinkLost
+from ibishead.gateway.pool import parse_address
+from ibishead.gateway.restarts import CONFIRMING_STATEMENTS, RestartWatch
 from ibishead.gateway.stewards import TurnOutcome
-from ibishead.ids import ModelName, RequestId, SoftwareVersion, TargetId
+from ibishead.gateway.tracker import TargetTracker
+from ibishead.ids import (
+    FailureDomain,
+    ModelName,
+    RequestId,
+    ServiceName,
+    SoftwareVersion,
+    TargetId,
+)
 from ibishead.routing.messages import EngineReport
-from ibishead.routing.targets import AdapterRef, Holding
+from ibishead.routing.targets import (
+    AdapterRef,
+    Holding,
+    Registration,
+    TargetState,
+    TargetView,
+)
+from ibishead.web import WebServer
 
 HOLDINGS = (Holding(ModelName("m"), 1, (AdapterRef("a1", 1),)),)
+TARGET = Registration(
+    TargetId("t0"),
+    ServiceName("s"),
+    "127.0.0.1:9",
+    FailureDomain("a"),
+    4,
+    TargetState.READY,
+    1,
+    5,
+    software=SoftwareVersion("v1"),
+)
 
 
 class RestartingEngines(UnresponsiveSteward):
@@ -124,3 +156,120 @@
         assert fixture.tracker.stats(target).report is not None
         report_start(fixture, target.target, 1)
         assert fixture.tracker.stats(target).report.born == 2
+
+
+class Surviving:
+    """A pool with a connection that survives from a given time on."""
+
+    def __init__(self, clock: ManualClock, since: float) -> None:
+        self._clock = clock
+        self._since = since
+
+    def has_survivor(self, address: str, at: float, settle: float) -> bool:
+        return self._clock.monotonic() >= max(self._since, at + settle)
+
+
+NEVER = float("inf")
+ONCE_MORE = CONFIRMING_STATEMENTS
+
+
+@pytest.mark.parametrize(
+    ("losses", "now", "changes", "survivor", "report", "certain"),
+    [
+        ((), 10.0, {}, NEVER, None, True),
+        ((10.0,), 10.0, {}, 0.0, None, False),
+        ((10.0,), 10.2, {}, 0.0, None, True),
+        ((10.0,), 99.0, {}, NEVER, None, False),
+        ((10.0,), 12.0, {"sequence": 5 + ONCE_MORE - 1}, NEVER, None, False),
+        ((10.0,), 12.0, {"sequence": 5 + ONCE_MORE}, NEVER, None, True),
+        ((10.0,), 10.0, {"born": 2, "sequence": 1}, NEVER, None, True),
+        ((10.0,), 12.0, {}, NEVER, (1, 10.4), False),
+        ((10.0,), 12.0, {}, NEVER, (1, 10.6), True),
+        ((10.0,), 12.0, {}, NEVER, (2, 10.6), False),
+    ],
+)
+def test_a_lost_connection_puts_a_registration_in_doubt(
+    losses, now, changes, survivor, report, certain
+):
+    """Streams went on at a target that had started again with other software."""
+    clock, view = ManualClock(), TargetView()
+    tracker = TargetTracker()
+    watch = RestartWatch(view, tracker, Surviving(clock, survivor), clock)
+    view.merge(TARGET, 0.0)
+    for at in losses:
+        clock.step(at - clock.monotonic())
+        watch.record_loss(TARGET)
+    clock.step(now - clock.monotonic())
+    if report is not None:
+        born, at = report
+        tracker.record_report(EngineReport(TARGET.target, born, HOLDINGS), at)
+    view.merge(msgspec.structs.replace(TARGET, **changes), now)
+    assert watch.is_certain(view.get(TARGET.target)) == certain
+    watch.retain_known()
+    assert len(watch) == (losses != () and not certain)
+
+
+def test_further_losses_prolong_a_doubt():
+    """A connection opened after the first loss says nothing of the start before it."""
+    clock, view = ManualClock(), TargetView()
+    pool = Surviving(clock, NEVER)
+    watch = RestartWatch(view, TargetTracker(), pool, clock)
+    view.merge(TARGET, 0.0)
+    clock.step(10.0)
+    watch.record_loss(TARGET)
+    clock.step(1.0)
+    view.merge(msgspec.structs.replace(TARGET, sequence=7), 11.0)
+    watch.record_loss(TARGET)
+    view.merge(msgspec.structs.replace(TARGET, sequence=8), 11.0)
+    assert not watch.is_certain(view.get(TARGET.target))
+    asked = []
+    pool.has_survivor = lambda _, at, settle: asked.append(at) or False
+    watch.is_certain(view.get(TARGET.target))
+    assert asked == [10.0]
+
+
+async def test_a_stream_does_not_go_on_at_a_target_that_started_again():
+    """Until it has registered again, its registration names the former software."""
+    async with Fixture(
+        STREAM, stream_and_reset, stream_completely, software=("v1", "v1"), **RESUMABLE
+    ) as fixture:
+        for server in fixture._targets:
+            await server.stop(0.0)
+        await fixture.ask(**{"request-id": "r0"})
+        for target in fixture.feed.view:
+            restarted = WebServer(fixture._run_behaviour)
+            await restarted.start(parse_address(target.address))
+            fixture._targets.append(restarted)
+            fixture.tracker.stats(target).unreachable_until = 0.0
+        with pytest.raises(LinkLost):
+            await fixture.ask(**{"deadline-ms": "8000"})
+        assert len(fixture.reached) == 1
+        assert await fixture.origins.find(RequestId("r1")) is None
+
+
+@pytest.mark.parametrize("end", [reset, None])
+async def test_a_target_that_resets_or_refuses_connections_is_in_doubt(end):
+    async with Fixture(ONCE, end, software=("v1",)) as fixture:
+        if end is None:
+            await fixture._targets[0].stop(0.0)
+        await fixture.ask()
+        (target,) = fixture.feed.view
+        assert not fixture.pipeline.restarts.is_certain(target)
+
+
+@pytest.mark.parametrize(
+    ("opened_at", "received_at", "survives"),
+    [(1.0, 3.0, True), (1.0, 2.05, False), (1.0, 1.5, False), (2.5, 3.0, False)],
+)
+async def test_data_on_an_earlier_connection_shows_that_a_process_runs(
+    opened_at, received_at, survives
+):
+    """Data on a later one may come from another start."""
+    async with Fixture(ONCE, respond, software=("v1",)) as fixture:
+        (target,) = fixture.feed.view
+        connection = await fixture.pool.open(target.address)
+        connection.opened_at, connection.received_at = opened_at, received_at
+        assert fixture.pool.has_survivor(target.address, 2.0, 0.1) == survives
+        connection.close()
+        fixture.pool.close_expired()
+        assert not fixture.pool.has_survivor(target.address, 2.0, 0.1)
