Web client: close on bytes after an answer, and compare request ids

What operators saw: nothing; a steward would have read each later answer of its engine one too late, until the connection broke.

ClientConnection took whatever came next on a kept connection for the next answer. An engine's second copy of an answer thus stood for the next report or order; only the number of accepted orders kept a steward from acting on it.

Fix: bytes that follow a complete answer, or arrive while no request is open, close the connection. This holds for all users of the client, also an agent's pooled connections to its target. A steward's reports and orders carry a request id, and an answer that names another one counts as lost, so that an order's outcome is unknown and settled by the number of accepted orders.

Tests: tests/onplatform/test_engine_client.py, three red before.

--- a/src/ibishead/platform/engines.py
+++ b/src/ibishead/platform/engines.py
@@ -1,7 +1,9 @@
 """Client of the platform's model engines: sends orders and reads reports."""
 
 import asyncio
+import itertools
 import logging
+import secrets
 from dataclasses import replace
 
 from ibishead.clock import Clock
@@ -58,6 +60,8 @@
         self._clock = clock
         self._connection: ClientConnection | None = None
         self._rest = RestPeriod()
+        self._prefix = secrets.token_hex(4)
+        self._numbers = itertools.count(1)
 
     def find_rest(self) -> float:
         """Return the seconds for which the engine has asked for no requests."""
@@ -70,7 +74,7 @@
         :raises LinkLost: the engine doesn't answer, or its answer can't be decoded.
         """
         status, body, headers = await self._request(
-            "GET", "/api/report", (), b"", ANSWER_TIMEOUT_SECONDS
+            "GET", "/api/report", self._identify(), b"", ANSWER_TIMEOUT_SECONDS
         )
         if status != 200:
             raise LinkLost(
@@ -107,6 +111,7 @@
         :param timeout: seconds to wait for an answer; then the outcome is unknown.
         """
         headers: Headers = (
+            *self._identify(),
             ("content-type", "application/json"),
             ("expect-instance", order.target),
         )
@@ -123,6 +128,10 @@
         """End the rest, as the engine that asked for it has been replaced."""
         self._rest = RestPeriod()
 
+    def _identify(self) -> Headers:
+        """Return the header that names a new request, which its answer may repeat."""
+        return (("request-id", f"{self._prefix}{next(self._numbers):08x}"),)
+
     def _record_rest(self, status: int, headers: Headers) -> None:
         seconds = read_retry_after(headers)
         if status == OVERLOADED_STATUS and is_valid_rest(seconds):
@@ -152,6 +161,7 @@
                 if connection is None or connection.closed:
                     connection = await self._open(timeout)
                 answer = await connection.ask(method, path, headers, body)
+                _check_own(answer.headers, headers)
                 content = await answer.read(MAX_ANSWER_BYTES)
         except TimeoutError as error:
             raise LinkLost(
@@ -164,3 +174,19 @@
         self._connection = connection
         self._record_rest(answer.status, answer.headers)
         return answer.status, content, answer.headers
+
+
+def _check_own(answered: Headers, sent: Headers) -> None:
+    """Check that an answer names no other request than the one that was sent.
+
+    :raises LinkLost: it does, such as a late second answer to an earlier request.
+    """
+    named, own = find_header(answered, "request-id"), find_header(sent, "request-id")
+    if named is not None and named != own:
+        logger.warning(
+            "response does not name its request",
+            extra={"request": own, "named": named},
+        )
+        raise LinkLost(
+            "the engine's answer names another request", "check the engine's log"
+        )
--- a/src/ibishead/webclient.py
+++ b/src/ibishead/webclient.py
@@ -1,9 +1,12 @@
-"""An HTTP/1.1 client connection, built on h11 and asyncio streams."""
+"""An HTTP/1.1 client connection, built on h11 and asyncio streams.
+
+Bytes that follow a complete answer belong to no request and close the connection.
+"""
 
 import asyncio
 import contextlib
 import ssl
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import h11
@@ -61,6 +64,24 @@
                 await self.read(MAX_DISCARDED_BYTES)
 
 
+class _Protocol(asyncio.StreamReaderProtocol):
+    """The protocol of a stream reader, which tells when bytes arrive.
+
+    :ivar received: number of bytes received.
+    :ivar on_data: called after bytes were received.
+    """
+
+    def __init__(self, reader: asyncio.StreamReader) -> None:
+        super().__init__(reader)
+        self.received = 0
+        self.on_data: Callable[[], None] = lambda: None
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        self.received += len(data)
+        self.on_data()
+
+
 class ClientConnection:
     """A connection to a server that carries one request at a time.
 
@@ -69,9 +90,16 @@
     """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        protocol: _Protocol,
+        host: str,
     ) -> None:
         self._reader = reader
+        self._protocol = protocol
+        protocol.on_data = self._check_expected
+        self._taken = 0
         self._writer = writer
         self._host = host
         self._state = h11.Connection(h11.CLIENT)
@@ -90,7 +118,11 @@
         """
         try:
             async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(
+                loop = asyncio.get_running_loop()
+                reader = asyncio.StreamReader()
+                protocol = _Protocol(reader)
+                transport, _ = await loop.create_connection(
+                    lambda: protocol,
                     endpoint.address,
                     endpoint.port,
                     ssl=tls,
@@ -101,7 +133,8 @@
                 f"no connection to {endpoint}: {error or type(error).__name__}",
                 "check that the server is running",
             ) from error
-        return cls(reader, writer, str(endpoint))
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return cls(reader, writer, protocol, str(endpoint))
 
     @property
     def closed(self) -> bool:
@@ -175,7 +208,11 @@
                 raise self._close_as_lost("closed before the end of the body")
         except (ConnectionError, h11.RemoteProtocolError) as error:
             raise self._close_as_lost(error) from error
-        if self._state.our_state is h11.DONE and self._state.their_state is h11.DONE:
+        complete = (
+            self._state.our_state is h11.DONE and self._state.their_state is h11.DONE
+        )
+        unasked = self._state.trailing_data[0] or self._protocol.received > self._taken
+        if complete and not unasked:
             self._state.start_next_cycle()
             self.idle = True
         else:
@@ -186,13 +223,19 @@
         if self._parsed % MAX_EVENTS_PER_TURN == 0:
             await asyncio.sleep(0)
         while (event := self._state.next_event()) is h11.NEED_DATA:
-            self._state.receive_data(await self._reader.read(_READ_SIZE))
+            data = await self._reader.read(_READ_SIZE)
+            self._taken += len(data)
+            self._state.receive_data(data)
         if not isinstance(event, h11.Event):
             raise h11.RemoteProtocolError(
                 "the server switched protocols or paused the connection"
             )
         return event
 
+    def _check_expected(self) -> None:
+        if self.idle:
+            self.close()
+
     def _close_as_lost(self, cause: object) -> LinkLost:
         self.close()
         return LinkLost(
--- a/tests/onplatform/test_engine_client.py
+++ b/tests/onplatform/test_engine_client.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
+import re
 
 import pytest
 
@@ -96,6 +98,75 @@
         assert (await fixture.client.read_state()).born == REPORT["born"]
 
 
+def encode(status: int, request: str | None, body: bytes) -> bytes:
+    named = f"Request-Id: {request}\r\n" if request is not None else ""
+    head = f"HTTP/1.1 {status} X\r\n{named}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+class DoublingEngine:
+    """Sends each answer a second time, before or after the next request arrives.
+
+    :ivar connections: number of connections that were opened.
+    """
+
+    def __init__(self, early: bool, named: bool) -> None:
+        self._early = early
+        self._named = named
+        self._orders = itertools.count(1)
+        self.connections = 0
+
+    async def __aenter__(self) -> PlatformEngine:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return PlatformEngine(Endpoint("127.0.0.1", port), SystemClock())
+
+    async def __aexit__(self, *_) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        late = b""
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+        ):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                writer.write(late)
+                found = re.search(r"request-id: (\S+)", head)
+                request = found.group(1) if found and self._named else None
+                body = json.dumps({**REPORT, "seq": next(self._orders)}).encode()
+                answer = encode(200, request, body)
+                writer.write(answer)
+                late = b"" if self._early else answer
+                if self._early:
+                    await asyncio.sleep(0.02)
+                    writer.write(answer)
+
+
+@pytest.mark.parametrize(("early", "named"), [(True, False), (True, True)])
+async def test_a_second_answer_before_the_next_request_closes_the_connection(
+    early, named
+):
+    """Each later answer was read in place of the next one."""
+    engine = DoublingEngine(early, named)
+    async with engine as client:
+        for number in (1, 2, 3):
+            assert (await client.read_state()).sequence == number
+            await asyncio.sleep(0.05)
+        assert engine.connections == 3
+
+
+async def test_a_second_answer_after_the_next_request_is_not_taken_for_its_own():
+    """An engine's state was known one report late."""
+    engine = DoublingEngine(early=False, named=True)
+    async with engine as client:
+        assert (await client.read_state()).sequence == 1
+        with pytest.raises(LinkLost, match="names another request"):
+            await client.read_state()
+        assert (await client.read_state()).sequence == 3
+
+
 async def ask(answer) -> None:
     with contextlib.suppress(LinkLost):
         await answer
