--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -117,7 +117,9 @@
                     if current is not None:
                         return current
                     self._return_turn(request, target)
-                    request.last_reason = "the engine started again during the wait"
+                    request.last_reason = (
+                        "the engine left or started again during the wait"
+                    )
                 case TurnOutcome.UNRESPONSIVE:
                     request.last_reason = "the engine's steward did not respond"
                 case TurnOutcome.LATE:
--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -77,7 +77,8 @@
         self._transport: asyncio.Transport | None = None
         self._request: h11.Request | None = None
         self._in_exchange = False
-        #: Whether the current response is no late one that the owner may skip.
+        #: Whether the current response can't be skipped, as no earlier request could be
+        #: answered late or the owner has begun to read it.
         self._accepted = False
         self._responded_early = False
         #: Whether received bytes are left to be parsed in a later turn.
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -294,7 +294,7 @@
         if head.own:
             self._on_head(call, state.target, head, progress)
         if not head.echoed:
-            return Failed(f"a response with status {status} that names another request")
+            return Failed(f"a response with status {status} that isn't to this request")
         state.connection.idle_time = head.idle_time
         if head.load is not None:
             self._tracker.record_load(state.stats, head.load, self._clock.monotonic())
