--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -140,6 +140,25 @@
             None,
         ),
     ],
+    ids=[
+        "length",
+        "several",
+        "interim",
+        "chunks",
+        "stream",
+        "stream without length",
+        "refused",
+        "refused twice",
+        "reset",
+        "too many",
+        "unknown request",
+        "no request",
+        "refusal without request",
+        "no length",
+        "last of its connection",
+        "cut",
+        "too long",
+    ],
 )
 async def test_the_response_after_a_late_one(kind, data, behaviour, status, body):
     """The caller's own response followed a late one and was thrown away."""
