Gateway: list each send of a request in its log line

The line of a rejected or failed request had the number of uncertain sends and of refusals, and the last target.

sent_to has the target of each send, the status of its response and its end. Test: test_the_line_of_a_failed_request_names_its_sends. No decision is changed.

--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -168,6 +168,9 @@
                 "first_request": request.call.first_request,
                 "sends": progress.uncertain_sends,
                 "refusals": request.refusals,
+                "sent_to": ", ".join(r.describe() for r in progress.records)
+                if not routine
+                else None,
                 "events_after": progress.last_event,
                 "framing": progress.framing.value if progress.framing else None,
                 "partial_bytes": progress.partial_bytes,
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -4,7 +4,8 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
 from typing import TypeAlias
 
 from ibishead.clock import Clock
@@ -29,6 +30,8 @@
     "NotRun",
     "Outcome",
     "Progress",
+    "SendEnd",
+    "SendRecord",
     "Sender",
 ]
 
@@ -117,6 +120,31 @@
 Outcome: TypeAlias = Answered | NotRun | Failed
 
 
+class SendEnd(Enum):
+    """How a send ended."""
+
+    PENDING = "pending"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+
+
+@dataclass
+class SendRecord:
+    """A send that was begun over a connection.
+
+    :ivar status: status of the target's response, ``None`` before it.
+    """
+
+    target: TargetId
+    status: int | None = None
+    end: SendEnd = SendEnd.PENDING
+
+    def describe(self) -> str:
+        """Return the target, the status and the end of the send."""
+        return f"{self.target} {self.status or '-'} {self.end.value}"
+
+
 @dataclass
 class Progress:
     """Progress of a request over all its sends.
@@ -124,6 +152,7 @@
     :ivar last_event: id of the last event relayed to the caller.
     :ivar uncertain_sends: sends after which the request may have run.
     :ivar sending: a send is in progress and its outcome is not known yet.
+    :ivar records: all sends that were begun over a connection, for the log.
     :ivar response_started: monotonic seconds at which the first response began, 0
         before.
     :ivar max_gap: longest gap in seconds between events of the current target's
@@ -150,6 +179,7 @@
     last_event: str | None = None
     uncertain_sends: int = 0
     sending: bool = False
+    records: list[SendRecord] = field(default_factory=list)
     response_started: float = 0.0
     max_gap: float = 0.0
     event_count: int = 0
@@ -233,6 +263,8 @@
             self._pool.release(target.address, connection)
             return NotRun("the target has asked for rest", received=False)
         progress.sending = True
+        record = SendRecord(target.target)
+        progress.records.append(record)
         self._tracker.begin_request(stats, call.prompt_tokens)
         started = self._clock.monotonic()
         caller = identity.customer or progress.exchange.request.peer
@@ -256,11 +288,15 @@
         now = self._clock.monotonic()
         match outcome:
             case Answered():
+                record.end = SendEnd.ANSWERED
                 progress.failed, progress.succeeded = state.failed, state.succeeded
                 self._tracker.record_duration(
                     target.service, stats, now - started, route.name
                 )
+            case NotRun():
+                record.end = SendEnd.NOT_RUN
             case Failed():
+                record.end = SendEnd.FAILED
                 progress.failed = True
                 progress.uncertain_sends += 1
         if progress.failed is not None:
@@ -290,6 +326,7 @@
         except TimeoutError:
             return Failed("the target sent no response headers in time")
         status = head.status
+        progress.records[-1].status = status
         progress.framing = head.framing
         if head.own:
             self._on_head(call, state.target, head, progress)
--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -11,8 +11,11 @@
     WHOLE_STREAM,
     Behaviour,
     Fixture,
+    fail_stamped,
+    never_respond,
     refuse,
     refuse_with_status,
+    reset,
     respond,
     stream_completely,
     stream_unframed,
@@ -218,3 +221,21 @@
         "t0",
         200,
     )
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "sent_to"),
+    [
+        (refuse_with_status(503), "t0 503 not_run"),
+        (reset, "t0 - failed"),
+        (fail_stamped(503), "t0 503 failed"),
+        (never_respond, "t0 - pending"),
+    ],
+)
+async def test_the_line_of_a_failed_request_names_its_sends(caplog, behaviour, sent_to):
+    """Refusals, failures and time limits of a target looked alike in the log."""
+    async with Fixture(ONCE, behaviour, software=("v1",)) as fixture:
+        with caplog.at_level(logging.INFO):
+            await fixture.ask(**{"deadline-ms": "300"})
+    (line,) = (r for r in caplog.records if r.message == "request ended")
+    assert line.sent_to == sent_to
