--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -392,6 +392,8 @@
         self.restart_seconds = 1.0
         #: Limits of each host in its settings file.
         self.host_limits: dict[str, float] = {}
+        #: Bounds in those files, besides the usual ones.
+        self.bounds: dict[str, float] = {}
         self.edge_hosts = [f"{self._prefix}.{n}" for n in (1, 2, 3, 4)]
         self.side_hosts = [f"{self._prefix}.{11 + n}" for n in range(engines)]
         self.registries = [Endpoint(a, CONTROL) for a in self.edge_hosts]
@@ -459,7 +461,7 @@
             "data_dir": str(data) if kind == "registry" else None,
             "app": f"{address}:{ENGINE_PORT}",
             "backend": "plans",
-            "bounds": {"catch_up_s": 4, "grace_s": 8},
+            "bounds": {"catch_up_s": 4, "grace_s": 8, **self.bounds},
             "limits": self.host_limits,
         }
         path = self.folder / f"{kind}-{host}.json"
