--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -156,6 +156,7 @@
         self._ends = ends
         self._clock = clock
         self._retry_share = share
+        self._metrics = metrics
         self._recorder = RequestRecorder(callers, feed, metrics, clock)
         self._draw = draw
         self._budgets: dict[ServiceName, RetryBudget] = {}
@@ -446,7 +447,11 @@
             return None
         (service,) = services
         software = self._feed.view.find_only_version(service, now)
-        return StreamOrigin(service, software) if software is not None else None
+        if software is None:
+            return None
+        request.origin_inferred = True
+        self._metrics.count_event("stream_origin_inferred")
+        return StreamOrigin(service, software)
 
     def _make_origin_error(self, reason: str) -> IbisheadError:
         return Unavailable(
--- a/src/ibishead/gateway/recorder.py
+++ b/src/ibishead/gateway/recorder.py
@@ -57,6 +57,8 @@
     :ivar work: what the request is expected to cost an engine.
     :ivar answer_context: what its answer's length is estimated from, ``None`` if it is
         not estimated.
+    :ivar origin_inferred: whether the origin of the stream that it resumes was inferred
+        from the versions that served, not found.
     :ivar chain: the parts of its prompt as an engine keeps them.
     :ivar answer_tokens: tokens of its answer as far as it was received, 0 if unknown.
     """
@@ -82,6 +84,7 @@
     answer_context: AnswerContext | None = None
     answer_tokens: int = 0
     chain: PartChain = ()
+    origin_inferred: bool = False
 
     @property
     def rank(self) -> int:
@@ -165,6 +168,8 @@
                 "target": progress.target,
                 "software": progress.software,
                 "origin": progress.origin.software if progress.origin else None,
+                "origin_inferred": request.origin_inferred,
+                "resumed_after": request.call.resume_after,
                 "first_request": request.call.first_request,
                 "sends": progress.uncertain_sends,
                 "refusals": request.refusals,
