--- /dev/null
+++ b/tests/onplatform/test_restarted_versions.py
@@ -0,0 +1,164 @@
+"""Streams resumed after engines were replaced by another version, with real programs.
+
+By hand, more seeds:
+``RESTART_SEEDS=50 pytest tests/onplatform/test_restarted_versions.py``.
+"""
+
+import asyncio
+import contextlib
+import os
+import random
+from enum import Enum
+
+import pytest
+from tests.onplatform.standin import MODEL, Cluster
+
+from ibishead.errors import LinkLost
+
+SEEDS = range(int(os.environ.get("RESTART_SEEDS", "1")))
+EVENTS, RECEIVED, STREAMS = 30, 5, 4
+
+#: Seconds for which streams are resumed after the last change; longer than a gateway
+#: waits for registrations after its start.
+SECONDS = 6.0
+
+
+class Kill(Enum):
+    """When all registries and gateways are killed, by the release of the version."""
+
+    NEVER = "never"
+    BEFORE = "before"
+    DURING = "during"
+    AFTER = "after"
+
+
+async def restart_core(cluster: Cluster) -> None:
+    """Kill all registries and gateways at once, and start them again."""
+    killed = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
+    for program in killed:
+        program.kill()
+    for program in killed:
+        program.start()
+
+
+async def release(cluster, kill, pause, silence):
+    """Replace all engines by another version.
+
+    :param pause: seconds between two changes.
+    :param silence: seconds until a new engine registers.
+    """
+    if kill is Kill.BEFORE:
+        await restart_core(cluster)
+        await asyncio.sleep(pause)
+    for number, engine in enumerate(cluster.engines):
+        if kill is Kill.DURING and number == 1:
+            await restart_core(cluster)
+        await engine.lose_power()
+        await asyncio.sleep(pause)
+        engine.software, engine.announces = "v2", False
+        await engine.start()
+        await asyncio.sleep(silence)
+        engine.announces = True
+        await engine.announce()
+    if kill is Kill.AFTER:
+        await restart_core(cluster)
+
+
+async def resume(cluster, stream, *, named) -> str | None:
+    """Resume a stream, and return the version that went on with it, if any did."""
+    headers = {"last_event_id": str(RECEIVED)} | ({"resumes": stream} if named else {})
+    gateway = random.choice(cluster.gateways)
+    with contextlib.suppress(LinkLost, TimeoutError):
+        async with asyncio.timeout(3.0):
+            model = f"{MODEL}/warm"
+            status, body, _ = await cluster.request("advice", gateway, model, **headers)
+        if status == 200 and body:
+            return body.split()[4].decode()
+    return None
+
+
+async def resume_repeatedly(cluster, stream, named, versions):
+    while True:
+        versions.append(await resume(cluster, stream, named=named))
+        await asyncio.sleep(0.1)
+
+
+async def begin_streams(cluster, *, keeps_name=False) -> list[str]:
+    """Begin streams at engines of the first version."""
+    for engine in cluster.engines:
+        engine.names_software, engine.keeps_name = True, keeps_name
+        engine.events = EVENTS
+    await cluster.wait_ready()
+    model = f"{MODEL}/warm"
+    return [
+        await cluster.begin_stream("advice", gateway, model, RECEIVED)
+        for gateway in (cluster.gateways * STREAMS)[:STREAMS]
+    ]
+
+
+async def resume_around_release(folder, kill, *, keeps_name, named, pause, silence):
+    """Resume streams around a release, and return the versions that went on."""
+    versions: list[str | None] = []
+    async with Cluster(folder) as cluster:
+        streams = await begin_streams(cluster, keeps_name=keeps_name)
+        tasks = [
+            asyncio.create_task(resume_repeatedly(cluster, stream, named, versions))
+            for stream in streams
+        ]
+        await release(cluster, kill, pause, silence)
+        await asyncio.sleep(SECONDS)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+    counts = {version: versions.count(version) for version in set(versions)}
+    print(kill, f"{keeps_name=} {named=} {pause=:.1f} {silence=:.1f}", counts)
+    return set(versions)
+
+
+@pytest.mark.parametrize(
+    ("kill", "keeps_name", "named", "silence"),
+    [
+        (Kill.AFTER, False, False, 0.0),
+        (Kill.DURING, False, False, 0.0),
+        (Kill.BEFORE, False, False, 0.0),
+        (Kill.NEVER, True, False, 0.0),
+        (Kill.BEFORE, True, True, 1.2),
+        (Kill.AFTER, True, True, 1.2),
+    ],
+)
+async def test_a_stream_is_not_resumed_at_another_version_after_a_restart(
+    tmp_path, kill, keeps_name, named, silence
+):
+    """What the restarted programs have forgotten would be taken for never run."""
+    versions = await resume_around_release(
+        tmp_path, kill, keeps_name=keeps_name, named=named, pause=0.3, silence=silence
+    )
+    assert "v2" not in versions
+
+
+async def test_a_stream_of_the_only_version_is_resumed_after_a_restart(tmp_path):
+    """Callers that don't name their first request would be refused for long."""
+    async with Cluster(tmp_path) as cluster:
+        stream, *_ = await begin_streams(cluster)
+        await restart_core(cluster)
+        async with asyncio.timeout(20.0):
+            while (version := await resume(cluster, stream, named=False)) is None:
+                await asyncio.sleep(0.1)
+    assert version == "v1"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_resumed_streams_keep_their_version_around_random_releases(
+    tmp_path, seed
+):
+    """Some order of a release and a kill would join the parts of two versions."""
+    draw = random.Random(seed)
+    versions = await resume_around_release(
+        tmp_path,
+        draw.choice(list(Kill)),
+        keeps_name=draw.random() < 0.5,
+        named=draw.random() < 0.3,
+        pause=draw.uniform(0.0, 1.0),
+        silence=draw.choice((0.0, draw.uniform(0.0, 1.5))),
+    )
+    assert "v2" not in versions
