Registries: record in the log which software versions have served

Cause: the gateway inferred the origin of such a stream from the registrations that it knew. Those are soft state: what ended with the processes, or was replaced by the next start of a target, was taken for never served. Waiting 3 s after the start tells that a gateway has heard what serves now, not what has served.

The leader of the registries' log now records each service and version as soon as it sees a registration of them, and removes it once it has not seen one, as leader, for the longest time in which a stream may be resumed. A gateway infers an origin only if a registry tells, confirmed by a quorum, that one version alone is recorded, and all that it knows itself agrees. Without an answer in 0.5 s the request is refused as not run. The wait after the start goes away.

Tests: the case of a gateway that has just started (age 0) is replaced by cases in which the log knows a version that the gateway doesn't, which is what it guarded against; a young gateway with a confirmed answer may infer now. The case without a link is a test of its own.

--- a/src/ibishead/decisions/origins.py
+++ b/src/ibishead/decisions/origins.py
@@ -5,12 +5,26 @@
 from ibishead.ids import RequestId
 from ibishead.routing.targets import StreamOrigin
 
-__all__ = ["MAX_ORIGINS", "OriginTable"]
+__all__ = ["MAX_ORIGINS", "OriginTable", "compute_lifetime"]
 
 #: Maximum number of streams that are kept. Beyond it, those that expire first are
 #: removed.
 MAX_ORIGINS = 50_000
 
+#: Seconds for which an origin is kept after the caller's deadline, and for a caller
+#: without a deadline.
+EXPIRY_MARGIN_SECONDS = 5.0
+DEFAULT_LIFETIME_SECONDS = 120.0
+
+
+def compute_lifetime(timeout: float | None) -> float:
+    """Return the seconds for which a stream may be resumed after its begin.
+
+    :param timeout: seconds until the caller's deadline, if it has one.
+    """
+    lifetime = DEFAULT_LIFETIME_SECONDS if timeout is None else timeout
+    return lifetime + EXPIRY_MARGIN_SECONDS
+
 
 class OriginTable:
     """Maps requests that brought the first event of a stream to what began it."""
--- a/src/ibishead/gateway/origins.py
+++ b/src/ibishead/gateway/origins.py
@@ -14,7 +14,7 @@
 
 from ibishead.clock import Clock
 from ibishead.decisions.holders import rank_holders
-from ibishead.decisions.origins import OriginTable
+from ibishead.decisions.origins import OriginTable, compute_lifetime
 from ibishead.ids import FailureDomain, HostId, RequestId
 from ibishead.messages import Message
 from ibishead.metrics import Metrics
@@ -38,11 +38,6 @@
 ANSWER_TIMEOUT_SECONDS = 0.2
 MAX_QUESTIONS = 2
 
-#: Seconds for which an origin is kept after the caller's deadline, and for a caller
-#: without a deadline.
-EXPIRY_MARGIN_SECONDS = 5.0
-DEFAULT_LIFETIME_SECONDS = 120.0
-
 
 class Holders(Protocol):
     """Links to the hosts that keep the origins."""
@@ -72,8 +67,7 @@
 
         :param timeout: seconds until the caller's deadline, if it has one.
         """
-        lifetime = DEFAULT_LIFETIME_SECONDS if timeout is None else timeout
-        lifetime += EXPIRY_MARGIN_SECONDS
+        lifetime = compute_lifetime(timeout)
         now = self._clock.monotonic()
         self._own.record(stream, origin, now + lifetime, now)
         for host in self._rank_holders(stream, COPIES):
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -34,13 +34,10 @@
     TargetDialect,
     TargetHead,
 )
-from ibishead.gateway.choosing import (
-    DISCOVERY_SECONDS,
-    MIN_RETRY_AFTER_SECONDS,
-    TargetChooser,
-)
+from ibishead.gateway.choosing import MIN_RETRY_AFTER_SECONDS, TargetChooser
 from ibishead.gateway.directory import RouteDirectory
 from ibishead.gateway.ends import TargetEnds
+from ibishead.gateway.inference import OriginInference
 from ibishead.gateway.origins import StreamOrigins
 from ibishead.gateway.pool import ConnectionPool
 from ibishead.gateway.quotas import QuotaClient
@@ -131,6 +128,7 @@
         self._shedder = shedder or ConnectionShedder()
         self._feed = feed
         self._restarts = RestartWatch(feed.view, tracker, pool, clock)
+        self._inference = OriginInference(feed, self._restarts, clock, draw)
         self._chooser = TargetChooser(
             domain, feed, tracker, stewards, self._restarts, clock, draw
         )
@@ -170,6 +168,11 @@
         """Targets that may have started again."""
         return self._restarts
 
+    @property
+    def inference(self) -> OriginInference:
+        """Infers the origins of streams whose callers don't name them."""
+        return self._inference
+
     def begin_drain(self, stop_at: float) -> None:
         """Accept only requests that are expected to finish in time.
 
@@ -423,7 +426,7 @@
         if call.first_request is not None:
             origin = await self._origins.find(call.first_request)
         else:
-            origin = self._infer_origin(request)
+            origin = await self._infer_origin(request)
         if origin is None:
             raise self._make_origin_error(
                 "it is unknown which service and software version began the stream"
@@ -434,24 +437,19 @@
             )
         request.service, request.progress.origin = origin.service, origin
 
-    def _infer_origin(self, request: RequestState) -> StreamOrigin | None:
-        """Return the only origin that a stream can have, by what is known here.
+    async def _infer_origin(self, request: RequestState) -> StreamOrigin | None:
+        """Return the only origin that a stream can have, or ``None``.
 
-        For callers that don't name the request that began the stream. A gateway that
-        has just started, or has no link to a registry, may not know all versions.
+        For callers that don't name the request that began the stream.
         """
         services = _list_services(request.route)
-        now = self._clock.monotonic()
-        age = now - self._started_at
-        if len(services) != 1 or age < DISCOVERY_SECONDS or not self._feed.links:
-            return None
-        (service,) = services
-        software = self._feed.view.find_only_version(service, now)
-        if software is None:
+        if len(services) != 1:
             return None
-        request.origin_inferred = True
-        self._metrics.count_event("stream_origin_inferred")
-        return StreamOrigin(service, software)
+        origin = await self._inference.infer(services.pop())
+        if origin is not None:
+            request.origin_inferred = True
+            self._metrics.count_event("stream_origin_inferred")
+        return origin
 
     def _make_origin_error(self, reason: str) -> IbisheadError:
         return Unavailable(
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -32,6 +32,7 @@
     QuotaAnswer,
     QuotaKept,
     ReportedUse,
+    ServedAnswer,
 )
 from ibishead.routing.routes import RouteSet
 from ibishead.routing.targets import Registration, TargetState
@@ -257,6 +258,8 @@
         match message:
             case QuotaKept() | QuotaAnswer():
                 self._quotas.handle_message(link, message)
+            case ServedAnswer():
+                self._pipeline.inference.handle_answer(message)
             case AskPartUses(number, parts):
                 link.send(self._report_uses(number, parts))
             case _:
--- a/src/ibishead/messages.py
+++ b/src/ibishead/messages.py
@@ -34,6 +34,7 @@
     AskPartUses,
     AskQuota,
     AskRoutes,
+    AskServed,
     AskTurn,
     BeginUse,
     BlockedParts,
@@ -56,6 +57,7 @@
     RefusalsTold,
     RouteNotice,
     RoutesAnswer,
+    ServedAnswer,
     SignsOfLife,
     Statements,
     StreamBegan,
@@ -634,6 +636,8 @@
     | AskOrigin
     | OriginAnswer
     | StreamBegan
+    | AskServed
+    | ServedAnswer
     | FailuresTold
     | FenceAnswer
     | AskTurn
--- a/src/ibishead/registry/publisher.py
+++ b/src/ibishead/registry/publisher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 
 from ibishead.ids import HostId, TargetId
@@ -16,6 +16,7 @@
     AskPartUses,
     AskQuota,
     AskRoutes,
+    AskServed,
     EngineEnded,
     FenceAnswer,
     Floors,
@@ -28,11 +29,12 @@
     QuotaKept,
     RouteNotice,
     RoutesAnswer,
+    ServedAnswer,
     SignsOfLife,
     Statements,
     SubscribeFeed,
 )
-from ibishead.routing.targets import Registration
+from ibishead.routing.targets import Registration, StreamOrigin
 
 __all__ = ["FeedPublisher"]
 
@@ -98,6 +100,7 @@
     :param on_subscriber: called with each program that subscribes.
     :param on_quota_question: called with each `AskQuota`.
     :param on_crash_message: called with each message about crashes of engines.
+    :param list_origins: returns the origins of streams that a quorum has confirmed.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         on_subscriber: Callable[[MemberRecord], None],
         on_quota_question: Callable[[Link, AskQuota], None],
         on_crash_message: Callable[[EngineEnded | PartUsesAnswer | PartSound], None],
+        list_origins: Callable[[], Awaitable[tuple[StreamOrigin, ...]]],
     ) -> None:
         self._state = state
         self._feed = feed
@@ -117,6 +121,7 @@
         self._on_subscriber = on_subscriber
         self._on_quota_question = on_quota_question
         self._on_crash_message = on_crash_message
+        self._list_origins = list_origins
         self._quota_term = 0
         self._subscribers: dict[Link, _Subscriber] = {}
         self._pending_members: list[tuple[MemberRecord, bool]] = []
@@ -151,9 +156,9 @@
             case EngineEnded() | PartUsesAnswer() | PartSound():
                 self._on_crash_message(message)
             case AskFence(number):
-                task = asyncio.create_task(self._answer_fence(link, number))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._spawn(self._answer_fence(link, number))
+            case AskServed(number):
+                self._spawn(self._answer_served(link, number))
             case _:
                 return False
         return True
@@ -329,6 +334,23 @@
             fence = 0
         link.send(FenceAnswer(number, fence))
 
+    async def _answer_served(self, link: Link, number: int) -> None:
+        origins: tuple[StreamOrigin, ...] | None = None
+        try:
+            origins = await self._list_origins()
+        except Exception as error:
+            # The gateway asks another registry, or refuses to resume the streams
+            logger.warning(
+                "recorded origins of streams not confirmed",
+                extra={"reason": str(error)},
+            )
+        link.send(ServedAnswer(number, origins))
+
+    def _spawn(self, work: Coroutine[object, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
 
 def _send_registrations(
     link: Link, subscriber: _Subscriber, registrations: tuple[Registration, ...]
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -26,6 +26,7 @@
     choose_founders,
     count_voters,
 )
+from ibishead.registry.origins import OriginWatch
 from ibishead.registry.publisher import FeedPublisher
 from ibishead.registry.quotas import QuotaKeeper
 from ibishead.registry.service import RegistryService
@@ -40,6 +41,7 @@
     PartUsesAnswer,
     QuotaHandover,
 )
+from ibishead.routing.targets import Registration
 from ibishead.web import Exchange, Limits, WebServer
 
 __all__ = ["Registry"]
@@ -117,7 +119,7 @@
             member,
             tuple(Endpoint(s.address, settings.seed_port) for s in settings.seeds),
             clock,
-            on_registrations=lambda fresh: self._publisher.relay_registrations(fresh),
+            on_registrations=self._handle_registrations,
             on_members=self._handle_members,
             on_message=self._handle_message,
         )
@@ -129,6 +131,7 @@
             self._handle_subscriber,
             lambda link, question: self._quotas.answer(link, question),
             self._handle_crash_message,
+            lambda: self.service.list_origins(),
         )
         self._credits = CreditLog(self.replica) if self.replica else None
         self._quotas = QuotaKeeper(
@@ -151,8 +154,19 @@
             if self.replica
             else None
         )
+        self._origins = (
+            OriginWatch(self.state, self.replica, self.feed.view, clock)
+            if self.replica
+            else None
+        )
         self.service = RegistryService(
-            self.state, self.replica, self.feed, self._publisher, clock, self.metrics
+            self.state,
+            self.replica,
+            self.feed,
+            self._publisher,
+            clock,
+            self.metrics,
+            lambda registration: self._notice_registrations((registration,)),
         )
         self.state.on_change = self._publisher.publish_state
         self._links = LinkServer(
@@ -178,6 +192,8 @@
         self._tasks.append(asyncio.create_task(self._quotas.run()))
         if self._crashes is not None:
             self._tasks.append(asyncio.create_task(self._crashes.run()))
+        if self._origins is not None:
+            self._tasks.append(asyncio.create_task(self._origins.run()))
         if self.replica is not None and self._settings.first_start:
             self._tasks.append(asyncio.create_task(self._found_log()))
 
@@ -275,6 +291,15 @@
         self._add_peers(members)
         self._publisher.publish_members(members, relayed=True)
 
+    def _handle_registrations(self, fresh: tuple[Registration, ...]) -> None:
+        """Handle registrations that another registry has relayed."""
+        self._publisher.relay_registrations(fresh)
+        self._notice_registrations(fresh)
+
+    def _notice_registrations(self, fresh: tuple[Registration, ...]) -> None:
+        if self._origins is not None:
+            self._origins.notice(fresh)
+
     def _handle_message(self, link: Link, message: Message) -> None:
         """Handle a message from another registry."""
         if isinstance(message, QuotaHandover):
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -31,7 +31,12 @@
 )
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.routes import RouteSet, check_routes
-from ibishead.routing.targets import Registration, TargetState, WeightKey
+from ibishead.routing.targets import (
+    Registration,
+    StreamOrigin,
+    TargetState,
+    WeightKey,
+)
 
 __all__ = ["RedirectError", "RegistryService"]
 
@@ -73,6 +78,8 @@
     """Handles registrations of targets and commands of operators.
 
     :param replica: this registry's log replica; none on a host without a disk.
+    :param on_announced: called with each registration of a target that changed
+        something.
     """
 
     def __init__(
@@ -83,6 +90,7 @@
         publisher: FeedPublisher,
         clock: Clock,
         metrics: Metrics,
+        on_announced: Callable[[Registration], None] = lambda _: None,
     ) -> None:
         self._state = state
         self._replica = replica
@@ -90,6 +98,7 @@
         self._publisher = publisher
         self._clock = clock
         self.metrics = metrics
+        self._on_announced = on_announced
         self._redirect_count = 0
 
     # Targets -----------------------------------------------------------------
@@ -119,6 +128,7 @@
             },
         )
         self._publisher.publish_registrations((registration,))
+        self._on_announced(registration)
 
     def deregister(self, target: TargetId, born: int) -> None:
         """Mark a target as gone, and inform the subscribers.
@@ -171,6 +181,15 @@
             ) from error
         return self._state.document
 
+    async def list_origins(self) -> tuple[StreamOrigin, ...]:
+        """Return the origins of streams that were recorded before the call.
+
+        :raises Unavailable: no quorum confirmed them.
+        """
+        replica = self._require_replica()
+        await self._retry(replica, replica.confirm_read)
+        return self._state.origins
+
     async def raise_floor(self, key: WeightKey, version: int) -> int:
         """Raise the minimum version on which new requests may start.
 
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -1,8 +1,8 @@
 """The registry's replicated state, and the commands that change it.
 
 The state is the route set, the floors (minimum versions) of adapters, the fencing
-numbers, whether the accounts of quotas have lately been credited in advance, and the
-prompt parts that crash engines.
+numbers, whether the accounts of quotas have lately been credited in advance, the
+prompt parts that crash engines, and the origins of streams that may be resumed.
 """
 
 import logging
@@ -16,19 +16,22 @@
 from ibishead.routing.changes import pack, unpack
 from ibishead.routing.messages import AdapterFloor, BlockedPart, BlockedParts
 from ibishead.routing.routes import RouteSet
-from ibishead.routing.targets import WeightKey
+from ibishead.routing.targets import StreamOrigin, WeightKey
 
 __all__ = [
+    "AddOrigins",
     "BlockPart",
     "CreditMarked",
     "FenceTaken",
     "FloorRaised",
+    "OriginsRecorded",
     "PartBlocked",
     "PutRoutes",
     "RaiseFloor",
     "Rejected",
     "ReleaseCredit",
     "ReleasePart",
+    "RemoveOrigins",
     "RoutesPut",
     "RouteState",
     "TakeCredit",
@@ -120,6 +123,18 @@
     part: PartKey
 
 
+class AddOrigins(_LogRecord, frozen=True):
+    """Records services and software versions that begin streams."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+class RemoveOrigins(_LogRecord, frozen=True):
+    """Removes origins whose streams can't be resumed any more."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
 class RoutesPut(_LogRecord, frozen=True):
     """Result of `PutRoutes`.
 
@@ -165,6 +180,10 @@
     blocked: bool
 
 
+class OriginsRecorded(_LogRecord, frozen=True):
+    """Result of `AddOrigins` and `RemoveOrigins`."""
+
+
 class Rejected(_LogRecord, frozen=True):
     """Result of a command that could not be applied.
 
@@ -183,9 +202,17 @@
     | BlockPart
     | TryPart
     | ReleasePart
+    | AddOrigins
+    | RemoveOrigins
 )
 Result: TypeAlias = (
-    RoutesPut | FloorRaised | FenceTaken | CreditMarked | PartBlocked | Rejected
+    RoutesPut
+    | FloorRaised
+    | FenceTaken
+    | CreditMarked
+    | PartBlocked
+    | OriginsRecorded
+    | Rejected
 )
 
 
@@ -196,6 +223,7 @@
     applied: int
     credit_term: int = 0
     blocked: BlockedParts = BlockedParts(0, ())
+    origins: tuple[StreamOrigin, ...] = ()
 
 
 class RouteState:
@@ -208,6 +236,7 @@
     :ivar credit_term: term of the leader that was the last to credit the accounts of
         quotas in advance, 0 if no such credit counts any more.
     :ivar blocked: the blocked prompt parts.
+    :ivar origins: the origins of streams that may be resumed.
     """
 
     def __init__(self) -> None:
@@ -218,6 +247,7 @@
         self.applied = 0
         self.credit_term = 0
         self.blocked = BlockedParts(0, ())
+        self.origins: tuple[StreamOrigin, ...] = ()
 
     @property
     def version(self) -> int:
@@ -248,6 +278,7 @@
             self.applied,
             self.credit_term,
             self.blocked,
+            self.origins,
         )
         return pack(msgspec.msgpack.encode(saved))
 
@@ -269,6 +300,7 @@
         self.applied = saved.applied
         self.credit_term = saved.credit_term
         self.blocked = saved.blocked
+        self.origins = saved.origins
         self.on_change()
 
     def list_floors(self, index: int) -> tuple[AdapterFloor, ...]:
@@ -306,6 +338,14 @@
                     any(found.part == command.part for found in self.blocked.parts)
                 )
 
+            case AddOrigins(origins):
+                added = (o for o in origins if o not in self.origins)
+                self.origins = (*self.origins, *added)
+                return OriginsRecorded()
+            case RemoveOrigins(origins):
+                self.origins = tuple(o for o in self.origins if o not in origins)
+                return OriginsRecorded()
+
     def _change_blocked(
         self, index: int, command: BlockPart | TryPart | ReleasePart
     ) -> None:
--- a/src/ibishead/routing/messages.py
+++ b/src/ibishead/routing/messages.py
@@ -33,6 +33,7 @@
     "AskPartUses",
     "AskQuota",
     "AskRoutes",
+    "AskServed",
     "AskTurn",
     "BeginUse",
     "BlockedPart",
@@ -60,6 +61,7 @@
     "ReportedUse",
     "RouteNotice",
     "RoutesAnswer",
+    "ServedAnswer",
     "SignsOfLife",
     "Statements",
     "StreamBegan",
@@ -459,6 +461,26 @@
     origin: StreamOrigin | None
 
 
+class AskServed(_Message, frozen=True):
+    """Asks a registry which origins the replicated log has recorded.
+
+    :param number: identifies the question; the answer repeats it.
+    """
+
+    number: int
+
+
+class ServedAnswer(_Message, frozen=True):
+    """Answer to `AskServed`.
+
+    :param origins: all that were recorded when the question arrived, and whose streams
+        may still be resumed; ``None`` if no quorum confirmed them.
+    """
+
+    number: int
+    origins: tuple[StreamOrigin, ...] | None
+
+
 class FailuresTold(_Message, frozen=True):
     """Failure rate of an engine, sent by its steward to all gateways.
 
--- a/src/ibishead/routing/targets.py
+++ b/src/ibishead/routing/targets.py
@@ -19,6 +19,7 @@
 )
 
 __all__ = [
+    "PROVISIONAL_SEQUENCE",
     "AdapterRef",
     "Holding",
     "Registration",
@@ -35,6 +36,10 @@
 GONE_RETENTION_SECONDS = 60.0
 DRAINING_RETENTION_SECONDS = 600.0
 
+#: Sequence number of a registration that an engine's steward makes until the engine
+#: does so itself, lower than any of the engine's own.
+PROVISIONAL_SEQUENCE = -1
+
 
 class TargetState(Enum):
     """Whether a target accepts new requests."""
@@ -111,6 +116,16 @@
         """Sort key that orders the registrations of one target."""
         return (self.born, self.sequence)
 
+    @property
+    def is_provisional(self) -> bool:
+        """Whether the target's steward made it, which doesn't know the software."""
+        return self.sequence == PROVISIONAL_SEQUENCE
+
+    @property
+    def origin(self) -> "StreamOrigin":
+        """Origin of the streams that begin at the target."""
+        return StreamOrigin(self.service, self.software)
+
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """What began a stream, and alone may go on with it.
--- a/src/ibishead/steward/naming.py
+++ b/src/ibishead/steward/naming.py
@@ -14,7 +14,11 @@
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import Statements
 from ibishead.routing.routes import EngineSpec
-from ibishead.routing.targets import Registration, TargetState
+from ibishead.routing.targets import (
+    PROVISIONAL_SEQUENCE,
+    Registration,
+    TargetState,
+)
 from ibishead.steward.engine import Engine, EngineState
 
 __all__ = ["EngineNamer"]
@@ -24,9 +28,6 @@
 #: Seconds between two requests for the target ID of an unregistered engine.
 NAME_RETRY_SECONDS = 0.3
 
-#: Sequence number of the steward's registration, lower than any of the engine's own.
-PROVISIONAL_SEQUENCE = -1
-
 
 class EngineNamer:
     """Reads the target ID of the engine at one address and sends it to the registries.
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -19,6 +19,7 @@
 from ibishead.gateway.choosing import DISCOVERY_SECONDS
 from ibishead.gateway.connection import TargetConnection
 from ibishead.gateway.ends import TargetEnds
+from ibishead.gateway.inference import ENDED_SECONDS
 from ibishead.gateway.origins import StreamOrigins
 from ibishead.gateway.pipeline import Pipeline
 from ibishead.gateway.pool import ConnectionPool
@@ -31,6 +32,7 @@
     HostId,
     ModelName,
     PartKey,
+    ReplicaId,
     RequestId,
     ServiceName,
     SoftwareVersion,
@@ -41,7 +43,12 @@
 from ibishead.platform.callers import PlatformCallers
 from ibishead.platform.targets import PlatformTargets
 from ibishead.routing.feed import RegistryFeed
-from ibishead.routing.messages import BlockedPart, MemberKind, MemberRecord
+from ibishead.routing.messages import (
+    BlockedPart,
+    MemberKind,
+    MemberRecord,
+    ServedAnswer,
+)
 from ibishead.routing.prompts import make_content_key
 from ibishead.routing.routes import (
     EngineSpec,
@@ -200,6 +207,26 @@
 WHOLE_STREAM = _make_events(1, 4)
 
 
+class AnsweringRegistry(FakeLink):
+    """A link to a registry that tells the recorded origins at once.
+
+    :param recorded: software versions of the service, ``None`` if no quorum confirms
+        them.
+    """
+
+    def __init__(self, pipeline: Pipeline, recorded: tuple[str, ...] | None) -> None:
+        super().__init__()
+        self.pipeline = pipeline
+        self.origins = None if recorded is None else tuple(map(make_origin, recorded))
+
+    def send(self, message) -> None:
+        super().send(message)
+        answer = ServedAnswer(message.number, self.origins)
+        asyncio.get_running_loop().call_soon(
+            self.pipeline.inference.handle_answer, answer
+        )
+
+
 class Fixture:
     """A gateway's pipeline with targets; each request gets the next behaviour.
 
@@ -292,6 +319,20 @@
         self.endpoint = await self._web.start(LOOPBACK)
         return self
 
+    def link_registry(self, recorded: tuple[str, ...] | None) -> AnsweringRegistry:
+        """Link a registry whose log has recorded some versions of the service."""
+        member = MemberRecord(
+            HostId("r"),
+            MemberKind.REGISTRY,
+            LOOPBACK.address,
+            LOOPBACK.port,
+            HOME,
+            replica=ReplicaId("r.1"),
+        )
+        self.feed.members[member.host, member.kind] = member
+        link = self.feed.links[LOOPBACK] = AnsweringRegistry(self.pipeline, recorded)
+        return link
+
     async def __aexit__(self, *_) -> None:
         await self.ends.stop()
         self.pool.close()
@@ -824,43 +865,71 @@
 
 
 @pytest.mark.parametrize(
-    ("software", "linked", "age", "shares", "status"),
+    ("software", "recorded", "shares", "status"),
     [
-        (("v1", "v1"), True, DISCOVERY_SECONDS, ("s",), 200),
-        (("v1", "v2"), True, DISCOVERY_SECONDS, ("s",), 503),
-        (("v1", ""), True, DISCOVERY_SECONDS, ("s",), 503),
-        (("", ""), True, DISCOVERY_SECONDS, ("s",), 503),
-        (("v1", "v1"), True, DISCOVERY_SECONDS, ("s", "other"), 503),
-        # a gateway that is cut off or has just started may not know all versions
-        (("v1", "v1"), False, DISCOVERY_SECONDS, ("s",), 503),
-        (("v1", "v1"), True, 0.0, ("s",), 503),
+        (("v1", "v1"), ("v1",), ("s",), 200),
+        (("v1", "v2"), ("v1", "v2"), ("s",), 503),
+        (("v1", ""), ("v1", ""), ("s",), 503),
+        (("", ""), ("",), ("s",), 503),
+        (("v1", "v1"), ("v1",), ("s", "other"), 503),
+        # what a gateway that has just started doesn't know
+        (("v2", "v2"), ("v1", "v2"), ("s",), 503),
+        (("v2", "v2"), ("v1",), ("s",), 503),
+        # what is not recorded yet
+        (("v1", "v2"), ("v1",), ("s",), 503),
+        (("v1", ""), ("v1",), ("s",), 503),
+        (("v1", "v1"), (), ("s",), 503),
+        # no quorum
+        (("v1", "v1"), None, ("s",), 503),
     ],
 )
 async def test_a_stream_resumed_without_its_first_request_needs_a_sole_version(
-    software, linked, age, shares, status
+    software, recorded, shares, status
 ):
     parts = tuple(Share(ServiceName(name), 1.0) for name in shares)
     async with Fixture(
         STREAM, stream_completely, software=software, shares=parts, **RESUMABLE
     ) as fixture:
-        fixture.pipeline._started_at -= age
-        if linked:
-            fixture.feed.links[LOOPBACK] = FakeLink()
+        fixture.link_registry(recorded)
         assert (await fixture.ask(**{"last-event-id": "2"}))[0] == status
         assert len(fixture.reached) == (status == 200)
 
 
+async def test_an_origin_is_not_inferred_without_a_registry():
+    """A gateway that is cut off would go by what it has heard before."""
+    async with Fixture(
+        STREAM, stream_completely, software=("v1", "v1"), **RESUMABLE
+    ) as fixture:
+        assert (await fixture.ask(**{"last-event-id": "2"}))[0] == 503
+        assert fixture.reached == []
+
+
 async def test_a_version_that_has_left_counts_when_a_stream_is_resumed():
     async with Fixture(
         STREAM, stream_completely, software=("v1", "v2"), **RESUMABLE
     ) as fixture:
-        fixture.pipeline._started_at -= DISCOVERY_SECONDS
-        fixture.feed.links[LOOPBACK] = FakeLink()
+        fixture.link_registry(("v1",))
         fixture.feed.view.mark_gone(TargetId("t1"), 1, SystemClock().monotonic())
         assert (await fixture.ask(**{"last-event-id": "2"}))[0] == 503
         assert fixture.reached == []
 
 
+@pytest.mark.parametrize(("seconds", "status"), [(0.0, 503), (ENDED_SECONDS, 200)])
+async def test_a_target_that_may_have_started_again_may_be_of_another_version(
+    seconds, status
+):
+    """A stream that it began before its registration would be taken for a known one."""
+    async with Fixture(
+        STREAM, stream_completely, software=("v1", "v1"), **RESUMABLE
+    ) as fixture:
+        fixture.link_registry(("v1",))
+        target = fixture.feed.view.get(TargetId("t1"))
+        seen_at = SystemClock().monotonic() - seconds
+        fixture.feed.view.record_heartbeat(target.target, 1, 1, seen_at)
+        fixture.pipeline.restarts.record_loss(target)
+        assert (await fixture.ask(**{"last-event-id": "2"}))[0] == status
+
+
 async def test_the_version_of_a_resumable_stream_is_recorded():
     async with Fixture(
         STREAM, stream_completely, software=("v3",), **RESUMABLE
--- a/tests/registry/test_publisher.py
+++ b/tests/registry/test_publisher.py
@@ -76,6 +76,7 @@
             self.meet,
             lambda *_: None,
             lambda _: None,
+            None,
         )
         self.state.on_change = self.publisher.publish_state
 
--- a/tests/registry/test_service.py
+++ b/tests/registry/test_service.py
@@ -129,8 +129,9 @@
         lambda service: service.raise_floor(KEY, 2),
         lambda service: service.take_fence("h1"),
         RegistryService.read_routes,
+        RegistryService.list_origins,
     ],
-    ids=["change", "fencing number", "read"],
+    ids=["change", "fencing number", "read", "origins"],
 )
 async def test_call_fails_at_once_if_no_leader_is_expected(
     ask: Callable[[RegistryService], Awaitable[object]],
--- a/tests/registry/test_state.py
+++ b/tests/registry/test_state.py
@@ -189,9 +189,10 @@
     assert state.blocked.parts[0].part == "x5"
 
 
-def test_a_snapshot_without_blocked_parts_is_read():
+def test_a_snapshot_without_blocked_parts_and_origins_is_read():
     """A registry would not start on the data of the version before."""
     saved = [None, b"", [], 7, 0]
     state = RouteState()
     state.restore(pack(msgspec.msgpack.encode(saved)))
     assert state.blocked.parts == ()
+    assert state.origins == ()
