--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -32,27 +32,35 @@
     AFTER = "after"
 
 
-async def restart_core(cluster: Cluster) -> None:
-    """Kill all registries and gateways at once, and start them again."""
-    killed = [p for (kind, _), p in cluster.programs.items() if kind != "steward"]
+async def restart_core(cluster: Cluster, *, stewards: bool = False) -> None:
+    """Kill all registries and gateways at once, and start them again.
+
+    :param stewards: whether the stewards are killed too.
+    """
+    killed = [
+        program
+        for (kind, _), program in cluster.programs.items()
+        if stewards or kind != "steward"
+    ]
     for program in killed:
         program.kill()
     for program in killed:
         program.start()
 
 
-async def release(cluster, kill, pause, silence):
+async def release(cluster, kill, pause, silence, stewards):
     """Replace all engines by another version.
 
     :param pause: seconds between two changes.
     :param silence: seconds until a new engine registers.
+    :param stewards: whether stewards are killed too.
     """
     if kill is Kill.BEFORE:
-        await restart_core(cluster)
+        await restart_core(cluster, stewards=stewards)
         await asyncio.sleep(pause)
     for number, engine in enumerate(cluster.engines):
         if kill is Kill.DURING and number == 1:
-            await restart_core(cluster)
+            await restart_core(cluster, stewards=stewards)
         await engine.lose_power()
         await asyncio.sleep(pause)
         engine.software, engine.announces = "v2", False
@@ -61,7 +69,7 @@
         engine.announces = True
         await engine.announce()
     if kill is Kill.AFTER:
-        await restart_core(cluster)
+        await restart_core(cluster, stewards=stewards)
 
 
 async def resume(cluster, stream, *, named) -> str | None:
@@ -96,7 +104,9 @@
     ]
 
 
-async def resume_around_release(folder, kill, *, keeps_name, named, pause, silence):
+async def resume_around_release(
+    folder, kill, *, keeps_name, named, pause, silence, stewards=False
+):
     """Resume streams around a release, and return the versions that went on."""
     versions: list[str | None] = []
     async with Cluster(folder) as cluster:
@@ -105,13 +115,15 @@
             asyncio.create_task(resume_repeatedly(cluster, stream, named, versions))
             for stream in streams
         ]
-        await release(cluster, kill, pause, silence)
+        await release(cluster, kill, pause, silence, stewards)
         await asyncio.sleep(SECONDS)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
     counts = {version: versions.count(version) for version in set(versions)}
-    print(kill, f"{keeps_name=} {named=} {pause=:.1f} {silence=:.1f}", counts)
+    print(
+        kill, f"{keeps_name=} {named=} {pause=:.1f} {silence=:.1f} {stewards=}", counts
+    )
     return set(versions)
 
 
@@ -160,5 +172,6 @@
         named=draw.random() < 0.3,
         pause=draw.uniform(0.0, 1.0),
         silence=draw.choice((0.0, draw.uniform(0.0, 1.5))),
+        stewards=draw.random() < 0.3,
     )
     assert "v2" not in versions
