--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -87,6 +87,8 @@
         self.endpoint = Endpoint(address, ENGINE_PORT if engine else PLAIN_PORT)
         self.service = service
         self.engine = engine
+        #: Whether it answers with streams.
+        self.streams = engine
         #: Version of its software.
         self.software = "v1"
         #: Whether its events name that version.
@@ -343,7 +345,7 @@
         if bad is not None:
             now = asyncio.get_running_loop().time()
             self.cluster.ledger.crashing_sends.append((now, bad))
-        if not self.engine:
+        if not self.streams:
             await asyncio.sleep(self.work_seconds)
             if bad is not None:
                 self.begin_crash(bad)
@@ -494,6 +496,7 @@
             "routes": [
                 route("plan", "streaming", "plans"),
                 route("advice", "streaming", "plans", max_attempts=2, resumable=True),
+                route("notes", "streaming", "stock", max_attempts=2, resumable=True),
                 route("issue", "non_idempotent", "stock"),
                 route("look", "idempotent", "stock", max_attempts=2),
             ],
@@ -592,8 +595,9 @@
             while True:
                 request = f"r{next(self._numbers)}"
                 sent = [("host", "nets.example"), ("request-id", request)]
-                sent += [("deadline-ms", "8000"), ("model", model)]
-                sent += [("token-counts", "10,10")]
+                sent += [("deadline-ms", "8000")]
+                if model:
+                    sent += [("model", model), ("token-counts", "10,10")]
                 connection = await TargetConnection.open(gateway)
                 try:
                     status, _ = await connection.request(
--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -72,14 +72,15 @@
         await restart_core(cluster, stewards=stewards)
 
 
-async def resume(cluster, stream, *, named) -> str | None:
+async def resume(
+    cluster, stream, *, named, route="advice", model=f"{MODEL}/warm"
+) -> str | None:
     """Resume a stream, and return the version that went on with it, if any did."""
     headers = {"last_event_id": str(RECEIVED)} | ({"resumes": stream} if named else {})
     gateway = random.choice(cluster.gateways)
     with contextlib.suppress(LinkLost, TimeoutError):
         async with asyncio.timeout(3.0):
-            model = f"{MODEL}/warm"
-            status, body, _ = await cluster.request("advice", gateway, model, **headers)
+            status, body, _ = await cluster.request(route, gateway, model, **headers)
         if status == 200 and body:
             return body.split()[4].decode()
     return None
@@ -159,6 +160,35 @@
     assert version == "v1"
 
 
+@pytest.mark.parametrize("killed", [False, True])
+async def test_a_stream_is_not_resumed_at_a_server_that_restarted_unseen(
+    tmp_path, killed
+):
+    """The last registration before a restart would be taken for a current one."""
+    async with Cluster(tmp_path) as cluster:
+        for server in cluster.plain:
+            server.names_software = server.keeps_name = server.streams = True
+            server.events = EVENTS
+        await cluster.wait_ready()
+        gateway = cluster.gateways[0]
+        stream = await cluster.begin_stream("notes", gateway, "", RECEIVED)
+        if killed:
+            await restart_core(cluster)
+        for server in cluster.plain:
+            while not await server.announce():
+                await asyncio.sleep(0.05)
+        for server in cluster.plain:
+            await server.lose_power()
+            server.software, server.announces = "v2", False
+            await server.start()
+        versions = set()
+        for _ in range(20):
+            found = await resume(cluster, stream, named=True, route="notes", model="")
+            versions.add(found)
+            await asyncio.sleep(0.1)
+    assert "v2" not in versions
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_resumed_streams_keep_their_version_around_random_releases(
     tmp_path, seed
