State "not run" in one place, where earlier sends are known

What callers saw: 429 quota_exceeded or 503 no_quorum for a repeatable request that a target may have run: its connection was reset, its charge expired before the resend, and the renewal was refused.

Cause: each source of refusals had to ask itself whether an earlier send may have run. The chooser and the blocked parts did, the quotas didn't.

Not reachable for requests that may run once: they are never resent after such a send.

Why it works: sources of refusals only say why a request isn't sent now. The pipeline turns Refused and Unavailable into OutcomeUnknown once a send is in progress or uncertain, for all sources alike. Such answers have the code outcome_unknown, and name the refusal's code in the message; blocked parts had prompt_blocked as the code, other targets' refusals had outcome_unknown already.

test_a_request_that_may_have_run_is_not_refused_as_not_run asked the blocks for this decision, which they no longer make. Its case is in the new table, through the whole pipeline, with status and code.

--- a/src/ibishead/gateway/blocking.py
+++ b/src/ibishead/gateway/blocking.py
@@ -6,7 +6,7 @@
 from contextlib import contextmanager
 from datetime import timedelta
 
-from ibishead.errors import ErrorCode, IbisheadError, OutcomeUnknown, Unavailable
+from ibishead.errors import ErrorCode, IbisheadError, Unavailable
 from ibishead.gateway.recorder import RequestState
 from ibishead.ids import HostId, PartKey
 from ibishead.routing.feed import RegistryFeed
@@ -47,7 +47,7 @@
         """
         for found in self._list_blocked(request):
             if not self._may_test(found):
-                raise self._make_error(request, found.part)
+                raise self._make_error(found.part)
 
     def admit(self, request: RequestState) -> None:
         """Check that a request may be sent to an engine now.
@@ -109,18 +109,12 @@
         used = self._tested.get(found.part, 0)
         return found.tester == self._host and used < found.trials
 
-    def _make_error(self, request: RequestState, part: PartKey) -> IbisheadError:
+    def _make_error(self, part: PartKey) -> IbisheadError:
         reason = f"part {part} of the prompt has crashed several engines"
         remedy = "send the request without that part"
         if is_content_key(part):
             reason = "this request has crashed several engines"
             remedy = "send it with another prompt or body"
-        if request.progress.uncertain_sends:
-            return OutcomeUnknown(
-                f"an earlier send may have run, and there is no resend: {reason}",
-                remedy,
-                code=ErrorCode.PROMPT_BLOCKED,
-            )
         seconds = RETRY_AFTER_SECONDS * (0.5 + self._draw())
         return Unavailable(
             f"not run: {reason}",
--- a/src/ibishead/gateway/choosing.py
+++ b/src/ibishead/gateway/choosing.py
@@ -15,13 +15,7 @@
 from ibishead.clock import Clock
 from ibishead.decisions.choice import Chosen, Need, choose_target
 from ibishead.decisions.holding import compute_hold
-from ibishead.errors import (
-    ErrorCode,
-    IbisheadError,
-    OutcomeUnknown,
-    Refused,
-    Unavailable,
-)
+from ibishead.errors import ErrorCode, IbisheadError, Refused, Unavailable
 from ibishead.gateway.recorder import RequestState
 from ibishead.gateway.restarts import RestartWatch
 from ibishead.gateway.stewards import StewardLinks, TurnOutcome
@@ -356,8 +350,6 @@
         origin = request.progress.origin
         software = origin.software if origin else ""
         reason = f"no target of software version {software!r}, which began the stream"
-        if request.progress.uncertain_sends:
-            return self.make_refusal(request, reason)
         return Unavailable(
             f"not run: {reason}",
             "retry after the given time, or begin the stream anew",
@@ -367,11 +359,6 @@
 
     def make_refusal(self, request: RequestState, reason: str) -> IbisheadError:
         """Return the error for a request that no target takes."""
-        if request.progress.uncertain_sends:
-            return OutcomeUnknown(
-                f"an earlier send may have run, and no target took a resend: {reason}",
-                "check whether the request has run before sending it again",
-            )
         # During an outage many callers are refused within moments of each other. A
         # random retry-after time keeps them from retrying simultaneously.
         wait = max(MIN_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * request.expected_wait)
--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -206,6 +206,7 @@
             if request is None:
                 self._recorder.record_refusal(exchange.request, error)
             else:
+                error = _state_outcome(request, error)
                 self._return_charge(request)
                 self._recorder.record_end(request, error.code.value, error)
             if exchange.started:
@@ -482,8 +483,8 @@
     def _return_charge(self, request: RequestState) -> None:
         """Give back the charge of a request that has certainly not run."""
         progress = request.progress
-        unsent = not progress.uncertain_sends and not progress.sending
-        if request.charge is not None and unsent and not progress.exchange.started:
+        not_run = not progress.may_have_run and not progress.exchange.started
+        if request.charge is not None and not_run:
             self._quotas.give_back(request.charge)
 
     def _identify(self, request: RequestState) -> Identity:
@@ -620,8 +621,24 @@
     return {share.service for share in route.shares if share.weight > 0}
 
 
+def _state_outcome(request: RequestState, error: IbisheadError) -> IbisheadError:
+    """Return the caller's error, which says "not run" only if that is certain.
+
+    What refuses a request knows why it isn't sent now, but not of earlier sends.
+    """
+    match error:
+        case Refused() | Unavailable() if request.progress.may_have_run:
+            return OutcomeUnknown(
+                f"an earlier send may have run, and a resend was refused as "
+                f"{error.code.value}: {error.message}",
+                "check whether the request has run before sending it again",
+            )
+        case _:
+            return error
+
+
 def _describe_timeout(request: RequestState) -> IbisheadError:
-    if request.progress.uncertain_sends == 0 and not request.progress.sending:
+    if not request.progress.may_have_run:
         return Refused(
             f"not run in time: {request.last_reason or 'no target was free'}",
             "retry after the given time, or set a later deadline",
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -167,6 +167,11 @@
     partial_bytes: int = 0
     slowdown: float = 0.0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request, or may still run it."""
+        return self.sending or self.uncertain_sends > 0
+
     def begin_send(self, target: Registration) -> None:
         """Reset what describes the current target, before a send or its refusal."""
         self.target, self.software = target.target, target.software
--- a/tests/gateway/test_blocking.py
+++ b/tests/gateway/test_blocking.py
@@ -6,7 +6,7 @@
 import pytest
 from tests.fake_feed import FakeFeed
 
-from ibishead.errors import ErrorCode, OutcomeUnknown, Unavailable
+from ibishead.errors import ErrorCode, Unavailable
 from ibishead.gateway.blocking import PromptBlocks
 from ibishead.ids import CustomerId, HostId, PartKey
 from ibishead.routing.messages import BlockedPart, PartSound
@@ -15,10 +15,9 @@
 BAD = PartKey("bad")
 
 
-def make_request(customer="", shared=("head", "bad"), uncertain=0):
+def make_request(customer="", shared=("head", "bad")):
     keys = PromptKeys(PartKey("own"), tuple(shared), CustomerId(customer))
-    progress = SimpleNamespace(uncertain_sends=uncertain)
-    return SimpleNamespace(keys=keys, progress=progress)
+    return SimpleNamespace(keys=keys)
 
 
 def make_blocks(*blocked, host="g1"):
@@ -51,12 +50,6 @@
         assert caught.value.retry_after.total_seconds() == 60.0
 
 
-def test_a_request_that_may_have_run_is_not_refused_as_not_run():
-    with pytest.raises(OutcomeUnknown) as caught:
-        make_blocks(BlockedPart(BAD, None)).check(make_request(uncertain=1))
-    assert caught.value.code is ErrorCode.PROMPT_BLOCKED
-
-
 async def test_a_request_that_waits_is_refused_once_its_part_is_blocked():
     """It would be sent when its turn comes, after all gateways know the part."""
     blocks = make_blocks()
--- a/tests/gateway/test_refusals_after_sends.py
+++ b/tests/gateway/test_refusals_after_sends.py
@@ -80,30 +80,30 @@
 
 
 SOURCES = [
-    (expire_charge, stream_completely, 502),
-    (lose_keeper, stream_completely, 502),
-    (remove_targets, stream_completely, 502),
-    (deregister_targets, stream_completely, 502),
-    (rest_all, stream_completely, 502),
-    (limit_all, stream_completely, 502),
-    (spend_budget, stream_completely, 502),
-    (block_part, stream_completely, 502),
-    (drain, stream_completely, 200),
-    (overload, stream_completely, 200),
-    (change_nothing, refuse, 502),
-    (change_nothing, never_respond, 504),
+    (expire_charge, stream_completely, 502, b"quota_exceeded"),
+    (lose_keeper, stream_completely, 502, b"no_quorum"),
+    (remove_targets, stream_completely, 502, b"resend was refused"),
+    (deregister_targets, stream_completely, 502, b"resend was refused"),
+    (rest_all, stream_completely, 502, b"overloaded"),
+    (limit_all, stream_completely, 502, b"overloaded"),
+    (spend_budget, stream_completely, 502, b"target_failed"),
+    (block_part, stream_completely, 502, b"prompt_blocked"),
+    (drain, stream_completely, 200, b"id: "),
+    (overload, stream_completely, 200, b"id: "),
+    (change_nothing, refuse, 502, b"overloaded"),
+    (change_nothing, never_respond, 504, b"deadline_exceeded"),
 ]
 
 
 @pytest.mark.parametrize(
-    ("kind", "change", "later", "status"),
+    ("kind", "change", "later", "status", "text"),
     [
         *((kind, *source) for kind in (SAFE, STREAM) for source in SOURCES),
-        (STREAM, upgrade_targets, stream_completely, 502),
+        (STREAM, upgrade_targets, stream_completely, 502, b"no_target"),
     ],
 )
 async def test_no_source_of_refusals_answers_after_an_uncertain_send(
-    kind, change, later, status
+    kind, change, later, status, text
 ):
     """A caller was told that a request had not run although a target had it."""
 
@@ -121,5 +121,7 @@
         headers = {"authorization": "Token k3", **PARTS}
         if kind is STREAM:
             headers |= {"last-event-id": "2", "resumes": "r0"}
-        assert (await fixture.ask(**headers))[0] == status
+        found, body = await fixture.ask(**headers)
+        assert found == status
+        assert text in body
         assert fixture.arrivals
