Believe no response head that is made of two

What callers saw: nothing on record; in a test, a request that may run once ran at its target and was sent to a second one (or answered 429 if there is none).

Cause: a server sends the beginning of a refusal that ends inside a header value, and then its response to the current request. The parser takes both for one head: the status and Not-Executed of the first, and the Request-Id of the second, which names the current request. The same holds for a head with two different Request-Id headers, of which the first was read. Class: a statement that is believed without asking of whom it is made.

Nothing shows that a server on record sends such bytes.

Why it works: no header of a whole head holds a status line, so such a head is malformed, at targets and in the client of the own wire, where a 404 proves that nothing has run. Several different ids name no request.

--- a/src/ibishead/framing.py
+++ b/src/ibishead/framing.py
@@ -1,5 +1,6 @@
 """Limits of messages, checks of requests, and the errors that reject them."""
 
+import re
 from http import HTTPStatus
 
 import h11
@@ -12,6 +13,7 @@
     "check_framing",
     "check_head_size",
     "check_line_ends",
+    "check_response_head",
     "check_version",
     "convert_protocol_error",
     "make_body_too_large_error",
@@ -28,6 +30,8 @@
 #: Bytes of a header line besides name and value; significant with many short headers.
 _HEADER_OVERHEAD = len(": \r\n")
 
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+
 
 def check_version(head: h11.Request) -> None:
     """Reject other major versions, whose message format differs.
@@ -73,6 +77,17 @@
         )
 
 
+def check_response_head(head: h11.Response | h11.InformationalResponse) -> None:
+    """Reject a head that was cut inside a header, with another one behind it.
+
+    The status and the first headers would be taken for those of the second response.
+
+    :raises h11.RemoteProtocolError: a header holds a status line.
+    """
+    if any(_STATUS_LINE.search(value) for _, value in head.headers):
+        raise h11.RemoteProtocolError("status line inside a header")
+
+
 def check_head_size(head: h11.Request, max_bytes: int) -> None:
     """Reject a head that is too large although it arrived in one read.
 
--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -14,7 +14,11 @@
 from ibishead.clock import Clock, SystemClock
 from ibishead.decisions.heldbytes import AnswerBudget, AnswerHold
 from ibishead.errors import InvalidInput, LinkLost
-from ibishead.framing import MAX_EVENTS_PER_TURN, MAX_INTERIM_RESPONSES
+from ibishead.framing import (
+    MAX_EVENTS_PER_TURN,
+    MAX_INTERIM_RESPONSES,
+    check_response_head,
+)
 from ibishead.headers import Headers
 from ibishead.ids import RequestId
 from ibishead.links import Endpoint
@@ -347,6 +351,8 @@
                 if isinstance(event, h11.Data):
                     parts.append(event.data)
                     continue
+                if isinstance(event, h11.Response | h11.InformationalResponse):
+                    check_response_head(event)
                 if isinstance(event, h11.InformationalResponse):
                     self._interim += 1
                     if self._interim > MAX_INTERIM_RESPONSES:
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -55,7 +55,9 @@
 
     def read_head(self, call: Call, status: int, headers: Headers) -> TargetHead:
         """Return the meaning of an answer's status and headers."""
-        named = find_header(headers, "request-id")
+        # Several different ids name no request
+        ids = {value for name, value in headers if name == "request-id"}
+        named = ids.pop() if len(ids) == 1 else None
         echoed = named == call.request
         stamped = find_header(headers, "response-stamp") is not None
         # 421: another target listens here now, or it lacks the weights; it ran nothing
--- a/src/ibishead/webclient.py
+++ b/src/ibishead/webclient.py
@@ -12,7 +12,11 @@
 import h11
 
 from ibishead.errors import InvalidInput, LinkLost
-from ibishead.framing import MAX_EVENTS_PER_TURN, MAX_INTERIM_RESPONSES
+from ibishead.framing import (
+    MAX_EVENTS_PER_TURN,
+    MAX_INTERIM_RESPONSES,
+    check_response_head,
+)
 from ibishead.headers import Headers
 from ibishead.links import Endpoint
 
@@ -179,6 +183,8 @@
             await self._writer.drain()
             for _ in range(MAX_INTERIM_RESPONSES + 1):
                 head = await self._next_event()
+                if isinstance(head, h11.Response | h11.InformationalResponse):
+                    check_response_head(head)
                 if not isinstance(head, h11.InformationalResponse):
                     break
             else:
--- a/tests/gateway/test_broken_exchanges.py
+++ b/tests/gateway/test_broken_exchanges.py
@@ -145,6 +145,12 @@
         pytest.param(answer(503, STAMP, EMPTY), False, id="stamp"),
         pytest.param(answer(408, STAMP, EMPTY), False, id="408"),
         pytest.param(answer(429, STAMP, EMPTY), False, id="429"),
+        pytest.param(
+            b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 1"
+            + answer(200, STAMP, EMPTY),
+            False,
+            id="cut head and answer",
+        ),
         pytest.param(answer(503, f"X: y\r\n {PROOF}", EMPTY), False, id="folded"),
         pytest.param(
             answer(503, "Transfer-Encoding: chunked", end=b"\r\n0\r\n")
@@ -159,6 +165,12 @@
             False,
             id="two ids",
         ),
+        pytest.param(
+            b"HTTP/1.1 503 X\r\nRequest-Id: r1\r\nRequest-Id: r0\r\n"
+            b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            False,
+            id="two ids, own first",
+        ),
     ],
 )
 async def test_only_a_whole_head_proves_that_a_request_has_not_run(data, proof, then):
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ibishead.errors import Refused
+from ibishead.errors import LinkLost, Refused
 from ibishead.links import Endpoint
 from ibishead.web import Exchange, Limits, WebServer
 from ibishead.webclient import ClientConnection
@@ -318,3 +318,20 @@
     await _send_raw(endpoint, b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
     await server.stop(grace=1.0)
     assert options == [0]
+
+
+async def test_a_client_rejects_a_head_that_was_cut_before_another_one():
+    """The status of the first answer was taken for that of the second."""
+
+    async def cut(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 404 X\r\nDate: Mon")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    server = await asyncio.start_server(cut, "127.0.0.1", 0)
+    endpoint = Endpoint(*server.sockets[0].getsockname())
+    connection = await ClientConnection.open(endpoint)
+    with pytest.raises(LinkLost):
+        await connection.ask("GET", "/")
+    assert connection.closed
+    server.close()
