Handle no request of a connection that is already closed

What callers saw: nothing on record. In a test a request reached the handler although its connection had been closed without an answer, so that its caller may take it for unread and send it again.

Cause: a stop closes idle connections. A request that was received in the same turn of the event loop is handed out after the close, if the stop has no grace left, as at the end of a gateway's grace period with requests still running.

Evidence: test_a_request_read_while_its_connection_closes_is_not_handled, red before (handled, not answered), green now.

Why it works: whether the connection is closing is checked between the read and the handler, without a turn of the loop in between.

--- a/src/ibishead/web.py
+++ b/src/ibishead/web.py
@@ -406,7 +406,8 @@
         while not self._server.stopping:
             self._idle = True
             request = await self._read_request()
-            if request is None:
+            if request is None or self._writer.is_closing():
+                # Its caller could get no answer, so the request has no effect either
                 return
             self._idle = False
             await self._answer(request)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -335,3 +335,24 @@
         await connection.ask("GET", "/")
     assert connection.closed
     server.close()
+
+
+async def test_a_request_read_while_its_connection_closes_is_not_handled():
+    """It ran although its caller could get no answer."""
+    handled = []
+
+    async def record(exchange: Exchange) -> None:
+        handled.append(exchange.request)
+        await exchange.respond(200, ())
+
+    server = WebServer(record)
+    endpoint = await server.start(LOOPBACK)
+    with socket.create_connection((endpoint.address, endpoint.port)) as caller:
+        await asyncio.sleep(0.05)
+        caller.sendall(b"POST /echo HTTP/1.1\r\nhost: x\r\n\r\n")
+        await asyncio.sleep(0)
+        await server.stop(grace=0.0)
+        await asyncio.sleep(0.05)
+        caller.setblocking(False)
+        answered = bool(await asyncio.get_running_loop().sock_recv(caller, 1000))
+    assert answered == bool(handled)
