Send no id twice over one connection to a target

What callers saw: nothing on record, where each attempt has its own id. In a test, a caller sends a request again under its id; the target sends a late copy of the refusal of the first one, and runs the second. The caller got 429 and the request had run; with a second target it would have been sent there too.

Cause: a late response is told by the id in it, which names both requests. Class: a statement that is believed without asking of whom it is made.

Evidence: test_a_late_refusal_says_nothing_of_a_later_request_with_its_id, red before (429 and run), green now; tests/gateway is green.

Why it works: late responses come on the connection of their request. The gateway itself sends a request to a target only once.

The fake of acquire in test_pipeline and the pool's test pass the new argument on; what they check is unchanged.

--- a/src/ibishead/gateway/pool.py
+++ b/src/ibishead/gateway/pool.py
@@ -4,6 +4,7 @@
 
 from ibishead.clock import Clock
 from ibishead.gateway.connection import TargetConnection
+from ibishead.ids import RequestId
 from ibishead.links import Endpoint
 
 __all__ = ["ConnectionPool"]
@@ -36,18 +37,23 @@
         self._opened: dict[str, list[TargetConnection]] = {}
         self.opened = 0
 
-    async def acquire(self, address: str) -> TargetConnection:
+    async def acquire(self, address: str, request: RequestId) -> TargetConnection:
         """Return an idle connection to an address, or open a new one.
 
+        A connection that has carried a request of the same id isn't used: a late
+        response to that one couldn't be told from the response to this one.
+
         :raises LinkLost: the connection could not be opened; nothing was sent.
         """
         now = self._clock.monotonic()
         idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop(0)
-            if _is_usable(connection, now):
+        for connection in list(idle):
+            if not _is_usable(connection, now):
+                idle.remove(connection)
+                connection.close()
+            elif request not in connection.earlier:
+                idle.remove(connection)
                 return connection
-            connection.close()
         return await self.open(address)
 
     async def open(self, address: str) -> TargetConnection:
--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -229,7 +229,7 @@
         """
         stats = self._tracker.stats(target)
         try:
-            connection = await self._pool.acquire(target.address)
+            connection = await self._pool.acquire(target.address, call.request)
         except LinkLost as error:
             self._tracker.mark_unreachable(stats, self._clock.monotonic())
             return NotRun(error.message, received=False, lost=True)
--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -218,3 +218,11 @@
         "t0",
         200,
     )
+
+
+async def test_a_late_refusal_says_nothing_of_a_later_request_with_its_id():
+    """Callers that send a request again under its id had it run at two targets."""
+    behaviours = (LateRefuser(),) * 3
+    async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
+        for _ in behaviours:
+            assert await fixture.ask() == (200, b"done")
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -374,10 +374,10 @@
     async with Fixture(ONCE, respond) as fixture:
         acquire, target = fixture.pool.acquire, fixture.feed.view.get(TargetId("t0"))
 
-        async def begin_rest(address: str) -> TargetConnection:
+        async def begin_rest(*wanted: str) -> TargetConnection:
             now = SystemClock().monotonic()
             fixture.tracker.record_refusal(target, 3.0, 0.0, now)
-            return await acquire(address)
+            return await acquire(*wanted)
 
         fixture.pool.acquire = begin_rest
         assert (await fixture.ask())[0] == 429
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -8,6 +8,7 @@
     IDLE_MARGIN_SECONDS,
     ConnectionPool,
 )
+from ibishead.ids import RequestId
 
 ADDRESS = "127.0.0.1:9"
 
@@ -19,6 +20,7 @@
         self.idle_time = idle_time
         self.last_used = 0.0
         self.closed = False
+        self.earlier: tuple[RequestId, ...] = ()
 
     def close(self) -> None:
         self.closed = True
@@ -56,7 +58,7 @@
         pool.release(ADDRESS, connection)
     for _ in range(12):
         clock.step(2.0)
-        pool.release(ADDRESS, await pool.acquire(ADDRESS))
+        pool.release(ADDRESS, await pool.acquire(ADDRESS, RequestId("r")))
         pool.close_expired()
     assert not any(connection.closed for connection in connections)
     assert pool.opened == 0
