--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -197,6 +197,11 @@
     partial_bytes: int = 0
     slowdown: float = 0.0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request, or may still run it."""
+        return self.sending or self.uncertain_sends > 0
+
     def begin_send(self, target: Registration) -> None:
         """Reset what describes the current target, before a send or its refusal."""
         self.target, self.software = target.target, target.software
@@ -254,7 +259,7 @@
         """
         stats = self._tracker.stats(target)
         try:
-            connection = await self._pool.acquire(target.address)
+            connection = await self._pool.acquire(target.address, call.request)
         except LinkLost as error:
             self._tracker.mark_unreachable(stats, self._clock.monotonic())
             return NotRun(error.message, received=False, lost=True)
--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -239,3 +239,11 @@
             await fixture.ask(**{"deadline-ms": "300"})
     (line,) = (r for r in caplog.records if r.message == "request ended")
     assert line.sent_to == sent_to
+
+
+async def test_a_late_refusal_says_nothing_of_a_later_request_with_its_id():
+    """Callers that send a request again under its id had it run at two targets."""
+    behaviours = (LateRefuser(),) * 3
+    async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
+        for _ in behaviours:
+            assert await fixture.ask() == (200, b"done")
