Gateway: derive from a response's head whether the request has not run

platform/ decided which refusals count; it only translates now. A refusal counts if it names the request, which TargetHead says from the two fields that it has anyway.

No behaviour changes. tests/gateway, tests/endless and tests/onplatform/test_bodies.py pass.

--- a/src/ibishead/gateway/calls.py
+++ b/src/ibishead/gateway/calls.py
@@ -133,7 +133,6 @@
     """Status and headers of a target's response.
 
     :param headers: headers that are relayed to the caller.
-    :param not_run: the target states that it did not and will not run this request.
     :param genuine: the response carries the target's stamp and the id of this request,
         so it is from the target itself and belongs to this request.
     :param echoed: the response names the id of this request.
@@ -154,7 +153,6 @@
 
     status: int
     headers: Headers
-    not_run: bool
     genuine: bool
     framing: BodyFraming
     echoed: bool = False
@@ -168,6 +166,14 @@
     retry_after: float | None = None
     leaving: bool = False
 
+    @property
+    def not_run(self) -> bool:
+        """Whether the target states that it did not and will not run this request.
+
+        A refusal that names another request, or none, says nothing of this one.
+        """
+        return self.refused and self.echoed
+
     @property
     def own(self) -> bool:
         """Whether what it says about its target is of the target that was meant.
--- a/src/ibishead/platform/targets.py
+++ b/src/ibishead/platform/targets.py
@@ -64,8 +64,6 @@
         return TargetHead(
             status,
             drop_hop_by_hop(headers),
-            # A late copy of a refusal says nothing of the request at hand
-            not_run=refused and echoed,
             genuine=stamped and echoed,
             framing=find_body_framing(headers),
             echoed=echoed,
