--- a/src/ibishead/gateway/sending.py
+++ b/src/ibishead/gateway/sending.py
@@ -1,7 +1,6 @@
 """Sends a call to one target and relays the target's response."""
 
 import asyncio
-import logging
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +13,7 @@
 from ibishead.gateway.connection import MAX_UNTAKEN_BYTES, TargetConnection
 from ibishead.gateway.events import EventSplitter
 from ibishead.gateway.pool import ConnectionPool
+from ibishead.gateway.responses import receive_head, remember_request
 from ibishead.gateway.tracker import TargetStats, TargetTracker
 from ibishead.headers import BodyFraming, Headers
 from ibishead.ids import CustomerId, SoftwareVersion, TargetId
@@ -32,8 +32,6 @@
     "Sender",
 ]
 
-logger = logging.getLogger(__name__)
-
 #: Minimum seconds without data after which a request that may be resent to another
 #: target is abandoned at this one. Longer time-outs are multiples of the route's
 #: objectives for the first event and for the gap between events.
@@ -41,7 +39,6 @@
 OBJECTIVE_FACTOR = 2.0
 GAP_FACTOR = 5.0
 
-
 #: Largest whole response that is relayed in a single write. The parts of a larger one
 #: are released one by one, as a single write would copy all of them.
 MAX_SINGLE_WRITE_BYTES = 64 * 1024
@@ -51,13 +48,6 @@
 REFUSAL_BODY_SECONDS = 0.1
 MAX_REFUSAL_BYTES = 16 * 1024
 
-#: Methods whose responses have no body, whatever their headers say. The end of a late
-#: response is uncertain if it or the current one belongs to such a request.
-_BODILESS_METHODS = frozenset({"HEAD", "CONNECT"})
-
-#: Late responses that are skipped before the response to one request.
-MAX_SKIPPED_RESPONSES = 2
-
 #: Lowest status code that reports a failure of the target itself.
 MIN_FAILURE_STATUS = 500
 
@@ -286,7 +276,14 @@
         headers = self._dialect.make_headers(call, sending)
         try:
             async with asyncio.timeout(self._find_head_timeout(route, progress)):
-                head = await self._receive_head(state, headers)
+                head = await receive_head(
+                    state.connection,
+                    self._dialect,
+                    call,
+                    headers,
+                    state.target.target,
+                    self._count_event,
+                )
         except TimeoutError:
             return Failed("the target sent no response headers in time")
         status = head.status
@@ -315,44 +312,6 @@
             return await self._relay_stream(state, head, progress)
         return await self._relay_whole(state, head, progress)
 
-    async def _receive_head(self, state: "_SendState", headers: Headers) -> TargetHead:
-        """Send the call and return the head of the response that follows.
-
-        Late responses to earlier requests are skipped.
-        """
-        call, connection = state.call, state.connection
-        status, received = await connection.request(
-            call.method, call.target, headers, call.body
-        )
-        skipped = 0
-        while True:
-            head = self._dialect.read_head(call, status, received)
-            if head.echoed:
-                return head
-            self._record_mismatch(state, head)
-            if skipped == MAX_SKIPPED_RESPONSES or not _is_late(state, head):
-                return head
-            status, received = await connection.skip_response()
-            skipped += 1
-            self._count_event("late_response_skipped")
-
-    def _record_mismatch(self, state: "_SendState", head: TargetHead) -> None:
-        """Log and count a response that does not name the current request."""
-        self._count_event(
-            "response_without_request"
-            if head.named is None
-            else "response_of_another_request"
-        )
-        logger.warning(
-            "response does not name its request",
-            extra={
-                "request": state.call.request,
-                "named": head.named,
-                "target": state.target.target,
-                "status": head.status,
-            },
-        )
-
     def _can_resend(self, route: Route, progress: Progress) -> bool:
         return route.repeatable and progress.uncertain_sends + 1 < route.attempts
 
@@ -512,8 +471,7 @@
 
     def _release(self, state: "_SendState") -> None:
         state.complete = True
-        if state.call.method not in _BODILESS_METHODS:
-            state.connection.earlier.append(state.call.request)
+        remember_request(state.connection, state.call)
         self._pool.release(state.target.address, state.connection)
 
 
@@ -543,15 +501,6 @@
     complete: bool = False
 
 
-def _is_late(state: _SendState, head: TargetHead) -> bool:
-    """Return whether a response is surely a late one, and its end is marked."""
-    return (
-        head.named in state.connection.earlier
-        and state.call.method not in _BODILESS_METHODS
-        and head.framing is not BodyFraming.CONNECTION
-    )
-
-
 def _check_has_events(splitter: EventSplitter) -> None:
     """Check that a stream that ended with its connection holds an event.
 
--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -19,7 +19,7 @@
 )
 
 from ibishead.gateway.connection import MAX_SKIPPED_BYTES
-from ibishead.gateway.sending import MAX_SKIPPED_RESPONSES
+from ibishead.gateway.responses import MAX_SKIPPED_RESPONSES
 from ibishead.web import Exchange
 
 NOT_EXECUTED = "Not-Executed: 1"
