Reject a response head that was cut inside its status line

In a test, a request that may run once ran at its target and was sent to a second one: the target sent the beginning of a 421, cut inside the reason, and then its response to the request. The parser takes both for one head with the status 421 and the id of the request.

Cause: the check for heads that are made of two looked at headers and not at the reason. Nothing shows that a target on record sends such bytes.

Why it works: a 421 is believed without further proof, so its status line is checked like the headers; no reason holds a status line.

--- a/src/ibishead/framing.py
+++ b/src/ibishead/framing.py
@@ -78,14 +78,15 @@
 
 
 def check_response_head(head: h11.Response | h11.InformationalResponse) -> None:
-    """Reject a head that was cut inside a header, with another one behind it.
+    """Reject a head that was cut inside a line, with another one behind it.
 
     The status and the first headers would be taken for those of the second response.
 
-    :raises h11.RemoteProtocolError: a header holds a status line.
+    :raises h11.RemoteProtocolError: the reason or a header holds a status line.
     """
-    if any(_STATUS_LINE.search(value) for _, value in head.headers):
-        raise h11.RemoteProtocolError("status line inside a header")
+    texts = (head.reason, *(value for _, value in head.headers))
+    if any(map(_STATUS_LINE.search, texts)):
+        raise h11.RemoteProtocolError("status line inside another line of a head")
 
 
 def check_head_size(head: h11.Request, max_bytes: int) -> None:
--- a/tests/gateway/test_broken_exchanges.py
+++ b/tests/gateway/test_broken_exchanges.py
@@ -151,6 +151,11 @@
             False,
             id="cut head and answer",
         ),
+        pytest.param(
+            b"HTTP/1.1 421 Misdirected" + answer(200, STAMP, EMPTY),
+            False,
+            id="cut status line and answer",
+        ),
         pytest.param(answer(503, f"X: y\r\n {PROOF}", EMPTY), False, id="folded"),
         pytest.param(
             answer(503, "Transfer-Encoding: chunked", end=b"\r\n0\r\n")
