Test of second answers: wait for the closed connection, not for a time

The test now waits until the client has closed the connection, which it checked indirectly before, and its other assertions are unchanged.

Guards: the one of returned charges follows the reworded line; new ones for the single place that says "not run" and for heads that are made of two. Each is red without its guard (benchmarks.red_runs).

--- a/benchmarks/red_runs.py
+++ b/benchmarks/red_runs.py
@@ -117,13 +117,33 @@
     Guard(
         "a charge is given back only for a request that has not run",
         "gateway/pipeline.py",
-        "unsent = not progress.uncertain_sends and not progress.sending",
-        "unsent = True",
+        "not_run = not progress.may_have_run and not progress.exchange.started",
+        "not_run = not progress.exchange.started",
         (
             f"{CUSTOMERS}"
             "::test_a_request_is_charged_once_and_given_back_if_it_has_not_run",
         ),
     ),
+    Guard(
+        "no refusal says that a request that was sent has not run",
+        "gateway/pipeline.py",
+        "error = _state_outcome(request, error)",
+        "pass",
+        (
+            "tests/gateway/test_refusals_after_sends.py"
+            "::test_no_source_of_refusals_answers_after_an_uncertain_send",
+        ),
+    ),
+    Guard(
+        "a head that is made of two is malformed",
+        "gateway/connection.py",
+        "check_response_head(event)",
+        "pass",
+        (
+            "tests/gateway/test_broken_exchanges.py"
+            "::test_only_a_whole_head_proves_that_a_request_has_not_run",
+        ),
+    ),
     Guard(
         "targets are never sent a key or another customer's name",
         "platform/targets.py",
--- a/tests/onplatform/test_engine_client.py
+++ b/tests/onplatform/test_engine_client.py
@@ -7,6 +7,7 @@
 import re
 
 import pytest
+from tests.processes.programs import wait_until
 
 from ibishead.clock import SystemClock
 from ibishead.errors import LinkLost
@@ -153,7 +154,7 @@
     async with engine as client:
         for number in (1, 2, 3):
             assert (await client.read_state()).sequence == number
-            await asyncio.sleep(0.05)
+            await wait_until("the connection closes", lambda: client._connection.closed)
         assert engine.connections == 3
 
 
