Gateway: end a rate limit only by a response to the request

A faulty target that had named a limit (Server-Limit) sent a refusal without a request id before an answer. The refusal named no limit, the gateway took that as the end of the limit, and sent the target as much as any other until its next own response.

Cause: a refusal that names no request counted as a statement of its target, which holds for what it says, such as a request for rest, but also what it leaves out was taken for a statement.

Evidence: test_a_refusal_without_a_request_ends_no_rate_limit, red before (200, 502, 200; 429 expected third), green now. tests/gateway and tests/onplatform/test_limits.py: no failure.

Why it works: only a response that names the request ends a limit by naming none. A limit that such a refusal does name is applied as before.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -510,7 +510,9 @@
         self, call: Call, target: Registration, head: TargetHead, progress: Progress
     ) -> None:
         """Apply what a target's response says about the target itself."""
-        self._handle_limit(call, target, head.rate_limit)
+        # Only a response to this request ends a limit by naming none.
+        if head.echoed or head.rate_limit is not None:
+            self._handle_limit(call, target, head.rate_limit)
         if head.leaving:
             self._feed.report_leaving(target.target, target.born)
         if head.status == OVERLOADED_STATUS:
--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -17,6 +17,7 @@
     refuse_with_status,
     reset,
     respond,
+    respond_with_limit,
     stream_completely,
     stream_unframed,
 )
@@ -107,6 +108,14 @@
         assert await fixture.ask() == (200, b"done")
 
 
+async def test_a_refusal_without_a_request_ends_no_rate_limit():
+    """Its target got more requests than it takes, as the refusal names no limit."""
+    unnamed = encode_late(503, NOT_EXECUTED, LENGTH).replace(b"Request-Id: r1\r\n", b"")
+    behaviours = (respond_with_limit, send_first(unnamed, respond_with_limit), respond)
+    async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
+        assert [(await fixture.ask())[0] for _ in range(3)] == [200, 502, 429]
+
+
 @pytest.mark.parametrize(
     ("kind", "data", "behaviour", "status", "body"),
     [
