--- a/tests/gateway/test_broken_exchanges.py
+++ b/tests/gateway/test_broken_exchanges.py
@@ -5,16 +5,20 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
 import pytest
 from tests.gateway.test_pipeline import (
     ONCE,
+    SAFE,
+    STREAM,
     Fixture,
     respond,
 )
 
+from ibishead.gateway import sending
 from ibishead.ids import TargetId
 from ibishead.sockets import reset_on_close
 
@@ -24,6 +28,15 @@
 LONG_BODY = b"x" * 6_000_000
 
 
+def move_target(fixture: Fixture, server: asyncio.Server) -> str:
+    """Let a server be the target ``t0``, and return its address."""
+    address = "{}:{}".format(*server.sockets[0].getsockname())
+    target = fixture.feed.view.get(TargetId("t0"))
+    moved = msgspec.structs.replace(target, address=address, sequence=2)
+    fixture.feed.view.merge(moved, 0.0)
+    return address
+
+
 class RawFixture(Fixture):
     """A gateway with a target ``t0`` that handles its connections by a script.
 
@@ -40,11 +53,7 @@
     async def __aenter__(self) -> "RawFixture":
         await super().__aenter__()
         self._raw = await asyncio.start_server(self._handle, "127.0.0.1", 0)
-        port = self._raw.sockets[0].getsockname()[1]
-        self.raw_address = f"127.0.0.1:{port}"
-        target = self.feed.view.get(TargetId("t0"))
-        changed = {"address": self.raw_address, "sequence": 2}
-        self.feed.view.merge(msgspec.structs.replace(target, **changed), 0.0)
+        self.raw_address = move_target(self, self._raw)
         return self
 
     async def __aexit__(self, *_) -> None:
@@ -257,3 +266,70 @@
         assert statuses == [b"200" if proof else b"502", b"200"]
         assert fixture.arrivals.count("r1") == proof
         assert fixture.arrivals.count("r2") + len(fixture.heads) == 2
+
+
+class StoppedTarget(asyncio.Protocol):
+    """A target that stands still from its first connection or its first answer on.
+
+    :param answers: number of requests that it answers before.
+    :ivar received: what it reads after it goes on.
+    """
+
+    def __init__(self, answers: int) -> None:
+        self._answers = answers
+        self._transports: list[asyncio.Transport] = []
+        self.received = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transports.append(transport)
+        if not self._answers:
+            transport.pause_reading()
+
+    def data_received(self, data: bytes) -> None:
+        if self._answers and data.endswith(b"body"):
+            self._answers -= 1
+            self._transports[-1].write(answer(200, STAMP, EMPTY))
+            self._transports[-1].pause_reading()
+        else:
+            self.received += data
+
+    def go_on(self) -> None:
+        for transport in self._transports:
+            transport.resume_reading()
+
+
+@pytest.mark.parametrize("kept", [False, True], ids=["new", "kept"])
+@pytest.mark.parametrize(
+    ("kind", "patience", "status", "others"),
+    [
+        pytest.param(ONCE, 5.0, 504, 0, id="deadline"),
+        pytest.param(STREAM, 5.0, 504, 0, id="deadline of a stream"),
+        pytest.param(ONCE, 0.2, None, 0, id="caller leaves"),
+        pytest.param(SAFE, 5.0, 200, 1, id="sent again"),
+    ],
+)
+async def test_a_request_at_a_target_that_stands_still_is_not_refused(
+    kind, patience, status, others, kept, monkeypatch
+):
+    """It may run when the target goes on, after its caller was told that it won't."""
+    monkeypatch.setattr(sending, "MIN_SILENCE_SECONDS", 0.2)
+    stopped = StoppedTarget(int(kept))
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(lambda: stopped, "127.0.0.1", 0)
+    async with Fixture(
+        kind, respond, software=("v1", "v1"), attempts=2, objective=0.1
+    ) as fixture:
+        move_target(fixture, server)
+        if kept:
+            await fixture.ask()
+        found = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(patience):
+                found, _ = await fixture.ask(**{"request-id": "r2"})
+        assert found == status
+        await asyncio.sleep(0.1)
+        stopped.go_on()
+        await asyncio.sleep(0.1)
+        assert fixture.arrivals == ["r2"] * others
+    server.close()
