Agent: confirm a missing adapter by the engine's list

An engine's 404 was believed to say that it had run nothing, and the attempt was queued again, also where the request must not run twice. The answer names no request: a 404 that belongs to another connection, while the engine runs the request, leads to a second run. Not seen with real programs.

Why it works: an adapter that the engine lists contradicts the 404. Then, and where the list can't be read in the same boot, the outcome is unknown, and the request isn't sent again. Repeatable requests are queued again as before.

--- a/src/ibishead/agent/runner.py
+++ b/src/ibishead/agent/runner.py
@@ -4,6 +4,7 @@
 target's own answer shows whether it has run.
 """
 
+import logging
 from collections.abc import AsyncIterator
 from enum import Enum
 
@@ -25,6 +26,8 @@
 
 __all__ = ["RunEnd", "run_attempt"]
 
+logger = logging.getLogger(__name__)
+
 #: Largest answer, in bytes, that is buffered in full so that its model can be checked
 #: before it is delivered.
 MAX_BUFFERED_ANSWER_BYTES = 16 * 1024 * 1024
@@ -41,6 +44,7 @@
 
     COMPLETED = "completed"
     ADAPTER_MISSING = "adapter missing"
+    UNCONFIRMED = "adapter called missing, not confirmed"
     WRONG_MODEL = "wrong model"
     FAILED = "failed"
 
@@ -83,13 +87,40 @@
             return await _relay_plain(attempt, answer, waited, target)
         if answer.status == _MODEL_NOT_FOUND:
             await answer.discard()
-            return RunEnd.ADAPTER_MISSING
+            return await _check_missing(attempt, client, boot)
         if answer.status >= _SERVER_ERROR:
             await answer.discard()
             return RunEnd.FAILED
         return await _relay_model(attempt, answer, waited, target)
 
 
+async def _check_missing(
+    attempt: Attempt, client: TargetClient, boot: BootId
+) -> RunEnd:
+    """Return how a run ended whose answer states that its adapter is missing.
+
+    The answer names no request, so it may belong to another one. A request that must
+    not run twice is only queued again if the engine doesn't list the adapter.
+    """
+    if attempt.dispatch.idempotent or attempt.adapter is None:
+        return RunEnd.ADAPTER_MISSING
+    try:
+        listed = attempt.adapter in await client.list_adapters(boot)
+    except LinkLost as error:
+        logger.info(
+            "missing adapter not confirmed",
+            extra={"request": attempt.dispatch.request, "reason": error.message},
+        )
+        return RunEnd.UNCONFIRMED
+    if listed:
+        logger.warning(
+            "engine lists the adapter that its answer calls missing",
+            extra={"request": attempt.dispatch.request},
+        )
+        return RunEnd.UNCONFIRMED
+    return RunEnd.ADAPTER_MISSING
+
+
 async def _relay_plain(
     attempt: Attempt,
     answer: ClientAnswer,
--- a/src/ibishead/agent/scheduler.py
+++ b/src/ibishead/agent/scheduler.py
@@ -440,10 +440,14 @@
                 await self._registrar.record_outcome(attempt, Outcome.COMPLETED)
                 self._end(attempt, Outcome.COMPLETED)
             case RunEnd.ADAPTER_MISSING:
-                # The engine's answer states that it ran nothing
+                # The engine has run nothing
                 if attempt.adapter is not None:
                     self._slots.drop(attempt.adapter)
                 self._requeue(attempt, "the engine has not loaded the adapter")
+            case RunEnd.UNCONFIRMED:
+                await self._end_unconfirmed(
+                    attempt, "the engine's list doesn't confirm that it ran nothing"
+                )
             case RunEnd.WRONG_MODEL:
                 self._watcher.mark_unhealthy()
                 self._slots.begin_boot(BootId(""), (), self._clock.monotonic())
--- a/tests/agent/test_runner.py
+++ b/tests/agent/test_runner.py
@@ -9,6 +9,7 @@
 from ibishead.agent.attempts import Attempt
 from ibishead.agent.runner import RunEnd, run_attempt
 from ibishead.agent.slots import AdapterKey
+from ibishead.agent.target import TargetRestarted
 from ibishead.errors import LinkLost
 from ibishead.headers import Headers
 from ibishead.ids import BootId, TargetId
@@ -18,6 +19,7 @@
 CHUNKS = (("transfer-encoding", "chunked"),)
 JSON = "application/json"
 EVENTS = "text/event-stream"
+ADAPTER = AdapterKey(DISPATCH.adapter, DISPATCH.version)
 
 
 class FixedAnswerTarget:
@@ -30,11 +32,17 @@
         self._framing = framing
         self._kind = kind
         self._pieces = pieces
+        self.listed: list[AdapterKey] | Exception = []
 
     @contextlib.asynccontextmanager
     async def acquire_connection(self, boot, fresh=False):
         yield self
 
+    async def list_adapters(self, boot):
+        if isinstance(self.listed, Exception):
+            raise self.listed
+        return self.listed
+
     async def ask(self, method, path, headers=(), body=b""):
         async def chunks():
             for piece in self._pieces:
@@ -53,8 +61,11 @@
     return b"data: " + make_answer(model) + b"\n\n"
 
 
-async def run(target: FixedAnswerTarget) -> tuple[RunEnd, bytes]:
-    attempt = Attempt(DISPATCH, 0.0, AdapterKey(DISPATCH.adapter, DISPATCH.version))
+async def run(
+    target: FixedAnswerTarget, idempotent: bool = True
+) -> tuple[RunEnd, bytes]:
+    dispatch = msgspec.structs.replace(DISPATCH, idempotent=idempotent)
+    attempt = Attempt(dispatch, 0.0, ADAPTER)
     waited = (0.0, 0.0)
     end = await run_attempt(attempt, target, BootId("1"), waited, TargetId("t1"))
     frames = attempt.buffer.list_from(0)
@@ -83,6 +94,23 @@
     assert body == (b"".join(pieces) if expected is RunEnd.COMPLETED else b"")
 
 
+@pytest.mark.parametrize(
+    ("listed", "idempotent", "expected"),
+    [
+        ([], False, RunEnd.ADAPTER_MISSING),
+        ([ADAPTER], False, RunEnd.UNCONFIRMED),
+        (LinkLost("lost", "retry"), False, RunEnd.UNCONFIRMED),
+        (TargetRestarted("restarted", "load again"), False, RunEnd.UNCONFIRMED),
+        ([ADAPTER], True, RunEnd.ADAPTER_MISSING),
+    ],
+)
+async def test_a_missing_adapter_is_confirmed_by_the_list(listed, idempotent, expected):
+    """An answer of another request let a request that may run once run twice."""
+    target = FixedAnswerTarget(404, JSON, b"{}")
+    target.listed = listed
+    assert (await run(target, idempotent))[0] is expected
+
+
 @pytest.mark.parametrize("model", ["base", "tisza@2", "balaton@1", ""])
 @pytest.mark.parametrize("kind", [JSON, EVENTS])
 async def test_answer_of_another_model_is_not_delivered(kind, model):
