--- a/tests/gateway/test_late_responses.py
+++ b/tests/gateway/test_late_responses.py
@@ -247,3 +247,11 @@
     async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
         for _ in behaviours:
             assert await fixture.ask() == (200, b"done")
+
+
+async def test_a_late_refusal_says_nothing_of_a_later_head_request_with_its_id():
+    """Connections don't remember such requests, so its refusal was believed."""
+    behaviours = (LateRefuser(),) * 3
+    async with Fixture(ONCE, *behaviours, software=("v1",)) as fixture:
+        for _ in behaviours:
+            assert await fixture.ask(method="HEAD") == (200, b"")
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -895,6 +895,26 @@
         assert len(fixture.reached) == (status == 200)
 
 
+@pytest.mark.parametrize("former", [(), (Share(ServiceName("old"), 0.0),)])
+async def test_a_stream_begun_at_a_former_service_of_its_route_is_not_continued(former):
+    """Its caller got the rest from the service to which the route leads now."""
+    parts = (*former, Share(ServiceName("s"), 1.0))
+    async with Fixture(
+        STREAM, stream_completely, software=("v1",), shares=parts, **RESUMABLE
+    ) as fixture:
+        link, routes = fixture.link_registry(("v1",)), fixture.feed.routes
+        link.origins += (StreamOrigin(ServiceName("old"), SoftwareVersion("v1")),)
+        shares = (Share(ServiceName("old"), 1.0),)
+        (route,) = routes.routes
+        former_route = msgspec.structs.replace(route, shares=shares)
+        for version, found in ((1, former_route), (2, route)):
+            fixture.feed.routes = msgspec.structs.replace(
+                routes, version=version, routes=(found,)
+            )
+        assert (await fixture.ask(**{"last-event-id": "2"}))[0] == 503
+        assert fixture.reached == []
+
+
 async def test_an_origin_is_not_inferred_without_a_registry():
     """A gateway that is cut off would go by what it has heard before."""
     async with Fixture(
--- a/tests/registry/test_recorded_origins.py
+++ b/tests/registry/test_recorded_origins.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from ibishead.clock import ManualClock
@@ -9,11 +10,18 @@
 from ibishead.errors import ErrorCode, Unavailable
 from ibishead.ids import FailureDomain, ServiceName, SoftwareVersion, TargetId
 from ibishead.registry.origins import CHECK_INTERVAL_SECONDS, OriginWatch
-from ibishead.registry.state import PutRoutes, RouteState, encode_command
+from ibishead.registry.state import (
+    AddOrigins,
+    PutRoutes,
+    RouteState,
+    encode_command,
+)
+from ibishead.routing.changes import pack
 from ibishead.routing.routes import Repeatability, Route, RouteSet
 from ibishead.routing.targets import (
     PROVISIONAL_SEQUENCE,
     Registration,
+    StreamOrigin,
     TargetState,
     TargetView,
 )
@@ -21,6 +29,10 @@
 LIFETIME = compute_lifetime(None)
 
 
+def make_origin(software):
+    return StreamOrigin(ServiceName("s"), SoftwareVersion(software))
+
+
 class FakeReplica:
     """Applies each command at once, unless it has no quorum."""
 
@@ -164,3 +176,14 @@
     restored = RouteState()
     restored.restore(scene.state.capture())
     assert [origin.software for origin in restored.origins] == ["v1"]
+
+
+def test_a_registry_upgraded_after_the_leader_knows_what_was_recorded_before():
+    """A registry of the former build skipped the record and saved its state."""
+    upgraded, leader = RouteState(), RouteState()
+    leader.apply(1, encode_command(AddOrigins((make_origin("v1"),))))
+    saved = [None, b"", [], 1, 0]
+    upgraded.restore(pack(msgspec.msgpack.encode(saved)))
+    for state in (leader, upgraded):
+        state.apply(2, encode_command(AddOrigins((make_origin("v2"),))))
+    assert upgraded.origins == leader.origins
