Test of streams begun at a server in doubt, known red

What callers see: a stream that began at a server of v2 that has restarted and not yet registered is resumed at another gateway, without the name of its first request, and goes on at a server of v1. No registry or gateway is killed.

Cause: the doubt about a registration is known only to gateways that lost a connection there. Their streams of unknown software are recorded nowhere, and another gateway takes the recorded version for the only one.

--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -18,6 +18,9 @@
 SEEDS = range(int(os.environ.get("RESTART_SEEDS", "1")))
 EVENTS, RECEIVED, STREAMS = 30, 5, 4
 
+#: Rounds of streams after a server has restarted.
+ROUNDS = 4
+
 #: Seconds for which streams are resumed after the last change; longer than a gateway
 #: waits for registrations after its start.
 SECONDS = 6.0
@@ -73,11 +76,11 @@
 
 
 async def resume(
-    cluster, stream, *, named, route="advice", model=f"{MODEL}/warm"
+    cluster, stream, *, named, route="advice", model=f"{MODEL}/warm", gateway=None
 ) -> str | None:
     """Resume a stream, and return the version that went on with it, if any did."""
     headers = {"last_event_id": str(RECEIVED)} | ({"resumes": stream} if named else {})
-    gateway = random.choice(cluster.gateways)
+    gateway = gateway or random.choice(cluster.gateways)
     with contextlib.suppress(LinkLost, TimeoutError):
         async with asyncio.timeout(3.0):
             status, body, _ = await cluster.request(route, gateway, model, **headers)
@@ -189,6 +192,46 @@
     assert "v2" not in versions
 
 
+async def test_a_stream_begun_at_a_server_in_doubt_is_not_continued_at_another(
+    tmp_path,
+):
+    """Only the gateway that lost a connection to the server knew of the doubt."""
+    versions = []
+    async with Cluster(tmp_path) as cluster:
+        for server in cluster.plain:
+            server.names_software = server.keeps_name = server.streams = True
+            server.events = EVENTS
+        await cluster.wait_ready()
+        first, second = cluster.gateways
+        await asyncio.sleep(4.0)
+        sent = [asyncio.create_task(cluster.request("notes", first)) for _ in range(6)]
+        await asyncio.sleep(0.3)
+        restarted = cluster.plain[0]
+        await restarted.lose_power()
+        restarted.software, restarted.announces = "v2", False
+        await restarted.start()
+        for _ in range(ROUNDS):
+            streams = await asyncio.gather(
+                *(cluster.begin_stream("notes", first, "", RECEIVED) for _ in range(12))
+            )
+            resumed = (
+                resume(
+                    cluster,
+                    stream,
+                    named=False,
+                    route="notes",
+                    model="",
+                    gateway=second,
+                )
+                for stream in streams
+                if restarted.name in cluster.ledger.runs[stream]
+            )
+            versions += await asyncio.gather(*resumed)
+        await asyncio.gather(*sent, return_exceptions=True)
+    assert versions
+    assert "v1" not in versions
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_resumed_streams_keep_their_version_around_random_releases(
     tmp_path, seed
