Registries: repeat the recorded origins with each new one

After its upgrade it told, confirmed by a quorum, that v2 alone had served where the others had v1 and v2, so that a stream of v1 whose caller doesn't name its first request went on at v2.

Cause: the command held only what was new to the leader. It now holds all that is recorded as well, and adding is idempotent: with the next new version the replicas agree again. Until then such a registry knows of none, and the stream is refused. The order of the origins is the same on all replicas, and a command that was rejected is no longer logged as committed.

OPERATIONS: registries are replaced before gateways.

--- a/src/ibishead/registry/origins.py
+++ b/src/ibishead/registry/origins.py
@@ -15,9 +15,12 @@
 from ibishead.errors import IbisheadError
 from ibishead.registry.state import (
     AddOrigins,
+    Rejected,
     RemoveOrigins,
     RouteState,
+    decode_result,
     encode_command,
+    sort_origins,
 )
 from ibishead.routing.targets import Registration, StreamOrigin
 from ibishead.waiting import wait_for_event
@@ -80,12 +83,12 @@
             origin: now if origin in serving else self._served_at.get(origin, now)
             for origin in recorded | serving
         }
-        if added := serving - recorded:
-            await self._propose(AddOrigins(_sort(added)))
+        if serving - recorded:
+            await self._propose(AddOrigins(sort_origins(recorded | serving)))
         lifetime = self._find_lifetime()
         expired = {o for o in recorded if now - self._served_at[o] >= lifetime}
         if expired:
-            await self._propose(RemoveOrigins(_sort(expired)))
+            await self._propose(RemoveOrigins(sort_origins(expired)))
 
     def _is_new(self, registration: Registration) -> bool:
         recorded = self._state.origins
@@ -105,15 +108,16 @@
         }
         try:
             async with asyncio.timeout(COMMIT_TIMEOUT_SECONDS):
-                await self._replica.propose(encode_command(command))
+                result = await self._replica.propose(encode_command(command))
         except (IbisheadError, TimeoutError) as error:
-            logger.warning(
-                "origins of streams not committed",
-                extra=fields | {"reason": str(error)},
-            )
+            reason = str(error)
         else:
-            logger.info("origins of streams committed", extra=fields)
-
-
-def _sort(origins: set[StreamOrigin]) -> tuple[StreamOrigin, ...]:
-    return tuple(sorted(origins, key=lambda o: (o.service, o.software)))
+            match decode_result(result):
+                case Rejected(reason):
+                    pass
+                case _:
+                    logger.info("origins of streams committed", extra=fields)
+                    return
+        logger.warning(
+            "origins of streams not committed", extra=fields | {"reason": reason}
+        )
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
 import msgspec
@@ -39,6 +39,7 @@
     "TryPart",
     "decode_result",
     "encode_command",
+    "sort_origins",
 ]
 
 logger = logging.getLogger(__name__)
@@ -124,7 +125,11 @@
 
 
 class AddOrigins(_LogRecord, frozen=True):
-    """Records services and software versions that begin streams."""
+    """Records services and software versions that begin streams.
+
+    It repeats those that are recorded already: a registry of a former build skips
+    entries that it doesn't know, and would miss them for good after its upgrade.
+    """
 
     origins: tuple[StreamOrigin, ...]
 
@@ -337,13 +342,11 @@
                 return PartBlocked(
                     any(found.part == command.part for found in self.blocked.parts)
                 )
-
             case AddOrigins(origins):
-                added = (o for o in origins if o not in self.origins)
-                self.origins = (*self.origins, *added)
+                self.origins = sort_origins({*self.origins, *origins})
                 return OriginsRecorded()
             case RemoveOrigins(origins):
-                self.origins = tuple(o for o in self.origins if o not in origins)
+                self.origins = sort_origins(set(self.origins).difference(origins))
                 return OriginsRecorded()
 
     def _change_blocked(
@@ -383,6 +386,11 @@
     return _RESULT_DECODER.decode(data)
 
 
+def sort_origins(origins: Iterable[StreamOrigin]) -> tuple[StreamOrigin, ...]:
+    """Return origins in the same order on all replicas."""
+    return tuple(sorted(origins, key=lambda o: (o.service, o.software)))
+
+
 def _add_customer(blocked: BlockedPart, customer: CustomerId | None) -> BlockedPart:
     if customer is None or blocked.customers is None:
         return msgspec.structs.replace(blocked, customers=None)
--- a/tests/registry/test_recorded_origins.py
+++ b/tests/registry/test_recorded_origins.py
@@ -1,6 +1,7 @@
 """The registry that leads records which software versions have served."""
 
 import asyncio
+import logging
 
 import msgspec
 import pytest
@@ -38,6 +39,7 @@
 
     def __init__(self, state):
         self.state, self.leads, self.index, self.failures = state, True, 0, 0
+        self.commands: list[bytes] = []
 
     def is_leader(self):
         return self.leads
@@ -47,6 +49,7 @@
             self.failures -= 1
             raise Unavailable("no quorum", "wait", code=ErrorCode.NO_QUORUM)
         self.index += 1
+        self.commands.append(command)
         return self.state.apply(self.index, command)
 
 
@@ -178,12 +181,27 @@
     assert [origin.software for origin in restored.origins] == ["v1"]
 
 
-def test_a_registry_upgraded_after_the_leader_knows_what_was_recorded_before():
+async def test_a_registry_upgraded_after_the_leader_knows_what_was_recorded_before():
     """A registry of the former build skipped the record and saved its state."""
     upgraded, leader = RouteState(), RouteState()
     leader.apply(1, encode_command(AddOrigins((make_origin("v1"),))))
     saved = [None, b"", [], 1, 0]
     upgraded.restore(pack(msgspec.msgpack.encode(saved)))
-    for state in (leader, upgraded):
-        state.apply(2, encode_command(AddOrigins((make_origin("v2"),))))
-    assert upgraded.origins == leader.origins
+    async with Scene(leader) as scene:
+        scene.register("v2")
+        await scene.wait(0.0)
+    for number, command in enumerate(scene.replica.commands, 2):
+        upgraded.apply(number, command)
+    assert upgraded.origins == leader.origins == (make_origin("v1"), make_origin("v2"))
+
+
+async def test_a_command_that_was_not_applied_is_not_logged_as_committed(caplog):
+    """An operator would look elsewhere for why streams are refused."""
+    state = RouteState()
+    state._execute = None
+    with caplog.at_level(logging.INFO):
+        async with Scene(state) as scene:
+            scene.register("v1")
+            await scene.wait(0.0)
+    logged = {r.message for r in caplog.records if "origins of streams" in r.message}
+    assert logged == {"origins of streams not committed"}
