Registries: record an unknown origin for services to which paths have moved

Found by the review, red in both cases of test_a_stream_begun_at_a_former_service_of_its_route_is_not_continued: a route led to one service and leads to another one now. A stream of the former one, resumed without its first request, went on at the present one (200, 503 expected).

Cause: of the recorded origins, only those of the service to which the route leads now were compared. That the route led there all the time was taken for granted, the class of docs/incidents/stream-resumed-after-a-restart.md.

When route sets change, the log's state now finds the services to which paths lead that led to others before (also by longer prefixes that come or go) and records an origin of unknown software for them.

The test had set the gateway's routes by hand, with an answer of the registry that no registry gives any more; it now takes the answer from the state to which both sets were applied, and asserts the same.

--- a/src/ibishead/gateway/pipeline.py
+++ b/src/ibishead/gateway/pipeline.py
@@ -73,7 +73,12 @@
     make_prompt_keys,
     measure_parts,
 )
-from ibishead.routing.routes import Repeatability, Route, pick_service
+from ibishead.routing.routes import (
+    Repeatability,
+    Route,
+    list_services,
+    pick_service,
+)
 from ibishead.routing.targets import Registration, StreamOrigin
 from ibishead.routing.work import RequestWork
 from ibishead.web import Exchange
@@ -433,7 +438,7 @@
             raise self._make_origin_error(
                 "it is unknown which service and software version began the stream"
             )
-        if origin.service not in _list_services(request.route):
+        if origin.service not in list_services(request.route):
             raise self._make_origin_error(
                 "the route no longer leads to the service that began the stream"
             )
@@ -444,10 +449,11 @@
 
         For callers that don't name the request that began the stream.
         """
-        services = _list_services(request.route)
+        services = list_services(request.route)
         if len(services) != 1:
             return None
-        origin = await self._inference.infer(services.pop())
+        (service,) = services
+        origin = await self._inference.infer(service)
         if origin is not None:
             request.origin_inferred = True
             self._metrics.count_event("stream_origin_inferred")
@@ -623,10 +629,6 @@
     return make_prompt_keys(names, customer.name if customer else None, content)
 
 
-def _list_services(route: Route) -> set[ServiceName]:
-    return {share.service for share in route.shares if share.weight > 0}
-
-
 def _state_outcome(request: RequestState, error: IbisheadError) -> IbisheadError:
     """Return the caller's error, which says "not run" only if that is certain.
 
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -12,10 +12,10 @@
 import msgspec
 
 from ibishead.errors import InvalidInput, StorageFault
-from ibishead.ids import CustomerId, HostId, PartKey
+from ibishead.ids import CustomerId, HostId, PartKey, SoftwareVersion
 from ibishead.routing.changes import pack, unpack
 from ibishead.routing.messages import AdapterFloor, BlockedPart, BlockedParts
-from ibishead.routing.routes import RouteSet
+from ibishead.routing.routes import RouteSet, find_moved_services
 from ibishead.routing.targets import StreamOrigin, WeightKey
 
 __all__ = [
@@ -241,7 +241,8 @@
     :ivar credit_term: term of the leader that was the last to credit the accounts of
         quotas in advance, 0 if no such credit counts any more.
     :ivar blocked: the blocked prompt parts.
-    :ivar origins: the origins of streams that may be resumed.
+    :ivar origins: the origins of streams that may be resumed. One of unknown software
+        stands for the streams of other services on routes that have moved.
     """
 
     def __init__(self) -> None:
@@ -316,6 +317,7 @@
         match command:
             case PutRoutes(routes, document):
                 if routes.version > self.version:
+                    self._record_moves(routes)
                     self.routes, self.document = routes, document
                     self.on_change()
                 return RoutesPut(self.version)
@@ -349,6 +351,12 @@
                 self.origins = sort_origins(set(self.origins).difference(origins))
                 return OriginsRecorded()
 
+    def _record_moves(self, routes: RouteSet) -> None:
+        """Record that streams of other services are resumed on routes that move."""
+        moved = find_moved_services(self.routes, routes) if self.routes else ()
+        unknown = {StreamOrigin(name, SoftwareVersion("")) for name in moved}
+        self.origins = sort_origins({*self.origins, *unknown})
+
     def _change_blocked(
         self, index: int, command: BlockPart | TryPart | ReleasePart
     ) -> None:
--- a/src/ibishead/routing/routes.py
+++ b/src/ibishead/routing/routes.py
@@ -23,7 +23,9 @@
     "Share",
     "check_routes",
     "find_gap_objective",
+    "find_moved_services",
     "find_route",
+    "list_services",
     "pick_service",
 ]
 
@@ -226,6 +228,38 @@
     return best
 
 
+def list_services(route: Route) -> frozenset[ServiceName]:
+    """Return the services that a route leads to."""
+    return frozenset(share.service for share in route.shares if share.weight > 0)
+
+
+def find_moved_services(before: RouteSet, after: RouteSet) -> set[ServiceName]:
+    """Return the services to which paths lead that led to other services before."""
+    old, new = _index_services(before), _index_services(after)
+    moved: set[ServiceName] = set()
+    for location in old.keys() | new.keys():
+        former, present = _match(old, *location), _match(new, *location)
+        if former and former != present:
+            moved |= present
+    return moved
+
+
+def _index_services(routes: RouteSet) -> dict[tuple[str, str], frozenset[ServiceName]]:
+    return {(r.hostname, r.prefix): list_services(r) for r in routes.routes}
+
+
+def _match(
+    index: dict[tuple[str, str], frozenset[ServiceName]], hostname: str, prefix: str
+) -> frozenset[ServiceName]:
+    """Return the services of the longest prefix that begins a prefix."""
+    while prefix:
+        if (found := index.get((hostname, prefix))) is not None:
+            return found
+        # Every prefix ends with a slash
+        prefix = prefix[: prefix.rstrip("/").rfind("/") + 1]
+    return frozenset()
+
+
 def pick_service(route: Route, point: float) -> ServiceName:
     """Choose a service of a route in proportion to the weights.
 
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -42,6 +42,7 @@
 from ibishead.metrics import Metrics
 from ibishead.platform.callers import PlatformCallers
 from ibishead.platform.targets import PlatformTargets
+from ibishead.registry.state import PutRoutes, RouteState, encode_command
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
     BlockedPart,
@@ -903,14 +904,14 @@
         STREAM, stream_completely, software=("v1",), shares=parts, **RESUMABLE
     ) as fixture:
         link, routes = fixture.link_registry(("v1",)), fixture.feed.routes
-        link.origins += (StreamOrigin(ServiceName("old"), SoftwareVersion("v1")),)
-        shares = (Share(ServiceName("old"), 1.0),)
         (route,) = routes.routes
+        shares = (Share(ServiceName("old"), 1.0),)
         former_route = msgspec.structs.replace(route, shares=shares)
+        state = RouteState()
         for version, found in ((1, former_route), (2, route)):
-            fixture.feed.routes = msgspec.structs.replace(
-                routes, version=version, routes=(found,)
-            )
+            changed = msgspec.structs.replace(routes, version=version, routes=(found,))
+            state.apply(version, encode_command(PutRoutes(changed, b"")))
+        link.origins += state.origins
         assert (await fixture.ask(**{"last-event-id": "2"}))[0] == 503
         assert fixture.reached == []
 
--- a/tests/routing/test_routes.py
+++ b/tests/routing/test_routes.py
@@ -13,6 +13,7 @@
     ServiceSpec,
     Share,
     check_routes,
+    find_moved_services,
     find_route,
     pick_service,
 )
@@ -90,3 +91,29 @@
 )
 def test_repeatable_depends_on_kind_and_resumability(kind, resumable, expected):
     assert make_route(kind=kind, resumable=resumable).repeatable is expected
+
+
+OLD, PLANS = (Share(ServiceName("old"), 1.0),), (Share(ServiceName("plans"), 1.0),)
+IDLE = (Share(ServiceName("old"), 0.0), *PLANS)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "moved"),
+    [
+        ({"/a/": OLD}, {"/a/": OLD}, set()),
+        ({"/a/": OLD}, {"/a/": PLANS}, {"plans"}),
+        ({"/a/": OLD}, {"/a/": IDLE}, {"plans"}),
+        ({"/a/": IDLE}, {"/a/": PLANS}, set()),
+        ({"/a/": OLD}, {"/b/": PLANS}, set()),
+        ({"/a/": OLD}, {"/a/": OLD, "/a/b/": PLANS}, {"plans"}),
+        ({"/a/": OLD, "/a/b/": PLANS}, {"/a/": OLD}, {"old"}),
+        ({"/": OLD}, {"/": OLD, "/a/b/": PLANS}, {"plans"}),
+    ],
+)
+def test_services_to_which_paths_have_moved(before, after, moved):
+    """Streams of the former service would be resumed at the present one."""
+    sets = (
+        make_set(*(make_route(prefix, shares=s) for prefix, s in routes.items()))
+        for routes in (before, after)
+    )
+    assert find_moved_services(*sets) == moved
