Tests of restarted versions: require that gateways refuse, not only that none goes on

Found by the review: attempts that met no gateway counted like refused ones, so four of six cases would have passed with gateways that never answer.

--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -18,6 +18,9 @@
 SEEDS = range(int(os.environ.get("RESTART_SEEDS", "1")))
 EVENTS, RECEIVED, STREAMS = 30, 5, 4
 
+#: Stands for a version where a gateway has refused to resume a stream as not run.
+REFUSED = "refused"
+
 #: Rounds of streams after a server has restarted.
 ROUNDS = 4
 
@@ -78,7 +81,10 @@
 async def resume(
     cluster, stream, *, named, route="advice", model=f"{MODEL}/warm", gateway=None
 ) -> str | None:
-    """Resume a stream, and return the version that went on with it, if any did."""
+    """Resume a stream, and return the version that went on with it, or `REFUSED`.
+
+    :returns: ``None`` if no gateway answered, or the answer held no event.
+    """
     headers = {"last_event_id": str(RECEIVED)} | ({"resumes": stream} if named else {})
     gateway = gateway or random.choice(cluster.gateways)
     with contextlib.suppress(LinkLost, TimeoutError):
@@ -86,6 +92,8 @@
             status, body, _ = await cluster.request(route, gateway, model, **headers)
         if status == 200 and body:
             return body.split()[4].decode()
+        if status == 503:
+            return REFUSED
     return None
 
 
@@ -150,6 +158,7 @@
         tmp_path, kill, keeps_name=keeps_name, named=named, pause=0.3, silence=silence
     )
     assert "v2" not in versions
+    assert REFUSED in versions
 
 
 async def test_a_stream_of_the_only_version_is_resumed_after_a_restart(tmp_path):
@@ -158,8 +167,10 @@
         stream, *_ = await begin_streams(cluster)
         await restart_core(cluster)
         async with asyncio.timeout(20.0):
-            while (version := await resume(cluster, stream, named=False)) is None:
+            version = await resume(cluster, stream, named=False)
+            while version in (None, REFUSED):
                 await asyncio.sleep(0.1)
+                version = await resume(cluster, stream, named=False)
     assert version == "v1"
 
 
@@ -248,3 +259,4 @@
         stewards=draw.random() < 0.3,
     )
     assert "v2" not in versions
+    assert REFUSED in versions
