--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -39,6 +39,11 @@
 
     def __init__(self, address, zone, registries, record, service="mester"):
         self.address, self.zone, self.service = address, zone, service
+        #: Whether it serves requests that name no model.
+        self.plain = False
+        #: Seconds by which its heartbeats arrive late.
+        self.late_seconds = 0.0
+        self._writers = set()
         self.registries, self.record = registries, record
         self.name = f"i-{random.randrange(16**8):08x}"
         self.born = int(time.time() * 1000)
@@ -58,6 +63,17 @@
     async def stop(self):
         self._beats.cancel()
         self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def restart(self, software, seconds):
+        """Crash, and start again under the same ID with another software version."""
+        await self.stop()
+        await asyncio.sleep(seconds)
+        self.born, self.sequence = int(time.time() * 1000), 0
+        self.software = software
+        await self.start()
+        self.record.write(f"{self.name} crashed and started again, now {software}")
 
     def describe(self):
         return {
@@ -69,7 +85,9 @@
             "state": self.state,
             "cold_ms": 0,
             "stage": "colocated",
-            "models": [{"name": MODEL, "version": 1, "adapters": []}],
+            "models": []
+            if self.plain
+            else [{"name": MODEL, "version": 1, "adapters": []}],
             "seq": self.sequence,
             "born": self.born,
         }
@@ -79,12 +97,14 @@
             self.sequence += 1
             body = json.dumps(self.describe()).encode()
             path = f"/api/instances/{self.name}/heartbeat"
+            await asyncio.sleep(self.late_seconds)
             for address in random.sample(self.registries, len(self.registries)):
                 if await call(address, CONTROL, "POST", path, body) == 200:
                     break
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+            await asyncio.sleep(max(0.0, HEARTBEAT_SECONDS - self.late_seconds))
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while (found := await read_head(reader)) is not None:
                 line, headers = found
@@ -92,6 +112,7 @@
                 await reader.readexactly(int(headers.get("content-length", 0)))
                 if not await self._answer(method, path, headers, reader, writer):
                     break
+        self._writers.discard(writer)
         writer.close()
 
     async def _answer(self, method, path, headers, reader, writer):
@@ -147,10 +168,14 @@
                 done, _ = await asyncio.wait((gone,), timeout=self.event_seconds)
                 if done:
                     return False
+            # from the end of the answer on, bytes belong to the next request
+            gone.cancel()
+            await asyncio.wait((gone,))
+            if not gone.cancelled():
+                return False
             writer.write(b"0\r\n\r\n")
             await writer.drain()
-            # the byte that was waited for belongs to the next request
-            return False
+            return True
         finally:
             self.running -= 1
             gone.cancel()
@@ -192,12 +217,14 @@
 
     numbers = itertools.count(1)
 
-    def __init__(self, record, route="mesh-advice", deadline_ms=30000):
-        self.record, self.route = record, route
+    def __init__(self, record, route="mesh-advice", deadline_ms=30000, model=True):
+        self.record, self.route, self.model = record, route, model
         self.deadline = time.monotonic() + deadline_ms / 1000
         self.status, self.last, self.complete = 0, 0, False
         self.first_request = None
         self.retry_after = None
+        #: Software versions that the events name.
+        self.versions = set()
         self._writer = None
 
     async def attempt(self, gateway, name_first=True, events=None):
@@ -209,11 +236,14 @@
             "Host: lofts.example",
             f"Request-Id: {request}",
             f"Deadline-Ms: {left}",
-            f"Model: {MODEL}",
-            "Token-Counts: 20,420",
-            f"Prompt-Prefix: 5c1e07a2:10,{request}:10",
             "Content-Length: 4",
         ]
+        if self.model:
+            lines += [
+                f"Model: {MODEL}",
+                "Token-Counts: 20,420",
+                f"Prompt-Prefix: 5c1e07a2:10,{request}:10",
+            ]
         if self.last:
             lines.append(f"Last-Event-Id: {self.last}")
             if name_first:
@@ -254,6 +284,8 @@
                 self.complete = True
                 return
             for line in chunk.decode().split("\n"):
+                if line.startswith("data:"):
+                    self.versions.add(line.split(" ")[2])
                 if line.startswith("id:"):
                     self.last = int(line[3:])
                     self.first_request = self.first_request or request
