--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -181,6 +181,81 @@
             gone.cancel()
 
 
+class PlainServer(Engine):
+    """A server without models, which answers with a short body.
+
+    :ivar arrivals: monotonic seconds and ID of each request that reached it.
+    """
+
+    def __init__(self, address, zone, registries, record, service="raktar"):
+        super().__init__(address, zone, registries, record, service)
+        self.plain = True
+        self.work_seconds = 0.06
+        self.arrivals = []
+
+    async def leave_unannounced(self):
+        """Deregister first, and go on serving.
+
+        :returns: what the last heartbeat before said.
+        """
+        self._beats.cancel()
+        last = self.describe()
+        path = f"/api/instances/{self.name}/deregister"
+        body = json.dumps({"born": self.born}).encode()
+        for address in self.registries:
+            if await call(address, CONTROL, "POST", path, body) == 200:
+                self.record.write(f"{address} acknowledges that {self.name} is gone")
+                return last
+        return None
+
+    async def deliver_late(self, heartbeat):
+        """Let a heartbeat arrive that was sent before."""
+        path = f"/api/instances/{self.name}/heartbeat"
+        for address in self.registries:
+            body = json.dumps(heartbeat).encode()
+            if await call(address, CONTROL, "POST", path, body) == 200:
+                self.record.write(f"a late heartbeat of {self.name} arrives at {address}")
+                return
+
+    async def _run(self, headers, reader, writer):
+        request = headers.get("request-id", "")
+        own = {"Request-Id": request}
+        if headers.get("expect-instance", self.name) != self.name:
+            own["Not-Executed"] = "1"
+            return await _respond(writer, 421, b"", own)
+        self.arrivals.append((time.monotonic(), request))
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_seconds)
+        finally:
+            self.running -= 1
+        own["Response-Stamp"] = f"{self.name}.{request}"
+        own["Server-Load"] = f"{self.running},0,6"
+        return await _respond(writer, 200, b"done " + request.encode(), own)
+
+
+async def send_plain(gateway, route, request, deadline_ms=4000):
+    """Send a client's request for a short answer, and return its status."""
+    try:
+        async with asyncio.timeout(deadline_ms / 1000):
+            reader, writer = await asyncio.open_connection(gateway, FRONT)
+            try:
+                lines = [
+                    f"POST /{route}/1 HTTP/1.1",
+                    "Host: lofts.example",
+                    f"Request-Id: {request}",
+                    f"Deadline-Ms: {deadline_ms}",
+                    "Content-Length: 4",
+                ]
+                writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + b"body")
+                found = await read_head(reader)
+                return int(found[0].split(" ")[1]) if found else 0
+            finally:
+                writer.close()
+    except (OSError, TimeoutError):
+        return 0
+
+
 async def _respond(writer, status, body=b"", headers=None):
     lines = [f"{name}: {value}" for name, value in (headers or {}).items()]
     lines.append(f"Content-Length: {len(body)}")
