--- a/review/4/case.py
+++ b/review/4/case.py
@@ -86,6 +86,8 @@
             words = json.loads(line)["message"].split()
             self.voters.discard(words[1].rpartition(".")[0])
             self.voters.add(words[-1].rpartition(".")[0])
+        elif b" now votes" in line:
+            self.voters.add(json.loads(line)["message"].split()[1].rpartition(".")[0])
         return False
 
 
@@ -97,6 +99,9 @@
     nodes = {node.name: node for node in cluster.registries}
     watch.look()
     followers = sorted(watch.voters - {watch.leader})
+    if len(followers) < 2:
+        record.write(f"too few known: {sorted(watch.voters)}, leads: {watch.leader}")
+        return True
     frozen, lost = nodes[followers[0]], nodes[followers[1]]
     record.write(f"votes: {sorted(watch.voters)}, leads: {watch.leader}")
     frozen_at = time.monotonic()
