Exchange a lost voter for its successor under joint majorities

Cause: a replacement was two changes, removal and promotion. The removal takes effect when it is appended; between the two, two voters are left, and the loss of one disk ends the quorum for good, as the removed voter isn't asked for its vote. The new log line "replica set changed" shows it: on the sources before, the last set at the leader and the learner is index 6 with two voters, commit 5, and nobody leads afterwards.

Change: the new replica takes the place of the lost one in one exchange (joint consensus, section 6 of the Raft paper). While it lasts, a quorum is a majority of the former and one of the new voters; each leader completes it. A voter with an emptied disk and an operator's `replace` go the same way. A leader that is to be replaced hands over without a promotion before.

Why it works: at each entry of an exchange, one lost disk leaves a majority in both groups once the silent voter is back. Promotion first would do the same, but blocks if the silent voter never returns and another one stops.

--- a/src/ibishead/control/agreement/configuration.py
+++ b/src/ibishead/control/agreement/configuration.py
@@ -1,4 +1,4 @@
-"""Changes of the replica set, one replica at a time."""
+"""Changes of the replica set: one replica at a time, or an exchange of two voters."""
 
 from ibishead.control.agreement import replication
 from ibishead.control.agreement.peers import Configuration, EntryKind
@@ -7,7 +7,7 @@
 from ibishead.errors import Conflict, ErrorCode, Unavailable
 from ibishead.ids import LogIndex, ReplicaId
 
-__all__ = ["add_learner", "append_configuration", "promote", "remove"]
+__all__ = ["add_learner", "append_configuration", "exchange", "promote", "remove"]
 
 
 def add_learner(configuration: Configuration, replica: ReplicaId) -> Configuration:
@@ -30,6 +30,22 @@
     return Configuration(tuple(voters), tuple(learners))
 
 
+def exchange(
+    configuration: Configuration, lost: ReplicaId, replica: ReplicaId
+) -> Configuration:
+    """Return the joint set in which a learner takes a voter's place.
+
+    Once it is committed, the leader completes the exchange. Removing one voter and
+    promoting another one by two changes would leave a set in between that tolerates
+    fewer failures than the sets before and after it.
+    """
+    voters = {*configuration.voters, replica} - {lost}
+    learners = set(configuration.learners) - voters
+    return Configuration(
+        tuple(sorted(voters)), tuple(sorted(learners)), configuration.voters
+    )
+
+
 def append_configuration(state: RaftState, wanted: Configuration) -> LogIndex:
     """Start a change of the replica set on the leader.
 
@@ -47,14 +63,18 @@
             code=ErrorCode.NOT_LEADER,
         )
     # Two concurrent changes could have quorums without a common replica
-    if state.log.configuration_index > state.commit:
+    current = state.configuration
+    if state.log.configuration_index > state.commit or current.outgoing:
         raise Conflict(
             "another change of the replica set is in progress",
             "wait until it has ended, then send the change again",
         )
-    current = state.configuration
     changed = set(current.voters).symmetric_difference(wanted.voters)
-    if len(changed) > 1:
+    if wanted.outgoing not in ((), current.voters):
+        raise Conflict(
+            "an exchange must start from the current voters", "send the change again"
+        )
+    if len(changed) > 1 and not wanted.outgoing:
         raise Conflict(
             "a change may add or remove one voter only", "split it into several changes"
         )
--- a/src/ibishead/control/agreement/consensus.py
+++ b/src/ibishead/control/agreement/consensus.py
@@ -293,6 +293,10 @@
         election.check_quorum(state)
         if state.role is not Role.LEADER:
             return
+        removed = state.commit >= state.log.configuration_index and not state.is_voter()
+        if removed and state.successor is None:
+            # this replica has led the exchange of voters that removed it
+            self.transfer()
         replication.send_take_over(state)
         if state.now % state.timing.heartbeat == 0:
             state.heartbeat_due = True
--- a/src/ibishead/control/agreement/election.py
+++ b/src/ibishead/control/agreement/election.py
@@ -7,6 +7,7 @@
     RaftState,
     ReadRefused,
     Role,
+    can_reach_quorum,
     has_quorum,
 )
 from ibishead.ids import ReplicaId, Term
@@ -175,13 +176,12 @@
     """Evaluate the votes so far; this replica's own vote counts once it is synced."""
     granting = [voter for voter, granted in state.votes.items() if granted]
     refusing = [voter for voter, granted in state.votes.items() if not granted]
-    voters = state.configuration.voters
-    if has_quorum(voters, granting):
+    if has_quorum(state.configuration, granting):
         if state.role is Role.PRE_CANDIDATE:
             campaign(state)
         else:
             _become_leader(state)
-    elif has_quorum(voters, refusing):
+    elif not can_reach_quorum(state.configuration, refusing):
         become_follower(state, state.term, None)
 
 
@@ -209,7 +209,7 @@
     log = state.log
     request = RequestVote(term, log.last_index, log.last_term, pre, transfer)
     state.votes.clear()
-    for peer in state.configuration.voters:
+    for peer in state.configuration.all_voters:
         if peer == state.replica:
             # the own vote, too, must be synced before it is counted
             send = state.send if pre else state.send_synced
--- a/src/ibishead/control/agreement/peers.py
+++ b/src/ibishead/control/agreement/peers.py
@@ -48,12 +48,30 @@
 class Configuration(_Struct, frozen=True):
     """The replica set, as stored in the log.
 
+    While voters are exchanged, the set is joint: a quorum is a majority of ``voters``
+    and one of ``outgoing`` (section 6 of the Raft paper, joint consensus).
+
     :param voters: replicas that count for the quorum, sorted.
     :param learners: replicas that receive the log without a vote, sorted.
+    :param outgoing: the voters before an exchange that isn't complete, sorted; empty at
+        all other times.
     """
 
     voters: tuple[ReplicaId, ...] = ()
     learners: tuple[ReplicaId, ...] = ()
+    outgoing: tuple[ReplicaId, ...] = ()
+
+    @property
+    def majorities(self) -> tuple[tuple[ReplicaId, ...], ...]:
+        """The groups of voters that must each agree by majority."""
+        return (self.voters, self.outgoing) if self.outgoing else (self.voters,)
+
+    @property
+    def all_voters(self) -> tuple[ReplicaId, ...]:
+        """The replicas that have a vote, sorted, with those of an exchange."""
+        if not self.outgoing:
+            return self.voters
+        return tuple(sorted({*self.voters, *self.outgoing}))
 
 
 class Entry(_Struct, frozen=True):
--- a/src/ibishead/control/agreement/raftstate.py
+++ b/src/ibishead/control/agreement/raftstate.py
@@ -1,7 +1,7 @@
 """State of one replica's consensus, and the outputs for its caller to perform."""
 
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TypeAlias
@@ -24,6 +24,7 @@
     "Send",
     "Timing",
     "Write",
+    "can_reach_quorum",
     "has_quorum",
     "quorum_value",
 ]
@@ -250,7 +251,7 @@
     def peers(self) -> list[ReplicaId]:
         """All other replicas that receive the log: voters and learners."""
         found = self.configuration
-        members = (*found.voters, *found.learners)
+        members = (*found.all_voters, *found.learners)
         return [member for member in members if member != self.replica]
 
     def lease(self) -> int:
@@ -264,7 +265,7 @@
 
     def is_voter(self) -> bool:
         """Return whether this replica is a voter in its latest replica set."""
-        return self.replica in self.configuration.voters
+        return self.replica in self.configuration.all_voters
 
     # Messages ----------------------------------------------------------------
 
@@ -377,15 +378,38 @@
         return self._dirty_vote or log_changed or self._dirty_snapshot is not None
 
 
-def has_quorum(voters: Iterable[ReplicaId], granting: Iterable[ReplicaId]) -> bool:
-    """Return whether more than half of the voters are among ``granting``."""
-    counted = set(voters)
-    return 2 * len(counted.intersection(granting)) > len(counted)
+def has_quorum(configuration: Configuration, granting: Collection[ReplicaId]) -> bool:
+    """Return whether a quorum of a replica set is among ``granting``."""
+    return all(_has_majority(voters, granting) for voters in configuration.majorities)
 
 
-def quorum_value(values: list[int]) -> int:
-    """Return the largest value that more than half of the voters have reached.
+def can_reach_quorum(
+    configuration: Configuration, refusing: Collection[ReplicaId]
+) -> bool:
+    """Return whether a quorum is possible although some voters have refused."""
+    return not any(
+        _has_majority(voters, refusing) for voters in configuration.majorities
+    )
+
 
-    :param values: one per voter.
+def quorum_value(
+    configuration: Configuration, find_value: Callable[[ReplicaId], int]
+) -> int:
+    """Return the largest value that a quorum has reached.
+
+    :param find_value: returns the value that a voter has reached.
     """
+    return min(
+        _majority_value([find_value(voter) for voter in voters])
+        for voters in configuration.majorities
+    )
+
+
+def _has_majority(
+    voters: Collection[ReplicaId], granting: Collection[ReplicaId]
+) -> bool:
+    return 2 * len(set(voters).intersection(granting)) > len(voters)
+
+
+def _majority_value(values: list[int]) -> int:
     return sorted(values, reverse=True)[len(values) // 2] if values else 0
--- a/src/ibishead/control/agreement/replication.py
+++ b/src/ibishead/control/agreement/replication.py
@@ -1,15 +1,17 @@
 """Log replication from the leader to its followers, commitment, reads and leases."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ibishead.control.agreement.peers import (
     Append,
     AppendAnswer,
+    Configuration,
     Entry,
     EntryKind,
     Install,
     TakeOver,
 )
+from ibishead.control.agreement.raftlog import encode_configuration
 from ibishead.control.agreement.raftstate import (
     LeaseMark,
     PendingRead,
@@ -104,24 +106,18 @@
     of an older term can be on a quorum and still be overwritten by a leader that
     doesn't have it.
     """
-    matches = [
-        state.durable if voter == state.replica else state.progress[voter].match
-        for voter in state.configuration.voters
-    ]
-    index = quorum_value(matches)
+    index = _find_quorum_value(state, state.durable, lambda found: found.match)
     if index > state.commit and state.log.term_at(index) == state.term:
         state.commit = LogIndex(index)
         state.heartbeat_due = True
         _begin_deferred_reads(state)
+        _complete_exchange(state)
 
 
 def quorum_age(state: RaftState) -> int:
     """Return the ticks since a quorum last followed this leader for certain."""
-    contacts = [
-        state.now if voter == state.replica else state.progress[voter].contact
-        for voter in state.configuration.voters
-    ]
-    return state.now - quorum_value(contacts)
+    last = _find_quorum_value(state, state.now, lambda found: found.contact)
+    return state.now - last
 
 
 def send_take_over(state: RaftState) -> None:
@@ -138,6 +134,31 @@
         state.send(successor, TakeOver(state.term))
 
 
+def _find_quorum_value(
+    state: RaftState, own: int, read: Callable[[Progress], int]
+) -> int:
+    """Return the largest value that a quorum has reached, by the voters' progress.
+
+    :param own: the value of this replica itself.
+    """
+    return quorum_value(
+        state.configuration,
+        lambda voter: own if voter == state.replica else read(state.progress[voter]),
+    )
+
+
+def _complete_exchange(state: RaftState) -> None:
+    """Append the final set of an exchange of voters once the joint one is committed.
+
+    Each leader does so, also one that was elected during the exchange.
+    """
+    joint = state.configuration
+    if joint.outgoing and state.commit >= state.log.configuration_index:
+        final = Configuration(joint.voters, joint.learners)
+        data = encode_configuration(final)
+        append_command(state, EntryKind.CONFIGURATION, data)
+
+
 def _update_peers(state: RaftState) -> None:
     next_index = state.log.last_index + 1
     members = state.peers
@@ -219,11 +240,7 @@
 
 
 def _complete_reads(state: RaftState) -> None:
-    rounds = [
-        state.round if voter == state.replica else state.progress[voter].round
-        for voter in state.configuration.voters
-    ]
-    confirmed = quorum_value(rounds)
+    confirmed = _find_quorum_value(state, state.round, lambda found: found.round)
     ready = [read for read in state.reads if read.round <= confirmed]
     state.reads = [read for read in state.reads if read.round > confirmed]
     state.outputs += [ReadReady(read.context, read.index) for read in ready]
--- a/src/ibishead/control/log/driver.py
+++ b/src/ibishead/control/log/driver.py
@@ -12,7 +12,13 @@
 
 from ibishead.clock import Clock
 from ibishead.control.agreement.consensus import Consensus
-from ibishead.control.agreement.peers import Entry, EntryKind, PeerMessage, Snapshot
+from ibishead.control.agreement.peers import (
+    Configuration,
+    Entry,
+    EntryKind,
+    PeerMessage,
+    Snapshot,
+)
 from ibishead.control.agreement.raftstate import (
     Apply,
     Output,
@@ -141,6 +147,7 @@
         self._applied_bytes = 0
         self._has_free_space = False
         self._leader: ReplicaId | None = None
+        self._replica_set = Configuration()
         self._last_tick = clock.monotonic()
         self.load(identity)
 
@@ -240,8 +247,26 @@
             for output in outputs:
                 self._perform(output)
         self._take_snapshot()
+        self._log_replica_set()
         self._log_leader()
 
+    def _log_replica_set(self) -> None:
+        log = self.core.log
+        if log.configuration == self._replica_set:
+            return
+        self._replica_set = log.configuration
+        logger.info(
+            "replica set changed",
+            extra={
+                "voters": ",".join(log.configuration.voters),
+                "learners": ",".join(log.configuration.learners),
+                "outgoing": ",".join(log.configuration.outgoing),
+                "index": log.configuration_index,
+                "commit": self.core.commit,
+                "role": self.core.role.value,
+            },
+        )
+
     def _log_leader(self) -> None:
         if self.core.leader != self._leader:
             self._leader = self.core.leader
--- a/src/ibishead/control/log/repair.py
+++ b/src/ibishead/control/log/repair.py
@@ -35,10 +35,9 @@
 async def replace(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
     """Replace a replica by the new one that runs on a host; to be called on the leader.
 
-    The new replica is a learner until it has caught up with the log. Then a silent
-    voter is removed before the promotion, as otherwise both together would raise the
-    quorum above the number of live voters if the new replica failed too. A voter that
-    still answers is removed after the promotion, so that the set never shrinks.
+    The new replica is a learner until it has caught up with the log. Then it takes the
+    place of the lost voter in one exchange, so that the set never shrinks, and the
+    quorum never rises above the number of live voters if the new replica fails too.
 
     :returns: the new replica.
     :raises Unavailable: the host has no new replica, it doesn't catch up, or the
@@ -50,7 +49,6 @@
     _check_size(replica, lost, new)
     await _add_and_catch_up(replica, new)
     if lost == replica.name:
-        await _promote(replica, new)
         await replica.transfer()
         raise Unavailable(
             f"{lost} was the leader and has handed over the leadership",
@@ -58,10 +56,11 @@
             code=ErrorCode.NOT_LEADER,
             retry_after=timedelta(seconds=replica.options.election_timeout),
         )
-    same_host = replica_host(lost) == replica_host(new)
-    if same_host or replica.core.silence(lost) >= replica.options.timing.election:
-        await _remove(replica, lost)
-        await _promote(replica, new)
+    await _wait_caught_up(replica, new)
+    current = replica.core.configuration
+    if lost in current.voters and new not in current.voters:
+        wanted = configuration.exchange(current, lost, new)
+        await replica.change_configuration(wanted)
     else:
         await _promote(replica, new)
         await _remove(replica, lost)
@@ -190,6 +189,8 @@
     def _choose_repair(self) -> tuple[ReplicaId, HostId] | None:
         replica = self._replica
         core = replica.core
+        if core.configuration.outgoing:
+            return None
         max_silence = replica.options.repair_after / replica.options.tick_seconds
         silences = [(core.silence(voter), voter) for voter in core.configuration.voters]
         hosts = [
@@ -235,14 +236,22 @@
 async def _promote(replica: "LogReplica", new: ReplicaId) -> None:
     if new in replica.core.configuration.voters:
         return
-    # the new replica may not have received the previous change yet
-    deadline = replica.clock.monotonic() + _PROMOTE_TIMEOUT_SECONDS
-    while not replica.core.is_caught_up(new) and replica.clock.monotonic() < deadline:
-        await asyncio.sleep(replica.options.tick_seconds)
+    await _wait_caught_up(replica, new)
     current = replica.core.configuration
     await replica.change_configuration(configuration.promote(current, new))
 
 
+async def _wait_caught_up(replica: "LogReplica", new: ReplicaId) -> None:
+    """Wait until a learner has received the entry of the previous change, too."""
+    deadline = replica.clock.monotonic() + _PROMOTE_TIMEOUT_SECONDS
+    while (
+        new not in replica.core.configuration.voters
+        and not replica.core.is_caught_up(new)
+        and replica.clock.monotonic() < deadline
+    ):
+        await asyncio.sleep(replica.options.tick_seconds)
+
+
 async def _remove(replica: "LogReplica", lost: ReplicaId) -> None:
     current = replica.core.configuration
     if lost in current.voters or lost in current.learners:
--- a/src/ibishead/control/log/replica.py
+++ b/src/ibishead/control/log/replica.py
@@ -194,7 +194,8 @@
 
         Reachable are those to which a link is open, and this replica itself.
         """
-        return len(self._list_linked()), len(self.core.configuration.voters)
+        voters = self.core.configuration.all_voters
+        return len(self._list_linked()), len(voters)
 
     async def transfer(self) -> None:
         """Transfer the leadership to the replica with the most complete log.
@@ -232,10 +233,18 @@
         return answer.replica
 
     async def change_configuration(self, wanted: Configuration) -> None:
-        """Change the replica set by one replica; return once that is committed."""
+        """Change the replica set; return once that is committed, an exchange in full.
+
+        :raises Unavailable: the leadership was lost before the exchange was complete.
+            The next leader completes it if the joint set was committed.
+        """
         core = self.core
         index = core.propose_configuration(wanted)
         await self._driver.wait_for(index, core.term)
+        while core.configuration.outgoing or core.commit < core.log.configuration_index:
+            if not self.is_leader():
+                raise make_unknown_outcome_error()
+            await asyncio.sleep(self.options.tick_seconds)
 
     async def stop(self) -> None:
         """Close links and the data folder."""
@@ -452,7 +461,7 @@
         round, so that two that start together don't split the votes.
         """
         linked = self._list_linked()
-        quorum = has_quorum(self.core.configuration.voters, linked)
+        quorum = has_quorum(self.core.configuration, linked)
         if self.name not in linked or not quorum:
             self._linked_rounds = 0
             return
@@ -462,7 +471,7 @@
         self._linked_rounds += 1
 
     def _list_linked(self) -> list[ReplicaId]:
-        voters = self.core.configuration.voters
+        voters = self.core.configuration.all_voters
         return [v for v in voters if v == self.name or self._reaches(v)]
 
     def _reaches(self, replica: ReplicaId) -> bool:
--- a/tests/control/replica_fakes.py
+++ b/tests/control/replica_fakes.py
@@ -83,6 +83,7 @@
         return True
 
     def _deliver(self, host: HostId, frame: PeerFrame) -> None:
+        self.cluster.on_deliver()
         if self.reaches(host) and not self.cluster.silent & {self.own, host}:
             self.cluster.hosts[host].replica.receive_frame(frame)
 
@@ -119,6 +120,7 @@
     :ivar hosts: the running hosts, by name.
     :ivar cuts: pairs of sender and receiver without a link.
     :ivar silent: hosts whose links stay open but deliver nothing.
+    :ivar on_deliver: called before each frame that is delivered.
     """
 
     names: list[HostId]
@@ -128,6 +130,7 @@
     cuts: set[tuple[HostId, HostId]] = field(default_factory=set)
     silent: set[HostId] = field(default_factory=set)
     random: Random = field(default_factory=lambda: Random(1))
+    on_deliver: Callable[[], None] = lambda: None
 
     async def start(self, host: HostId, files: FakeFiles | None = None) -> Host:
         files = files or FakeFiles(self.random.randrange(1000))
--- a/tests/raft_fakes.py
+++ b/tests/raft_fakes.py
@@ -26,6 +26,7 @@
     Send,
     Timing,
     Write,
+    has_quorum,
 )
 from ibishead.errors import Conflict, Unavailable
 from ibishead.ids import LogIndex, ReplicaId, Term
@@ -392,7 +393,7 @@
             c for node in self.nodes.values() for c in _list_replica_sets(node.core)
         ]
         return name not in self.lost and all(
-            name not in c.voters or _keeps_quorum(c, lost) for c in found
+            name not in c.all_voters or _keeps_quorum(c, lost) for c in found
         )
 
 
@@ -403,5 +404,4 @@
 
 
 def _keeps_quorum(found: Configuration, lost: set[ReplicaId]) -> bool:
-    surviving = [voter for voter in found.voters if voter not in lost]
-    return 2 * len(surviving) > len(found.voters)
+    return has_quorum(found, set(found.all_voters) - lost)
--- a/tests/test_consensus_schedules.py
+++ b/tests/test_consensus_schedules.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
+from enum import Enum
 
 import pytest
 from hypothesis import given, settings
@@ -16,6 +17,7 @@
 
 from ibishead.control.agreement import configuration as changes
 from ibishead.control.agreement.peers import Configuration
+from ibishead.control.agreement.raftstate import Role
 from ibishead.ids import ReplicaId
 
 
@@ -141,6 +143,15 @@
             chosen = self.random.choice(current.learners)
             self.replicas.change(leader, changes.promote(current, chosen))
 
+    def do_exchange(self) -> None:
+        leader = self.pick_leader()
+        current = self.replicas.nodes[leader].core.configuration
+        others = [voter for voter in current.voters if voter != leader]
+        if current.learners and others:
+            lost = self.random.choice(others)
+            chosen = self.random.choice(current.learners)
+            self.replicas.change(leader, changes.exchange(current, lost, chosen))
+
     def do_remove(self) -> None:
         leader = self.pick_leader()
         current = self.replicas.nodes[leader].core.configuration
@@ -176,6 +187,7 @@
     "lose_disk": 1,
     "add_learner": 4,
     "promote": 4,
+    "exchange": 4,
     "remove": 3,
 }
 
@@ -223,6 +235,127 @@
     run_schedule()
 
 
+class Part(Enum):
+    """A replica's part in an exchange of voters while another voter is silent."""
+
+    LEADER = "leader"
+    FOLLOWER = "follower"
+    NEW = "new"
+
+
+def start_exchange(seed: int, *, leads: bool) -> tuple[Replicas, dict[Part, ReplicaId]]:
+    """Start to exchange a silent voter, the former leader or a follower, for a learner.
+
+    :returns: the replicas, and those that answer by their parts.
+    """
+    replicas = Replicas(3, seed)
+    replicas.run(20)
+    first = replicas.leader()
+    assert first is not None
+    new = replicas.add_host("d")
+    current = replicas.nodes[first].core.configuration
+    assert replicas.change(first, changes.add_learner(current, new))
+    replicas.propose(first)
+    replicas.run(3)
+    silent = first if leads else next(v for v in current.voters if v != first)
+    replicas.freeze(silent, True)
+    leader = first
+    while leader == silent:
+        replicas.run(1)
+        answering = [v for v in current.voters if v != silent]
+        leading = (v for v in answering if replicas.nodes[v].core.role is Role.LEADER)
+        leader = next(leading, silent)
+    replicas.run(3)
+    current = replicas.nodes[leader].core.configuration
+    assert replicas.change(leader, changes.exchange(current, silent, new))
+    follower = next(v for v in current.voters if v not in (silent, leader))
+    parts = {Part.LEADER: leader, Part.FOLLOWER: follower, Part.NEW: new}
+    return replicas, parts
+
+
+@pytest.mark.parametrize("leads", [False, True], ids=["follower", "leader"])
+@pytest.mark.parametrize("part", Part)
+@pytest.mark.parametrize("steps", range(0, 30, 2))
+def test_any_disk_may_be_lost_during_an_exchange(
+    steps: int, part: Part, leads: bool
+) -> None:
+    """Guards against a set between two others that tolerates fewer lost disks."""
+    for seed in range(20):
+        replicas, parts = start_exchange(seed, leads=leads)
+        draw = random.Random(seed)
+        names = list(parts.values())
+        for _ in range(steps):
+            if draw.random() < 0.5:
+                replicas.deliver(draw.randrange(3))
+            else:
+                replicas.sync(draw.choice(names))
+        assert replicas.lose_disk(parts[part]) is not None
+        replicas.check_recovery()
+
+
+@pytest.mark.parametrize(
+    "apart", [Part.FOLLOWER, Part.NEW], ids=["former-voters", "new-voters"]
+)
+def test_joint_set_commits_only_with_both_majorities(apart: Part) -> None:
+    """Guards against two leaders, one by the former voters and one by the new ones."""
+    replicas, parts = start_exchange(0, leads=False)
+    before = replicas.max_commit
+    core = replicas.nodes[parts[Part.LEADER]].core
+    (removed,) = set(core.configuration.outgoing) - set(core.configuration.voters)
+    replicas.isolate(parts[apart])
+    if apart is Part.NEW:
+        replicas.isolate(parts[Part.FOLLOWER])
+        replicas.freeze(removed, False)
+    replicas.run(3)
+    assert replicas.max_commit == before
+    replicas.check_recovery()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_exchange_is_completed_by_the_next_leader(seed: int) -> None:
+    """Guards against a joint set that stays in force after its leader has crashed."""
+    replicas, parts = start_exchange(seed, leads=False)
+    leader = parts[Part.LEADER]
+    while not any(
+        replicas.nodes[name].core.configuration.outgoing
+        for name in (parts[Part.FOLLOWER], parts[Part.NEW])
+    ):
+        replicas.deliver(0)
+    replicas.crash(leader)
+    replicas.heal()
+    replicas.crash(leader)
+    replicas.run(60)
+    core = replicas.nodes[parts[Part.NEW]].core
+    assert not core.configuration.outgoing
+    assert core.commit >= core.log.configuration_index
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_removed_leader_hands_over_after_an_exchange(seed: int) -> None:
+    """Guards against a leader without a vote that holds on to its leadership."""
+    replicas, parts = start_exchange(seed, leads=False)
+    leader = parts[Part.LEADER]
+    core = replicas.nodes[leader].core
+    (removed,) = set(core.configuration.outgoing) - set(core.configuration.voters)
+    replicas.freeze(removed, False)
+    while not replicas.nodes[removed].core.configuration.outgoing:
+        replicas.tick(leader)
+        waiting = [m for m in replicas.network if {m.to, m.sender} == {leader, removed}]
+        if waiting:
+            replicas.deliver(replicas.network.index(waiting[0]))
+    replicas.sync(removed)
+    replicas.crash(leader)
+    # so no other log that is left holds the change
+    replicas.network.clear()
+    replicas.run(60, until=core.log.last_index)
+    assert removed in replicas.leaders.values()
+    replicas.restart(leader)
+    replicas.run(60)
+    assert replicas.leader() in parts.values()
+    assert removed not in replicas.voters()
+    replicas.check_recovery()
+
+
 NAMES = st.integers(0, 7)
 
 
@@ -319,6 +452,13 @@
         if self.name(number) in self._current().learners:
             self._change(lambda current: changes.promote(current, self.name(number)))
 
+    @rule(number=NAMES, other=NAMES)
+    def exchange(self, number: int, other: int) -> None:
+        lost, replica = self.name(number), self.name(other)
+        current = self._current()
+        if lost in current.voters and replica in current.learners:
+            self._change(lambda found: changes.exchange(found, lost, replica))
+
     @rule(number=NAMES)
     def remove(self, number: int) -> None:
         if len(self._current().voters) > 2:
