Record departures of targets in the log before they are acknowledged

Cause: departures were soft state, like all registrations, but unlike these nobody repeats them. On the registries' logs show the late heartbeat as a first registration: ready, sequence 7, the same start, and no line on that server between the restart and it. Without a kill no request reaches the server, so neither the merge nor its order is at fault. Also, the end of a target that a registry didn't know was acknowledged and kept nowhere.

Change: the log records that a target drains or is gone before that is acknowledged. It takes effect at once, as before; without a quorum the target is sent to another registry. The leader records what was said by answers, and removes what the view has dropped. The loop of the origins' watch is shared with it (StateWatch). An end is final: a late "draining" with a higher number doesn't undo it.

Why it works: the log outlives all processes and the loss of one disk, and the merge never lets an incarnation that leaves become ready again.

--- a/src/ibishead/platform/httpapi.py
+++ b/src/ibishead/platform/httpapi.py
@@ -59,7 +59,7 @@
 async def _dispatch(service: RegistryService, request: WebRequest) -> bytes:
     match request.method, request.path:
         case "POST", path if (found := _INSTANCE_PATH.fullmatch(path)) is not None:
-            _handle_instance_call(service, found[1], found[2], request.body)
+            await _handle_instance_call(service, found[1], found[2], request.body)
             return _EMPTY_OBJECT
         case "POST", "/api/config/put":
             await service.put_routes(decode_routes(request.body), request.body)
@@ -79,10 +79,10 @@
     )
 
 
-def _handle_instance_call(
+async def _handle_instance_call(
     service: RegistryService, target: str, kind: str, body: bytes
 ) -> None:
     if kind == "heartbeat":
-        service.announce(decode_heartbeat(target, body))
+        await service.register(decode_heartbeat(target, body))
     else:
-        service.deregister(TargetId(target), decode_deregistration(body))
+        await service.deregister(TargetId(target), decode_deregistration(body))
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -20,6 +20,7 @@
 from ibishead.metrics import Metrics
 from ibishead.registry.crashes import CrashWatch
 from ibishead.registry.credits import CreditLog
+from ibishead.registry.departures import DepartureWatch
 from ibishead.registry.founders import (
     FULL_SET_TIMEOUT_SECONDS,
     SETTLE_SECONDS,
@@ -159,6 +160,11 @@
             if self.replica
             else None
         )
+        self._departures = (
+            DepartureWatch(self.state, self.replica, self.feed.view)
+            if self.replica
+            else None
+        )
         self.service = RegistryService(
             self.state,
             self.replica,
@@ -169,6 +175,9 @@
             lambda registration: self._notice_registrations((registration,)),
         )
         self.state.on_change = self._publisher.publish_state
+        self.state.on_departures = self.service.handle_departures
+        # the replica has restored its snapshot before
+        self.service.handle_departures(tuple(self.state.departures.values()))
         self._links = LinkServer(
             self._serve_link,
             lambda: Hello(Role.CONTROL, settings.host),
@@ -194,6 +203,8 @@
             self._tasks.append(asyncio.create_task(self._crashes.run()))
         if self._origins is not None:
             self._tasks.append(asyncio.create_task(self._origins.run()))
+        if self._departures is not None:
+            self._tasks.append(asyncio.create_task(self._departures.run()))
         if self.replica is not None and self._settings.first_start:
             self._tasks.append(asyncio.create_task(self._found_log()))
 
@@ -299,6 +310,8 @@
     def _notice_registrations(self, fresh: tuple[Registration, ...]) -> None:
         if self._origins is not None:
             self._origins.notice(fresh)
+        if self._departures is not None:
+            self._departures.notice(fresh)
 
     def _handle_message(self, link: Link, message: Message) -> None:
         """Handle a message from another registry."""
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -17,10 +17,12 @@
 from ibishead.registry.publisher import FeedPublisher
 from ibishead.registry.state import (
     Command,
+    DeparturesRecorded,
     FenceTaken,
     FloorRaised,
     PutRoutes,
     RaiseFloor,
+    RecordDepartures,
     Rejected,
     Result,
     RoutesPut,
@@ -36,6 +38,7 @@
     StreamOrigin,
     TargetState,
     WeightKey,
+    make_departure,
 )
 
 __all__ = ["RedirectError", "RegistryService"]
@@ -130,17 +133,53 @@
         self._publisher.publish_registrations((registration,))
         self._on_announced(registration)
 
-    def deregister(self, target: TargetId, born: int) -> None:
-        """Mark a target as gone, and inform the subscribers.
+    async def register(self, registration: Registration) -> None:
+        """Handle a target's own registration; return once it may be acknowledged.
+
+        What it says takes effect at once. That the target leaves is acknowledged only
+        when the log has recorded it, as the target then relies on it.
+
+        :raises Unavailable: the departure was not committed, or its outcome is unknown.
+        """
+        self.announce(registration)
+        if registration.is_leaving:
+            await self._record_departure(registration)
+
+    async def deregister(self, target: TargetId, born: int) -> None:
+        """Mark a target as gone; return once the log has recorded it.
 
         :param born: start of the incarnation that ended, 0 if unspecified.
+        :raises Unavailable: the departure was not committed, or its outcome is unknown.
         """
-        gone = self._feed.view.mark_gone(target, born, self._clock.monotonic())
+        view = self._feed.view
+        gone = view.mark_gone(target, born, self._clock.monotonic())
         if gone is not None:
             logger.info(
                 "target deregistered", extra={"target": target, "born": gone.born}
             )
             self._publisher.publish_registrations((gone,))
+        known = view.get(target)
+        same = known is not None and born in (0, known.born)
+        await self._record_departure(
+            known if known is not None and same else make_departure(target, born)
+        )
+
+    def handle_departures(self, departures: tuple[Registration, ...]) -> None:
+        """Merge departures that the log has recorded, and send what they change."""
+        now = self._clock.monotonic()
+        changed = tuple(r for r in departures if self._feed.view.merge(r, now))
+        if changed:
+            self._publisher.publish_registrations(changed)
+
+    async def _record_departure(self, registration: Registration) -> None:
+        if self._replica is not None and self._state.has_departed(registration):
+            return
+        command = RecordDepartures((registration.as_departure(),))
+        fields = {"target": registration.target, "born": registration.born}
+        with self._log_command("record_departure", **fields):
+            result = await self._run_command(command)
+            if not isinstance(result, DeparturesRecorded):
+                raise _convert_rejection(result)
 
     # Operators ---------------------------------------------------------------
 
@@ -152,7 +191,7 @@
         :raises InvalidInput: the set is inconsistent; nothing was changed.
         :raises Unavailable: the command was not committed, or its outcome is unknown.
         """
-        with self._log_command("put_routes", routes.version):
+        with self._log_command("put_routes", version=routes.version):
             check_routes(routes)
             if self._replica is not None and routes.version <= self._state.version:
                 # A version applied here is committed, so it is never superseded by
@@ -197,7 +236,8 @@
         :raises InvalidInput: the version is below 1.
         :raises Unavailable: the command was not committed, or its outcome is unknown.
         """
-        with self._log_command("raise_floor", version, key):
+        weights = f"{key.model}/{key.adapter}"
+        with self._log_command("raise_floor", weights=weights, version=version):
             if version < 1:
                 raise InvalidInput(
                     f"version {version} is invalid", "send a version above zero"
@@ -224,9 +264,7 @@
         raise _convert_rejection(result)
 
     @contextlib.contextmanager
-    def _log_command(
-        self, command: str, version: int, key: WeightKey | None = None
-    ) -> Iterator[None]:
+    def _log_command(self, command: str, **fields: object) -> Iterator[None]:
         started = self._clock.monotonic()
         outcome = "caller_left"
         try:
@@ -240,8 +278,7 @@
                 "command answered",
                 extra={
                     "command": command,
-                    "weights": f"{key.model}/{key.adapter}" if key else None,
-                    "version": version,
+                    **fields,
                     "outcome": outcome,
                     "leader": self._replica.leader() if self._replica else None,
                     "voters_reached": self._format_reached(),
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -2,7 +2,8 @@
 
 The state is the route set, the floors (minimum versions) of adapters, the fencing
 numbers, whether the accounts of quotas have lately been credited in advance, the
-prompt parts that crash engines, and the origins of streams that may be resumed.
+prompt parts that crash engines, the origins of streams that may be resumed, and the
+departures of targets.
 """
 
 import logging
@@ -12,25 +13,34 @@
 import msgspec
 
 from ibishead.errors import InvalidInput, StorageFault
-from ibishead.ids import CustomerId, HostId, PartKey, SoftwareVersion
+from ibishead.ids import CustomerId, HostId, PartKey, SoftwareVersion, TargetId
 from ibishead.routing.changes import pack, unpack
 from ibishead.routing.messages import AdapterFloor, BlockedPart, BlockedParts
 from ibishead.routing.routes import RouteSet, find_moved_services
-from ibishead.routing.targets import StreamOrigin, WeightKey
+from ibishead.routing.targets import (
+    Registration,
+    StreamOrigin,
+    TargetState,
+    WeightKey,
+)
 
 __all__ = [
     "AddOrigins",
     "BlockPart",
+    "Command",
     "CreditMarked",
+    "DeparturesRecorded",
     "FenceTaken",
     "FloorRaised",
     "OriginsRecorded",
     "PartBlocked",
     "PutRoutes",
     "RaiseFloor",
+    "RecordDepartures",
     "Rejected",
     "ReleaseCredit",
     "ReleasePart",
+    "RemoveDepartures",
     "RemoveOrigins",
     "RoutesPut",
     "RouteState",
@@ -47,6 +57,9 @@
 #: Maximum number of blocked prompt parts. Beyond it, the one blocked first is removed.
 MAX_BLOCKED_PARTS = 1000
 
+#: Maximum number of recorded departures. Beyond it, the one recorded first is removed.
+MAX_DEPARTURES = 10_000
+
 
 class _LogRecord(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of commands and results."""
@@ -140,6 +153,24 @@
     origins: tuple[StreamOrigin, ...]
 
 
+class RecordDepartures(_LogRecord, frozen=True):
+    """Records that targets drain or are gone.
+
+    :param departures: as `Registration.as_departure` returns them.
+    """
+
+    departures: tuple[Registration, ...]
+
+
+class RemoveDepartures(_LogRecord, frozen=True):
+    """Removes departures after which no registration can arrive any more.
+
+    :param targets: each with the start of the incarnation that left.
+    """
+
+    targets: tuple[tuple[TargetId, int], ...]
+
+
 class RoutesPut(_LogRecord, frozen=True):
     """Result of `PutRoutes`.
 
@@ -189,6 +220,10 @@
     """Result of `AddOrigins` and `RemoveOrigins`."""
 
 
+class DeparturesRecorded(_LogRecord, frozen=True):
+    """Result of `RecordDepartures` and `RemoveDepartures`."""
+
+
 class Rejected(_LogRecord, frozen=True):
     """Result of a command that could not be applied.
 
@@ -209,6 +244,8 @@
     | ReleasePart
     | AddOrigins
     | RemoveOrigins
+    | RecordDepartures
+    | RemoveDepartures
 )
 Result: TypeAlias = (
     RoutesPut
@@ -217,6 +254,7 @@
     | CreditMarked
     | PartBlocked
     | OriginsRecorded
+    | DeparturesRecorded
     | Rejected
 )
 
@@ -229,6 +267,7 @@
     credit_term: int = 0
     blocked: BlockedParts = BlockedParts(0, ())
     origins: tuple[StreamOrigin, ...] = ()
+    departures: tuple[Registration, ...] = ()
 
 
 class RouteState:
@@ -236,6 +275,7 @@
 
     :ivar on_change: called after each command that changed routes, floors or blocked
         prompt parts.
+    :ivar on_departures: called with departures that were recorded.
     :ivar document: the route set in force as submitted; empty if there is none.
     :ivar applied: log index of the last applied command.
     :ivar credit_term: term of the leader that was the last to credit the accounts of
@@ -243,10 +283,12 @@
     :ivar blocked: the blocked prompt parts.
     :ivar origins: the origins of streams that may be resumed. One of unknown software
         stands for the streams of other services on routes that have moved.
+    :ivar departures: the latest recorded departure of each target.
     """
 
     def __init__(self) -> None:
         self.on_change: Callable[[], None] = _do_nothing
+        self.on_departures: Callable[[tuple[Registration, ...]], None] = _discard
         self.routes: RouteSet | None = None
         self.document = b""
         self.floors: dict[WeightKey, AdapterFloor] = {}
@@ -254,6 +296,7 @@
         self.credit_term = 0
         self.blocked = BlockedParts(0, ())
         self.origins: tuple[StreamOrigin, ...] = ()
+        self.departures: dict[TargetId, Registration] = {}
 
     @property
     def version(self) -> int:
@@ -285,6 +328,7 @@
             self.credit_term,
             self.blocked,
             self.origins,
+            tuple(self.departures.values()),
         )
         return pack(msgspec.msgpack.encode(saved))
 
@@ -307,12 +351,26 @@
         self.credit_term = saved.credit_term
         self.blocked = saved.blocked
         self.origins = saved.origins
+        self.departures = {found.target: found for found in saved.departures}
         self.on_change()
+        self.on_departures(saved.departures)
 
     def list_floors(self, index: int) -> tuple[AdapterFloor, ...]:
         """Return the floors that were raised after a log index."""
         return tuple(f for f in self.floors.values() if f.index > index)
 
+    def has_departed(self, registration: Registration) -> bool:
+        """Return whether the departure of a leaving target is recorded."""
+        recorded = self.departures.get(registration.target)
+        if recorded is None or recorded.born < registration.born:
+            return False
+        ended = recorded.state is TargetState.GONE
+        return (
+            recorded.born > registration.born
+            or ended
+            or recorded.state is registration.state
+        )
+
     def _execute(self, index: int, command: Command) -> Result:
         match command:
             case PutRoutes(routes, document):
@@ -350,6 +408,15 @@
             case RemoveOrigins(origins):
                 self.origins = sort_origins(set(self.origins).difference(origins))
                 return OriginsRecorded()
+            case RecordDepartures(departures):
+                self._record_departures(departures)
+                return DeparturesRecorded()
+            case RemoveDepartures(targets):
+                for target, born in targets:
+                    recorded = self.departures.get(target)
+                    if recorded is not None and recorded.born == born:
+                        del self.departures[target]
+                return DeparturesRecorded()
 
     def _record_moves(self, routes: RouteSet) -> None:
         """Record that streams of other services are resumed on routes that move."""
@@ -357,6 +424,16 @@
         unknown = {StreamOrigin(name, SoftwareVersion("")) for name in moved}
         self.origins = sort_origins({*self.origins, *unknown})
 
+    def _record_departures(self, departures: tuple[Registration, ...]) -> None:
+        added = tuple(found for found in departures if not self.has_departed(found))
+        for departure in added:
+            self.departures.pop(departure.target, None)
+            self.departures[departure.target] = departure
+        for target in list(self.departures)[:-MAX_DEPARTURES]:
+            del self.departures[target]
+        if added:
+            self.on_departures(added)
+
     def _change_blocked(
         self, index: int, command: BlockPart | TryPart | ReleasePart
     ) -> None:
@@ -408,3 +485,7 @@
 
 def _do_nothing() -> None:
     pass
+
+
+def _discard(_: object) -> None:
+    pass
--- a/src/ibishead/routing/targets.py
+++ b/src/ibishead/routing/targets.py
@@ -19,6 +19,7 @@
 )
 
 __all__ = [
+    "DEPARTURE_SEQUENCE",
     "PROVISIONAL_SEQUENCE",
     "AdapterRef",
     "Holding",
@@ -28,6 +29,7 @@
     "TargetView",
     "WeightKey",
     "list_adapters",
+    "make_departure",
 ]
 
 #: Seconds without contact after which the record of a target that is gone, and of one
@@ -40,6 +42,10 @@
 #: does so itself, lower than any of the engine's own.
 PROVISIONAL_SEQUENCE = -1
 
+#: Sequence number of a recorded departure, which gives way to all that the target says
+#: of itself, other than that it is ready.
+DEPARTURE_SEQUENCE = -2
+
 
 class TargetState(Enum):
     """Whether a target accepts new requests."""
@@ -121,11 +127,31 @@
         """Whether the target's steward made it, which doesn't know the software."""
         return self.sequence == PROVISIONAL_SEQUENCE
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the target takes no new requests and never will."""
+        return self.state is not TargetState.READY
+
+    @property
+    def names_software(self) -> bool:
+        """Whether the target itself made it, and could name its software version."""
+        return not self.is_provisional and self.sequence != DEPARTURE_SEQUENCE
+
     @property
     def origin(self) -> "StreamOrigin":
         """Origin of the streams that begin at the target."""
         return StreamOrigin(self.service, self.software)
 
+    def as_departure(self) -> "Registration":
+        """Return the record of a leaving target's departure, without what changes."""
+        return msgspec.structs.replace(
+            self,
+            sequence=DEPARTURE_SEQUENCE,
+            warm_up=0.0,
+            remaining=None,
+            holdings=(),
+        )
+
 
 class StreamOrigin(msgspec.Struct, frozen=True, array_like=True):
     """What began a stream, and alone may go on with it.
@@ -166,22 +192,27 @@
     def merge(self, registration: Registration, now: float) -> bool:
         """Merge a registration.
 
-        An incarnation that has left the ready state never returns to it, whatever its
-        own registrations say and in whichever order they arrive.
+        An incarnation that has left the ready state never returns to it, nor one that
+        has ended to draining, whatever its own registrations say and in whichever order
+        they arrive.
 
         :param now: monotonic seconds.
         :returns: whether it replaced the known registration of its target.
         """
         known = self._known.get(registration.target)
-        same_incarnation = known is not None and known.born == registration.born
-        leaving = _is_leaving(registration)
-        if same_incarnation and known is not None and _is_leaving(known) != leaving:
+        if (
+            known is not None
+            and known.born == registration.born
+            and known.state is not registration.state
+        ):
             self._last_seen[registration.target] = now
-            if leaving:
-                self._known[registration.target] = msgspec.structs.replace(
-                    registration, sequence=max(known.sequence, registration.sequence)
-                )
-            return leaving
+            later = _STATES_IN_ORDER.index(registration.state)
+            if later < _STATES_IN_ORDER.index(known.state):
+                return False
+            self._known[registration.target] = msgspec.structs.replace(
+                registration, sequence=max(known.sequence, registration.sequence)
+            )
+            return True
         if known is not None and registration.age <= known.age:
             if registration.age == known.age:
                 self._last_seen[registration.target] = now
@@ -209,17 +240,19 @@
         return True
 
     def mark_gone(self, target: TargetId, born: int, now: float) -> Registration | None:
-        """Mark a target as gone.
+        """Mark a target as gone, also one that is unknown.
 
         :param born: start of the incarnation that ended, 0 if unspecified.
         :param now: monotonic seconds.
-        :returns: the resulting registration; none if the target is unknown, already
-            gone, or known in another incarnation.
+        :returns: the resulting registration; none if the target is already gone, or
+            known in a later incarnation.
         """
         known = self._known.get(target)
-        if known is None or known.state is TargetState.GONE:
-            return None
-        if born and born != known.born:
+        if known is None or born > known.born:
+            gone = make_departure(target, born)
+            self.merge(gone, now)
+            return gone
+        if known.state is TargetState.GONE or (born and born != known.born):
             return None
         gone = msgspec.structs.replace(
             known, state=TargetState.GONE, sequence=known.sequence + 1
@@ -235,7 +268,7 @@
         :returns: the resulting registration; none if no such incarnation is ready.
         """
         known = self._known.get(target)
-        if known is None or known.born != born or _is_leaving(known):
+        if known is None or known.born != born or known.is_leaving:
             return None
         leaving = msgspec.structs.replace(known, state=TargetState.DRAINING)
         self._known[target] = leaving
@@ -273,7 +306,7 @@
             for found in self._known.values()
             if found.service == service
             and (
-                not _is_leaving(found)
+                not found.is_leaving
                 or now - self._last_seen[found.target] <= GONE_RETENTION_SECONDS
             )
         }
@@ -312,6 +345,22 @@
     TargetState.DRAINING: DRAINING_RETENTION_SECONDS,
 }
 
+#: A state never goes back to an earlier one within an incarnation.
+_STATES_IN_ORDER = (TargetState.READY, TargetState.DRAINING, TargetState.GONE)
 
-def _is_leaving(registration: Registration) -> bool:
-    return registration.state is not TargetState.READY
+
+def make_departure(target: TargetId, born: int) -> Registration:
+    """Return the record of the departure of a target of which nothing else is known.
+
+    :param born: start of the incarnation that ended.
+    """
+    return Registration(
+        target,
+        ServiceName(""),
+        "",
+        FailureDomain(""),
+        0,
+        TargetState.GONE,
+        born,
+        DEPARTURE_SEQUENCE,
+    )
--- a/tests/registry/test_recorded_origins.py
+++ b/tests/registry/test_recorded_origins.py
@@ -5,18 +5,19 @@
 
 import msgspec
 import pytest
+from tests.registry.replica_fakes import FakeReplica
 
 from ibishead.clock import ManualClock
 from ibishead.decisions.origins import DEFAULT_LIFETIME_SECONDS, compute_lifetime
-from ibishead.errors import ErrorCode, Unavailable
 from ibishead.ids import FailureDomain, ServiceName, SoftwareVersion, TargetId
-from ibishead.registry.origins import CHECK_INTERVAL_SECONDS, OriginWatch
+from ibishead.registry.origins import OriginWatch
 from ibishead.registry.state import (
     AddOrigins,
     PutRoutes,
     RouteState,
     encode_command,
 )
+from ibishead.registry.watch import CHECK_INTERVAL_SECONDS
 from ibishead.routing.changes import pack
 from ibishead.routing.routes import Repeatability, Route, RouteSet
 from ibishead.routing.targets import (
@@ -34,25 +35,6 @@
     return StreamOrigin(ServiceName("s"), SoftwareVersion(software))
 
 
-class FakeReplica:
-    """Applies each command at once, unless it has no quorum."""
-
-    def __init__(self, state):
-        self.state, self.leads, self.index, self.failures = state, True, 0, 0
-        self.commands: list[bytes] = []
-
-    def is_leader(self):
-        return self.leads
-
-    async def propose(self, command, *, applied=True):
-        if self.failures:
-            self.failures -= 1
-            raise Unavailable("no quorum", "wait", code=ErrorCode.NO_QUORUM)
-        self.index += 1
-        self.commands.append(command)
-        return self.state.apply(self.index, command)
-
-
 class Scene:
     """A registry that hears of targets."""
 
--- a/tests/registry/test_state.py
+++ b/tests/registry/test_state.py
@@ -6,18 +6,21 @@
 from hypothesis import strategies as st
 
 from ibishead.errors import StorageFault
-from ibishead.ids import HostId, ModelName, PartKey
+from ibishead.ids import HostId, ModelName, PartKey, TargetId
 from ibishead.registry.state import (
     MAX_BLOCKED_PARTS,
+    MAX_DEPARTURES,
     BlockPart,
     CreditMarked,
     FenceTaken,
     FloorRaised,
     PutRoutes,
     RaiseFloor,
+    RecordDepartures,
     Rejected,
     ReleaseCredit,
     ReleasePart,
+    RemoveDepartures,
     RoutesPut,
     RouteState,
     TakeCredit,
@@ -29,7 +32,14 @@
 from ibishead.routing.changes import pack
 from ibishead.routing.customers import Customer, Quota, QuotaUnit
 from ibishead.routing.routes import RouteSet
-from ibishead.routing.targets import WeightKey
+from ibishead.routing.targets import (
+    Registration,
+    TargetState,
+    WeightKey,
+    make_departure,
+)
+
+DRAINING, GONE = TargetState.DRAINING, TargetState.GONE
 
 KEY = WeightKey(ModelName("m"), "a1")
 
@@ -196,3 +206,68 @@
     state.restore(pack(msgspec.msgpack.encode(saved)))
     assert state.blocked.parts == ()
     assert state.origins == ()
+
+
+def make_leaving(target: str, state: TargetState, born: int = 1) -> Registration:
+    found = make_departure(TargetId(target), born)
+    return msgspec.structs.replace(found, state=state)
+
+
+def record(*departures: Registration) -> bytes:
+    return encode_command(RecordDepartures(departures))
+
+
+@pytest.mark.parametrize(
+    ("commands", "recorded"),
+    [
+        ([record(make_leaving("t", DRAINING))], {"t": (DRAINING, 1)}),
+        (
+            [record(make_leaving("t", DRAINING)), record(make_leaving("t", GONE))],
+            {"t": (GONE, 1)},
+        ),
+        (
+            [record(make_leaving("t", GONE)), record(make_leaving("t", DRAINING))],
+            {"t": (GONE, 1)},
+        ),
+        (
+            [record(make_leaving("t", GONE)), record(make_leaving("t", DRAINING, 2))],
+            {"t": (DRAINING, 2)},
+        ),
+        (
+            [record(make_leaving("t", GONE, 2)), record(make_leaving("t", GONE))],
+            {"t": (GONE, 2)},
+        ),
+        (
+            [
+                record(make_leaving("t", GONE), make_leaving("u", GONE)),
+                encode_command(RemoveDepartures(((TargetId("t"), 1),))),
+            ],
+            {"u": (GONE, 1)},
+        ),
+        (
+            [
+                record(make_leaving("t", GONE, 2)),
+                encode_command(RemoveDepartures(((TargetId("t"), 1),))),
+            ],
+            {"t": (GONE, 2)},
+        ),
+    ],
+    ids=["one", "ended", "ended-before", "newer", "older", "removed", "other-removed"],
+)
+def test_departures_outlive_a_snapshot(commands, recorded):
+    """Guards against targets that left and are ready again after a restart of all."""
+    state, restored = RouteState(), RouteState()
+    apply_all(state, commands)
+    told: list[Registration] = []
+    restored.on_departures = told.extend
+    restored.restore(state.capture())
+    assert {f.target: (f.state, f.born) for f in told} == recorded
+    assert restored.departures == state.departures
+
+
+def test_departures_are_limited():
+    """Guards against a state that grows with each target that ever left."""
+    state = RouteState()
+    leaving = [make_leaving(f"t{n}", GONE) for n in range(MAX_DEPARTURES + 3)]
+    apply_all(state, [record(*leaving)])
+    assert list(state.departures) == [f.target for f in leaving[3:]]
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -126,6 +126,30 @@
     assert view.get(TargetId("t1")) == registrations[-1]
 
 
+@given(st.permutations(range(4)))
+def test_a_target_that_is_gone_stays_so(order):
+    """Guards against a late registration with a higher number than the last word."""
+    registrations = [
+        make_registration(sequence=sequence, state=state)
+        for sequence, state in ((6, READY), (8, DRAINING), (7, DRAINING), (5, GONE))
+    ]
+    view = TargetView()
+    for number, place in enumerate(order):
+        view.merge(registrations[place], float(number))
+    found = view.get(TargetId("t1"))
+    assert found is not None
+    assert found.state is GONE
+
+
+@pytest.mark.parametrize("born", [100, 0])
+def test_an_unknown_target_is_marked_as_gone(born):
+    """Guards against a deregistration that nobody remembers."""
+    view = TargetView()
+    assert view.mark_gone(TargetId("t1"), born, 1.0) is not None
+    view.merge(make_registration(born=born), 2.0)
+    assert list_ready(view) == []
+
+
 @pytest.mark.parametrize(
     ("state", "silent_for", "kept"),
     [
