--- a/src/ibishead/registry/departures.py
+++ b/src/ibishead/registry/departures.py
@@ -39,14 +39,9 @@
         self._state = state
         self._view = view
 
-    def notice(self, registrations: tuple[Registration, ...]) -> None:
-        """Record the departures among changed registrations as soon as possible."""
-        if any(self._is_missing(registration) for registration in registrations):
-            self._wake.set()
-
     async def _update(self) -> None:
         leaving = {r.target: r for r in self._view if r.is_leaving}
-        missing = [r for r in leaving.values() if self._is_missing(r)]
+        missing = [r for r in leaving.values() if not self._state.has_departed(r)]
         if missing:
             chosen = tuple(r.as_departure() for r in missing[:MAX_TARGETS_PER_COMMAND])
             await self._propose(
@@ -62,9 +57,6 @@
                 RemoveDepartures(expired), _describe(target for target, _ in expired)
             )
 
-    def _is_missing(self, registration: Registration) -> bool:
-        return registration.is_leaving and not self._state.has_departed(registration)
-
 
 def _describe(targets: Iterable[TargetId]) -> dict[str, object]:
     return {"targets": list(targets)}
--- a/src/ibishead/registry/server.py
+++ b/src/ibishead/registry/server.py
@@ -310,8 +310,6 @@
     def _notice_registrations(self, fresh: tuple[Registration, ...]) -> None:
         if self._origins is not None:
             self._origins.notice(fresh)
-        if self._departures is not None:
-            self._departures.notice(fresh)
 
     def _handle_message(self, link: Link, message: Message) -> None:
         """Handle a message from another registry."""
