Reject response heads with a status above 599 or another major version

Callers: an answer with status 600 or 999 and the engine's stamp, or with HTTP/0.9, 2.0 or 3.1, reached them as an answer.

Cause: h11 takes any three digits from 100 on and any version, and nothing looked after it. RFC 9110, section 15: such codes are invalid.

Change: the check that all connections to targets use rejects both, so that the connection is closed and the request counts as one that may have run.

--- a/src/ibishead/framing.py
+++ b/src/ibishead/framing.py
@@ -30,6 +30,9 @@
 #: Bytes of a header line besides name and value; significant with many short headers.
 _HEADER_OVERHEAD = len(": \r\n")
 
+#: Highest valid status code (RFC 9110, section 15).
+_MAX_STATUS = 599
+
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
@@ -78,12 +81,20 @@
 
 
 def check_response_head(head: h11.Response | h11.InformationalResponse) -> None:
-    """Reject a head that was cut inside a line, with another one behind it.
+    """Reject a head that isn't one of HTTP/1.1, or is made of two.
 
-    The status and the first headers would be taken for those of the second response.
+    h11 accepts any three digits from 100 on and any version. A status above 599 is
+    invalid (RFC 9110, section 15), and other major versions have other formats. Where a
+    head was cut inside a line, with another one behind it, the status and the first
+    headers would be taken for those of the second response.
 
-    :raises h11.RemoteProtocolError: the reason or a header holds a status line.
+    :raises h11.RemoteProtocolError: the status line is invalid, or the reason or a
+        header holds a status line.
     """
+    if not head.http_version.startswith(b"1."):
+        raise h11.RemoteProtocolError("unsupported HTTP version in a status line")
+    if head.status_code > _MAX_STATUS:
+        raise h11.RemoteProtocolError("invalid status code")
     texts = (head.reason, *(value for _, value in head.headers))
     if any(map(_STATUS_LINE.search, texts)):
         raise h11.RemoteProtocolError("status line inside another line of a head")
