Take the early end of an idle connection for a sign of a restart

Cause: only connections lost during a request put a registration in doubt. Idle ones ended in silence, though a target ends them only at its keep-alive timeout, before which the pool gives them up. In the runs the line "target may have started again" is missing at the gateway that began the streams, which rules out a doubt that ended too early.

Change: an idle connection that the target ends while the pool would still use it counts like any lost connection. Connections that the gateway closes itself, and those whose timeout has passed, don't.

--- a/src/ibishead/gateway/connection.py
+++ b/src/ibishead/gateway/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 
 import h11
 
@@ -67,6 +68,8 @@
         owner.
     :ivar idle_time: seconds for which the target keeps the connection open when idle,
         or ``None`` if unknown, set by the owner.
+    :ivar on_idle_loss: called when the target ends the connection outside an exchange,
+        set by the owner.
     :ivar opened_at: monotonic seconds at which it was opened, set by the owner.
     :ivar received_at: monotonic seconds at which bytes were last received.
     :ivar earlier: latest requests whose exchanges are complete and whose late responses
@@ -95,6 +98,7 @@
         self.hold: AnswerHold = _unlimited.open("", MAX_UNTAKEN_BYTES)
         self.last_used = self.opened_at = self.received_at = 0.0
         self.idle_time: float | None = None
+        self.on_idle_loss: Callable[[], None] = lambda: None
         self.earlier: deque[RequestId] = deque(maxlen=REMEMBERED_REQUESTS)
         self.carried: deque[RequestId] = deque(maxlen=REMEMBERED_REQUESTS)
 
@@ -162,12 +166,12 @@
             self._parse()
         if self._in_exchange and self._close_reason is None:
             return False
-        self._close("closed by the target")
+        self._lose("closed by the target")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Handle the loss of the connection."""
-        self._close(f"transport error: {exc}" if exc else "closed")
+        self._lose(f"transport error: {exc}" if exc else "closed")
 
     # Exchanges ---------------------------------------------------------------
 
@@ -425,6 +429,12 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def _lose(self, reason: str) -> None:
+        idle = self._close_reason is None and not self._in_exchange
+        self._close(reason)
+        if idle:
+            self.on_idle_loss()
+
     def _close(self, reason: str) -> None:
         if self._close_reason is None:
             self._close_reason = reason
--- a/src/ibishead/gateway/pool.py
+++ b/src/ibishead/gateway/pool.py
@@ -1,6 +1,8 @@
 """Pool of idle HTTP connections to targets."""
 
+import functools
 import logging
+from collections.abc import Callable
 
 from ibishead.clock import Clock
 from ibishead.gateway.connection import TargetConnection
@@ -28,6 +30,8 @@
     usual number expired and had to be reopened at the next burst of requests.
 
     :ivar opened: number of connections opened so far.
+    :ivar on_early_end: called with the address of a target that ends an idle connection
+        before its keep-alive timeout.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -36,6 +40,7 @@
         #: All connections by address, lent ones too; closed ones are removed later.
         self._opened: dict[str, list[TargetConnection]] = {}
         self.opened = 0
+        self.on_early_end: Callable[[str], None] = lambda _: None
 
     async def acquire(self, address: str, request: RequestId) -> TargetConnection:
         """Return an idle connection to an address, or open a new one.
@@ -64,6 +69,9 @@
         self.opened += 1
         connection = await TargetConnection.open(parse_address(address), self._clock)
         connection.opened_at = self._clock.monotonic()
+        connection.on_idle_loss = functools.partial(
+            self._handle_idle_loss, address, connection
+        )
         self._opened.setdefault(address, []).append(connection)
         return connection
 
@@ -103,6 +111,10 @@
             for connection in self._opened.get(address, ())
         )
 
+    def _handle_idle_loss(self, address: str, connection: TargetConnection) -> None:
+        if connection.last_used and _is_timely(connection, self._clock.monotonic()):
+            self.on_early_end(address)
+
     def close_address(self, address: str) -> None:
         """Close all idle connections to an address."""
         for connection in self._idle.pop(address, []):
@@ -121,8 +133,11 @@
 
 
 def _is_usable(connection: TargetConnection, now: float) -> bool:
-    if connection.closed:
-        return False
+    return not connection.closed and _is_timely(connection, now)
+
+
+def _is_timely(connection: TargetConnection, now: float) -> bool:
+    """Return whether the target's timeout for an idle connection hasn't passed yet."""
     timeout = connection.idle_time
     limit = (
         DEFAULT_IDLE_SECONDS
--- a/src/ibishead/gateway/restarts.py
+++ b/src/ibishead/gateway/restarts.py
@@ -2,7 +2,8 @@
 
 Until the first registration of the new start arrives, the known one names software that
 no longer runs there. A process can't restart without losing its connections, so a lost
-connection puts the registration in doubt. It is certain again once the same start has
+connection puts the registration in doubt, an idle one too, unless its keep-alive
+timeout has passed. It is certain again once the same start has
 registered several times more, its steward reports it, or a connection opened before the
 loss brings data.
 """
@@ -60,6 +61,7 @@
         self._pool = pool
         self._clock = clock
         self._losses: dict[TargetId, _Loss] = {}
+        pool.on_early_end = self._record_early_end
 
     def __len__(self) -> int:
         """Return the number of targets that may have started again."""
@@ -80,6 +82,11 @@
             )
         self._losses[known.target] = _Loss(known.born, known.sequence, first_at)
 
+    def _record_early_end(self, address: str) -> None:
+        target = self._view.find_by_address(address)
+        if target is not None:
+            self.record_loss(target)
+
     def is_certain(self, target: Registration) -> bool:
         """Return whether a registration is of the process that runs there now."""
         return not self._tracker.is_outdated(target) and not self._is_in_doubt(target)
--- a/src/ibishead/registry/state.py
+++ b/src/ibishead/registry/state.py
@@ -288,7 +288,7 @@
 
     def __init__(self) -> None:
         self.on_change: Callable[[], None] = _do_nothing
-        self.on_departures: Callable[[tuple[Registration, ...]], None] = _discard
+        self.on_departures: Callable[[tuple[Registration, ...]], None] = lambda _: None
         self.routes: RouteSet | None = None
         self.document = b""
         self.floors: dict[WeightKey, AdapterFloor] = {}
@@ -485,7 +485,3 @@
 
 def _do_nothing() -> None:
     pass
-
-
-def _discard(_: object) -> None:
-    pass
--- a/tests/gateway/test_restarted_targets.py
+++ b/tests/gateway/test_restarted_targets.py
@@ -1,5 +1,7 @@
 """Targets that start again under their ID with other software."""
 
+import asyncio
+
 import msgspec
 import pytest
 from tests.gateway.test_pipeline import (
@@ -256,6 +258,36 @@
         assert not fixture.pipeline.restarts.is_certain(target)
 
 
+@pytest.mark.parametrize(
+    ("idle_time", "idle_for", "certain"),
+    [(None, 0.0, False), (10.0, 8.0, False), (10.0, 9.5, True), (1.0, 0.6, True)],
+)
+async def test_an_idle_connection_that_ends_early_puts_a_target_in_doubt(
+    idle_time, idle_for, certain
+):
+    """Guards against a restart that no request notices."""
+    async with Fixture(ONCE, respond, software=("v1",)) as fixture:
+        await fixture.ask()
+        (target,) = fixture.feed.view
+        (connection,) = fixture.pool._idle[target.address]
+        connection.idle_time = idle_time
+        connection.last_used -= idle_for
+        await fixture._targets[0].stop(0.0)
+        await asyncio.sleep(0.05)
+        assert connection.closed
+        assert fixture.pipeline.restarts.is_certain(target) == certain
+
+
+async def test_a_connection_that_the_gateway_closes_is_no_sign_of_a_restart():
+    """Guards against doubts about targets that no request needs for a while."""
+    async with Fixture(ONCE, respond, software=("v1",)) as fixture:
+        await fixture.ask()
+        (target,) = fixture.feed.view
+        fixture.pool.close_address(target.address)
+        await asyncio.sleep(0.05)
+        assert fixture.pipeline.restarts.is_certain(target)
+
+
 @pytest.mark.parametrize(
     ("opened_at", "received_at", "survives"),
     [(1.0, 3.0, True), (1.0, 2.05, False), (1.0, 1.5, False), (2.5, 3.0, False)],
--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -243,6 +243,36 @@
     assert "v1" not in versions
 
 
+async def test_a_stream_begun_after_an_unseen_restart_has_no_former_version(
+    tmp_path,
+):
+    """Guards against an origin by the registration of the start before."""
+    async with Cluster(tmp_path) as cluster:
+        for server in cluster.plain:
+            server.names_software = server.keeps_name = server.streams = True
+            server.events = EVENTS
+        await cluster.wait_ready()
+        first, second = cluster.gateways
+        whole = (cluster.request("look", g) for g in cluster.gateways for _ in range(8))
+        await asyncio.gather(*whole)
+        restarted = cluster.plain[0]
+        await restarted.lose_power()
+        restarted.software, restarted.announces = "v2", False
+        await restarted.start()
+        streams = await asyncio.gather(
+            *(cluster.begin_stream("notes", first, "", RECEIVED) for _ in range(24))
+        )
+        begun = [s for s in streams if restarted.name in cluster.ledger.runs[s]]
+        versions = await asyncio.gather(
+            *(
+                resume(cluster, s, named=True, route="notes", model="", gateway=second)
+                for s in begun
+            )
+        )
+    assert begun
+    assert "v1" not in versions
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_resumed_streams_keep_their_version_around_random_releases(
     tmp_path, seed
