Repeat the origins of streams to stewards that start again

Cause: a gateway told the three holders of a stream's origin once, as the stream began. A steward that starts again has forgotten it, and after all three had, only that gateway knew.

Change: a gateway keeps what it has recorded at each steward, and repeats what may still be resumed at each new link.

--- a/src/ibishead/gateway/origins.py
+++ b/src/ibishead/gateway/origins.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import logging
+from collections import defaultdict, deque
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -57,6 +58,9 @@
         self._clock = clock
         self._metrics = metrics
         self._own = OriginTable()
+        #: Streams recorded at each holder, with the monotonic seconds of their expiry.
+        self._told: defaultdict[HostId, deque[tuple[RequestId, float]]]
+        self._told = defaultdict(deque)
         self._numbers = itertools.count(1)
         self._questions: dict[int, _Question] = {}
 
@@ -72,6 +76,23 @@
         self._own.record(stream, origin, now + lifetime, now)
         for host in self._rank_holders(stream, COPIES):
             self._holders.send(host, StreamBegan(stream, origin, lifetime))
+            self._told[host].append((stream, now + lifetime))
+
+    def greet_holder(self, host: HostId) -> None:
+        """Repeat what was recorded at a holder, which may have started again."""
+        now = self._clock.monotonic()
+        for stream, expiry in self._told.get(host, ()):
+            if (origin := self._own.find(stream, now)) is not None:
+                self._holders.send(host, StreamBegan(stream, origin, expiry - now))
+
+    def remove_expired(self) -> None:
+        """Discard the streams that can't be resumed any more."""
+        now = self._clock.monotonic()
+        for host, told in list(self._told.items()):
+            while told and told[0][1] <= now:
+                told.popleft()
+            if not told:
+                del self._told[host]
 
     async def find(self, stream: RequestId) -> StreamOrigin | None:
         """Return the origin of a stream, or ``None`` if unknown.
--- a/src/ibishead/gateway/server.py
+++ b/src/ibishead/gateway/server.py
@@ -91,6 +91,7 @@
             ),
             on_quota=lambda message: self._quotas.handle_relayed(message),
             on_origin=lambda answer: self._origins.handle_answer(answer),
+            on_link=lambda host: self._origins.greet_holder(host),
         )
         member = MemberRecord(
             settings.host, MemberKind.GATEWAY, "", 0, settings.failure_domain
@@ -310,6 +311,7 @@
                 self._tracker.retain({found.target for found in self.feed.view})
                 self._pipeline.restarts.retain_known()
                 self._tracker.rests.remove_ended(self._clock.monotonic())
+                self._origins.remove_expired()
 
     async def _measure_load(self) -> None:
         measured_at, sent = self._clock.monotonic(), self._server.bytes_sent
--- a/src/ibishead/gateway/stewards.py
+++ b/src/ibishead/gateway/stewards.py
@@ -106,6 +106,7 @@
     :param on_refusals: called when an engine has asked another gateway for rest.
     :param on_quota: called with each message about quotas that a steward relays.
     :param on_origin: called with each answer about the beginning of a stream.
+    :param on_link: called with the host of each new link.
     """
 
     def __init__(
@@ -120,6 +121,7 @@
         on_refusals: Callable[[RefusalsTold], None] = lambda _: None,
         on_quota: Callable[[QuotaKept | QuotaAnswer], None] = lambda _: None,
         on_origin: Callable[[OriginAnswer], None] = lambda _: None,
+        on_link: Callable[[HostId], None] = lambda _: None,
     ) -> None:
         self._host = host
         self._clock = clock
@@ -130,6 +132,7 @@
         self._on_refusals = on_refusals
         self._on_quota = on_quota
         self._on_origin = on_origin
+        self._on_link = on_link
         self._dial = dialer
         self._links: dict[str, Link] = {}
         #: Links by host, with its failure domain.
@@ -376,6 +379,7 @@
         self._links[address] = link
         self._hosts[member.host] = link, member.domain
         self._timed_out.discard(address)
+        self._on_link(member.host)
         try:
             async for message in link.receive():
                 self._handle(message)
--- a/tests/gateway/test_origins.py
+++ b/tests/gateway/test_origins.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from ibishead.clock import SystemClock
-from ibishead.decisions.origins import OriginTable
+from ibishead.clock import ManualClock, SystemClock
+from ibishead.decisions.origins import OriginTable, compute_lifetime
 from ibishead.gateway.origins import COPIES, StreamOrigins
 from ibishead.ids import (
     FailureDomain,
@@ -76,6 +76,36 @@
     assert await stewards.view().origins.find(STREAM) == V1
 
 
+async def test_a_version_outlives_holders_that_start_again_in_turn():
+    """Guards against streams that nobody remembers after a restart of all stewards."""
+    stewards = Stewards()
+    first = stewards.view()
+    first.origins.record(STREAM, V1, 9.0)
+    for host in list(stewards.tables):
+        stewards.tables[host] = OriginTable()
+        first.origins.greet_holder(host)
+    assert len(first.list_told()) == COPIES
+    assert await stewards.view().origins.find(STREAM) == V1
+
+
+@pytest.mark.parametrize(("seconds", "told"), [(0.0, True), (8.0, True), (99.0, False)])
+def test_only_streams_that_may_be_resumed_are_told_again(seconds, told):
+    """Guards against memory that grows with each stream."""
+    stewards, clock = Stewards(), ManualClock()
+    first = stewards.view()
+    first.origins = StreamOrigins(first, clock, Metrics("gateway"))
+    first.origins.record(STREAM, V1, 9.0)
+    holders = first.list_told()
+    clock.step(seconds)
+    first.origins.remove_expired()
+    sent = []
+    first.send = lambda host, message: sent.append(message.lifetime)
+    for host in holders:
+        first.origins.greet_holder(host)
+    left = compute_lifetime(9.0) - seconds
+    assert sent == [pytest.approx(left)] * COPIES * told
+
+
 @pytest.mark.parametrize("without", [1, 3, 5])
 async def test_a_version_is_found_by_gateways_that_know_other_stewards(without):
     """In a cut, or while stewards come and go, two gateways rank different hosts."""
--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -273,6 +273,30 @@
     assert "v1" not in versions
 
 
+async def test_streams_go_on_after_the_stewards_restarted_in_turn(tmp_path):
+    """Guards against origins that all their holders have forgotten."""
+    async with Cluster(tmp_path, engines=4) as cluster:
+        for engine in cluster.engines:
+            engine.names_software, engine.events = True, EVENTS
+        await cluster.wait_ready()
+        model = f"{MODEL}/warm"
+        first, second = cluster.gateways
+        streams = [
+            await cluster.begin_stream("advice", first, model, RECEIVED)
+            for _ in range(STREAMS)
+        ]
+        for host in cluster.side_hosts:
+            steward = cluster.programs["steward", host]
+            assert await steward.stop() == 0
+            steward.start()
+            await asyncio.sleep(2.0)
+        versions = [
+            await resume(cluster, stream, named=True, gateway=second)
+            for stream in streams
+        ]
+    assert versions == ["v1"] * STREAMS
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_resumed_streams_keep_their_version_around_random_releases(
     tmp_path, seed
