Let the repair name what it needs of a replica

log/repair and log/replica imported each other, the only circle among the modules. The repair now states its needs as a protocol; no behaviour changes. tests/control: green.

--- a/src/ibishead/control/log/repair.py
+++ b/src/ibishead/control/log/repair.py
@@ -3,16 +3,18 @@
 import asyncio
 import logging
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from ibishead.clock import Clock
 from ibishead.control.agreement import configuration
+from ibishead.control.agreement.consensus import Consensus
+from ibishead.control.agreement.peers import Configuration
+from ibishead.control.log.driver import ReplicaOptions
+from ibishead.control.log.founding import Founding
 from ibishead.control.log.identity import replica_host
 from ibishead.errors import Conflict, ErrorCode, IbisheadError, Unavailable
 from ibishead.ids import HostId, ReplicaId
 
-if TYPE_CHECKING:
-    from ibishead.control.log.replica import LogReplica
-
 __all__ = ["REPLACE_TIMEOUT_SECONDS", "RepairMonitor", "replace"]
 
 logger = logging.getLogger(__name__)
@@ -32,7 +34,37 @@
 _REPAIR_INTERVAL_SECONDS = 0.5
 
 
-async def replace(replica: "LogReplica", lost: ReplicaId, host: HostId) -> ReplicaId:
+class RepairingReplica(Protocol):
+    """The replica that leads, as far as a repair needs it.
+
+    :ivar founding: the latest introduction of each host.
+    """
+
+    options: ReplicaOptions
+    clock: Clock
+    founding: Founding
+
+    @property
+    def name(self) -> ReplicaId:
+        """This replica's id in the replica set."""
+
+    @property
+    def core(self) -> Consensus:
+        """The consensus, advanced to the current time."""
+
+    def is_leader(self) -> bool:
+        """Return whether this replica is a leader whose quorum still answers."""
+
+    async def transfer(self) -> None:
+        """Transfer the leadership to the replica with the most complete log."""
+
+    async def change_configuration(self, wanted: Configuration) -> None:
+        """Change the replica set; return once that is committed."""
+
+
+async def replace(
+    replica: RepairingReplica, lost: ReplicaId, host: HostId
+) -> ReplicaId:
     """Replace a replica by the new one that runs on a host; to be called on the leader.
 
     The new replica is a learner until it has caught up with the log. Then it takes the
@@ -71,7 +103,7 @@
 class RepairMonitor:
     """Replaces lost replicas without an operator if a new replica is available."""
 
-    def __init__(self, replica: "LogReplica") -> None:
+    def __init__(self, replica: RepairingReplica) -> None:
         self._replica = replica
         self._running = False
         self._next_attempt = 0.0
@@ -208,7 +240,7 @@
         return max(silent)[1], sorted(hosts)[0]
 
 
-async def _add_and_catch_up(replica: "LogReplica", new: ReplicaId) -> None:
+async def _add_and_catch_up(replica: RepairingReplica, new: ReplicaId) -> None:
     current = replica.core.configuration
     if new not in current.voters and new not in current.learners:
         await replica.change_configuration(configuration.add_learner(current, new))
@@ -233,7 +265,7 @@
         await asyncio.sleep(replica.options.tick_seconds)
 
 
-async def _promote(replica: "LogReplica", new: ReplicaId) -> None:
+async def _promote(replica: RepairingReplica, new: ReplicaId) -> None:
     if new in replica.core.configuration.voters:
         return
     await _wait_caught_up(replica, new)
@@ -241,7 +273,7 @@
     await replica.change_configuration(configuration.promote(current, new))
 
 
-async def _wait_caught_up(replica: "LogReplica", new: ReplicaId) -> None:
+async def _wait_caught_up(replica: RepairingReplica, new: ReplicaId) -> None:
     """Wait until a learner has received the entry of the previous change, too."""
     deadline = replica.clock.monotonic() + _PROMOTE_TIMEOUT_SECONDS
     while (
@@ -252,14 +284,14 @@
         await asyncio.sleep(replica.options.tick_seconds)
 
 
-async def _remove(replica: "LogReplica", lost: ReplicaId) -> None:
+async def _remove(replica: RepairingReplica, lost: ReplicaId) -> None:
     current = replica.core.configuration
     if lost in current.voters or lost in current.learners:
         await replica.change_configuration(configuration.remove(current, lost))
 
 
 def _find_new_replica(
-    replica: "LogReplica", lost: ReplicaId, host: HostId
+    replica: RepairingReplica, lost: ReplicaId, host: HostId
 ) -> ReplicaId:
     if host == replica_host(replica.name) and lost != replica.name:
         # a replaced leader may have transferred the leadership to the new replica
@@ -278,7 +310,7 @@
     return known.replica
 
 
-def _check_size(replica: "LogReplica", lost: ReplicaId, new: ReplicaId) -> None:
+def _check_size(replica: RepairingReplica, lost: ReplicaId, new: ReplicaId) -> None:
     """Refuse to remove a voter if the new replica doesn't add one.
 
     An even number of voters means that a replacement was interrupted, and it may be
@@ -292,13 +324,13 @@
         )
 
 
-def _has_new_replica(replica: "LogReplica", host: HostId) -> bool:
+def _has_new_replica(replica: RepairingReplica, host: HostId) -> bool:
     known = replica.founding.known[host]
     is_voter = known.replica in replica.core.configuration.voters
     return _is_recent(replica, host) and not is_voter
 
 
-def _is_recent(replica: "LogReplica", host: HostId) -> bool:
+def _is_recent(replica: RepairingReplica, host: HostId) -> bool:
     known = replica.founding.known[host]
     return (
         replica.clock.monotonic() - known.introduced_at < _INTRODUCTION_TIMEOUT_SECONDS
