Keep what is known of a target when the record of its departure is merged

Found by reading the diff: a registry that doesn't know a target tells its end without its address. Merged elsewhere, that replaced the registration, and an earlier target at the same address, which hadn't expired yet, looked like the newest one there. The record now changes the state alone.

Red before: test_a_record_of_a_departure_keeps_what_is_known_of_the_target."

--- a/src/ibishead/control/log/repair.py
+++ b/src/ibishead/control/log/repair.py
@@ -163,9 +163,9 @@
     def find_promotable(self) -> ReplicaId | None:
         """Return a learner to promote if there are fewer voters than configured.
 
-        Failure: a replacement removes the lost voter and is then interrupted by a
-        change of leader or a learner that lags. No voter is silent any more, so no
-        repair is due, and the next loss ends the quorum permanently.
+        Failure: the log was founded with fewer voters, or one was removed and its
+        successor not promoted. No voter is silent, so no repair is due, and the next
+        loss ends the quorum permanently.
         """
         replica = self._replica
         current = replica.core.configuration
--- a/src/ibishead/routing/targets.py
+++ b/src/ibishead/routing/targets.py
@@ -132,10 +132,15 @@
         """Whether the target takes no new requests and never will."""
         return self.state is not TargetState.READY
 
+    @property
+    def is_departure(self) -> bool:
+        """Whether it is the record of a departure, not the target's own."""
+        return self.sequence == DEPARTURE_SEQUENCE
+
     @property
     def names_software(self) -> bool:
         """Whether the target itself made it, and could name its software version."""
-        return not self.is_provisional and self.sequence != DEPARTURE_SEQUENCE
+        return not self.is_provisional and not self.is_departure
 
     @property
     def origin(self) -> "StreamOrigin":
@@ -209,8 +214,12 @@
             later = _STATES_IN_ORDER.index(registration.state)
             if later < _STATES_IN_ORDER.index(known.state):
                 return False
+            # a record of a departure may not know more than that the target left
+            latest = known if registration.is_departure else registration
             self._known[registration.target] = msgspec.structs.replace(
-                registration, sequence=max(known.sequence, registration.sequence)
+                latest,
+                state=registration.state,
+                sequence=max(known.sequence, registration.sequence),
             )
             return True
         if known is not None and registration.age <= known.age:
--- a/tests/onplatform/test_restarted_versions.py
+++ b/tests/onplatform/test_restarted_versions.py
@@ -11,7 +11,7 @@
 from enum import Enum
 
 import pytest
-from tests.onplatform.standin import MODEL, Cluster
+from tests.onplatform.standin import MODEL, Cluster, Target
 
 from ibishead.errors import LinkLost
 
@@ -103,6 +103,13 @@
         await asyncio.sleep(0.1)
 
 
+async def restart_unannounced(server: Target) -> None:
+    """Start a server again as another version that doesn't register."""
+    await server.lose_power()
+    server.software, server.announces = "v2", False
+    await server.start()
+
+
 async def begin_streams(cluster, *, keeps_name=False) -> list[str]:
     """Begin streams at engines of the first version."""
     for engine in cluster.engines:
@@ -192,9 +199,7 @@
             while not await server.announce():
                 await asyncio.sleep(0.05)
         for server in cluster.plain:
-            await server.lose_power()
-            server.software, server.announces = "v2", False
-            await server.start()
+            await restart_unannounced(server)
         versions = set()
         for _ in range(20):
             found = await resume(cluster, stream, named=True, route="notes", model="")
@@ -218,9 +223,7 @@
         sent = [asyncio.create_task(cluster.request("notes", first)) for _ in range(6)]
         await asyncio.sleep(0.3)
         restarted = cluster.plain[0]
-        await restarted.lose_power()
-        restarted.software, restarted.announces = "v2", False
-        await restarted.start()
+        await restart_unannounced(restarted)
         for _ in range(ROUNDS):
             streams = await asyncio.gather(
                 *(cluster.begin_stream("notes", first, "", RECEIVED) for _ in range(12))
@@ -256,9 +259,7 @@
         whole = (cluster.request("look", g) for g in cluster.gateways for _ in range(8))
         await asyncio.gather(*whole)
         restarted = cluster.plain[0]
-        await restarted.lose_power()
-        restarted.software, restarted.announces = "v2", False
-        await restarted.start()
+        await restart_unannounced(restarted)
         streams = await asyncio.gather(
             *(cluster.begin_stream("notes", first, "", RECEIVED) for _ in range(24))
         )
--- a/tests/routing/test_targets.py
+++ b/tests/routing/test_targets.py
@@ -6,7 +6,12 @@
 from hypothesis import strategies as st
 
 from ibishead.ids import FailureDomain, ServiceName, TargetId
-from ibishead.routing.targets import Registration, TargetState, TargetView
+from ibishead.routing.targets import (
+    Registration,
+    TargetState,
+    TargetView,
+    make_departure,
+)
 
 READY, DRAINING, GONE = TargetState.READY, TargetState.DRAINING, TargetState.GONE
 
@@ -141,6 +146,18 @@
     assert found.state is GONE
 
 
+def test_a_record_of_a_departure_keeps_what_is_known_of_the_target():
+    """Guards against an earlier target at the address that seems to be the newest."""
+    view = TargetView()
+    view.merge(make_registration("old", born=50), 0.0)
+    view.merge(make_registration(software="v1"), 0.0)
+    assert view.merge(make_departure(TargetId("t1"), 100), 1.0)
+    assert list_ready(view) == []
+    found = view.get(TargetId("t1"))
+    assert found is not None
+    assert (found.state, found.software, found.sequence) == (GONE, "v1", 1)
+
+
 @pytest.mark.parametrize("born", [100, 0])
 def test_an_unknown_target_is_marked_as_gone(born):
     """Guards against a deregistration that nobody remembers."""
