--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -96,6 +96,8 @@
         #: Whether it starts again under the same ID.
         self.keeps_name = False
         self.name = ""
+        #: Whether it takes connections.
+        self.serving = False
         self._reset()
         self.work_seconds = 0.02
         self.events = 6
@@ -159,9 +161,11 @@
 
     async def start(self) -> None:
         await self._server.start(self.endpoint)
+        self.serving = True
         self._announcer = asyncio.create_task(self._announce_periodically())
 
     async def stop(self) -> None:
+        self.serving = False
         if self._announcer is not None:
             self._announcer.cancel()
         await self._server.stop(0.0)
