--- a/tests/registry/test_crashes.py
+++ b/tests/registry/test_crashes.py
@@ -3,9 +3,9 @@
 import asyncio
 
 import pytest
+from tests.registry.replica_fakes import FakeReplica
 
 from ibishead.clock import SystemClock
-from ibishead.errors import ErrorCode, Unavailable
 from ibishead.ids import HostId, PartKey
 from ibishead.metrics import Metrics
 from ibishead.registry import crashes
@@ -23,24 +23,6 @@
 BAD, HEAD = PartKey("bad"), PartKey("head")
 
 
-class FakeReplica:
-    """Applies each command at once, unless it has no quorum."""
-
-    def __init__(self, state):
-        self.state, self.leads, self.index = state, True, 0
-        self.failures = 0
-
-    def is_leader(self):
-        return self.leads
-
-    async def propose(self, command, *, applied=True):
-        if self.failures:
-            self.failures -= 1
-            raise Unavailable("no quorum", "wait", code=ErrorCode.NO_QUORUM)
-        self.index += 1
-        return self.state.apply(self.index, command)
-
-
 class FakeGateways:
     """Gateways that answer each question with the same uses, or not at all."""
 
