Reserve the addresses of a test cluster

Cause: the prefix of a cluster was a counter from the process id and a random byte, so that two workers, whose ids follow each other, could draw the same one at the same time.

Now a cluster reserves its prefix by a bound socket until it ends.

--- a/tests/onplatform/standin.py
+++ b/tests/onplatform/standin.py
@@ -8,8 +8,8 @@
 import contextlib
 import itertools
 import json
-import os
 import random
+import socket
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -35,7 +35,8 @@
 
 #: Longest time that a target may want no requests; a longer one is malformed.
 MAX_REST_SECONDS = 60.0
-_networks = itertools.count(os.getpid() % 200)
+#: Last byte of the address, and port, that reserve a prefix.
+_RESERVED_HOST, _RESERVED_PORT = 254, 18000
 
 
 @dataclass
@@ -378,9 +379,8 @@
     """Four registries, two gateways, engines with stewards, two plain targets."""
 
     def __init__(self, folder: Path, engines: int = 2) -> None:
-        net = next(_networks)
         self.folder = folder
-        self._prefix = f"127.{50 + net % 200}.{random.randrange(1, 250)}"
+        self._prefix, self._reservation = _reserve_prefix()
         self.ledger = Ledger()
         self.newest_versions: dict[str, int] = {}
         #: Gateway to which each request of a caller was sent, and monotonic seconds.
@@ -429,6 +429,7 @@
             program.clean_up()
         for target in self.engines + self.plain:
             await target.end()
+        self._reservation.close()
 
     def record_disturbance(self, gateway: Endpoint) -> None:
         """Record that a gateway is killed, stopped, started or suspended now."""
@@ -631,3 +632,21 @@
                             if (await self.request(route, gateway, model))[0] == 200:
                                 break
                         await asyncio.sleep(0.1)
+
+
+def _reserve_prefix() -> tuple[str, socket.socket]:
+    """Return the first three bytes of addresses that no other cluster uses.
+
+    Clusters of other processes run at the same time.
+
+    :returns: the prefix, and the socket that reserves it until it is closed.
+    """
+    while True:
+        prefix = f"127.{random.randrange(50, 250)}.{random.randrange(1, 250)}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{prefix}.{_RESERVED_HOST}", _RESERVED_PORT))
+        except OSError:
+            reservation.close()
+        else:
+            return prefix, reservation
