--- a/src/ibishead/control/log/replica.py
+++ b/src/ibishead/control/log/replica.py
@@ -11,7 +11,6 @@
 from ibishead.control.agreement.consensus import Consensus
 from ibishead.control.agreement.peers import Configuration
 from ibishead.control.agreement.raftstate import Role, has_quorum
-from ibishead.control.log import repair
 from ibishead.control.log.driver import DataFiles, LogDriver, PeerSender, ReplicaOptions
 from ibishead.control.log.founding import Founding
 from ibishead.control.log.identity import (
@@ -33,6 +32,8 @@
     Replaced,
     ReplicaMessage,
 )
+from ibishead.control.log.repair import RepairMonitor
+from ibishead.control.log.replacement import REPLACE_TIMEOUT_SECONDS, replace
 from ibishead.control.log.waiters import (
     FIRST_NUMBER_BOUND,
     PendingQuestions,
@@ -99,7 +100,7 @@
         self._introduced_at = 0.0
         self._linked_rounds = 0
         self._leader_seen_at = clock.monotonic()
-        self._repair = repair.RepairMonitor(self)
+        self._repair = RepairMonitor(self)
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -224,10 +225,10 @@
         :raises Conflict: another change of the replica set is in progress.
         """
         if self.is_leader():
-            return await repair.replace(self, lost, host)
+            return await replace(self, lost, host)
         answer = await self._request_leader(
             lambda number: AskReplace(number, lost, host),
-            repair.REPLACE_TIMEOUT_SECONDS,
+            REPLACE_TIMEOUT_SECONDS,
             outlives_lead=True,
         )
         return answer.replica
@@ -389,7 +390,7 @@
     ) -> ReplicaMessage:
         if not self.is_leader():
             raise self._describe_no_quorum()
-        return Replaced(number, await repair.replace(self, lost, host))
+        return Replaced(number, await replace(self, lost, host))
 
     def _accept_cluster(self, frame: PeerFrame) -> bool:
         if not self._identity.cluster and frame.cluster and frame.receiver:
--- a/src/ibishead/registry/crashes.py
+++ b/src/ibishead/registry/crashes.py
@@ -31,13 +31,8 @@
 from ibishead.errors import IbisheadError
 from ibishead.ids import CustomerId, HostId, PartKey
 from ibishead.metrics import Metrics
-from ibishead.registry.state import (
-    BlockPart,
-    ReleasePart,
-    RouteState,
-    TryPart,
-    encode_command,
-)
+from ibishead.registry.commands import BlockPart, ReleasePart, TryPart, encode_command
+from ibishead.registry.state import RouteState
 from ibishead.routing.messages import (
     AskPartUses,
     BlockedPart,
--- a/src/ibishead/registry/credits.py
+++ b/src/ibishead/registry/credits.py
@@ -12,7 +12,7 @@
 
 from ibishead.control.log.machine import Replica
 from ibishead.errors import IbisheadError
-from ibishead.registry.state import (
+from ibishead.registry.commands import (
     Command,
     CreditMarked,
     ReleaseCredit,
--- a/src/ibishead/registry/departures.py
+++ b/src/ibishead/registry/departures.py
@@ -9,11 +9,8 @@
 
 from ibishead.control.log.machine import Replica
 from ibishead.ids import TargetId
-from ibishead.registry.state import (
-    RecordDepartures,
-    RemoveDepartures,
-    RouteState,
-)
+from ibishead.registry.commands import RecordDepartures, RemoveDepartures
+from ibishead.registry.state import RouteState
 from ibishead.registry.watch import StateWatch
 from ibishead.routing.targets import Registration
 
--- a/src/ibishead/registry/origins.py
+++ b/src/ibishead/registry/origins.py
@@ -10,12 +10,8 @@
 from ibishead.clock import Clock
 from ibishead.control.log.machine import Replica
 from ibishead.decisions.origins import compute_lifetime
-from ibishead.registry.state import (
-    AddOrigins,
-    RemoveOrigins,
-    RouteState,
-    sort_origins,
-)
+from ibishead.registry.commands import AddOrigins, RemoveOrigins
+from ibishead.registry.state import RouteState, sort_origins
 from ibishead.registry.watch import StateWatch
 from ibishead.routing.targets import Registration, StreamOrigin
 
--- a/src/ibishead/registry/service.py
+++ b/src/ibishead/registry/service.py
@@ -14,8 +14,7 @@
 from ibishead.errors import ErrorCode, IbisheadError, InvalidInput, Unavailable
 from ibishead.ids import TargetId
 from ibishead.metrics import Metrics
-from ibishead.registry.publisher import FeedPublisher
-from ibishead.registry.state import (
+from ibishead.registry.commands import (
     Command,
     DeparturesRecorded,
     FenceTaken,
@@ -26,11 +25,12 @@
     Rejected,
     Result,
     RoutesPut,
-    RouteState,
     TakeFence,
     decode_result,
     encode_command,
 )
+from ibishead.registry.publisher import FeedPublisher
+from ibishead.registry.state import RouteState
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.routes import RouteSet, check_routes
 from ibishead.routing.targets import (
--- a/src/ibishead/registry/watch.py
+++ b/src/ibishead/registry/watch.py
@@ -6,12 +6,7 @@
 
 from ibishead.control.log.machine import Replica
 from ibishead.errors import IbisheadError
-from ibishead.registry.state import (
-    Command,
-    Rejected,
-    decode_result,
-    encode_command,
-)
+from ibishead.registry.commands import Command, Rejected, decode_result, encode_command
 from ibishead.waiting import wait_for_event
 
 __all__ = ["StateWatch"]
--- a/tests/gateway/test_pipeline.py
+++ b/tests/gateway/test_pipeline.py
@@ -42,7 +42,8 @@
 from ibishead.metrics import Metrics
 from ibishead.platform.callers import PlatformCallers
 from ibishead.platform.targets import PlatformTargets
-from ibishead.registry.state import PutRoutes, RouteState, encode_command
+from ibishead.registry.commands import PutRoutes, encode_command
+from ibishead.registry.state import RouteState
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
     BlockedPart,
--- a/tests/registry/test_credits.py
+++ b/tests/registry/test_credits.py
@@ -6,8 +6,9 @@
 
 from ibishead.errors import Unavailable
 from ibishead.registry import credits
+from ibishead.registry.commands import CreditMarked, decode_result
 from ibishead.registry.credits import CreditLog
-from ibishead.registry.state import CreditMarked, RouteState, decode_result
+from ibishead.registry.state import RouteState
 
 
 class FakeLog:
--- a/tests/registry/test_publisher.py
+++ b/tests/registry/test_publisher.py
@@ -7,14 +7,9 @@
 
 from ibishead.clock import ManualClock
 from ibishead.ids import PartKey
+from ibishead.registry.commands import BlockPart, PutRoutes, ReleasePart, encode_command
 from ibishead.registry.publisher import MEMBERS_BATCH_SECONDS, FeedPublisher
-from ibishead.registry.state import (
-    BlockPart,
-    PutRoutes,
-    ReleasePart,
-    RouteState,
-    encode_command,
-)
+from ibishead.registry.state import RouteState
 from ibishead.routing.feed import RegistryFeed
 from ibishead.routing.messages import (
     AskRoutes,
--- a/tests/registry/test_recorded_origins.py
+++ b/tests/registry/test_recorded_origins.py
@@ -10,13 +10,9 @@
 from ibishead.clock import ManualClock
 from ibishead.decisions.origins import DEFAULT_LIFETIME_SECONDS, compute_lifetime
 from ibishead.ids import FailureDomain, ServiceName, SoftwareVersion, TargetId
+from ibishead.registry.commands import AddOrigins, PutRoutes, encode_command
 from ibishead.registry.origins import OriginWatch
-from ibishead.registry.state import (
-    AddOrigins,
-    PutRoutes,
-    RouteState,
-    encode_command,
-)
+from ibishead.registry.state import RouteState
 from ibishead.registry.watch import CHECK_INTERVAL_SECONDS
 from ibishead.routing.changes import pack
 from ibishead.routing.routes import Repeatability, Route, RouteSet
--- a/tests/registry/test_state.py
+++ b/tests/registry/test_state.py
@@ -7,9 +7,7 @@
 
 from ibishead.errors import StorageFault
 from ibishead.ids import HostId, ModelName, PartKey, TargetId
-from ibishead.registry.state import (
-    MAX_BLOCKED_PARTS,
-    MAX_DEPARTURES,
+from ibishead.registry.commands import (
     BlockPart,
     CreditMarked,
     FenceTaken,
@@ -22,13 +20,13 @@
     ReleasePart,
     RemoveDepartures,
     RoutesPut,
-    RouteState,
     TakeCredit,
     TakeFence,
     TryPart,
     decode_result,
     encode_command,
 )
+from ibishead.registry.state import MAX_BLOCKED_PARTS, MAX_DEPARTURES, RouteState
 from ibishead.routing.changes import pack
 from ibishead.routing.customers import Customer, Quota, QuotaUnit
 from ibishead.routing.routes import RouteSet
